Add the build frame, error kinds, configuration structs and interfaces

Cause: the repository was empty; every slice needs the same build, error table, ids and configuration structs. Conclusion: slices can be written side by side against these headers.

--- /dev/null
+++ b/programs/anvilridged.cc
@@ -0,0 +1,7 @@
+#include <cstdio>
+
+/// Entry daemon.
+int main() {
+  std::puts("anvilridged " ANVIL_VERSION);
+  return 0;
+}
--- /dev/null
+++ b/src/settings/daemon_settings.h
@@ -0,0 +1,94 @@
+#ifndef ANVILRIDGE_SETTINGS_DAEMON_SETTINGS_H_
+#define ANVILRIDGE_SETTINGS_DAEMON_SETTINGS_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+
+namespace anvilridge {
+
+/// An IP address and a TCP or UDP port; port 0 lets the system choose.
+struct endpoint {
+  std::string address = "127.0.0.1";
+  uint16_t port = 0;
+};
+
+/// `[daemon]`: who this daemon is.
+struct identity_settings {
+  std::string name;
+  std::string failure_domain;
+  std::string region;
+  int traffic_threads = 2;
+  /// Written at start with the ports that were bound, as INI; empty for none.
+  std::string ports_file;
+};
+
+/// `[caller]`, `[operator]`, `[peer]`, `[metrics]`: the ports.
+struct port_settings {
+  endpoint listen;
+  bool tls = false;
+  std::string certificate_file;
+  std::string private_key_file;
+};
+
+/// `[limits]`: bounds on what callers may send and hold.
+struct limit_settings {
+  int64_t max_body_bytes = 1 << 20;
+  int64_t max_header_bytes = 16 << 10;
+  int max_connections = 2000;
+  int max_requests = 1000;
+  /// From the first byte of a request to its last.
+  absl::Duration request_timeout = absl::Seconds(10);
+  absl::Duration idle_timeout = absl::Seconds(60);
+  /// Unsent bytes of one answer past which its reader is cut off.
+  int64_t max_unsent_bytes = 256 << 10;
+};
+
+/// `[platform]`: the platform's services.
+struct platform_settings {
+  endpoint log;
+  endpoint vm_list;
+  /// Appends per second that this deployment may use in all.
+  int log_appends_per_second = 200;
+  /// How long the log keeps records.
+  absl::Duration log_retention = absl::Hours(24);
+};
+
+/// `[peers]`: how the daemons of a deployment find and trust each other.
+struct peer_settings {
+  /// `address:port` of peer ports to ask first; the VM list adds to them.
+  std::vector<std::string> seeds;
+  /// File with the shared secret of the deployment's daemons.
+  std::string key_file;
+  absl::Duration probe_interval = absl::Seconds(1);
+  absl::Duration lease = absl::Seconds(5);
+};
+
+/// `[log]`: level and destination of the JSON log lines.
+struct log_settings {
+  std::string level = "info";
+  /// `stdout`, `stderr` or a file path.
+  std::string destination = "stderr";
+};
+
+/// All settings of one daemon, as checked from its INI file.
+struct daemon_settings {
+  identity_settings identity;
+  port_settings caller;
+  port_settings operators;
+  port_settings peer;
+  port_settings metrics;
+  limit_settings limits;
+  platform_settings platform;
+  peer_settings peers;
+  log_settings log;
+  /// `[bootstrap]`: file with an administrator's key, accepted on the operator
+  /// port beside the keys of the configuration.
+  std::string administrator_key_file;
+};
+
+}  // namespace anvilridge
+
+#endif  // ANVILRIDGE_SETTINGS_DAEMON_SETTINGS_H_
--- /dev/null
+++ b/standins/common/json_http.cc
@@ -0,0 +1,1 @@
+namespace anvilridge {}
