--- /dev/null
+++ b/src/caller/caller_port.h
@@ -0,0 +1,95 @@
+#ifndef ANVILRIDGE_CALLER_CALLER_PORT_H_
+#define ANVILRIDGE_CALLER_CALLER_PORT_H_
+
+#include <QObject>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "absl/strings/string_view.h"
+#include "settings/daemon_settings.h"
+#include "upstreams/http_client.h"
+
+namespace anvilridge {
+
+/// One request as it arrived, whole.
+struct inbound_request {
+  std::string method;
+  /// Path without the query.
+  std::string path;
+  std::string query;
+  /// Names are lower case.
+  http_headers headers;
+  std::string body;
+  std::string remote_address;
+};
+
+/// The answer to one inbound request, used on the thread that handles it. Use
+/// either `Respond`, or `Begin`, any `Write`s and `End`.
+class inbound_exchange {
+ public:
+  virtual ~inbound_exchange() = default;
+
+  /// Sends a whole answer.
+  virtual void Respond(int http_status, const http_headers& headers,
+                       absl::string_view body) = 0;
+  /// Begins a chunked answer.
+  virtual void Begin(int http_status, const http_headers& headers) = 0;
+  virtual void Write(absl::string_view bytes) = 0;
+  /// Ends a chunked answer; the connection may be used again.
+  virtual void End() = 0;
+  /// Closes the connection so that the caller sees a broken answer.
+  virtual void Abort() = 0;
+  /// Bytes written that the caller has not taken yet.
+  virtual int64_t UnsentBytes() const = 0;
+  /// Whether the caller has gone, or was cut off for reading too slowly.
+  virtual bool Closed() const = 0;
+  /// Called once if the caller leaves before the answer has ended, or when it
+  /// is cut off because `max_unsent_bytes` is exceeded.
+  virtual void OnClosed(std::function<void()> listener) = 0;
+};
+
+/// Handles one request; runs on a traffic thread.
+using inbound_handler =
+    std::function<void(const inbound_request& request,
+                       std::shared_ptr<inbound_exchange> exchange)>;
+
+/// An HTTP port whose connections are spread over traffic threads. What is
+/// too large, too slow or malformed is answered here as a problem document.
+class caller_port {
+ public:
+  /// `threads` are contexts that live on the traffic threads; one of them is
+  /// picked in turn for each connection.
+  caller_port(port_settings port, limit_settings limits,
+              std::vector<QObject*> threads);
+  ~caller_port();
+
+  /// `handler_for(i)` makes the handler that runs on thread `i`; called once a
+  /// thread, on this thread, before listening.
+  absl::Status Listen(
+      std::function<inbound_handler(size_t thread)> handler_for);
+
+  uint16_t Port() const;
+
+  /// Stops accepting; connections in use finish their answers and then close.
+  void StopAccepting();
+
+  /// Answers in progress over all threads.
+  int RequestsInProgress() const;
+
+ private:
+  struct impl;
+  std::unique_ptr<impl> impl_;
+};
+
+/// Sends `error` as `application/problem+json` with the members `type`,
+/// `title`, `status`, `detail`, `ran` and `request_id`, and `Retry-After`.
+void RespondProblem(inbound_exchange& exchange, const absl::Status& error,
+                    absl::string_view request_id);
+
+}  // namespace anvilridge
+
+#endif  // ANVILRIDGE_CALLER_CALLER_PORT_H_
--- /dev/null
+++ b/src/peer/peer_client.h
@@ -0,0 +1,42 @@
+#ifndef ANVILRIDGE_PEER_PEER_CLIENT_H_
+#define ANVILRIDGE_PEER_PEER_CLIENT_H_
+
+#include <QCborMap>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "absl/status/statusor.h"
+#include "absl/strings/string_view.h"
+#include "absl/time/time.h"
+
+namespace anvilridge {
+
+/// Calls the deployment's other daemons over kept nghttp2 connections, one a
+/// peer, opened when first used and closed when idle.
+class peer_client {
+ public:
+  explicit peer_client(std::string peer_key);
+  ~peer_client();
+
+  /// Calls `method` of the daemon whose peer port is `address` (`ip:port`).
+  /// `done` is called once, on this thread: with the peer's answer, its error,
+  /// or `upstream_failed` / `upstream_stalled` when the peer can't be reached
+  /// or `timeout` passes.
+  void Call(absl::string_view address, absl::string_view method,
+            const QCborMap& request, absl::Duration timeout,
+            std::function<void(absl::StatusOr<QCborMap>)> done);
+
+  /// Bytes sent and received since the start, for the control budget.
+  uint64_t BytesSent() const;
+  uint64_t BytesReceived() const;
+
+ private:
+  struct impl;
+  std::unique_ptr<impl> impl_;
+};
+
+}  // namespace anvilridge
+
+#endif  // ANVILRIDGE_PEER_PEER_CLIENT_H_
