--- /dev/null
+++ b/src/orphans/canceller.cc
@@ -0,0 +1,114 @@
+#include "orphans/canceller.h"
+
+#include <QObject>
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "base/clock.h"
+#include "base/event_loop.h"
+#include "log/decision_log.h"
+#include "upstreams/engine_client.h"
+
+namespace anvilridge {
+namespace {
+
+constexpr absl::Duration kFirstPause = absl::Milliseconds(100);
+constexpr absl::Duration kLongestPause = absl::Seconds(5);
+// An engine that can't be reached for this long has lost its memory anyway, or
+// is cleaned up by its home when it comes back.
+constexpr absl::Duration kGiveUpAfter = absl::Minutes(2);
+
+struct pending_cancel {
+  engine_cancel cancel;
+  absl::Time began;
+  absl::Duration pause = kFirstPause;
+};
+
+using cancel_key = std::pair<std::string, std::string>;
+
+}  // namespace
+
+struct canceller::impl {
+  http_client& client;
+  QObject context;
+  std::map<cancel_key, pending_cancel> pending;
+  std::shared_ptr<char> alive = std::make_shared<char>();
+
+  explicit impl(http_client& http) : client(http) {}
+
+  void Send(const cancel_key& key) {
+    const auto it = pending.find(key);
+    if (it == pending.end()) return;
+    const engine_cancel& cancel = it->second.cancel;
+    const std::weak_ptr<char> guard = alive;
+    CancelEngineRequest(client, cancel.address, cancel.request_id, cancel.owner,
+                        [this, guard, key](const absl::StatusOr<bool>& done) {
+                          if (guard.expired()) return;
+                          if (done.ok()) return Verify(key);
+                          Again(key);
+                        });
+  }
+
+  void Verify(const cancel_key& key) {
+    const auto it = pending.find(key);
+    if (it == pending.end()) return;
+    const std::weak_ptr<char> guard = alive;
+    ListEngineRequests(
+        client, it->second.cancel.address,
+        [this, guard,
+         key](const absl::StatusOr<std::vector<engine_request>>& listed) {
+          if (guard.expired()) return;
+          if (listed.ok() && !Shows(*listed, key)) {
+            pending.erase(key);
+            return;
+          }
+          Again(key);
+        });
+  }
+
+  // A request that now belongs to another owner is not ours to cancel.
+  bool Shows(const std::vector<engine_request>& listed,
+             const cancel_key& key) const {
+    const std::string& owner = pending.at(key).cancel.owner;
+    return std::any_of(
+        listed.begin(), listed.end(), [&](const engine_request& row) {
+          return row.request_id == key.second && row.owner == owner;
+        });
+  }
+
+  void Again(const cancel_key& key) {
+    const auto it = pending.find(key);
+    if (it == pending.end()) return;
+    pending_cancel& entry = it->second;
+    if (MonotonicNow() - entry.began > kGiveUpAfter) {
+      LogEvent(log_level::warn, "cancel_given_up",
+               {{"request_id", QString::fromStdString(key.second)},
+                {"upstream", QString::fromStdString(key.first)}});
+      pending.erase(it);
+      return;
+    }
+    const absl::Duration pause = entry.pause;
+    entry.pause = std::min(pause * 2, kLongestPause);
+    RunAfter(&context, pause, [this, key] { Send(key); });
+  }
+};
+
+canceller::canceller(http_client& client)
+    : impl_(std::make_unique<impl>(client)) {}
+
+canceller::~canceller() = default;
+
+void canceller::Cancel(const engine_cancel& cancel) {
+  const cancel_key key{cancel.engine, cancel.request_id};
+  const auto [it, inserted] =
+      impl_->pending.try_emplace(key, pending_cancel{cancel, MonotonicNow()});
+  if (inserted) impl_->Send(key);
+}
+
+size_t canceller::Pending() const { return impl_->pending.size(); }
+
+}  // namespace anvilridge
--- /dev/null
+++ b/src/placement/decode_ledger.h
@@ -0,0 +1,94 @@
+#ifndef ANVILRIDGE_PLACEMENT_DECODE_LEDGER_H_
+#define ANVILRIDGE_PLACEMENT_DECODE_LEDGER_H_
+
+#include <map>
+#include <string>
+
+#include "absl/strings/string_view.h"
+#include "absl/time/time.h"
+#include "absl/types/span.h"
+#include "upstreams/engine_client.h"
+
+namespace anvilridge {
+
+/// Tokens in one piece of KV cache.
+inline constexpr int kTokensPerPiece = 16;
+
+/// Returns the pieces that hold `tokens` tokens.
+constexpr int PiecesFor(int tokens) {
+  return (tokens + kTokensPerPiece - 1) / kTokensPerPiece;
+}
+
+/// A decode place that is promised or in use.
+struct decode_hold {
+  std::string owner;
+  /// Pieces of prompt and of the longest output allowed.
+  int pieces = 0;
+  /// When the request should need the place.
+  absl::Time starts;
+  /// When the place should be free again.
+  absl::Time predicted_end;
+  /// A promise that the engine has not shown by then lapses.
+  absl::Time promised_until;
+  /// Whether the engine's own list has shown the request.
+  bool seen = false;
+};
+
+/// What the home of a decode engine knows of its places; soft state, rebuilt
+/// from the engine's own list of requests.
+struct decode_ledger {
+  int slots = 0;
+  int pieces = 0;
+  std::map<std::string, decode_hold, std::less<>> holds;
+  /// Time of the last list merged; infinite past for none.
+  absl::Time listed_at = absl::InfinitePast();
+};
+
+/// What is asked of a decode engine's home.
+struct decode_ask {
+  std::string request_id;
+  std::string owner;
+  int pieces = 0;
+  /// When the place will be needed: after prefill and transfer.
+  absl::Duration needed_in;
+  /// How long the place will be used from then on.
+  absl::Duration expected_use;
+};
+
+struct decode_answer {
+  bool granted = false;
+  int free_slots = 0;
+  int free_pieces = 0;
+  /// Shortest wait after which asking again may succeed.
+  absl::Duration free_in;
+};
+
+/// How boldly places are promised that are not free yet.
+struct promise_policy {
+  /// Share of the predicted remaining time after which a place counts as free:
+  /// 1 trusts predictions fully, 0 promises only what is free now.
+  double boldness = 0;
+  /// How long past the need a promise is kept.
+  absl::Duration promise_margin = absl::Seconds(5);
+};
+
+/// Grants or refuses a place for `ask` at `now`. Asking again for a request
+/// that already has a promise renews it.
+decode_answer AskDecode(decode_ledger& ledger, const decode_ask& ask,
+                        const promise_policy& policy, absl::Time now);
+
+/// Forgets the hold of `request_id`; unknown ids are ignored.
+void ReleaseDecode(decode_ledger& ledger, absl::string_view request_id);
+
+/// Takes over what the engine itself lists: requests it shows are held, seen
+/// ones that it no longer shows are free.
+void MergeDecodeList(decode_ledger& ledger,
+                     absl::Span<const engine_request> listed,
+                     absl::Duration token_interval, absl::Time now);
+
+/// Drops promises that have lapsed.
+void ExpirePromises(decode_ledger& ledger, absl::Time now);
+
+}  // namespace anvilridge
+
+#endif  // ANVILRIDGE_PLACEMENT_DECODE_LEDGER_H_
--- /dev/null
+++ b/src/placement/decode_ledger_test.cc
@@ -0,0 +1,81 @@
+#include "placement/decode_ledger.h"
+
+#include "gtest/gtest.h"
+
+namespace anvilridge {
+namespace {
+
+const absl::Time kStart = absl::UnixEpoch();
+constexpr absl::Duration kInterval = absl::Milliseconds(20);
+
+decode_ledger Ledger(int slots, int pieces) {
+  decode_ledger ledger;
+  ledger.slots = slots;
+  ledger.pieces = pieces;
+  return ledger;
+}
+
+decode_ask Ask(const std::string& id, int pieces = 10) {
+  return {id, "a:1", pieces, absl::Milliseconds(100), absl::Seconds(1)};
+}
+
+engine_request Row(const std::string& id, int generated) {
+  engine_request row;
+  row.request_id = id;
+  row.owner = "a:1";
+  row.phase = engine_phase::decode;
+  row.pieces = 5;
+  row.prompt_tokens = 80;
+  row.generated = generated;
+  row.max_tokens = 80;
+  return row;
+}
+
+TEST(decode_ledger_test, NeverPromisesMoreThanSlotsOrPieces) {
+  decode_ledger ledger = Ledger(2, 25);
+  EXPECT_TRUE(AskDecode(ledger, Ask("r1"), {}, kStart).granted);
+  EXPECT_TRUE(AskDecode(ledger, Ask("r2"), {}, kStart).granted);
+  const decode_answer third = AskDecode(ledger, Ask("r3", 1), {}, kStart);
+  EXPECT_FALSE(third.granted);
+  EXPECT_EQ(third.free_in, absl::Milliseconds(1100));
+  ReleaseDecode(ledger, "r1");
+  EXPECT_FALSE(AskDecode(ledger, Ask("r4", 16), {}, kStart).granted);
+  EXPECT_TRUE(AskDecode(ledger, Ask("r4", 15), {}, kStart).granted);
+}
+
+TEST(decode_ledger_test, AskingAgainRenewsThePromise) {
+  decode_ledger ledger = Ledger(1, 100);
+  EXPECT_TRUE(AskDecode(ledger, Ask("r1"), {}, kStart).granted);
+  EXPECT_TRUE(AskDecode(ledger, Ask("r1"), {}, kStart).granted);
+  EXPECT_EQ(ledger.holds.size(), 1U);
+}
+
+TEST(decode_ledger_test, PromiseOfAnOwnerThatNeverCameLapses) {
+  decode_ledger ledger = Ledger(1, 100);
+  EXPECT_TRUE(AskDecode(ledger, Ask("r1"), {}, kStart).granted);
+  EXPECT_FALSE(
+      AskDecode(ledger, Ask("r2"), {}, kStart + absl::Seconds(5)).granted);
+  EXPECT_TRUE(
+      AskDecode(ledger, Ask("r2"), {}, kStart + absl::Seconds(6)).granted);
+}
+
+TEST(decode_ledger_test, RebuildsFromTheEnginesOwnList) {
+  decode_ledger ledger = Ledger(2, 100);
+  MergeDecodeList(ledger, {Row("r1", 0), Row("r2", 60)}, kInterval, kStart);
+  EXPECT_FALSE(AskDecode(ledger, Ask("r3"), {}, kStart).granted);
+  MergeDecodeList(ledger, {Row("r1", 10)}, kInterval, kStart);
+  EXPECT_TRUE(AskDecode(ledger, Ask("r3"), {}, kStart).granted);
+}
+
+TEST(decode_ledger_test, BoldPolicyPromisesWhatIsPredictedToComeFree) {
+  decode_ledger ledger = Ledger(1, 100);
+  MergeDecodeList(ledger, {Row("r1", 77)}, kInterval, kStart);
+  const promise_policy cautious{0, absl::Seconds(5)};
+  const promise_policy bold{1, absl::Seconds(5)};
+  EXPECT_FALSE(AskDecode(ledger, Ask("r2"), cautious, kStart).granted);
+  EXPECT_TRUE(AskDecode(ledger, Ask("r2"), bold, kStart).granted);
+  EXPECT_FALSE(AskDecode(ledger, Ask("r3"), bold, kStart).granted);
+}
+
+}  // namespace
+}  // namespace anvilridge
--- /dev/null
+++ b/src/placement/engine_homes.cc
@@ -0,0 +1,231 @@
+#include "placement/engine_homes.h"
+
+#include <QTimer>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "base/error_kind.h"
+#include "base/event_loop.h"
+#include "log/decision_log.h"
+
+namespace anvilridge {
+namespace {
+
+constexpr absl::Duration kListInterval = absl::Milliseconds(500);
+constexpr absl::Duration kSweepInterval = absl::Milliseconds(100);
+// Interval between tokens that predictions assume before any is learned.
+constexpr absl::Duration kAssumedTokenInterval = absl::Milliseconds(25);
+
+struct homed_engine {
+  decode_ledger decode;
+  prefill_ledger prefill;
+  bool listing = false;
+  absl::Time list_due = absl::InfinitePast();
+  // Asks that wait for the first list.
+  std::vector<std::function<void()>> waiting;
+};
+
+promise_policy PolicyFor(const config_state& config, absl::string_view pool) {
+  promise_policy policy;
+  for (const auto& [name, route] : config.routes) {
+    if (absl::string_view(route.decode_pool) != pool) continue;
+    const bool bold = route.objective == pool_objective::goodput;
+    policy.boldness = bold ? 0.8 : 0.5;
+  }
+  return policy;
+}
+
+}  // namespace
+
+struct engine_homes::impl {
+  http_client& client;
+  engine_homes_environment env;
+  std::map<std::string, homed_engine, std::less<>> engines;
+  std::vector<list_listener> listeners;
+  std::unique_ptr<QTimer> sweep_timer;
+  // Outlived by callbacks that check it.
+  std::shared_ptr<char> alive = std::make_shared<char>();
+
+  impl(http_client& http, engine_homes_environment environment)
+      : client(http), env(std::move(environment)) {
+    sweep_timer = RunEvery(kSweepInterval, [this] { Sweep(); });
+  }
+
+  homed_engine& EngineNamed(const upstream_config& upstream) {
+    homed_engine& engine = engines[upstream.name];
+    engine.decode.slots = upstream.slots;
+    engine.decode.pieces = upstream.pieces;
+    return engine;
+  }
+
+  // Forgets engines that are homed elsewhere now and lists those that are due.
+  void Sweep() {
+    const std::shared_ptr<const config_state> config = env.config();
+    if (!config) return;
+    for (const auto& [name, upstream] : config->upstreams) {
+      if (!IsEngine(*config, upstream)) continue;
+      if (!env.is_home(name)) {
+        Forget(name);
+        continue;
+      }
+      homed_engine& engine = EngineNamed(upstream);
+      if (!engine.listing && engine.list_due <= env.now()) List(upstream);
+    }
+  }
+
+  static bool IsEngine(const config_state& config,
+                       const upstream_config& upstream) {
+    const auto pool = config.pools.find(upstream.pool);
+    return pool != config.pools.end() &&
+           pool->second.role != pool_role::service;
+  }
+
+  void Forget(absl::string_view name) {
+    const auto it = engines.find(name);
+    if (it == engines.end() || !it->second.waiting.empty()) return;
+    engines.erase(it);
+  }
+
+  void List(const upstream_config& upstream) {
+    homed_engine& engine = EngineNamed(upstream);
+    engine.listing = true;
+    engine.list_due = env.now() + kListInterval;
+    const std::weak_ptr<char> guard = alive;
+    ListEngineRequests(client, upstream.address,
+                       [this, guard, upstream](
+                           absl::StatusOr<std::vector<engine_request>> listed) {
+                         if (guard.expired()) return;
+                         TakeList(upstream, std::move(listed));
+                       });
+  }
+
+  void TakeList(const upstream_config& upstream,
+                absl::StatusOr<std::vector<engine_request>> listed) {
+    const auto it = engines.find(upstream.name);
+    if (it == engines.end()) return;
+    homed_engine& engine = it->second;
+    engine.listing = false;
+    if (listed.ok()) {
+      MergeDecodeList(engine.decode, *listed, kAssumedTokenInterval, env.now());
+      MergePrefillList(engine.prefill, *listed, env.now());
+      for (const list_listener& listener : listeners) {
+        listener(upstream, *listed);
+      }
+    }
+    const std::vector<std::function<void()>> waiting =
+        std::exchange(engine.waiting, {});
+    for (const std::function<void()>& task : waiting) task();
+  }
+
+  // Runs `task` once the engine's ledger has seen a list, or failed to get one.
+  void WithLedger(const upstream_config& upstream, std::function<void()> task) {
+    homed_engine& engine = EngineNamed(upstream);
+    if (engine.decode.listed_at != absl::InfinitePast()) {
+      task();
+      return;
+    }
+    engine.waiting.push_back(std::move(task));
+    if (!engine.listing) List(upstream);
+  }
+
+  absl::StatusOr<upstream_config> Find(absl::string_view name) const {
+    const std::shared_ptr<const config_state> config = env.config();
+    if (!config) {
+      return MakeError(error_kind::not_ready, "no configuration in force");
+    }
+    const auto it = config->upstreams.find(name);
+    if (it == config->upstreams.end() || it->second.draining) {
+      return MakeError(error_kind::no_upstream,
+                       absl::StrCat("engine ", name, " takes no new work"));
+    }
+    return it->second;
+  }
+
+  decode_answer AnswerDecode(const decode_ask_message& message) {
+    const std::shared_ptr<const config_state> config = env.config();
+    const upstream_config& upstream = config->upstreams.at(message.engine);
+    homed_engine& engine = EngineNamed(upstream);
+    if (engine.decode.listed_at == absl::InfinitePast()) {
+      return decode_answer{.free_in = kListInterval};
+    }
+    const promise_policy policy = PolicyFor(*config, upstream.pool);
+    return AskDecode(engine.decode, message.ask, policy, env.now());
+  }
+};
+
+engine_homes::engine_homes(http_client& client,
+                           engine_homes_environment environment)
+    : impl_(std::make_unique<impl>(client, std::move(environment))) {}
+
+engine_homes::~engine_homes() = default;
+
+void engine_homes::RegisterPeerHandlers(peer_server& server) {
+  server.Handle(kAskDecodeMethod, [this](const QCborMap& request,
+                                         peer_responder respond) {
+    const absl::StatusOr<decode_ask_message> message = ParseDecodeAsk(request);
+    if (!message.ok()) return respond(message.status());
+    Ask(*message, [respond](absl::StatusOr<decode_answer> answer) {
+      if (!answer.ok()) return respond(answer.status());
+      respond(ToCbor(*answer));
+    });
+  });
+  server.Handle(kAskPrefillMethod, [this](const QCborMap& request,
+                                          peer_responder respond) {
+    const absl::StatusOr<prefill_ask_message> message =
+        ParsePrefillAsk(request);
+    if (!message.ok()) return respond(message.status());
+    Ask(*message, [respond](absl::StatusOr<prefill_answer> answer) {
+      if (!answer.ok()) return respond(answer.status());
+      respond(ToCbor(*answer));
+    });
+  });
+  server.Handle(
+      kReleaseMethod, [this](const QCborMap& request, peer_responder respond) {
+        const absl::StatusOr<release_message> message = ParseRelease(request);
+        if (!message.ok()) return respond(message.status());
+        Release(*message);
+        respond(QCborMap());
+      });
+}
+
+void engine_homes::Ask(const decode_ask_message& message,
+                       decode_callback done) {
+  const absl::StatusOr<upstream_config> upstream = impl_->Find(message.engine);
+  if (!upstream.ok()) return done(upstream.status());
+  impl_->WithLedger(*upstream, [this, message, done] {
+    if (const auto found = impl_->Find(message.engine); !found.ok()) {
+      return done(found.status());
+    }
+    done(impl_->AnswerDecode(message));
+  });
+}
+
+void engine_homes::Ask(const prefill_ask_message& message,
+                       prefill_callback done) {
+  const absl::StatusOr<upstream_config> upstream = impl_->Find(message.engine);
+  if (!upstream.ok()) return done(upstream.status());
+  homed_engine& engine = impl_->EngineNamed(*upstream);
+  done(AskPrefill(engine.prefill, message.ask, impl_->env.now()));
+}
+
+void engine_homes::Release(const release_message& message) {
+  const auto it = impl_->engines.find(message.engine);
+  if (it == impl_->engines.end()) return;
+  ReleaseDecode(it->second.decode, message.request_id);
+  ReleasePrefill(it->second.prefill, message.request_id);
+  LearnPrefillRate(it->second.prefill, message.prefill_tokens,
+                   message.prefill_time);
+}
+
+void engine_homes::ListSoon(absl::string_view engine) {
+  const auto it = impl_->engines.find(engine);
+  if (it != impl_->engines.end()) it->second.list_due = absl::InfinitePast();
+}
+
+void engine_homes::OnList(list_listener listener) {
+  impl_->listeners.push_back(std::move(listener));
+}
+
+}  // namespace anvilridge
--- /dev/null
+++ b/src/placement/placer.cc
@@ -0,0 +1,324 @@
+#include "placement/placer.h"
+
+#include <QJsonArray>
+#include <QJsonObject>
+#include <QObject>
+#include <algorithm>
+#include <map>
+#include <random>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "base/error_kind.h"
+#include "base/event_loop.h"
+#include "log/decision_log.h"
+#include "placement/candidate_choice.h"
+
+namespace anvilridge {
+namespace {
+
+// A home that doesn't answer within this time is passed over.
+constexpr absl::Duration kAskTimeout = absl::Milliseconds(250);
+// Decode engines asked in one round.
+constexpr size_t kDecodeAsksPerRound = 4;
+constexpr size_t kPrefillAsksPerRound = 4;
+constexpr absl::Duration kShortestPause = absl::Milliseconds(5);
+constexpr absl::Duration kLongestPause = absl::Milliseconds(100);
+constexpr absl::Duration kShortestRetryAfter = absl::Seconds(1);
+// Assumed until homes have said better.
+constexpr double kAssumedPrefillTokensPerSecond = 8000;
+constexpr absl::Duration kAssumedTransfer = absl::Milliseconds(20);
+constexpr absl::Duration kAssumedTokenInterval = absl::Milliseconds(25);
+
+using engine_list = std::vector<const upstream_config*>;
+
+// One placement in progress.
+struct attempt {
+  place_request request;
+  placer::callback done;
+  std::shared_ptr<const config_state> config;
+  const route_config* route = nullptr;
+  engine_list decode_order;
+  size_t decode_next = 0;
+  engine_list prefill_order;
+  size_t prefill_next = 0;
+  place_grant grant;
+  // Shortest wait that a home named in this round.
+  absl::Duration free_in = absl::InfiniteDuration();
+  absl::Duration prefill_estimate;
+  QJsonArray considered;
+  bool over = false;
+};
+
+using attempt_ptr = std::shared_ptr<attempt>;
+
+placed_engine PlacedEngine(const upstream_config& upstream) {
+  return {upstream.name, upstream.address, upstream.failure_domain};
+}
+
+}  // namespace
+
+struct placer::impl {
+  peer_client& peers;
+  engine_homes& local;
+  placer_environment env;
+  QObject context;
+  std::map<std::string, attempt_ptr, std::less<>> attempts;
+  engine_hints decode_hints;
+  engine_hints prefill_hints;
+  std::mt19937_64 random{std::random_device{}()};
+
+  impl(peer_client& peer, engine_homes& homes, placer_environment environment)
+      : peers(peer), local(homes), env(std::move(environment)) {}
+
+  void AskHome(const decode_ask_message& message,
+               engine_homes::decode_callback done) {
+    const std::string address = env.home_address(message.engine);
+    if (address.empty()) return local.Ask(message, std::move(done));
+    peers.Call(address, kAskDecodeMethod, ToCbor(message), kAskTimeout,
+               [done](absl::StatusOr<QCborMap> answer) {
+                 if (!answer.ok()) return done(answer.status());
+                 done(ParseDecodeAnswer(*answer));
+               });
+  }
+
+  void AskHome(const prefill_ask_message& message,
+               engine_homes::prefill_callback done) {
+    const std::string address = env.home_address(message.engine);
+    if (address.empty()) return local.Ask(message, std::move(done));
+    peers.Call(address, kAskPrefillMethod, ToCbor(message), kAskTimeout,
+               [done](absl::StatusOr<QCborMap> answer) {
+                 if (!answer.ok()) return done(answer.status());
+                 done(ParsePrefillAnswer(*answer));
+               });
+  }
+
+  void ReleaseAtHome(const release_message& message) {
+    const std::string address = env.home_address(message.engine);
+    if (address.empty()) return local.Release(message);
+    peers.Call(address, kReleaseMethod, ToCbor(message), kAskTimeout,
+               [](const absl::StatusOr<QCborMap>&) {});
+  }
+
+  engine_list Order(absl::string_view pool, const attempt& a,
+                    const engine_hints& hints) {
+    engine_list candidates = Candidates(*a.config, pool, a.request.avoid);
+    std::erase_if(candidates, [this](const upstream_config* engine) {
+      return !env.healthy(engine->name);
+    });
+    return AskingOrder(std::move(candidates), hints, env.now(), random);
+  }
+
+  void StartRound(const attempt_ptr& a) {
+    a->config = env.config();
+    if (!a->config) {
+      return Fail(a, MakeError(error_kind::not_ready, "no configuration"));
+    }
+    const auto route = a->config->routes.find(a->request.route);
+    if (route == a->config->routes.end()) {
+      return Fail(a, MakeError(error_kind::unknown_route, a->request.route));
+    }
+    a->route = &route->second;
+    a->decode_order = Order(a->route->decode_pool, *a, decode_hints);
+    a->prefill_order = Order(a->route->prefill_pool, *a, prefill_hints);
+    a->decode_next = 0;
+    a->prefill_next = 0;
+    a->free_in = absl::InfiniteDuration();
+    if (a->decode_order.empty() || a->prefill_order.empty()) {
+      return Fail(a, MakeError(error_kind::no_upstream,
+                               absl::StrCat("no engine takes work for route ",
+                                            a->request.route)));
+    }
+    AskNextDecode(a);
+  }
+
+  absl::Duration PrefillEstimate(const attempt& a) const {
+    const absl::Duration work =
+        absl::Seconds(a.request.prompt_tokens / kAssumedPrefillTokensPerSecond);
+    const auto hint = prefill_hints.find(a.prefill_order.front()->name);
+    if (hint == prefill_hints.end()) return work;
+    const absl::Duration age = env.now() - hint->second.at;
+    return work + std::max(absl::ZeroDuration(), hint->second.wait - age);
+  }
+
+  void AskNextDecode(const attempt_ptr& a) {
+    const size_t most = std::min(kDecodeAsksPerRound, a->decode_order.size());
+    if (a->decode_next >= most) return EndRound(a, error_kind::overloaded);
+    const upstream_config& engine = *a->decode_order[a->decode_next++];
+    decode_ask_message message;
+    message.engine = engine.name;
+    message.ask.request_id = a->request.request_id;
+    message.ask.owner = a->grant.owner;
+    message.ask.pieces =
+        PiecesFor(a->request.prompt_tokens + a->request.max_tokens);
+    message.ask.needed_in = PrefillEstimate(*a) + kAssumedTransfer;
+    message.ask.expected_use = a->request.max_tokens * kAssumedTokenInterval;
+    a->grant.pieces = message.ask.pieces;
+    AskHome(message, [this, a, &engine](absl::StatusOr<decode_answer> answer) {
+      TakeDecodeAnswer(a, engine, std::move(answer));
+    });
+  }
+
+  void TakeDecodeAnswer(const attempt_ptr& a, const upstream_config& engine,
+                        absl::StatusOr<decode_answer> answer) {
+    if (a->over) {
+      if (answer.ok() && answer->granted) FreeDecode(*a, engine);
+      return;
+    }
+    QJsonObject seen{{"decode", QString::fromStdString(engine.name)}};
+    if (!answer.ok()) {
+      seen["answer"] =
+          QString::fromUtf8(AnswerFor(KindOf(answer.status())).name.data());
+      a->considered.append(seen);
+      return AskNextDecode(a);
+    }
+    decode_hints[engine.name] = {answer->free_slots, answer->free_in,
+                                 env.now()};
+    seen["free_slots"] = answer->free_slots;
+    seen["granted"] = answer->granted;
+    a->considered.append(seen);
+    if (!answer->granted) {
+      a->free_in = std::min(a->free_in, answer->free_in);
+      return AskNextDecode(a);
+    }
+    a->grant.decode = PlacedEngine(engine);
+    AskNextPrefill(a);
+  }
+
+  void FreeDecode(const attempt& a, const upstream_config& engine) {
+    ReleaseAtHome({engine.name, a.request.request_id, 0, {}});
+  }
+
+  void AskNextPrefill(const attempt_ptr& a) {
+    const size_t most = std::min(kPrefillAsksPerRound, a->prefill_order.size());
+    if (a->prefill_next >= most) {
+      ReleaseAtHome({a->grant.decode.name, a->request.request_id, 0, {}});
+      return EndRound(a, error_kind::latency_unattainable);
+    }
+    const upstream_config& engine = *a->prefill_order[a->prefill_next++];
+    prefill_ask_message message;
+    message.engine = engine.name;
+    message.ask.request_id = a->request.request_id;
+    message.ask.owner = a->grant.owner;
+    message.ask.tokens = a->request.prompt_tokens;
+    const absl::Duration work = absl::Seconds(a->request.prompt_tokens /
+                                              kAssumedPrefillTokensPerSecond);
+    message.ask.longest_wait = std::max(
+        absl::ZeroDuration(), a->request.first_token_due - env.now() - work);
+    AskHome(message, [this, a, &engine](absl::StatusOr<prefill_answer> answer) {
+      TakePrefillAnswer(a, engine, std::move(answer));
+    });
+  }
+
+  void TakePrefillAnswer(const attempt_ptr& a, const upstream_config& engine,
+                         absl::StatusOr<prefill_answer> answer) {
+    if (a->over) {
+      if (answer.ok() && answer->granted) FreeDecode(*a, engine);
+      ReleaseAtHome({a->grant.decode.name, a->request.request_id, 0, {}});
+      return;
+    }
+    QJsonObject seen{{"prefill", QString::fromStdString(engine.name)}};
+    if (!answer.ok()) {
+      seen["answer"] =
+          QString::fromUtf8(AnswerFor(KindOf(answer.status())).name.data());
+      a->considered.append(seen);
+      return AskNextPrefill(a);
+    }
+    prefill_hints[engine.name] = {0, answer->wait, env.now()};
+    seen["wait_ms"] = absl::ToDoubleMilliseconds(answer->wait);
+    seen["granted"] = answer->granted;
+    a->considered.append(seen);
+    if (!answer->granted) {
+      a->free_in = std::min(a->free_in, answer->wait);
+      return AskNextPrefill(a);
+    }
+    a->grant.prefill = PlacedEngine(engine);
+    a->grant.predicted_first_token =
+        answer->wait + answer->work + kAssumedTransfer;
+    Succeed(a);
+  }
+
+  // Waits for a place that is predicted to come free in time, else gives up.
+  void EndRound(const attempt_ptr& a, error_kind kind) {
+    const absl::Duration pause =
+        std::clamp(a->free_in, kShortestPause, kLongestPause);
+    const absl::Time next = env.now() + pause;
+    if (next + PrefillEstimate(*a) < a->request.first_token_due) {
+      RunAfter(&context, pause, [this, a] {
+        if (!a->over) StartRound(a);
+      });
+      return;
+    }
+    const absl::Duration retry_after =
+        a->free_in == absl::InfiniteDuration()
+            ? kShortestRetryAfter
+            : std::max(kShortestRetryAfter, a->free_in);
+    Fail(a, MakeError(kind, "no place before the first token is due",
+                      run_state::not_run, retry_after));
+  }
+
+  void Succeed(const attempt_ptr& a) {
+    LogDecision(*a, "placed", "first grant in asking order");
+    End(a, a->grant);
+  }
+
+  void Fail(const attempt_ptr& a, absl::Status error) {
+    LogDecision(*a, "refused", AnswerFor(KindOf(error)).name);
+    End(a, std::move(error));
+  }
+
+  void End(const attempt_ptr& a, absl::StatusOr<place_grant> result) {
+    a->over = true;
+    attempts.erase(a->request.request_id);
+    a->done(std::move(result));
+  }
+
+  void LogDecision(const attempt& a, absl::string_view result,
+                   absl::string_view why) {
+    LogEvent(log_level::info, "placement",
+             {{"request_id", QString::fromStdString(a.request.request_id)},
+              {"route", QString::fromStdString(a.request.route)},
+              {"result", QString::fromUtf8(result.data(), result.size())},
+              {"why", QString::fromUtf8(why.data(), why.size())},
+              {"considered", a.considered},
+              {"decode", QString::fromStdString(a.grant.decode.name)},
+              {"prefill", QString::fromStdString(a.grant.prefill.name)}});
+  }
+};
+
+placer::placer(peer_client& peers, engine_homes& local,
+               placer_environment environment)
+    : impl_(std::make_unique<impl>(peers, local, std::move(environment))) {}
+
+placer::~placer() = default;
+
+void placer::Place(const place_request& request, callback done) {
+  auto a = std::make_shared<attempt>();
+  a->request = request;
+  a->done = std::move(done);
+  a->grant.request_id = request.request_id;
+  a->grant.owner = impl_->env.owner();
+  impl_->attempts[request.request_id] = a;
+  impl_->StartRound(a);
+}
+
+void placer::Abandon(absl::string_view request_id) {
+  const auto it = impl_->attempts.find(request_id);
+  if (it == impl_->attempts.end()) return;
+  it->second->over = true;
+  impl_->attempts.erase(it);
+}
+
+void placer::Finish(const place_outcome& outcome) {
+  release_message prefill{outcome.prefill.name, outcome.request_id, 0, {}};
+  if (outcome.prefilled) {
+    prefill.prefill_tokens = outcome.prefill_tokens;
+    prefill.prefill_time = outcome.prefill_time;
+  }
+  if (!prefill.engine.empty()) impl_->ReleaseAtHome(prefill);
+  if (outcome.decode.name.empty()) return;
+  impl_->ReleaseAtHome({outcome.decode.name, outcome.request_id, 0, {}});
+}
+
+}  // namespace anvilridge
--- /dev/null
+++ b/src/requests/caller_identity.cc
@@ -0,0 +1,46 @@
+#include "requests/caller_identity.h"
+
+#include <QByteArray>
+#include <QCryptographicHash>
+
+#include "absl/strings/match.h"
+#include "absl/strings/strip.h"
+#include "base/error_kind.h"
+#include "base/ids.h"
+
+namespace anvilridge {
+namespace {
+
+std::string Sha256Hex(absl::string_view text) {
+  const QByteArray bytes(text.data(), static_cast<int>(text.size()));
+  return QCryptographicHash::hash(bytes, QCryptographicHash::Sha256)
+      .toHex()
+      .toStdString();
+}
+
+}  // namespace
+
+absl::StatusOr<caller_identity> Authenticate(const config_state& config,
+                                             const http_headers& headers) {
+  absl::string_view value = HeaderValue(headers, "authorization");
+  if (!absl::StartsWithIgnoreCase(value, "bearer ")) {
+    return MakeError(error_kind::missing_credential,
+                     "send Authorization: Bearer KEY");
+  }
+  value.remove_prefix(7);
+  const std::string hash = Sha256Hex(value);
+  caller_identity identity;
+  // Every key is compared, so that the time tells nothing of which matched.
+  for (const auto& [name, key] : config.keys) {
+    const bool same = ConstantTimeEqual(hash, key.sha256_hex);
+    if (!same || key.team.empty()) continue;
+    identity = {key.team, name};
+  }
+  if (identity.team.empty() || !config.teams.contains(identity.team)) {
+    return MakeError(error_kind::unknown_credential,
+                     "the key belongs to no team");
+  }
+  return identity;
+}
+
+}  // namespace anvilridge
--- /dev/null
+++ b/src/requests/request_services.h
@@ -0,0 +1,63 @@
+#ifndef ANVILRIDGE_REQUESTS_REQUEST_SERVICES_H_
+#define ANVILRIDGE_REQUESTS_REQUEST_SERVICES_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "absl/status/statusor.h"
+#include "absl/strings/string_view.h"
+#include "absl/time/time.h"
+#include "config/config_state.h"
+#include "placement/place_request.h"
+
+namespace anvilridge {
+
+/// A request in progress, as operators and the clean-up of orphans see it.
+struct active_request {
+  std::string request_id;
+  std::string team;
+  std::string route;
+  std::string stage;
+  std::string upstream;
+  absl::Time since;
+};
+
+/// A request that an engine is to drop.
+struct engine_cancel {
+  std::string request_id;
+  std::string owner;
+  std::string engine;
+  std::string address;
+};
+
+/// What the flows on a traffic thread ask of the control thread. Each function
+/// may be called on the traffic thread; its callback runs there too.
+struct request_services {
+  /// The configuration in force; null before there is one.
+  std::function<std::shared_ptr<const config_state>()> config;
+  /// Whether this daemon may act on what it holds.
+  std::function<bool()> lease_valid;
+  /// Counts a request against its team's limits; fails when they are used up.
+  std::function<void(const active_request&, std::function<void(absl::Status)>)>
+      admit;
+  /// Updates the stage and upstream of an admitted request.
+  std::function<void(const active_request&)> update;
+  /// Ends what `admit` began.
+  std::function<void(const std::string& request_id)> leave;
+  std::function<void(const place_request&,
+                     std::function<void(absl::StatusOr<place_grant>)>)>
+      place;
+  std::function<void(const std::string& request_id)> abandon;
+  std::function<void(const place_outcome&)> finish;
+  /// Cancels at the engine until the engine has confirmed it.
+  std::function<void(const engine_cancel&)> cancel;
+  /// Owner text of this daemon's current incarnation.
+  std::function<std::string()> owner;
+  /// Shared secret of the deployment, for resume tokens.
+  std::string deployment_key;
+};
+
+}  // namespace anvilridge
+
+#endif  // ANVILRIDGE_REQUESTS_REQUEST_SERVICES_H_
