Add the HTTP client for upstreams and the platform

Cause: a call that may not be repeated must reach the upstream at most once; Qt's network access and libcurl on a kept connection both resend. Change: libcurl's multi interface over Qt notifiers; such calls get a fresh connection of their own. Handlers run outside libcurl, so they may start and cancel calls. Deadlines share one timer.

--- /dev/null
+++ b/src/upstreams/curl_transfer.h
@@ -0,0 +1,67 @@
+#ifndef ANVILRIDGE_UPSTREAMS_CURL_TRANSFER_H_
+#define ANVILRIDGE_UPSTREAMS_CURL_TRANSFER_H_
+
+#include <curl/curl.h>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "absl/status/status.h"
+#include "absl/strings/string_view.h"
+#include "base/run_state.h"
+#include "upstreams/http_client.h"
+
+namespace anvilridge {
+
+struct curl_easy_deleter {
+  void operator()(CURL* easy) const { curl_easy_cleanup(easy); }
+};
+struct curl_slist_deleter {
+  void operator()(curl_slist* list) const { curl_slist_free_all(list); }
+};
+
+/// One HTTP call as libcurl runs it. What arrives is only collected here, so
+/// that no handler ever runs inside a callback of libcurl.
+struct curl_transfer {
+  http_client::call_id id = 0;
+  http_call call;
+  http_handler handler;
+  std::unique_ptr<CURL, curl_easy_deleter> easy;
+  std::unique_ptr<curl_slist, curl_slist_deleter> header_list;
+  std::array<char, CURL_ERROR_SIZE> error_text{};
+
+  /// Status, header fields and buffered body so far.
+  http_result result;
+  /// Bytes for `on_data` that have not been handed over yet.
+  std::string undelivered;
+  size_t header_bytes = 0;
+  bool headers_complete = false;
+  bool headers_delivered = false;
+  /// Whether a connection existed, so that the request may have been sent.
+  bool connected = false;
+  bool body_too_large = false;
+  bool headers_too_large = false;
+  /// Told whenever bytes of the answer have arrived.
+  std::function<void()> on_progress;
+};
+
+/// Checks that `call` can go over the wire as it stands: no control characters
+/// in its parts, an IPv4 address and port. Returns `malformed_request` if not.
+absl::Status CheckCall(const http_call& call);
+
+/// Makes the easy handle of `transfer` from its `call`. The transfer must not
+/// move afterwards.
+void PrepareTransfer(curl_transfer& transfer);
+
+/// Returns the error of a transfer that libcurl ended with `code`; ok if a
+/// whole answer arrived.
+absl::Status TransferError(const curl_transfer& transfer, CURLcode code);
+
+/// Returns whether the request of `transfer` may have been run.
+run_state TransferRunState(const curl_transfer& transfer);
+
+}  // namespace anvilridge
+
+#endif  // ANVILRIDGE_UPSTREAMS_CURL_TRANSFER_H_
