Add membership by random probes, leases and home daemons

Cause: homes, leases and orphan clean-up need to know which daemons run, at a cost that does not grow with the fleet; a full mesh of heartbeats was ruled out by the 3 KB/s budget of a daemon.

--- /dev/null
+++ b/src/membership/membership_service.cc
@@ -0,0 +1,240 @@
+#include "membership/membership_service.h"
+
+#include <QHostAddress>
+#include <QNetworkDatagram>
+#include <QUdpSocket>
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include "absl/random/random.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "base/error_kind.h"
+#include "base/event_loop.h"
+#include "membership/lease_clock.h"
+#include "membership/swim_probe.h"
+
+namespace anvilridge {
+namespace {
+
+constexpr int kTicksPerInterval = 5;
+
+/// A restarted daemon of the same name comes back higher.
+uint64_t FreshIncarnation() {
+  return static_cast<uint64_t>(absl::ToUnixMicros(WallNow()));
+}
+
+std::optional<endpoint> ParseEndpoint(absl::string_view text) {
+  const size_t colon = text.rfind(':');
+  uint32_t port = 0;
+  if (colon == absl::string_view::npos) return std::nullopt;
+  if (!absl::SimpleAtoi(text.substr(colon + 1), &port)) return std::nullopt;
+  if (port > std::numeric_limits<uint16_t>::max()) return std::nullopt;
+  return endpoint{std::string(text.substr(0, colon)),
+                  static_cast<uint16_t>(port)};
+}
+
+swim_config MakeConfig(const peer_settings& peers) {
+  swim_config config;
+  config.interval = peers.probe_interval;
+  return config;
+}
+
+member_update MakeSelf(const identity_settings& identity) {
+  member_update self;
+  self.id = {identity.name, FreshIncarnation()};
+  self.failure_domain = identity.failure_domain;
+  return self;
+}
+
+}  // namespace
+
+struct membership_service::impl {
+  impl(const identity_settings& identity, const peer_settings& settings,
+       std::string key, clock clock_now)
+      : peers(settings),
+        peer_key(std::move(key)),
+        now(std::move(clock_now)),
+        node(MakeSwimNode(MakeConfig(settings), MakeSelf(identity), now())),
+        lease(settings.lease, Self().id.incarnation, now()) {
+    node.contacts = settings.seeds;
+  }
+
+  member_update& Self() { return SelfEntry(node.table).update; }
+
+  void Send(const std::vector<swim_send>& sends) {
+    for (const swim_send& send : sends) {
+      const auto to = ParseEndpoint(send.address);
+      if (!to || send.address == Self().peer_address) continue;
+      const QByteArray bytes = EncodeSwim(send.message, peer_key);
+      const QHostAddress host(QString::fromStdString(to->address));
+      const qint64 sent = socket->writeDatagram(bytes, host, to->port);
+      if (sent > 0) bytes_sent += static_cast<uint64_t>(sent);
+    }
+  }
+
+  void Expire(uint64_t seen) {
+    const owner_id old_self = Self().id;
+    const uint64_t next =
+        std::max({FreshIncarnation(), seen + 1, old_self.incarnation + 1});
+    lease.Restart(next, now());
+    TakeIncarnation(node.table, next, now());
+    for (const auto& listener : expired_listeners) listener(old_self);
+    NotifyChange();
+  }
+
+  /// Ends the incarnation when this process stood still past its lease.
+  void CheckLease() {
+    if (!lease.Renew(now())) Expire(0);
+  }
+
+  void NotifyChange() {
+    for (const auto& listener : change_listeners) listener();
+  }
+
+  void Apply(const swim_result& result) {
+    Send(result.sends);
+    if (result.self_expired) {
+      Expire(result.seen_incarnation);
+    } else if (result.changed) {
+      NotifyChange();
+    }
+  }
+
+  void Tick() {
+    CheckLease();
+    Apply(SwimTick(node, now(), random));
+  }
+
+  void ReadDatagrams() {
+    CheckLease();
+    while (socket->hasPendingDatagrams()) {
+      const QByteArray bytes = socket->receiveDatagram().data();
+      bytes_received += static_cast<uint64_t>(bytes.size());
+      const auto message = DecodeSwim(bytes, peer_key);
+      if (!message) {
+        ++rejected;
+        continue;
+      }
+      Apply(SwimReceive(node, *message, now(), random));
+    }
+  }
+
+  const peer_settings peers;
+  const std::string peer_key;
+  const clock now;
+  absl::BitGen random;
+  swim_node node;
+  lease_clock lease;
+  std::unique_ptr<QUdpSocket> socket;
+  std::unique_ptr<QTimer> timer;
+  std::vector<std::function<void()>> change_listeners;
+  std::vector<std::function<void(const owner_id&)>> expired_listeners;
+  uint64_t bytes_sent = 0;
+  uint64_t bytes_received = 0;
+  uint64_t rejected = 0;
+};
+
+membership_service::membership_service(const identity_settings& identity,
+                                       const peer_settings& peers,
+                                       std::string peer_key, clock now)
+    : impl_(std::make_unique<impl>(identity, peers, std::move(peer_key),
+                                   std::move(now))) {}
+
+membership_service::~membership_service() {
+  if (impl_->socket) impl_->Send(SwimEnd(impl_->node, impl_->random));
+}
+
+absl::Status membership_service::Start(absl::string_view peer_address) {
+  const auto own = ParseEndpoint(peer_address);
+  if (!own) return MakeError(error_kind::internal, "malformed peer address");
+  auto socket = std::make_unique<QUdpSocket>();
+  if (!socket->bind(QHostAddress(QString::fromStdString(own->address)),
+                    own->port)) {
+    return MakeError(error_kind::internal,
+                     absl::StrCat("can't bind UDP ", peer_address, ": ",
+                                  socket->errorString().toStdString()));
+  }
+  impl_->Self().peer_address =
+      absl::StrCat(own->address, ":", socket->localPort());
+  impl_->socket = std::move(socket);
+  QObject::connect(impl_->socket.get(), &QUdpSocket::readyRead,
+                   [this] { impl_->ReadDatagrams(); });
+  impl_->timer = RunEvery(impl_->peers.probe_interval / kTicksPerInterval,
+                          [this] { impl_->Tick(); });
+  impl_->Tick();
+  return absl::OkStatus();
+}
+
+const owner_id& membership_service::Self() const { return impl_->Self().id; }
+
+bool membership_service::LeaseValid() const {
+  return impl_->lease.Valid(impl_->now());
+}
+
+bool membership_service::LeaseValid(uint64_t incarnation) const {
+  return impl_->lease.Valid(incarnation, impl_->now());
+}
+
+std::vector<member> membership_service::Members() const {
+  std::vector<member> members;
+  for (const auto& [name, entry] : impl_->node.table.members) {
+    members.push_back(MemberView(entry));
+  }
+  return members;
+}
+
+std::vector<member> membership_service::Live() const {
+  std::vector<member> live = Members();
+  std::erase_if(
+      live, [](const member& m) { return m.leaving || !IsRunning(m.state); });
+  return live;
+}
+
+std::optional<bool> membership_service::IsOwnerLive(
+    const owner_id& owner) const {
+  return OwnerLive(impl_->node.table, owner, impl_->peers.lease, impl_->now());
+}
+
+void membership_service::AddHints(
+    const std::vector<std::string>& peer_addresses) {
+  // The VM list replaces what it said before, so that contacts stay bounded.
+  std::vector<std::string> contacts = impl_->peers.seeds;
+  contacts.insert(contacts.end(), peer_addresses.begin(), peer_addresses.end());
+  std::erase(contacts, impl_->Self().peer_address);
+  impl_->node.contacts = std::move(contacts);
+}
+
+void membership_service::SetConfigOffset(int64_t offset) {
+  if (offset == impl_->Self().config_offset) return;
+  impl_->Self().config_offset = offset;
+  impl_->NotifyChange();
+}
+
+void membership_service::Leave() {
+  impl_->Self().leaving = true;
+  SelfEntry(impl_->node.table).times_sent = 0;
+  impl_->NotifyChange();
+}
+
+void membership_service::OnChange(std::function<void()> listener) {
+  impl_->change_listeners.push_back(std::move(listener));
+}
+
+void membership_service::OnExpired(
+    std::function<void(const owner_id&)> listener) {
+  impl_->expired_listeners.push_back(std::move(listener));
+}
+
+uint64_t membership_service::BytesSent() const { return impl_->bytes_sent; }
+
+uint64_t membership_service::BytesReceived() const {
+  return impl_->bytes_received;
+}
+
+uint64_t membership_service::DatagramsRejected() const {
+  return impl_->rejected;
+}
+
+}  // namespace anvilridge
--- /dev/null
+++ b/src/membership/membership_service_test.cc
@@ -0,0 +1,138 @@
+#include "membership/membership_service.h"
+
+#include <gtest/gtest.h>
+
+#include <QCoreApplication>
+#include <QEventLoop>
+#include <QHostAddress>
+#include <QUdpSocket>
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+
+namespace anvilridge {
+namespace {
+
+constexpr absl::Duration kInterval = absl::Milliseconds(50);
+constexpr absl::Duration kLease = absl::Seconds(2);
+constexpr absl::Duration kPatience = absl::Seconds(20);
+
+class membership_services : public testing::Test {
+ protected:
+  static void SetUpTestSuite() {
+    static int argc = 1;
+    static char name[] = "membership_test";
+    static char* argv[] = {name, nullptr};
+    if (QCoreApplication::instance() == nullptr) {
+      new QCoreApplication(argc, argv);  // Qt needs it until the process ends.
+    }
+  }
+
+  std::unique_ptr<membership_service> Make(
+      const std::string& name, const std::string& key = "key",
+      membership_service::clock now = MonotonicNow) {
+    identity_settings identity;
+    identity.name = name;
+    identity.failure_domain = "zagreb-a";
+    peer_settings peers;
+    peers.probe_interval = kInterval;
+    peers.lease = kLease;
+    if (!first_address_.empty()) peers.seeds = {first_address_};
+    auto service =
+        std::make_unique<membership_service>(identity, peers, key, now);
+    EXPECT_TRUE(service->Start("127.0.0.1:0").ok());
+    if (first_address_.empty()) {
+      first_address_ = service->Members()[0].peer_address;
+    }
+    return service;
+  }
+
+  /// Runs the event loop until `done` or patience ends.
+  static bool RunUntil(const std::function<bool()>& done) {
+    const absl::Time end = MonotonicNow() + kPatience;
+    while (!done() && MonotonicNow() < end) {
+      QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents, 20);
+    }
+    return done();
+  }
+
+  static const member* Find(const std::vector<member>& members,
+                            absl::string_view name) {
+    const auto found =
+        std::find_if(members.begin(), members.end(),
+                     [&](const member& m) { return m.id.daemon == name; });
+    return found == members.end() ? nullptr : &*found;
+  }
+
+  std::string first_address_;
+};
+
+TEST_F(membership_services, JoinSpreadOffsetLeaveAndEnd) {
+  auto a = Make("a");
+  auto b = Make("b");
+  auto c = Make("c");
+  const auto all = [](const membership_service& s) {
+    return s.Live().size() == 3;
+  };
+  ASSERT_TRUE(RunUntil([&] { return all(*a) && all(*b) && all(*c); }));
+  int changes = 0;
+  a->OnChange([&] { ++changes; });
+  c->SetConfigOffset(42);
+  ASSERT_TRUE(RunUntil([&] {
+    const auto members = a->Members();
+    return Find(members, "c")->config_offset == 42;
+  }));
+  EXPECT_GT(changes, 0);
+
+  const owner_id run = c->Self();
+  c->Leave();
+  ASSERT_TRUE(
+      RunUntil([&] { return a->Live().size() == 2 && b->Live().size() == 2; }));
+  EXPECT_EQ(a->IsOwnerLive(run), true) << "it still finishes its requests";
+  c.reset();
+  ASSERT_TRUE(RunUntil([&] {
+    return a->IsOwnerLive(run) == false && b->IsOwnerLive(run) == false;
+  }));
+  const auto members = a->Members();
+  EXPECT_EQ(Find(members, "c")->state, member_state::left);
+  c = Make("c");
+  EXPECT_GT(c->Self().incarnation, run.incarnation);
+  ASSERT_TRUE(RunUntil([&] { return all(*a) && all(*b) && all(*c); }));
+}
+
+TEST_F(membership_services, PauseEndsTheIncarnationBeforeAnythingElse) {
+  absl::Duration paused = absl::ZeroDuration();
+  auto a = Make("a", "key", [&] { return MonotonicNow() + paused; });
+  const owner_id before = a->Self();
+  std::vector<owner_id> expired;
+  a->OnExpired([&](const owner_id& old_self) { expired.push_back(old_self); });
+  EXPECT_TRUE(a->LeaseValid());
+  paused = kLease + absl::Seconds(1);
+  EXPECT_FALSE(a->LeaseValid());
+  EXPECT_FALSE(a->LeaseValid(before.incarnation));
+  ASSERT_TRUE(RunUntil([&] { return !expired.empty(); }));
+  EXPECT_EQ(expired[0], before);
+  EXPECT_GT(a->Self().incarnation, before.incarnation);
+  EXPECT_TRUE(a->LeaseValid());
+  EXPECT_FALSE(a->LeaseValid(before.incarnation));
+}
+
+TEST_F(membership_services, StrangersAreDroppedAndCounted) {
+  auto a = Make("a");
+  auto stranger = Make("x", "another key");
+  ASSERT_TRUE(RunUntil([&] { return a->DatagramsRejected() > 2; }));
+  QUdpSocket socket;
+  const std::string address = a->Members()[0].peer_address;
+  const uint16_t port =
+      static_cast<uint16_t>(std::stoi(address.substr(address.rfind(':') + 1)));
+  stranger.reset();
+  const uint64_t before = a->DatagramsRejected();
+  socket.writeDatagram(QByteArray(2000, 'x'), QHostAddress::LocalHost, port);
+  socket.writeDatagram(QByteArray(), QHostAddress::LocalHost, port);
+  EXPECT_TRUE(RunUntil([&] { return a->DatagramsRejected() >= before + 1; }));
+  EXPECT_EQ(a->Members().size(), 1u);
+}
+
+}  // namespace
+}  // namespace anvilridge
