Add the control plane and the bridge to traffic threads

Cause: control state must live on one thread while traffic threads carry the requests. Change: control_state gathers membership, configuration, homes, placement, limits and clean-up; the bridge posts calls and callbacks between threads.

--- /dev/null
+++ b/src/daemon/control_plane.cc
@@ -0,0 +1,73 @@
+#include "daemon/control_plane.h"
+
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "base/error_kind.h"
+#include "daemon/control_state.h"
+#include "daemon/thread_bridge.h"
+
+namespace anvilridge {
+
+struct control_plane::impl {
+  control_state state;
+
+  impl(const daemon_settings& settings, std::string key)
+      : state(settings, std::move(key)) {}
+};
+
+control_plane::control_plane(const daemon_settings& settings,
+                             std::string deployment_key)
+    : impl_(std::make_unique<impl>(settings, std::move(deployment_key))) {}
+
+control_plane::~control_plane() = default;
+
+absl::Status control_plane::Start() {
+  control_state& state = impl_->state;
+  const endpoint& listen = state.settings.peer.listen;
+  if (absl::Status bound = state.peers_in.Listen(listen); !bound.ok()) {
+    return bound;
+  }
+  const std::string address =
+      absl::StrCat(listen.address, ":", state.peers_in.Port());
+  if (absl::Status joined = state.membership.Start(address); !joined.ok()) {
+    return joined;
+  }
+  UpdateMembers(state);
+  state.config.Start();
+  return absl::OkStatus();
+}
+
+request_services control_plane::ServicesFor(QObject* thread) {
+  return MakeRequestServices(impl_->state, thread);
+}
+
+absl::Status control_plane::Ready() const {
+  const control_state& state = impl_->state;
+  if (state.stopping) {
+    return MakeError(error_kind::shutting_down, "a stop is in progress");
+  }
+  if (!state.config.InForce()) {
+    return MakeError(error_kind::not_ready, "no configuration in force yet");
+  }
+  if (!state.membership.LeaseValid()) {
+    return MakeError(error_kind::lease_lost, "paused past the lease");
+  }
+  return absl::OkStatus();
+}
+
+uint16_t control_plane::PeerPort() const {
+  return impl_->state.peers_in.Port();
+}
+
+int control_plane::RequestsInProgress() const {
+  return static_cast<int>(impl_->state.requests.active.size());
+}
+
+void control_plane::BeginStop() {
+  impl_->state.stopping = true;
+  impl_->state.membership.Leave();
+  UpdateMembers(impl_->state);
+}
+
+}  // namespace anvilridge
--- /dev/null
+++ b/src/daemon/control_plane.h
@@ -0,0 +1,50 @@
+#ifndef ANVILRIDGE_DAEMON_CONTROL_PLANE_H_
+#define ANVILRIDGE_DAEMON_CONTROL_PLANE_H_
+
+#include <QObject>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "absl/status/status.h"
+#include "requests/request_services.h"
+#include "settings/daemon_settings.h"
+
+namespace anvilridge {
+
+/// All control state of a daemon and the one thread that it lives on: who the
+/// other daemons are, the configuration in force, the homes of engines, limits
+/// and clean-up.
+class control_plane {
+ public:
+  /// `deployment_key` is the secret that the deployment's daemons share.
+  control_plane(const daemon_settings& settings, std::string deployment_key);
+  ~control_plane();
+
+  /// Binds the peer and operator ports and joins the other daemons.
+  absl::Status Start();
+
+  /// Returns the services that flows on `thread` use; their calls come here
+  /// and their callbacks run on `thread`.
+  request_services ServicesFor(QObject* thread);
+
+  /// Ok when the daemon can serve; else why it can't.
+  absl::Status Ready() const;
+
+  uint16_t PeerPort() const;
+
+  /// Requests in progress.
+  int RequestsInProgress() const;
+
+  /// Announces a planned stop: not ready, and the homes move to other daemons.
+  void BeginStop();
+
+ private:
+  struct impl;
+  std::unique_ptr<impl> impl_;
+};
+
+}  // namespace anvilridge
+
+#endif  // ANVILRIDGE_DAEMON_CONTROL_PLANE_H_
--- /dev/null
+++ b/src/daemon/request_registry.h
@@ -0,0 +1,29 @@
+#ifndef ANVILRIDGE_DAEMON_REQUEST_REGISTRY_H_
+#define ANVILRIDGE_DAEMON_REQUEST_REGISTRY_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "absl/strings/string_view.h"
+#include "requests/request_services.h"
+
+namespace anvilridge {
+
+/// The requests in progress on this daemon, by id. Control thread only.
+struct request_registry {
+  std::map<std::string, active_request, std::less<>> active;
+};
+
+/// Adds a request.
+void Note(request_registry& registry, const active_request& request);
+
+/// Changes the stage of a request; one that has ended is left alone.
+void Change(request_registry& registry, const active_request& request);
+
+/// Removes a request; returns its team, or "" if it was not there.
+std::string Remove(request_registry& registry, absl::string_view request_id);
+
+}  // namespace anvilridge
+
+#endif  // ANVILRIDGE_DAEMON_REQUEST_REGISTRY_H_
--- /dev/null
+++ b/src/daemon/thread_bridge.cc
@@ -0,0 +1,120 @@
+#include "daemon/thread_bridge.h"
+
+#include <utility>
+
+#include "base/clock.h"
+#include "base/error_kind.h"
+#include "base/event_loop.h"
+
+namespace anvilridge {
+namespace {
+
+// Wraps `done` so that it runs on `thread`.
+template <typename T>
+std::function<void(T)> OnThread(QObject* thread, std::function<void(T)> done) {
+  return [thread, done = std::move(done)](T value) {
+    PostTo(thread, [done, value = std::move(value)] { done(value); });
+  };
+}
+
+absl::Status Admit(control_state& state, const active_request& request) {
+  if (state.stopping) {
+    return MakeError(error_kind::shutting_down, "come back to another daemon");
+  }
+  const auto config = state.config.InForce();
+  if (!config) return MakeError(error_kind::not_ready, "no configuration");
+  const auto team = config->teams.find(request.team);
+  if (team == config->teams.end()) {
+    return MakeError(error_kind::unknown_credential, "the team was removed");
+  }
+  const int live = static_cast<int>(state.live_names.size());
+  const absl::Status entered =
+      EnterTeam(state.limits, team->second, live, MonotonicNow());
+  if (entered.ok()) Note(state.requests, request);
+  return entered;
+}
+
+void Leave(control_state& state, const std::string& request_id) {
+  const std::string team = Remove(state.requests, request_id);
+  if (!team.empty()) LeaveTeam(state.limits, team);
+}
+
+void Finish(control_state& state, const place_outcome& outcome) {
+  state.places.Finish(outcome);
+  const std::string& prefill = outcome.prefill.name;
+  const std::string& decode = outcome.decode.name;
+  if (outcome.prefilled) ReportUpstream(state, prefill, true);
+  if (outcome.prefill_failed) ReportUpstream(state, prefill, false);
+  if (outcome.decode_finished) ReportUpstream(state, decode, true);
+  if (outcome.decode_failed) ReportUpstream(state, decode, false);
+}
+
+void AddAdmission(request_services& services, control_state& state,
+                  QObject* thread) {
+  services.admit = [&state, thread](const active_request& request,
+                                    std::function<void(absl::Status)> done) {
+    PostTo(&state.context,
+           [&state, request, done = OnThread(thread, std::move(done))] {
+             done(Admit(state, request));
+           });
+  };
+  services.update = [&state](const active_request& request) {
+    PostTo(&state.context,
+           [&state, request] { Change(state.requests, request); });
+  };
+  services.leave = [&state](const std::string& request_id) {
+    PostTo(&state.context, [&state, request_id] { Leave(state, request_id); });
+  };
+}
+
+void AddPlacement(request_services& services, control_state& state,
+                  QObject* thread) {
+  services.place = [&state, thread](
+                       const place_request& request,
+                       std::function<void(absl::StatusOr<place_grant>)> done) {
+    PostTo(&state.context,
+           [&state, request, done = OnThread(thread, std::move(done))] {
+             state.places.Place(request, done);
+           });
+  };
+  services.abandon = [&state](const std::string& request_id) {
+    PostTo(&state.context,
+           [&state, request_id] { state.places.Abandon(request_id); });
+  };
+  services.finish = [&state](const place_outcome& outcome) {
+    PostTo(&state.context, [&state, outcome] { Finish(state, outcome); });
+  };
+  services.cancel = [&state](const engine_cancel& cancel) {
+    PostTo(&state.context, [&state, cancel] { state.cancels.Cancel(cancel); });
+  };
+}
+
+void AddIdentity(request_services& services, control_state& state) {
+  services.config = [&state] { return state.config_in_force.Get(); };
+  services.owner = [&state] { return *state.owner.Get(); };
+  services.may_act = [&state](const std::string& owner) {
+    return state.membership.LeaseValid() && *state.owner.Get() == owner;
+  };
+  services.healthy = [&state](absl::string_view upstream) {
+    const auto ejected = state.ejected.Get();
+    return !ejected || !ejected->contains(upstream);
+  };
+  services.report = [&state](absl::string_view upstream, bool ok) {
+    PostTo(&state.context, [&state, name = std::string(upstream), ok] {
+      ReportUpstream(state, name, ok);
+    });
+  };
+  services.deployment_key = state.deployment_key;
+}
+
+}  // namespace
+
+request_services MakeRequestServices(control_state& state, QObject* thread) {
+  request_services services;
+  AddIdentity(services, state);
+  AddAdmission(services, state, thread);
+  AddPlacement(services, state, thread);
+  return services;
+}
+
+}  // namespace anvilridge
--- /dev/null
+++ b/src/requests/service_flow.cc
@@ -0,0 +1,302 @@
+#include "requests/service_flow.h"
+
+#include <QCryptographicHash>
+#include <QJsonObject>
+#include <algorithm>
+#include <random>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "base/clock.h"
+#include "base/error_kind.h"
+#include "log/decision_log.h"
+#include "requests/header_rules.h"
+
+namespace anvilridge {
+namespace {
+
+constexpr absl::Duration kServiceTimeout = absl::Seconds(10);
+constexpr int kMaxAttempts = 3;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kPreconditionFailed = 412;
+
+QString Text(absl::string_view text) {
+  return QString::fromUtf8(text.data(), static_cast<int>(text.size()));
+}
+
+std::string CallHash(const inbound_request& request) {
+  QCryptographicHash hash(QCryptographicHash::Sha256);
+  for (const std::string& part :
+       {request.method, request.path, request.query, request.body}) {
+    hash.addData(QByteArray::fromStdString(part));
+    hash.addData(QByteArray(1, '\0'));
+  }
+  return hash.result().toHex().toStdString();
+}
+
+bool MayRepeat(const service_request& request) {
+  const std::vector<std::string>& methods = request.route.repeatable_methods;
+  return std::find(methods.begin(), methods.end(), request.inbound.method) !=
+         methods.end();
+}
+
+// One call of a plain service on its traffic thread.
+class service_flow : public std::enable_shared_from_this<service_flow> {
+ public:
+  service_flow(flow_context& context, service_request request,
+               std::shared_ptr<inbound_exchange> exchange)
+      : context_(context),
+        request_(std::move(request)),
+        exchange_(std::move(exchange)),
+        repeatable_(MayRepeat(request_)),
+        key_(HeaderValue(request_.inbound.headers, "idempotency-key")),
+        owner_(context.services->owner()),
+        started_(MonotonicNow()) {}
+
+  void Start() {
+    exchange_->OnClosed([weak = weak_from_this()] {
+      if (const auto self = weak.lock()) self->CallerLeft();
+    });
+    services().admit(Active("admission"),
+                     [self = shared_from_this()](const absl::Status& admitted) {
+                       if (!admitted.ok()) return self->Fail(admitted);
+                       self->admitted_ = true;
+                       EarnRetries(self->context_.retries);
+                       self->Claim();
+                     });
+  }
+
+ private:
+  const request_services& services() const { return *context_.services; }
+
+  active_request Active(absl::string_view stage) const {
+    return {request_.request_id, request_.caller.team, request_.route.name,
+            std::string(stage),  upstream_.name,       started_};
+  }
+
+  // A call that may not be repeated goes on without its caller: its outcome is
+  // kept for a retry with the same key.
+  void CallerLeft() {
+    caller_left_ = true;
+    if (over_ || !repeatable_) return;
+    if (call_ != 0) context_.client->Cancel(call_);
+    EndUpstreamCall();
+    End();
+  }
+
+  void Claim() {
+    if (repeatable_ || key_.empty()) return Send();
+    services().claim(
+        {request_.caller.team, request_.route.name, key_,
+         CallHash(request_.inbound)},
+        [self = shared_from_this()](absl::StatusOr<claim_reply> reply) {
+          self->TakeClaim(std::move(reply));
+        });
+  }
+
+  void TakeClaim(absl::StatusOr<claim_reply> reply) {
+    if (!reply.ok()) return Fail(reply.status());
+    if (const auto* stored = std::get_if<stored_answer>(&*reply)) {
+      return Replay(*stored);
+    }
+    claim_ = std::get<claimed_call>(*reply);
+    claimed_ = true;
+    Send();
+  }
+
+  void Replay(const stored_answer& stored) {
+    if (!stored.body_kept) {
+      return Fail(MakeError(
+          error_kind::outcome_unknown,
+          absl::StrCat("the call ran and was answered with status ",
+                       stored.http_status, "; its body was too large to keep"),
+          run_state::ran));
+    }
+    LogEvent(log_level::info, "outcome_replayed",
+             {{"request_id", Text(request_.request_id)},
+              {"route", Text(request_.route.name)},
+              {"status", stored.http_status}});
+    Answer(stored.http_status,
+           {{"content-type", stored.content_type},
+            {"idempotency-replayed", "true"}},
+           stored.body);
+  }
+
+  // Two choices at random, the one with fewer calls in progress.
+  bool ChooseUpstream() {
+    const std::shared_ptr<const config_state> config = services().config();
+    std::vector<const upstream_config*> candidates;
+    for (const auto& [name, upstream] : config->upstreams) {
+      if (upstream.pool != request_.route.service_pool) continue;
+      if (upstream.draining || !services().healthy(name)) continue;
+      if (std::find(tried_.begin(), tried_.end(), name) != tried_.end()) {
+        continue;
+      }
+      candidates.push_back(&upstream);
+    }
+    if (candidates.empty()) return false;
+    std::shuffle(candidates.begin(), candidates.end(), context_.random);
+    const upstream_config* chosen = candidates.front();
+    if (candidates.size() > 1 && context_.service_calls[candidates[1]->name] <
+                                     context_.service_calls[chosen->name]) {
+      chosen = candidates[1];
+    }
+    upstream_ = *chosen;
+    LogEvent(log_level::info, "routing",
+             {{"request_id", Text(request_.request_id)},
+              {"route", Text(request_.route.name)},
+              {"considered", static_cast<int>(candidates.size())},
+              {"chosen", Text(upstream_.name)},
+              {"why", "fewer calls in progress of two sampled"},
+              {"attempt", static_cast<int>(tried_.size()) + 1}});
+    return true;
+  }
+
+  void Send() {
+    if (!ChooseUpstream()) {
+      return Fail(MakeError(error_kind::no_upstream,
+                            "no service takes calls of this route"));
+    }
+    // The last check before the call leaves: a daemon that was paused since it
+    // got the claim sends nothing.
+    if (!services().may_act(owner_) ||
+        (claimed_ && MonotonicNow() >= claim_.send_by)) {
+      return Fail(MakeError(error_kind::lease_lost,
+                            "this daemon was paused before it sent the call"));
+    }
+    tried_.push_back(upstream_.name);
+    services().update(Active("service"));
+    ++context_.service_calls[upstream_.name];
+    in_upstream_ = true;
+    http_handler handler;
+    handler.on_done = [self = shared_from_this()](http_result result) {
+      self->call_ = 0;
+      self->EndUpstreamCall();
+      if (!self->over_) self->TakeResult(std::move(result));
+    };
+    sent_ = true;
+    call_ = context_.client->Start(MakeCall(), std::move(handler));
+  }
+
+  http_call MakeCall() const {
+    http_call call;
+    call.method = request_.inbound.method;
+    call.address = upstream_.address;
+    call.target = request_.inbound.path;
+    if (!request_.inbound.query.empty()) {
+      absl::StrAppend(&call.target, "?", request_.inbound.query);
+    }
+    call.headers = ForwardedRequestHeaders(request_.inbound.headers);
+    call.headers.emplace_back("x-request-id", request_.request_id);
+    if (claimed_) {
+      call.headers.emplace_back("x-fencing-number", absl::StrCat(claim_.fence));
+    }
+    call.body = request_.inbound.body;
+    call.repeatable = repeatable_;
+    call.timeout = kServiceTimeout;
+    return call;
+  }
+
+  void EndUpstreamCall() {
+    if (!in_upstream_) return;
+    in_upstream_ = false;
+    --context_.service_calls[upstream_.name];
+  }
+
+  void TakeResult(http_result result) {
+    const bool broken = !result.status.ok();
+    services().report(upstream_.name, !broken && result.http_status < 500);
+    if (broken) return TakeFailure(result.status);
+    const bool busy =
+        result.http_status == kBadGateway || result.http_status == kUnavailable;
+    if (busy && repeatable_ && MayRetry()) return Send();
+    if (claimed_ && result.http_status == kPreconditionFailed) {
+      return Fail(MakeError(error_kind::outcome_unknown,
+                            "the upstream refused this call's fencing number"));
+    }
+    const std::string content_type(HeaderValue(result.headers, "content-type"));
+    if (claimed_) {
+      services().settle(claim_.claim_id, {result.http_status, content_type,
+                                          result.body, /*body_kept=*/true});
+    }
+    Answer(result.http_status, ForwardedAnswerHeaders(result.headers),
+           result.body);
+  }
+
+  void TakeFailure(const absl::Status& error) {
+    const bool never_sent = RunStateOf(error) == run_state::not_run;
+    if (never_sent) sent_ = false;
+    if ((never_sent || repeatable_) && MayRetry()) return Send();
+    if (never_sent || repeatable_) return Fail(error);
+    Fail(MakeError(error_kind::outcome_unknown,
+                   absl::StrCat("the call was sent to ", upstream_.name,
+                                " and no answer came: ", error.message())));
+  }
+
+  bool MayRetry() {
+    return tried_.size() < kMaxAttempts && TakeRetry(context_.retries);
+  }
+
+  void Answer(int status, http_headers headers, absl::string_view body) {
+    if (!caller_left_) {
+      headers.emplace_back("x-request-id", request_.request_id);
+      exchange_->Respond(status, headers, body);
+    }
+    result_ = absl::StrCat(status);
+    End();
+  }
+
+  void Fail(const absl::Status& error) {
+    if (over_) return;
+    if (!caller_left_) RespondProblem(*exchange_, error, request_.request_id);
+    result_ = std::string(AnswerFor(KindOf(error)).name);
+    End();
+  }
+
+  void End() {
+    if (over_) return;
+    over_ = true;
+    if (claimed_ && !sent_) services().release(claim_.claim_id);
+    if (admitted_) services().leave(request_.request_id);
+    LogEvent(log_level::info, "request_ended",
+             {{"request_id", Text(request_.request_id)},
+              {"route", Text(request_.route.name)},
+              {"upstream", Text(upstream_.name)},
+              {"result", Text(result_)},
+              {"ms", absl::ToDoubleMilliseconds(MonotonicNow() - started_)}});
+  }
+
+  flow_context& context_;
+  service_request request_;
+  std::shared_ptr<inbound_exchange> exchange_;
+  bool repeatable_;
+  std::string key_;
+  // The run of this daemon that took the request in.
+  std::string owner_;
+  absl::Time started_;
+  upstream_config upstream_;
+  std::vector<std::string> tried_;
+  claimed_call claim_;
+  std::string result_ = "caller_left";
+  http_client::call_id call_ = 0;
+  bool admitted_ = false;
+  bool claimed_ = false;
+  // Whether a call left that an upstream may have read.
+  bool sent_ = false;
+  bool in_upstream_ = false;
+  bool caller_left_ = false;
+  bool over_ = false;
+};
+
+}  // namespace
+
+void StartServiceCall(flow_context& context, service_request request,
+                      std::shared_ptr<inbound_exchange> exchange) {
+  std::make_shared<service_flow>(context, std::move(request),
+                                 std::move(exchange))
+      ->Start();
+}
+
+}  // namespace anvilridge
