--- a/standins/common/json_http.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace anvilridge {}
