--- a/src/config/config_state.h
+++ b/src/config/config_state.h
@@ -2,12 +2,15 @@
 #define ANVILRIDGE_CONFIG_CONFIG_STATE_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "absl/time/time.h"
+#include "config/config_command.h"
 
 namespace anvilridge {
 
@@ -35,6 +38,26 @@
   std::string model;
 };
 
+/// What an order makes of an engine.
+enum class order_kind { load, unload, role };
+
+/// The latest order given to an engine for one model and adapter, or for its
+/// role. Orders stay in the configuration, so that each daemon may repeat them
+/// until the engine shows their effect.
+struct upstream_order {
+  order_kind kind = order_kind::load;
+  std::string model;
+  std::string model_version;
+  std::string adapter;
+  /// Role ordered; for `order_kind::role`.
+  pool_role role = pool_role::service;
+  /// Log offset of the command: later orders carry higher numbers.
+  int64_t fence = 0;
+
+  friend bool operator==(const upstream_order&,
+                         const upstream_order&) = default;
+};
+
 /// One model engine or one plain service process.
 struct upstream_config : object_head {
   std::string pool;
@@ -49,8 +72,12 @@
   int pieces = 2000;
   /// Set by `drain`, cleared by `undrain`.
   bool draining = false;
+  /// Latest orders, oldest first; at most `kMaxOrdersPerUpstream`.
+  std::vector<upstream_order> orders;
 };
 
+inline constexpr size_t kMaxOrdersPerUpstream = 64;
+
 /// How requests under a path reach upstreams.
 struct route_config : object_head {
   /// Path prefix on the caller port, such as `/ledger/`; for completions the
@@ -97,9 +124,41 @@
   double pieces_per_second = 0;
 };
 
+/// An operator's order to cancel a request wherever it runs.
+struct request_cancel {
+  std::string request_id;
+  /// Log offset of the command.
+  int64_t offset = 0;
+
+  friend bool operator==(const request_cancel&,
+                         const request_cancel&) = default;
+};
+
+inline constexpr size_t kMaxRequestCancels = 200;
+
+/// What came of a command that the log holds.
+enum class command_outcome { accepted, contested, rejected };
+
+/// One command of the log and what came of it.
+struct history_entry {
+  /// Log offset of the record; the object's version if it was accepted.
+  int64_t offset = 0;
+  /// When the log recorded it.
+  absl::Time recorded;
+  config_command command;
+  command_outcome outcome = command_outcome::accepted;
+  /// Why it was contested or rejected; empty when accepted.
+  std::string detail;
+
+  friend bool operator==(const history_entry&, const history_entry&) = default;
+};
+
+/// Entries of history kept: more than half a day of changes.
+inline constexpr size_t kMaxHistory = 3000;
+
 /// The whole configuration as of one log offset.
 struct config_state {
-  /// Offset after the last record applied; zero for none.
+  /// Offset of the last record applied; zero for none.
   int64_t applied_offset = 0;
   std::map<std::string, pool_config, std::less<>> pools;
   std::map<std::string, upstream_config, std::less<>> upstreams;
@@ -107,6 +166,10 @@
   std::map<std::string, key_config, std::less<>> keys;
   std::map<std::string, team_config, std::less<>> teams;
   std::map<std::string, link_config, std::less<>> links;
+  /// Oldest first; at most `kMaxRequestCancels`.
+  std::vector<request_cancel> cancels;
+  /// Oldest first; at most `kMaxHistory`. Its ids tell a repeated record.
+  std::deque<std::shared_ptr<const history_entry>> history;
 };
 
 }  // namespace anvilridge
