Add the caller port

Callers need an HTTP port that bounds what they send and hold. Qt 6.4's HTTP server caps neither header fields nor bodies, has no streaming and no signal for a leaving caller, and starts a pipelined request beside the one before it. Peeking at its socket was ruled out: what it leaves unread between calls is its own affair. So each connection owns the network socket, request_scanner frames and bounds one request, and Qt's server parses it from a memory socket.

--- /dev/null
+++ b/src/caller/caller_connection.cc
@@ -0,0 +1,298 @@
+#include "caller/caller_connection.h"
+
+#include <sys/socket.h>
+
+#include <QHostAddress>
+#include <QSslSocket>
+#include <algorithm>
+#include <utility>
+
+#include "base/error_kind.h"
+#include "base/event_loop.h"
+#include "base/ids.h"
+#include "caller/caller_exchange.h"
+
+namespace anvilridge {
+namespace {
+
+/// How long a refused caller may go on sending before its connection is
+/// closed: closing at once would reset it and lose the answer.
+constexpr absl::Duration kLingerTime = absl::Seconds(2);
+
+/// How long an idle connection stays open once the port stops accepting, for
+/// requests already on their way.
+constexpr absl::Duration kStopGrace = absl::Milliseconds(500);
+
+/// Most bytes taken from the network at a time.
+constexpr int64_t kReadBufferBytes = 64 << 10;
+
+/// Whether `bytes` hold nothing but line ends, which some callers send behind
+/// a body.
+bool IsBlank(absl::string_view bytes) {
+  return bytes.find_first_not_of("\r\n") == absl::string_view::npos;
+}
+
+absl::string_view View(const QByteArray& bytes) {
+  return {bytes.constData(), static_cast<size_t>(bytes.size())};
+}
+
+}  // namespace
+
+caller_connection::caller_connection(const connection_context& context,
+                                     qintptr descriptor, bool refuse)
+    : context_(context),
+      socket_(MakeSocket()),
+      scanner_(context.limits.max_header_bytes, context.limits.max_body_bytes) {
+  timer_.setSingleShot(true);
+  QObject::connect(&timer_, &QTimer::timeout, [this] { OnTimeout(); });
+  if (!socket_->setSocketDescriptor(descriptor)) {
+    Leave();
+    return;
+  }
+  socket_->setReadBufferSize(kReadBufferBytes);
+  socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+  socket_->setSocketOption(
+      QAbstractSocket::SendBufferSizeSocketOption,
+      QVariant::fromValue(static_cast<int>(context.limits.max_unsent_bytes)));
+  if (auto* tls = qobject_cast<QSslSocket*>(socket_.get())) {
+    tls->setSslConfiguration(*context.tls);
+    tls->startServerEncryption();
+  }
+  feed_ = std::make_unique<request_feed>(socket_->peerAddress());
+  context_.server->Add(feed_.get());
+  SetTimer(context.limits.idle_timeout);
+  if (refuse) {
+    Refuse(MakeError(error_kind::too_many_connections,
+                     "no more connections are accepted"));
+  }
+}
+
+caller_connection::~caller_connection() {
+  SetPhase(phase::gone);
+  socket_->disconnect();
+  if (const auto exchange = exchange_.lock()) {
+    exchange->ConnectionLost(/*at_once=*/true);
+  }
+  socket_->abort();
+  --context_.counters->connections;
+}
+
+std::unique_ptr<QTcpSocket> caller_connection::MakeSocket() {
+  std::unique_ptr<QTcpSocket> socket;
+  if (context_.tls) {
+    auto tls = std::make_unique<QSslSocket>();
+    QObject::connect(tls.get(), &QSslSocket::encryptedBytesWritten,
+                     [this] { OnBytesWritten(); });
+    socket = std::move(tls);
+  } else {
+    socket = std::make_unique<QTcpSocket>();
+  }
+  QObject::connect(socket.get(), &QIODevice::readyRead,
+                   [this] { OnReadyRead(); });
+  QObject::connect(socket.get(), &QIODevice::bytesWritten,
+                   [this] { OnBytesWritten(); });
+  QObject::connect(socket.get(), &QAbstractSocket::disconnected,
+                   [this] { Leave(); });
+  QObject::connect(socket.get(), &QAbstractSocket::errorOccurred,
+                   [this] { Leave(); });
+  return socket;
+}
+
+void caller_connection::CloseWhenDone() {
+  close_after_answer_ = true;
+  if (phase_ == phase::idle) SetTimer(kStopGrace);
+}
+
+void caller_connection::OnReadyRead() {
+  const QByteArray bytes = socket_->readAll();
+  switch (phase_) {
+    case phase::idle:
+    case phase::receiving:
+      Receive(View(bytes));
+      break;
+    case phase::answering:
+    case phase::flushing:
+      // A pipelined request is not run: the caller sees the connection close
+      // behind the answer and may send it again.
+      if (!IsBlank(View(bytes))) close_after_answer_ = true;
+      break;
+    case phase::lingering:
+    case phase::gone:
+      break;
+  }
+}
+
+void caller_connection::Receive(absl::string_view bytes) {
+  const auto progress = scanner_.Take(bytes);
+  if (!progress.ok()) {
+    Refuse(progress.status());
+    return;
+  }
+  if (*progress == scan_progress::complete) {
+    Dispatch();
+    return;
+  }
+  if (phase_ == phase::idle && scanner_.InRequest()) {
+    SetPhase(phase::receiving);
+    SetTimer(context_.limits.request_timeout);
+  }
+  if (scanner_.TakeExpectContinue()) Send("HTTP/1.1 100 Continue\r\n\r\n");
+}
+
+std::shared_ptr<caller_exchange> caller_connection::StartAnswer(
+    const scanned_request& request) {
+  timer_.stop();
+  SetPhase(phase::answering);
+  caller_exchange::form form;
+  form.head_only = request.method == "HEAD";
+  form.chunked = !request.http_1_0;
+  auto exchange =
+      std::make_shared<caller_exchange>(this, context_.thread, form);
+  exchange_ = exchange;
+  return exchange;
+}
+
+void caller_connection::Dispatch() {
+  const bool pipelined = scanner_.HasExcess();
+  const scanned_request request = scanner_.Release();
+  if (pipelined || !request.keep_alive) close_after_answer_ = true;
+  const bool full =
+      context_.counters->answering.load() >= context_.limits.max_requests;
+  const auto exchange = StartAnswer(request);
+  if (full) {
+    RespondProblem(*exchange,
+                   MakeError(error_kind::too_many_connections,
+                             "too many requests are in progress"),
+                   NewId());
+    return;
+  }
+  auto parsed = feed_->Parse(request);
+  if (!parsed.ok()) {
+    RespondProblem(*exchange, parsed.status(), NewId());
+    return;
+  }
+  context_.handler(*parsed, exchange);
+}
+
+void caller_connection::Refuse(const absl::Status& error) {
+  close_after_answer_ = true;
+  const auto exchange = StartAnswer(scanned_request{});
+  RespondProblem(*exchange, error, NewId());
+}
+
+void caller_connection::SetPhase(phase next) {
+  port_counters& counters = *context_.counters;
+  const auto answering = [](phase p) {
+    return p == phase::answering || p == phase::flushing;
+  };
+  if (answering(next) && !answering(phase_)) ++counters.answering;
+  if (!answering(next) && answering(phase_)) --counters.answering;
+  if (next == phase::receiving && phase_ != phase::receiving) {
+    ++counters.receiving;
+  }
+  if (next != phase::receiving && phase_ == phase::receiving) {
+    --counters.receiving;
+  }
+  phase_ = next;
+}
+
+void caller_connection::SetTimer(absl::Duration delay) {
+  timer_.start(std::chrono::milliseconds(
+      absl::ToInt64Milliseconds(absl::Ceil(delay, absl::Milliseconds(1)))));
+}
+
+void caller_connection::Send(absl::string_view bytes) {
+  if (phase_ == phase::gone) return;
+  socket_->write(bytes.data(), static_cast<qint64>(bytes.size()));
+  // From here on the caller must keep taking bytes.
+  if (!timer_.isActive()) SetTimer(context_.limits.request_timeout);
+}
+
+void caller_connection::OnBytesWritten() {
+  if (phase_ == phase::answering) {
+    timer_.stop();
+    if (UnsentBytes() > 0) SetTimer(context_.limits.request_timeout);
+  }
+  if (phase_ == phase::flushing) {
+    SetTimer(context_.limits.request_timeout);
+    FinishIfFlushed();
+  }
+}
+
+void caller_connection::EndAnswer() {
+  SetPhase(phase::flushing);
+  exchange_.reset();
+  SetTimer(context_.limits.request_timeout);
+  FinishIfFlushed();
+}
+
+void caller_connection::FinishIfFlushed() {
+  if (UnsentBytes() > 0) return;
+  if (close_after_answer_) {
+    Linger();
+    return;
+  }
+  SetPhase(phase::idle);
+  SetTimer(context_.limits.idle_timeout);
+}
+
+void caller_connection::Linger() {
+  SetPhase(phase::lingering);
+  SetTimer(kLingerTime);
+  if (context_.tls) {
+    // A caller that is still sending closes by itself or when the time is up.
+    if (!scanner_.InRequest()) socket_->disconnectFromHost();
+    return;
+  }
+  ::shutdown(static_cast<int>(socket_->socketDescriptor()), SHUT_WR);
+}
+
+void caller_connection::OnTimeout() {
+  switch (phase_) {
+    case phase::receiving:
+      Refuse(MakeError(error_kind::request_timeout,
+                       "the request did not arrive in time"));
+      break;
+    case phase::answering:
+    case phase::flushing:
+      Break(/*reset=*/true);
+      break;
+    case phase::idle:
+    case phase::lingering:
+      Leave();
+      break;
+    case phase::gone:
+      break;
+  }
+}
+
+void caller_connection::Break(bool reset) {
+  if (phase_ == phase::gone) return;
+  if (reset) {
+    const linger at_once{.l_onoff = 1, .l_linger = 0};
+    ::setsockopt(static_cast<int>(socket_->socketDescriptor()), SOL_SOCKET,
+                 SO_LINGER, &at_once, sizeof(at_once));
+  }
+  Leave();
+}
+
+void caller_connection::Leave() {
+  if (phase_ == phase::gone) return;
+  SetPhase(phase::gone);
+  timer_.stop();
+  socket_->disconnect();
+  const std::shared_ptr<caller_exchange> exchange = exchange_.lock();
+  exchange_.reset();
+  if (exchange) exchange->ConnectionLost(/*at_once=*/false);
+  PostTo(context_.thread, [gone = context_.on_gone, this] { gone(this); });
+}
+
+int64_t caller_connection::UnsentBytes() const {
+  int64_t unsent = socket_->bytesToWrite();
+  if (const auto* tls = qobject_cast<QSslSocket*>(socket_.get())) {
+    unsent += tls->encryptedBytesToWrite();
+  }
+  return unsent;
+}
+
+}  // namespace anvilridge
--- /dev/null
+++ b/src/caller/caller_connection.h
@@ -0,0 +1,94 @@
+#ifndef ANVILRIDGE_CALLER_CALLER_CONNECTION_H_
+#define ANVILRIDGE_CALLER_CALLER_CONNECTION_H_
+
+#include <QObject>
+#include <QSslConfiguration>
+#include <QTcpSocket>
+#include <QTimer>
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "caller/caller_port.h"
+#include "caller/request_feed.h"
+#include "caller/request_scanner.h"
+
+namespace anvilridge {
+
+class caller_exchange;
+
+/// Counts of one port over all its threads.
+struct port_counters {
+  std::atomic<int> connections{0};
+  /// Requests that have begun to arrive.
+  std::atomic<int> receiving{0};
+  /// Answers begun or due, up to their last byte sent.
+  std::atomic<int> answering{0};
+};
+
+/// What the connections of one thread share.
+struct connection_context {
+  limit_settings limits;
+  std::optional<QSslConfiguration> tls;
+  inbound_handler handler;
+  std::shared_ptr<port_counters> counters;
+  feed_server* server = nullptr;
+  /// Runs what must not run inside a call of a handler; lives on the thread.
+  QObject* thread = nullptr;
+  /// Told once, when the connection has nothing more to do.
+  std::function<void(class caller_connection*)> on_gone;
+};
+
+/// One caller's connection, on one traffic thread: receives a request, hands
+/// it over, sends its answer, and is used again or closed.
+class caller_connection {
+ public:
+  /// Takes over `descriptor`. With `refuse`, answers `too_many_connections`
+  /// without reading a request.
+  caller_connection(const connection_context& context, qintptr descriptor,
+                    bool refuse);
+  ~caller_connection();
+  caller_connection(const caller_connection&) = delete;
+  caller_connection& operator=(const caller_connection&) = delete;
+
+  /// Closes after the answer in progress; an idle connection soon.
+  void CloseWhenDone();
+
+ private:
+  friend class caller_exchange;
+
+  enum class phase { idle, receiving, answering, flushing, lingering, gone };
+
+  std::unique_ptr<QTcpSocket> MakeSocket();
+  void OnReadyRead();
+  void OnBytesWritten();
+  void OnTimeout();
+  void Receive(absl::string_view bytes);
+  void Dispatch();
+  void Refuse(const absl::Status& error);
+  std::shared_ptr<caller_exchange> StartAnswer(const scanned_request& request);
+  void SetPhase(phase next);
+  void SetTimer(absl::Duration delay);
+  void Send(absl::string_view bytes);
+  void EndAnswer();
+  void FinishIfFlushed();
+  void Linger();
+  void Break(bool reset);
+  void Leave();
+  int64_t UnsentBytes() const;
+
+  const connection_context& context_;
+  std::unique_ptr<QTcpSocket> socket_;
+  request_scanner scanner_;
+  std::unique_ptr<request_feed> feed_;
+  QTimer timer_;
+  phase phase_ = phase::idle;
+  bool close_after_answer_ = false;
+  std::weak_ptr<caller_exchange> exchange_;
+};
+
+}  // namespace anvilridge
+
+#endif  // ANVILRIDGE_CALLER_CALLER_CONNECTION_H_
--- /dev/null
+++ b/src/caller/caller_port.cc
@@ -0,0 +1,159 @@
+#include "caller/caller_port.h"
+
+#include <QHostAddress>
+#include <QTcpServer>
+#include <QThread>
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "base/error_kind.h"
+#include "base/event_loop.h"
+#include "caller/port_worker.h"
+#include "caller/tls_configuration.h"
+
+namespace anvilridge {
+namespace {
+
+/// Connections past the cap that are still told why they are refused; any
+/// more are closed unanswered.
+constexpr int kMaxRefusals = 64;
+
+/// The kernel's queue of connections that are not accepted yet.
+constexpr int kListenBacklog = 512;
+
+/// Accepts connections and hands their descriptors on.
+class accepting_server : public QTcpServer {
+ public:
+  explicit accepting_server(std::function<void(int descriptor)> on_connection)
+      : on_connection_(std::move(on_connection)) {}
+
+ protected:
+  void incomingConnection(qintptr descriptor) override {
+    on_connection_(static_cast<int>(descriptor));
+  }
+
+ private:
+  std::function<void(int descriptor)> on_connection_;
+};
+
+/// Runs `task` on the thread of `context` and returns when it has run.
+void RunOn(QObject* context, const std::function<void()>& task) {
+  QThread* thread = context->thread();
+  if (thread == QThread::currentThread() || !thread->isRunning()) {
+    task();
+    return;
+  }
+  QMetaObject::invokeMethod(context, task, Qt::BlockingQueuedConnection);
+}
+
+}  // namespace
+
+struct caller_port::impl {
+  /// One traffic thread's share.
+  struct worker_slot {
+    QObject* thread = nullptr;
+    /// Set and used on that thread only.
+    std::unique_ptr<port_worker> worker;
+  };
+
+  port_settings port;
+  limit_settings limits;
+  std::vector<std::shared_ptr<worker_slot>> slots;
+  std::shared_ptr<port_counters> counters = std::make_shared<port_counters>();
+  size_t next_slot = 0;
+  std::unique_ptr<accepting_server> listener;
+
+  void HandOver(int descriptor);
+  void MakeWorkers(
+      const std::optional<QSslConfiguration>& tls,
+      const std::function<inbound_handler(size_t thread)>& handler_for);
+};
+
+void caller_port::impl::HandOver(int descriptor) {
+  auto owned = std::make_shared<owned_descriptor>(descriptor);
+  const int open = counters->connections.load();
+  if (open >= limits.max_connections + kMaxRefusals) return;
+  ++counters->connections;
+  const bool refuse = open >= limits.max_connections;
+  const std::shared_ptr<worker_slot> slot = slots[next_slot];
+  next_slot = (next_slot + 1) % slots.size();
+  PostTo(slot->thread, [slot, owned, refuse] {
+    if (slot->worker) slot->worker->Adopt(owned->Release(), refuse);
+  });
+}
+
+void caller_port::impl::MakeWorkers(
+    const std::optional<QSslConfiguration>& tls,
+    const std::function<inbound_handler(size_t thread)>& handler_for) {
+  for (size_t i = 0; i < slots.size(); ++i) {
+    PostTo(slots[i]->thread, [slot = slots[i], limits = limits, tls,
+                              handler = handler_for(i), counters = counters] {
+      slot->worker =
+          std::make_unique<port_worker>(limits, tls, handler, counters);
+    });
+  }
+}
+
+caller_port::caller_port(port_settings port, limit_settings limits,
+                         std::vector<QObject*> threads)
+    : impl_(std::make_unique<impl>()) {
+  impl_->port = std::move(port);
+  impl_->limits = limits;
+  for (QObject* thread : threads) {
+    auto slot = std::make_shared<impl::worker_slot>();
+    slot->thread = thread;
+    impl_->slots.push_back(std::move(slot));
+  }
+}
+
+caller_port::~caller_port() {
+  impl_->listener.reset();
+  for (const auto& slot : impl_->slots) {
+    RunOn(slot->thread, [&slot] { slot->worker.reset(); });
+  }
+}
+
+absl::Status caller_port::Listen(
+    std::function<inbound_handler(size_t thread)> handler_for) {
+  const endpoint& listen = impl_->port.listen;
+  std::optional<QSslConfiguration> tls;
+  if (impl_->port.tls) {
+    auto loaded = LoadTlsConfiguration(impl_->port);
+    if (!loaded.ok()) return loaded.status();
+    tls = *std::move(loaded);
+  }
+  auto listener = std::make_unique<accepting_server>(
+      [this](int descriptor) { impl_->HandOver(descriptor); });
+  listener->setListenBacklogSize(kListenBacklog);
+  const QHostAddress address(QString::fromStdString(listen.address));
+  if (!listener->listen(address, listen.port)) {
+    return MakeError(
+        error_kind::internal,
+        absl::StrCat("can't listen on ", listen.address, ":", listen.port, ": ",
+                     listener->errorString().toStdString()));
+  }
+  impl_->MakeWorkers(tls, handler_for);
+  impl_->listener = std::move(listener);
+  return absl::OkStatus();
+}
+
+uint16_t caller_port::Port() const {
+  return impl_->listener ? impl_->listener->serverPort() : 0;
+}
+
+void caller_port::StopAccepting() {
+  if (!impl_->listener) return;
+  impl_->listener->close();
+  for (const auto& slot : impl_->slots) {
+    PostTo(slot->thread, [slot] {
+      if (slot->worker) slot->worker->CloseWhenDone();
+    });
+  }
+}
+
+int caller_port::RequestsInProgress() const {
+  return impl_->counters->answering.load() + impl_->counters->receiving.load();
+}
+
+}  // namespace anvilridge
--- /dev/null
+++ b/src/caller/port_worker.cc
@@ -0,0 +1,64 @@
+#include "caller/port_worker.h"
+
+#include <unistd.h>
+
+#include <utility>
+
+#include "absl/container/flat_hash_map.h"
+
+namespace anvilridge {
+
+owned_descriptor::~owned_descriptor() {
+  if (descriptor_ >= 0) ::close(descriptor_);
+}
+
+int owned_descriptor::Release() { return std::exchange(descriptor_, -1); }
+
+struct port_worker::impl {
+  feed_server server;
+  connection_context context;
+  bool stopping = false;
+  // Last: connections use all of the above until they are gone.
+  absl::flat_hash_map<caller_connection*, std::unique_ptr<caller_connection>>
+      connections;
+};
+
+port_worker::port_worker(const limit_settings& limits,
+                         std::optional<QSslConfiguration> tls,
+                         inbound_handler handler,
+                         std::shared_ptr<port_counters> counters)
+    : impl_(std::make_unique<impl>()) {
+  connection_context& context = impl_->context;
+  context.limits = limits;
+  context.tls = std::move(tls);
+  context.handler = std::move(handler);
+  context.counters = std::move(counters);
+  context.server = &impl_->server;
+  context.thread = this;
+  context.on_gone = [this](caller_connection* connection) {
+    impl_->connections.erase(connection);
+  };
+}
+
+port_worker::~port_worker() {
+  // Listeners of the answers cut here may look at the port's other exchanges,
+  // so the connections are taken out of the table first.
+  auto connections = std::exchange(impl_->connections, {});
+  connections.clear();
+}
+
+void port_worker::Adopt(int descriptor, bool refuse) {
+  auto connection =
+      std::make_unique<caller_connection>(impl_->context, descriptor, refuse);
+  if (impl_->stopping) connection->CloseWhenDone();
+  impl_->connections.emplace(connection.get(), std::move(connection));
+}
+
+void port_worker::CloseWhenDone() {
+  impl_->stopping = true;
+  for (auto& [key, connection] : impl_->connections) {
+    connection->CloseWhenDone();
+  }
+}
+
+}  // namespace anvilridge
--- /dev/null
+++ b/src/caller/request_feed.h
@@ -0,0 +1,64 @@
+#ifndef ANVILRIDGE_CALLER_REQUEST_FEED_H_
+#define ANVILRIDGE_CALLER_REQUEST_FEED_H_
+
+#include <QByteArray>
+#include <QHttpServerRequest>
+#include <QTcpSocket>
+#include <functional>
+#include <memory>
+
+#include "caller/caller_port.h"
+#include "caller/request_scanner.h"
+
+namespace anvilridge {
+
+/// The socket that Qt's HTTP server reads: it holds one whole request at a
+/// time, already framed and bounded, and touches no network. Qt 6.4 bounds
+/// neither header fields nor bodies, and would start a pipelined request
+/// while the one before it is being answered.
+class request_feed : public QTcpSocket {
+ public:
+  explicit request_feed(const QHostAddress& peer);
+  ~request_feed() override;
+
+  /// Has Qt's server parse `request`. Returns it as parsed, or
+  /// `malformed_request` when the server does not take it.
+  absl::StatusOr<inbound_request> Parse(const scanned_request& request);
+
+  /// Called by the server with the parsed request.
+  void SetParsed(const QHttpServerRequest& request);
+
+  qint64 bytesAvailable() const override;
+  bool canReadLine() const override;
+  void disconnectFromHost() override;
+  void close() override;
+
+ protected:
+  qint64 readData(char* data, qint64 max_size) override;
+  qint64 readLineData(char* data, qint64 max_size) override;
+  qint64 skipData(qint64 max_size) override;
+  qint64 writeData(const char* data, qint64 size) override;
+
+ private:
+  QByteArray bytes_;
+  bool parsed_ = false;
+  inbound_request result_;
+};
+
+/// Qt's HTTP server of one traffic thread, which reads from `request_feed`s.
+class feed_server {
+ public:
+  feed_server();
+  ~feed_server();
+
+  /// Has the server read from `feed`, which must be deleted before this.
+  void Add(request_feed* feed);
+
+ private:
+  struct impl;
+  std::unique_ptr<impl> impl_;
+};
+
+}  // namespace anvilridge
+
+#endif  // ANVILRIDGE_CALLER_REQUEST_FEED_H_
