--- a/src/daemon/control_plane.cc
+++ b/src/daemon/control_plane.cc
@@ -60,6 +60,13 @@
   return impl_->state.peers_in.Port();
 }
 
+uint16_t control_plane::OperatorPort() const { return 0; }
+
+bool control_plane::MayExit() const {
+  const control_state& state = impl_->state;
+  return state.requests.active.empty() && state.cancels.Pending() == 0;
+}
+
 int control_plane::RequestsInProgress() const {
   return static_cast<int>(impl_->state.requests.active.size());
 }
--- a/src/daemon/control_plane.h
+++ b/src/daemon/control_plane.h
@@ -33,10 +33,16 @@
   absl::Status Ready() const;
 
   uint16_t PeerPort() const;
+  /// 0 until the operator port is open.
+  uint16_t OperatorPort() const;
 
   /// Requests in progress.
   int RequestsInProgress() const;
 
+  /// Whether a planned stop may end: nothing is in progress, and no engine is
+  /// still to be told of a cancel.
+  bool MayExit() const;
+
   /// Announces a planned stop: not ready, and the homes move to other daemons.
   void BeginStop();
 
--- a/src/requests/completion_flow.cc
+++ b/src/requests/completion_flow.cc
@@ -69,7 +69,7 @@
 // through the callbacks it waits for.
 class completion_flow : public std::enable_shared_from_this<completion_flow> {
  public:
-  completion_flow(const flow_context& context, completion_request request,
+  completion_flow(flow_context& context, completion_request request,
                   std::shared_ptr<inbound_exchange> exchange)
       : context_(context), request_(std::move(request)) {
     writer_.exchange = std::move(exchange);
@@ -173,7 +173,7 @@
     if (!grant.ok()) return Fail(grant.status());
     grant_ = *std::move(grant);
     placed_ = true;
-    if (!services().lease_valid()) {
+    if (!services().may_act(grant_.owner)) {
       return Fail(MakeError(error_kind::lease_lost, "paused past the lease"));
     }
     Prefill();
@@ -249,7 +249,7 @@
 
   void Decode() {
     SetStage("decode");
-    if (!services().lease_valid()) {
+    if (!services().may_act(grant_.owner)) {
       return Fail(MakeError(error_kind::lease_lost, "paused past the lease",
                             run_state::unknown));
     }
@@ -457,7 +457,7 @@
 
   void Leave() { services().leave(request_.request_id); }
 
-  flow_context context_;
+  flow_context& context_;
   completion_request request_;
   answer_writer writer_;
   absl::Time started_;
@@ -488,14 +488,14 @@
 
 }  // namespace
 
-void StartCompletion(const flow_context& context, completion_request request,
+void StartCompletion(flow_context& context, completion_request request,
                      std::shared_ptr<inbound_exchange> exchange) {
   std::make_shared<completion_flow>(context, std::move(request),
                                     std::move(exchange))
       ->Start();
 }
 
-void ResumeCompletion(const flow_context& context, completion_request request,
+void ResumeCompletion(flow_context& context, completion_request request,
                       const resume_token& token,
                       std::shared_ptr<inbound_exchange> exchange) {
   const std::shared_ptr<const config_state> config = context.services->config();
--- a/src/requests/completion_flow.h
+++ b/src/requests/completion_flow.h
@@ -1,7 +1,6 @@
 #ifndef ANVILRIDGE_REQUESTS_COMPLETION_FLOW_H_
 #define ANVILRIDGE_REQUESTS_COMPLETION_FLOW_H_
 
-#include <QObject>
 #include <memory>
 #include <string>
 
@@ -9,19 +8,11 @@
 #include "caller/caller_port.h"
 #include "requests/caller_identity.h"
 #include "requests/completion_body.h"
-#include "requests/request_services.h"
+#include "requests/flow_context.h"
 #include "requests/resume_token.h"
-#include "upstreams/http_client.h"
 
 namespace anvilridge {
 
-/// What a completion needs on its traffic thread. All outlive the flow.
-struct flow_context {
-  QObject* thread = nullptr;
-  http_client* client = nullptr;
-  const request_services* services = nullptr;
-};
-
 /// One completion that was authenticated and routed.
 struct completion_request {
   std::string request_id;
@@ -33,11 +24,11 @@
 /// Starts a completion: admission, placement, prefill, transfer, decode, and
 /// the answer on `exchange`. Runs on its own until the answer has ended, and
 /// then holds nothing at any engine.
-void StartCompletion(const flow_context& context, completion_request request,
+void StartCompletion(flow_context& context, completion_request request,
                      std::shared_ptr<inbound_exchange> exchange);
 
 /// Takes over the stream that `token` names and sends what comes after it.
-void ResumeCompletion(const flow_context& context, completion_request request,
+void ResumeCompletion(flow_context& context, completion_request request,
                       const resume_token& token,
                       std::shared_ptr<inbound_exchange> exchange);
 
--- a/src/requests/request_services.h
+++ b/src/requests/request_services.h
@@ -10,6 +10,7 @@
 #include "absl/time/time.h"
 #include "config/config_state.h"
 #include "placement/place_request.h"
+#include "requests/call_claim.h"
 
 namespace anvilridge {
 
@@ -36,8 +37,9 @@
 struct request_services {
   /// The configuration in force; null before there is one.
   std::function<std::shared_ptr<const config_state>()> config;
-  /// Whether this daemon may act on what it holds.
-  std::function<bool()> lease_valid;
+  /// Whether this daemon is still the run that `owner` names, and not paused
+  /// past its lease.
+  std::function<bool(const std::string& owner)> may_act;
   /// Counts a request against its team's limits; fails when they are used up.
   std::function<void(const active_request&, std::function<void(absl::Status)>)>
       admit;
@@ -52,6 +54,18 @@
   std::function<void(const place_outcome&)> finish;
   /// Cancels at the engine until the engine has confirmed it.
   std::function<void(const engine_cancel&)> cancel;
+  /// Claims the right to run a call that may not be repeated.
+  std::function<void(const call_claim&,
+                     std::function<void(absl::StatusOr<claim_reply>)>)>
+      claim;
+  /// Records the answer to a claimed call that was sent.
+  std::function<void(const std::string& claim_id, const stored_answer&)> settle;
+  /// Gives back a claim whose call was surely never sent.
+  std::function<void(const std::string& claim_id)> release;
+  /// Whether an upstream may be given new work, by its health.
+  std::function<bool(absl::string_view upstream)> healthy;
+  /// Reports how a call to a plain service went.
+  std::function<void(absl::string_view upstream, bool ok)> report;
   /// Owner text of this daemon's current incarnation.
   std::function<std::string()> owner;
   /// Shared secret of the deployment, for resume tokens.
