Add the calls between daemons over nghttp2

Calls and answers are CBOR maps; an error keeps its kind, run state, delay and message. What is submitted in one turn of the event loop goes out in one write. A peer that owes answers is pinged and given up when it stays silent. Ruled out: ending the session right after the refusal of a key was submitted; nghttp2 then sends nothing but the end, so the refusal is taken first.

--- /dev/null
+++ b/src/peer/peer_message.h
@@ -0,0 +1,37 @@
+#ifndef ANVILRIDGE_PEER_PEER_MESSAGE_H_
+#define ANVILRIDGE_PEER_PEER_MESSAGE_H_
+
+#include <QByteArray>
+#include <QCborMap>
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+
+namespace anvilridge {
+
+/// Bodies of calls and answers are at most this long.
+constexpr qsizetype kMaxPeerBodyBytes = 1 << 20;
+constexpr int kPeerStatusOk = 200;
+constexpr int kPeerStatusForbidden = 403;
+
+/// An answer as it goes over the wire.
+struct peer_answer {
+  int http_status = kPeerStatusOk;
+  QByteArray body;
+};
+
+/// Encodes what a handler answered; an answer that is too long becomes an
+/// error.
+peer_answer EncodePeerAnswer(const absl::StatusOr<QCborMap>& answer);
+
+/// Decodes what `EncodePeerAnswer` made: the map, or the same error. What can't
+/// be decoded is `upstream_failed`.
+absl::StatusOr<QCborMap> DecodePeerAnswer(const peer_answer& answer);
+
+/// Decodes a body that must be one CBOR map and nothing else;
+/// `malformed_request` if not.
+absl::StatusOr<QCborMap> DecodePeerBody(const QByteArray& body);
+
+}  // namespace anvilridge
+
+#endif  // ANVILRIDGE_PEER_PEER_MESSAGE_H_
--- /dev/null
+++ b/src/peer/peer_server.cc
@@ -0,0 +1,170 @@
+#include "peer/peer_server.h"
+
+#include <QHostAddress>
+#include <QTcpServer>
+#include <QTcpSocket>
+#include <QTimer>
+#include <utility>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/strings/str_cat.h"
+#include "base/clock.h"
+#include "base/error_kind.h"
+#include "base/event_loop.h"
+#include "base/ids.h"
+#include "peer/peer_message.h"
+#include "peer/peer_session.h"
+
+namespace anvilridge {
+namespace {
+
+constexpr size_t kMaxConnections = 1000;
+constexpr int kBacklog = 512;
+constexpr absl::Duration kCheckPeriod = absl::Seconds(1);
+/// A connection without a call that carries the key is closed after this.
+constexpr absl::Duration kAuthorizeTimeout = absl::Seconds(5);
+/// Longer than a client keeps an idle connection, so that it is the client
+/// that closes and no call meets a closing server.
+constexpr absl::Duration kIdleTimeout = absl::Minutes(3);
+
+struct server_connection {
+  std::shared_ptr<peer_session> session;
+  absl::Time opened;
+};
+
+/// The answer owed to one call. A handler that drops it without answering
+/// leaves no caller waiting.
+class owed_answer {
+ public:
+  owed_answer(std::weak_ptr<peer_session> session, int32_t stream)
+      : session_(std::move(session)), stream_(stream) {}
+  ~owed_answer() {
+    Send(MakeError(error_kind::internal, "the call was not answered"));
+  }
+  owed_answer(const owed_answer&) = delete;
+  owed_answer& operator=(const owed_answer&) = delete;
+
+  void Send(const absl::StatusOr<QCborMap>& answer) {
+    if (std::exchange(sent_, true)) return;
+    const std::shared_ptr<peer_session> session = session_.lock();
+    if (session) session->SubmitAnswer(stream_, EncodePeerAnswer(answer));
+  }
+
+ private:
+  std::weak_ptr<peer_session> session_;
+  int32_t stream_;
+  bool sent_ = false;
+};
+
+}  // namespace
+
+struct peer_server::impl {
+  std::string key;
+  absl::flat_hash_map<std::string, peer_handler> handlers;
+  QTcpServer listener;
+  uint64_t last_id = 0;
+  absl::flat_hash_map<uint64_t, server_connection> connections;
+  QObject context;
+  std::unique_ptr<QTimer> check_timer;
+
+  void Accept();
+  void Open(std::unique_ptr<QTcpSocket> socket);
+  void Dispatch(uint64_t id, int32_t stream, const std::string& method,
+                const QByteArray& body);
+  void Drop(uint64_t id);
+  void CloseIdle();
+};
+
+void peer_server::impl::Accept() {
+  while (QTcpSocket* accepted = listener.nextPendingConnection()) {
+    accepted->setParent(nullptr);
+    std::unique_ptr<QTcpSocket> socket(accepted);
+    if (connections.size() < kMaxConnections) Open(std::move(socket));
+  }
+}
+
+void peer_server::impl::Open(std::unique_ptr<QTcpSocket> socket) {
+  const uint64_t id = ++last_id;
+  peer_session_events events;
+  events.authorize = [this](absl::string_view sent) {
+    return ConstantTimeEqual(sent, key);
+  };
+  events.on_call = [this, id](int32_t stream, const std::string& method,
+                              const QByteArray& body) {
+    Dispatch(id, stream, method, body);
+  };
+  events.on_broken = [this, id](const std::string&) { Drop(id); };
+  connections[id] = {
+      std::make_shared<peer_session>(peer_side::server, std::move(socket),
+                                     std::move(events)),
+      MonotonicNow()};
+}
+
+void peer_server::impl::Dispatch(uint64_t id, int32_t stream,
+                                 const std::string& method,
+                                 const QByteArray& body) {
+  const auto answer =
+      std::make_shared<owed_answer>(connections.at(id).session, stream);
+  const absl::StatusOr<QCborMap> request = DecodePeerBody(body);
+  if (!request.ok()) return answer->Send(request.status());
+  const auto handler = handlers.find(method);
+  if (handler == handlers.end()) {
+    return answer->Send(MakeError(error_kind::not_found,
+                                  absl::StrCat("no peer method ", method)));
+  }
+  handler->second(*request, [answer](const absl::StatusOr<QCborMap>& result) {
+    answer->Send(result);
+  });
+}
+
+void peer_server::impl::Drop(uint64_t id) {
+  const auto found = connections.find(id);
+  if (found == connections.end()) return;
+  // Told from inside the session, so it must outlive this call.
+  PostTo(&context, [kept = std::move(found->second.session)] {});
+  connections.erase(found);
+}
+
+void peer_server::impl::CloseIdle() {
+  const absl::Time now = MonotonicNow();
+  std::vector<std::shared_ptr<peer_session>> idle;
+  for (const auto& [id, connection] : connections) {
+    const peer_session& session = *connection.session;
+    const bool unknown =
+        !session.Authorized() && now - connection.opened > kAuthorizeTimeout;
+    const bool silent = session.OpenStreams() == 0 &&
+                        now - session.LastReceived() > kIdleTimeout;
+    if (unknown || silent) idle.push_back(connection.session);
+  }
+  for (const auto& session : idle) session->Close("the connection is idle");
+}
+
+peer_server::peer_server(std::string peer_key)
+    : impl_(std::make_unique<impl>()) {
+  impl_->key = std::move(peer_key);
+  impl_->listener.setListenBacklogSize(kBacklog);
+  QObject::connect(&impl_->listener, &QTcpServer::newConnection,
+                   &impl_->context, [this] { impl_->Accept(); });
+  impl_->check_timer = RunEvery(kCheckPeriod, [this] { impl_->CloseIdle(); });
+}
+
+peer_server::~peer_server() = default;
+
+void peer_server::Handle(std::string method, peer_handler handler) {
+  impl_->handlers[std::move(method)] = std::move(handler);
+}
+
+absl::Status peer_server::Listen(const endpoint& listen) {
+  const QHostAddress address(QString::fromStdString(listen.address));
+  if (impl_->listener.listen(address, listen.port)) return absl::OkStatus();
+  return MakeError(
+      error_kind::internal,
+      absl::StrCat("can't listen on ", listen.address, ":", listen.port, ": ",
+                   impl_->listener.errorString().toStdString()),
+      run_state::not_run);
+}
+
+uint16_t peer_server::Port() const { return impl_->listener.serverPort(); }
+
+}  // namespace anvilridge
