Add the strict settings parser and its reference

QSettings takes any text and drops what it can't read, so an unknown key or a duplicate would pass in silence; its list and escape rules would also differ from a check beside it. One table of keys now drives parsing, the check and docs/SETTINGS.md, and every finding of a file comes in one run.

--- /dev/null
+++ b/src/settings/settings_reference.cc
@@ -0,0 +1,42 @@
+#include "settings/settings_reference.h"
+
+#include "absl/strings/str_cat.h"
+#include "settings/settings_table.h"
+
+namespace anvilridge {
+namespace {
+
+constexpr absl::string_view kIntroduction =
+    "# Settings\n\n"
+    "`anvilridged --config FILE` reads an INI file: `[section]`, then\n"
+    "`key = value`. A line that begins with `#` or `;` is a comment, a value\n"
+    "may stand in double quotes, and each section and key may occur once.\n"
+    "`--check-config` prints every finding of a file and exits with 2 when\n"
+    "there is one. This page is the output of `--settings-reference`.\n";
+
+std::string DefaultText(const settings_key& row) {
+  if (row.required) return "required";
+  daemon_settings defaults;
+  const std::string value = row.show(defaults);
+  return value.empty() ? "none" : absl::StrCat("`", value, "`");
+}
+
+}  // namespace
+
+std::string SettingsReference() {
+  std::string text(kIntroduction);
+  std::string section;
+  for (const settings_key& row : SettingsTable()) {
+    if (row.section != section) {
+      section = row.section;
+      absl::StrAppend(&text, "\n## [", section, "]\n\n",
+                      "| key | allowed | default | meaning |\n",
+                      "|---|---|---|---|\n");
+    }
+    absl::StrAppend(&text, "| `", row.key, "` | ", row.allowed, " | ",
+                    DefaultText(row), " | ", row.description, " |\n");
+  }
+  return text;
+}
+
+}  // namespace anvilridge
--- /dev/null
+++ b/src/settings/settings_table.cc
@@ -0,0 +1,326 @@
+#include "settings/settings_table.h"
+
+#include <algorithm>
+#include <limits>
+#include <optional>
+#include <utility>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+#include "base/ids.h"
+#include "settings/settings_values.h"
+
+namespace anvilridge {
+namespace {
+
+/// Where a value goes in the settings.
+template <typename T>
+using field = std::function<T&(daemon_settings&)>;
+
+/// Section, key and description, common to all types.
+struct key_head {
+  std::string section;
+  std::string key;
+  std::string description;
+  bool required = false;
+};
+
+settings_key MakeKey(key_head head, std::string allowed) {
+  settings_key row;
+  row.section = std::move(head.section);
+  row.key = std::move(head.key);
+  row.description = std::move(head.description);
+  row.required = head.required;
+  row.allowed = std::move(allowed);
+  return row;
+}
+
+settings_key TextKey(key_head head, std::string allowed,
+                     const field<std::string>& at,
+                     const std::function<bool(absl::string_view)>& is_allowed) {
+  settings_key row = MakeKey(std::move(head), std::move(allowed));
+  row.set = [at, is_allowed](absl::string_view value, daemon_settings& s) {
+    at(s) = std::string(value);
+    return is_allowed(value);
+  };
+  row.show = [at](daemon_settings& s) { return at(s); };
+  return row;
+}
+
+settings_key NameKey(key_head head, const field<std::string>& at) {
+  return TextKey(std::move(head),
+                 "1 to 64 characters of letters, digits, '-', '_' and '.'", at,
+                 IsSafeId);
+}
+
+settings_key FileKey(key_head head, const field<std::string>& at) {
+  settings_key row =
+      TextKey(std::move(head), "the name of a readable file", at,
+              [](absl::string_view value) { return !value.empty(); });
+  row.names_file = true;
+  return row;
+}
+
+template <typename T>
+settings_key IntegerKey(key_head head, int64_t least, int64_t most,
+                        const field<T>& at) {
+  settings_key row = MakeKey(
+      std::move(head), absl::StrCat("an integer from ", least, " to ", most));
+  row.set = [=](absl::string_view value, daemon_settings& s) {
+    const auto number = ParseInteger(value);
+    if (!number || *number < least || *number > most) return false;
+    at(s) = static_cast<T>(*number);
+    return true;
+  };
+  row.show = [at](daemon_settings& s) { return absl::StrCat(at(s)); };
+  return row;
+}
+
+settings_key DurationKey(key_head head, absl::Duration least,
+                         absl::Duration most, const field<absl::Duration>& at) {
+  settings_key row = MakeKey(
+      std::move(head),
+      absl::StrCat("a duration from ", SettingsDurationText(least), " to ",
+                   SettingsDurationText(most), ", in ms, s, m or h"));
+  row.set = [=](absl::string_view value, daemon_settings& s) {
+    const auto duration = ParseSettingsDuration(value);
+    if (!duration || *duration < least || *duration > most) return false;
+    at(s) = *duration;
+    return true;
+  };
+  row.show = [at](daemon_settings& s) { return SettingsDurationText(at(s)); };
+  return row;
+}
+
+settings_key BooleanKey(key_head head, const field<bool>& at) {
+  settings_key row = MakeKey(std::move(head), "true or false");
+  row.set = [at](absl::string_view value, daemon_settings& s) {
+    const auto flag = ParseBoolean(value);
+    if (!flag) return false;
+    at(s) = *flag;
+    return true;
+  };
+  row.show = [at](daemon_settings& s) { return at(s) ? "true" : "false"; };
+  return row;
+}
+
+settings_key EndpointKey(key_head head, uint16_t least_port,
+                         const field<endpoint>& at) {
+  settings_key row = MakeKey(
+      std::move(head),
+      absl::StrCat("ip:port with a port from ", least_port, " to 65535"));
+  row.set = [=](absl::string_view value, daemon_settings& s) {
+    const auto parsed = ParseEndpoint(value);
+    if (!parsed || parsed->port < least_port) return false;
+    at(s) = *parsed;
+    return true;
+  };
+  row.show = [at](daemon_settings& s) { return EndpointText(at(s)); };
+  return row;
+}
+
+using key_rows = std::vector<settings_key>;
+
+void AddIdentity(key_rows& rows) {
+  rows.push_back(NameKey(
+      {"daemon", "name", "Name of this daemon, unique in the fleet.",
+       /*required=*/true},
+      [](auto& s) -> auto& { return s.identity.name; }));
+  rows.push_back(NameKey(
+      {"daemon", "failure_domain", "Failure domain that this VM is in.",
+       /*required=*/true},
+      [](auto& s) -> auto& { return s.identity.failure_domain; }));
+  rows.push_back(NameKey(
+      {"daemon", "region", "Region, for logs."},
+      [](auto& s) -> auto& { return s.identity.region; }));
+  rows.push_back(IntegerKey<int>(
+      {"daemon", "traffic_threads", "Threads that carry traffic."}, 1, 64,
+      [](auto& s) -> auto& { return s.identity.traffic_threads; }));
+  rows.push_back(TextKey(
+      {"daemon", "ports_file",
+       "File written at start with the ports that were bound, as INI."},
+      "a file name", [](auto& s) -> auto& { return s.identity.ports_file; },
+      [](absl::string_view value) { return !value.empty(); }));
+}
+
+void AddPort(key_rows& rows, const std::string& section,
+             const std::string& what,
+             const std::function<port_settings&(daemon_settings&)>& port,
+             bool with_tls) {
+  rows.push_back(EndpointKey(
+      {section, "listen",
+       absl::StrCat("Where ", what, "; port 0 lets the system choose.")},
+      0, [port](auto& s) -> auto& { return port(s).listen; }));
+  if (!with_tls) return;
+  rows.push_back(BooleanKey(
+      {section, "tls", "Whether the port speaks TLS only."},
+      [port](auto& s) -> auto& { return port(s).tls; }));
+  rows.push_back(FileKey(
+      {section, "certificate_file",
+       "Certificate chain in PEM; required with tls."},
+      [port](auto& s) -> auto& { return port(s).certificate_file; }));
+  rows.push_back(FileKey(
+      {section, "private_key_file",
+       "RSA or EC private key in PEM; required with tls."},
+      [port](auto& s) -> auto& { return port(s).private_key_file; }));
+}
+
+void AddPorts(key_rows& rows) {
+  AddPort(
+      rows, "caller", "callers are served",
+      [](auto& s) -> auto& { return s.caller; }, /*with_tls=*/true);
+  AddPort(
+      rows, "operator", "operators give commands",
+      [](auto& s) -> auto& { return s.operators; }, /*with_tls=*/true);
+  AddPort(
+      rows, "peer", "the other daemons connect",
+      [](auto& s) -> auto& { return s.peer; }, /*with_tls=*/false);
+  AddPort(
+      rows, "metrics", "/healthz, /readyz and /metrics are served",
+      [](auto& s) -> auto& { return s.metrics; }, /*with_tls=*/false);
+}
+
+void AddLimits(key_rows& rows) {
+  constexpr int64_t kKibibyte = 1 << 10;
+  constexpr int64_t kMebibyte = 1 << 20;
+  rows.push_back(IntegerKey<int64_t>(
+      {"limits", "max_body_bytes", "Largest request body."}, kKibibyte,
+      64 * kMebibyte,
+      [](auto& s) -> auto& { return s.limits.max_body_bytes; }));
+  rows.push_back(IntegerKey<int64_t>(
+      {"limits", "max_header_bytes", "Largest request line and header fields."},
+      kKibibyte, kMebibyte,
+      [](auto& s) -> auto& { return s.limits.max_header_bytes; }));
+  rows.push_back(IntegerKey<int>(
+      {"limits", "max_connections", "Most open connections of one port."}, 1,
+      60000, [](auto& s) -> auto& { return s.limits.max_connections; }));
+  rows.push_back(IntegerKey<int>(
+      {"limits", "max_requests", "Most requests in progress on one port."}, 1,
+      60000, [](auto& s) -> auto& { return s.limits.max_requests; }));
+  rows.push_back(DurationKey(
+      {"limits", "request_timeout",
+       "From the first byte of a request to its last; also the longest time "
+       "in which a caller may take nothing of its answer."},
+      absl::Milliseconds(100), absl::Minutes(5),
+      [](auto& s) -> auto& { return s.limits.request_timeout; }));
+  rows.push_back(DurationKey(
+      {"limits", "idle_timeout",
+       "How long a connection may stay open without a request."},
+      absl::Milliseconds(100), absl::Hours(1),
+      [](auto& s) -> auto& { return s.limits.idle_timeout; }));
+  rows.push_back(IntegerKey<int64_t>(
+      {"limits", "max_unsent_bytes",
+       "Unsent bytes of one streamed answer past which its reader is cut off."},
+      4 * kKibibyte, 16 * kMebibyte,
+      [](auto& s) -> auto& { return s.limits.max_unsent_bytes; }));
+}
+
+void AddPlatform(key_rows& rows) {
+  rows.push_back(EndpointKey(
+      {"platform", "log", "The platform's log service.", /*required=*/true}, 1,
+      [](auto& s) -> auto& { return s.platform.log; }));
+  rows.push_back(EndpointKey(
+      {"platform", "vm_list", "The platform's VM list.", /*required=*/true}, 1,
+      [](auto& s) -> auto& { return s.platform.vm_list; }));
+  rows.push_back(IntegerKey<int>(
+      {"platform", "log_appends_per_second",
+       "Appends that all daemons of the deployment may use together."},
+      1, 100000,
+      [](auto& s) -> auto& { return s.platform.log_appends_per_second; }));
+  rows.push_back(DurationKey(
+      {"platform", "log_retention", "How long the log keeps records."},
+      absl::Minutes(1), absl::Hours(24 * 366),
+      [](auto& s) -> auto& { return s.platform.log_retention; }));
+}
+
+settings_key SeedsKey() {
+  settings_key row = MakeKey(
+      {"peers", "seeds", "Peer ports to ask first; the VM list adds to them."},
+      "a list of ip:port separated by commas");
+  row.set = [](absl::string_view value, daemon_settings& s) {
+    auto list = ParseEndpointList(value);
+    if (!list) return false;
+    s.peers.seeds = *std::move(list);
+    return true;
+  };
+  row.show = [](daemon_settings& s) {
+    return absl::StrJoin(s.peers.seeds, ", ");
+  };
+  return row;
+}
+
+void AddPeers(key_rows& rows) {
+  rows.push_back(SeedsKey());
+  rows.push_back(FileKey(
+      {"peers", "key_file",
+       "File with the secret that the deployment's daemons "
+       "share.",
+       /*required=*/true},
+      [](auto& s) -> auto& { return s.peers.key_file; }));
+  rows.push_back(DurationKey(
+      {"peers", "probe_interval", "Time between two probes."},
+      absl::Milliseconds(10), absl::Minutes(1),
+      [](auto& s) -> auto& { return s.peers.probe_interval; }));
+  rows.push_back(DurationKey(
+      {"peers", "lease",
+       "How long a daemon may act without hearing from others; at least twice "
+       "the probe interval."},
+      absl::Milliseconds(20), absl::Minutes(10),
+      [](auto& s) -> auto& { return s.peers.lease; }));
+}
+
+void AddLogAndBootstrap(key_rows& rows) {
+  rows.push_back(TextKey(
+      {"log", "level", "Least level of the log lines written."},
+      "debug, info, warn or error",
+      [](auto& s) -> auto& { return s.log.level; },
+      [](absl::string_view value) {
+        return value == "debug" || value == "info" || value == "warn" ||
+               value == "error";
+      }));
+  rows.push_back(TextKey(
+      {"log", "destination", "Where the log lines go."},
+      "stdout, stderr or a file name",
+      [](auto& s) -> auto& { return s.log.destination; },
+      [](absl::string_view value) { return !value.empty(); }));
+  rows.push_back(FileKey(
+      {"bootstrap", "administrator_key_file",
+       "File with an administrator's key, accepted on the operator port beside "
+       "the keys of the configuration."},
+      [](auto& s) -> auto& { return s.administrator_key_file; }));
+}
+
+key_rows MakeTable() {
+  key_rows rows;
+  AddIdentity(rows);
+  AddPorts(rows);
+  AddLimits(rows);
+  AddPlatform(rows);
+  AddPeers(rows);
+  AddLogAndBootstrap(rows);
+  return rows;
+}
+
+}  // namespace
+
+const std::vector<settings_key>& SettingsTable() {
+  static const key_rows* const kTable = new key_rows(MakeTable());
+  return *kTable;
+}
+
+const settings_key* FindSettingsKey(absl::string_view section,
+                                    absl::string_view key) {
+  for (const settings_key& row : SettingsTable()) {
+    if (row.section == section && row.key == key) return &row;
+  }
+  return nullptr;
+}
+
+bool IsSettingsSection(absl::string_view section) {
+  const auto& table = SettingsTable();
+  return std::any_of(table.begin(), table.end(),
+                     [&](const auto& row) { return row.section == section; });
+}
+
+}  // namespace anvilridge
