--- /dev/null
+++ b/src/log/decision_log_test.cc
@@ -0,0 +1,86 @@
+#include "log/decision_log.h"
+
+#include <QFile>
+#include <QJsonDocument>
+#include <QTemporaryDir>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "absl/strings/match.h"
+#include "absl/time/time.h"
+#include "base/clock.h"
+#include "gtest/gtest.h"
+
+namespace anvilridge {
+namespace {
+
+std::vector<QJsonObject> ReadLines(const QString& name) {
+  QFile file(name);
+  EXPECT_TRUE(file.open(QIODevice::ReadOnly));
+  std::vector<QJsonObject> lines;
+  while (!file.atEnd()) {
+    const QJsonDocument line = QJsonDocument::fromJson(file.readLine());
+    EXPECT_TRUE(line.isObject());
+    lines.push_back(line.object());
+  }
+  return lines;
+}
+
+TEST(decision_log_test, WritesOneObjectALineFromTheLevelOn) {
+  const QTemporaryDir folder;
+  const QString name = folder.filePath("log");
+  const absl::Time before = WallNow();
+  ASSERT_TRUE(OpenLog({"warn", name.toStdString()}, "entry-1").ok());
+  LogEvent(log_level::info, "too_low");
+  LogEvent(log_level::warn, "placed",
+           {{"chosen", "engine\n\"1\""}, {"level", "forged"}});
+  LogEvent(log_level::error, "lost");
+  const std::vector<QJsonObject> lines = ReadLines(name);
+  ASSERT_EQ(lines.size(), 2U);
+  EXPECT_EQ(lines[0]["event"], "placed");
+  EXPECT_EQ(lines[0]["level"], "warn");
+  EXPECT_EQ(lines[0]["daemon"], "entry-1");
+  EXPECT_EQ(lines[0]["chosen"], "engine\n\"1\"");
+  EXPECT_EQ(lines[1]["event"], "lost");
+  const std::string text = lines[0]["time"].toString().toStdString();
+  absl::Time time;
+  std::string error;
+  ASSERT_TRUE(absl::ParseTime(absl::RFC3339_full, text, &time, &error)) << text;
+  EXPECT_EQ(text.size(), std::string("2026-01-01T00:00:00.000Z").size());
+  EXPECT_GE(time,
+            absl::Floor(before - absl::UnixEpoch(), absl::Milliseconds(1)) +
+                absl::UnixEpoch());
+}
+
+TEST(decision_log_test, UnwritableFileIsAnError) {
+  const absl::Status status = OpenLog({"info", "/nonexistent/log"}, "entry-1");
+  EXPECT_TRUE(absl::StrContains(status.message(), "/nonexistent/log"))
+      << status;
+  EXPECT_FALSE(OpenLog({"loud", "stderr"}, "entry-1").ok());
+}
+
+TEST(decision_log_thread_test, LinesOfThreadsStayWhole) {
+  constexpr int kThreads = 4;
+  constexpr int kLinesEach = 250;
+  const QTemporaryDir folder;
+  const QString name = folder.filePath("log");
+  ASSERT_TRUE(OpenLog({"info", name.toStdString()}, "entry-1").ok());
+  std::vector<std::thread> threads;
+  for (int i = 0; i < kThreads; ++i) {
+    threads.emplace_back([i] {
+      for (int n = 0; n < kLinesEach; ++n) {
+        LogEvent(log_level::info, "line", {{"thread", i}, {"n", n}});
+      }
+    });
+  }
+  for (std::thread& thread : threads) thread.join();
+  std::vector<int> next(kThreads, 0);
+  for (const QJsonObject& line : ReadLines(name)) {
+    EXPECT_EQ(line["n"].toInt(), next.at(line["thread"].toInt())++);
+  }
+  EXPECT_EQ(next, std::vector<int>(kThreads, kLinesEach));
+}
+
+}  // namespace
+}  // namespace anvilridge
