--- /dev/null
+++ b/src/metrics/health_port.cc
@@ -0,0 +1,80 @@
+#include "metrics/health_port.h"
+
+#include <utility>
+
+#include "base/error_kind.h"
+#include "base/ids.h"
+#include "caller/caller_port.h"
+
+namespace anvilridge {
+namespace {
+
+/// Bounds for pollers and scrapers, which send small requests.
+limit_settings HealthLimits() {
+  limit_settings limits;
+  limits.max_body_bytes = 1 << 10;
+  limits.max_header_bytes = 8 << 10;
+  limits.max_connections = 64;
+  limits.max_requests = 64;
+  return limits;
+}
+
+void RespondReadiness(inbound_exchange& exchange, const absl::Status& status) {
+  if (status.ok()) {
+    exchange.Respond(200, {{"content-type", "text/plain"}}, "ready\n");
+    return;
+  }
+  // Whatever the reason's own kind is, pollers are told that it may pass.
+  RespondProblem(exchange, MakeError(error_kind::not_ready, status.message()),
+                 NewId());
+}
+
+void Handle(const health_sources& sources, const inbound_request& request,
+            inbound_exchange& exchange) {
+  if (request.method != "GET" && request.method != "HEAD") {
+    RespondProblem(exchange,
+                   MakeError(error_kind::method_not_allowed,
+                             "only GET and HEAD are allowed"),
+                   NewId());
+  } else if (request.path == "/healthz") {
+    exchange.Respond(200, {{"content-type", "text/plain"}}, "ok\n");
+  } else if (request.path == "/readyz") {
+    RespondReadiness(exchange, sources.readiness());
+  } else if (request.path == "/metrics") {
+    exchange.Respond(200, {{"content-type", "text/plain; version=0.0.4"}},
+                     sources.metrics_text());
+  } else {
+    RespondProblem(exchange,
+                   MakeError(error_kind::unknown_route,
+                             "routes are /healthz, /readyz and /metrics"),
+                   NewId());
+  }
+}
+
+}  // namespace
+
+struct health_port::impl {
+  health_sources sources;
+  caller_port port;
+};
+
+health_port::health_port(port_settings port, QObject* context,
+                         health_sources sources)
+    : impl_(new impl{std::move(sources),
+                     caller_port(std::move(port), HealthLimits(), {context})}) {
+}
+
+health_port::~health_port() = default;
+
+absl::Status health_port::Listen() {
+  return impl_->port.Listen([this](size_t) {
+    return [this](const inbound_request& request,
+                  const std::shared_ptr<inbound_exchange>& exchange) {
+      Handle(impl_->sources, request, *exchange);
+    };
+  });
+}
+
+uint16_t health_port::Port() const { return impl_->port.Port(); }
+
+}  // namespace anvilridge
--- /dev/null
+++ b/src/metrics/health_port.h
@@ -0,0 +1,42 @@
+#ifndef ANVILRIDGE_METRICS_HEALTH_PORT_H_
+#define ANVILRIDGE_METRICS_HEALTH_PORT_H_
+
+#include <QObject>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "absl/status/status.h"
+#include "settings/daemon_settings.h"
+
+namespace anvilridge {
+
+/// What the health port asks for; called on the thread of its context.
+struct health_sources {
+  /// Ok when the daemon serves, or an error that says why it does not.
+  std::function<absl::Status()> readiness;
+  /// Text in the format of Prometheus.
+  std::function<std::string()> metrics_text;
+};
+
+/// Serves `/healthz`, `/readyz` and `/metrics`.
+class health_port {
+ public:
+  /// Serves on the thread of `context`, which must outlive this.
+  health_port(port_settings port, QObject* context, health_sources sources);
+  ~health_port();
+
+  /// Fails with a message that names the address when it can't be listened on.
+  absl::Status Listen();
+
+  uint16_t Port() const;
+
+ private:
+  struct impl;
+  std::unique_ptr<impl> impl_;
+};
+
+}  // namespace anvilridge
+
+#endif  // ANVILRIDGE_METRICS_HEALTH_PORT_H_
