--- a/programs/anvilridged.cc
+++ b/programs/anvilridged.cc
@@ -1,7 +1,6 @@
-#include <cstdio>
+#include "daemon/command_line.h"
 
 /// Entry daemon.
-int main() {
-  std::puts("anvilridged " ANVIL_VERSION);
-  return 0;
+int main(int count, char** arguments) {
+  return anvilridge::RunCommandLine(count, arguments);
 }
