--- /dev/null
+++ b/src/daemon/daemon.cc
@@ -0,0 +1,137 @@
+#include "daemon/daemon.h"
+
+#include <QCoreApplication>
+#include <QTimer>
+#include <cstdio>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "absl/strings/str_cat.h"
+#include "base/clock.h"
+#include "base/event_loop.h"
+#include "caller/caller_port.h"
+#include "daemon/control_plane.h"
+#include "daemon/ports_file.h"
+#include "daemon/stop_signal.h"
+#include "daemon/traffic_thread.h"
+#include "log/decision_log.h"
+#include "metrics/health_port.h"
+#include "metrics/metrics.h"
+#include "settings/parse_settings.h"
+
+namespace anvilridge {
+namespace {
+
+constexpr int kExitOk = 0;
+constexpr int kExitFailed = 1;
+constexpr absl::Duration kStopPollInterval = absl::Milliseconds(50);
+// Every request has its own time limits; one that outlives all of them is a
+// fault that must not keep a stop from ending.
+constexpr absl::Duration kLongestStop = absl::Minutes(5);
+
+// The daemon's parts, in the order in which they start; they end in reverse.
+class running_daemon {
+ public:
+  running_daemon(const daemon_settings &settings, std::string deployment_key)
+      : settings_(settings),
+        plane_(settings, std::move(deployment_key)),
+        health_(settings.metrics, &context_, HealthSources()) {}
+
+  absl::Status Start() {
+    if (absl::Status started = plane_.Start(); !started.ok()) return started;
+    StartTrafficThreads();
+    caller_ = std::make_unique<caller_port>(settings_.caller, settings_.limits,
+                                            ThreadContexts());
+    absl::Status listening = caller_->Listen(
+        [this](size_t thread) { return threads_[thread]->Handler(); });
+    if (!listening.ok()) return listening;
+    if (absl::Status bound = health_.Listen(); !bound.ok()) return bound;
+    LogEvent(log_level::info, "started",
+             {{"caller_port", caller_->Port()},
+              {"operator_port", plane_.OperatorPort()},
+              {"peer_port", plane_.PeerPort()},
+              {"metrics_port", health_.Port()}});
+    return WritePortsFile(settings_.identity.ports_file,
+                          {caller_->Port(), plane_.OperatorPort(),
+                           plane_.PeerPort(), health_.Port()});
+  }
+
+  // Finishes the requests in progress, then ends the event loop.
+  void Stop() {
+    if (stop_timer_) return;
+    LogEvent(log_level::info, "stop_began",
+             {{"requests", plane_.RequestsInProgress()}});
+    stop_began_ = MonotonicNow();
+    plane_.BeginStop();
+    stop_timer_ = RunEvery(kStopPollInterval, [this] {
+      const bool late = MonotonicNow() - stop_began_ > kLongestStop;
+      if (!late && !plane_.MayExit()) return;
+      if (!late && caller_->RequestsInProgress() > 0) return;
+      LogEvent(late ? log_level::error : log_level::info, "stop_ended",
+               {{"requests", plane_.RequestsInProgress()}});
+      QCoreApplication::quit();
+    });
+  }
+
+ private:
+  health_sources HealthSources() {
+    return {[this] { return plane_.Ready(); },
+            [this] { return metrics_.MetricsText(); }};
+  }
+
+  void StartTrafficThreads() {
+    for (int i = 0; i < settings_.identity.traffic_threads; ++i) {
+      threads_.push_back(std::make_unique<traffic_thread>(
+          [this](QObject *thread) { return plane_.ServicesFor(thread); }));
+    }
+  }
+
+  std::vector<QObject *> ThreadContexts() const {
+    std::vector<QObject *> contexts;
+    for (const auto &thread : threads_) contexts.push_back(thread->Context());
+    return contexts;
+  }
+
+  daemon_settings settings_;
+  QObject context_;
+  metrics_registry metrics_;
+  control_plane plane_;
+  std::vector<std::unique_ptr<traffic_thread>> threads_;
+  std::unique_ptr<caller_port> caller_;
+  health_port health_;
+  std::unique_ptr<QTimer> stop_timer_;
+  absl::Time stop_began_;
+};
+
+int Complain(const absl::Status &status) {
+  std::fprintf(stderr, "anvilridged: %s\n",
+               std::string(status.message()).c_str());
+  return kExitFailed;
+}
+
+}  // namespace
+
+int RunDaemon(const daemon_settings &settings) {
+  int count = 1;
+  char name[] = "anvilridged";
+  char *arguments[] = {name, nullptr};
+  QCoreApplication app(count, arguments);
+  if (absl::Status opened = OpenLog(settings.log, settings.identity.name);
+      !opened.ok()) {
+    return Complain(opened);
+  }
+  const absl::StatusOr<std::string> key = ReadKeyFile(settings.peers.key_file);
+  if (!key.ok()) return Complain(key.status());
+  running_daemon daemon(settings, *key);
+  if (absl::Status started = daemon.Start(); !started.ok()) {
+    return Complain(started);
+  }
+  const stop_signal stop([&daemon] { daemon.Stop(); });
+  QCoreApplication::exec();
+  return kExitOk;
+}
+
+}  // namespace anvilridge
