--- a/src/requests/completion_body.cc
+++ b/src/requests/completion_body.cc
@@ -69,7 +69,7 @@
   return static_cast<int>(tokens);
 }
 
-std::vector<uint64_t> PrefixHashes(absl::string_view prompt) {
+std::vector<uint64_t> PromptPrefixHashes(absl::string_view prompt) {
   std::vector<uint64_t> hashes;
   const size_t blocks =
       std::min(prompt.size() / kPrefixBlockCharacters, kMaxPrefixHashes);
--- a/src/requests/completion_body.h
+++ b/src/requests/completion_body.h
@@ -27,7 +27,7 @@
 
 /// Returns the hashes of the prompt's first 256, 512, … characters, the units
 /// of the engines' prefix caches; at most `kMaxPrefixHashes`.
-std::vector<uint64_t> PrefixHashes(absl::string_view prompt);
+std::vector<uint64_t> PromptPrefixHashes(absl::string_view prompt);
 
 inline constexpr size_t kMaxPrefixHashes = 64;
 
--- a/src/requests/completion_flow.cc
+++ b/src/requests/completion_flow.cc
@@ -146,7 +146,7 @@
     ask.route = request_.route;
     ask.prompt_tokens = EstimateTokens(request_.body.prompt);
     ask.max_tokens = request_.body.max_tokens;
-    ask.prefix_hashes = PrefixHashes(request_.body.prompt);
+    ask.prefix_hashes = PromptPrefixHashes(request_.body.prompt);
     ask.first_token_due = started_ + FirstTokenTarget();
     ask.avoid = avoid_;
     services().place(
--- a/standins/platform/log_store.cc
+++ b/standins/platform/log_store.cc
@@ -62,7 +62,7 @@
   for (int64_t offset = first; offset < end; ++offset) {
     page.records.push_back(source.records[offset - page.oldest]);
   }
-  page.next = std::max(first, end);
+  page.next = end;
   return page;
 }
 
--- a/tests/harness/event_stream.cc
+++ b/tests/harness/event_stream.cc
@@ -156,7 +156,7 @@
   request.port = port;
   request.target = std::string(target);
   request.headers = headers;
-  request.body = JsonText(body);
+  request.body = BodyText(body);
   request.timeout = bound;
   event_stream stream(request);
   stream.WaitForEvents(max_events, bound);
--- a/tests/harness/test_http.cc
+++ b/tests/harness/test_http.cc
@@ -18,7 +18,7 @@
   request.method = std::string(method);
   request.port = port;
   request.target = std::string(target);
-  request.body = JsonText(body);
+  request.body = BodyText(body);
   request.headers = std::move(headers);
   request.headers.emplace_back("Content-Type", "application/json");
   return Send(request);
@@ -37,7 +37,7 @@
 
 QJsonObject test_event::Json() const { return ParseObject(data); }
 
-std::string JsonText(const QJsonObject& body) {
+std::string BodyText(const QJsonObject& body) {
   return QJsonDocument(body).toJson(QJsonDocument::Compact).toStdString();
 }
 
--- a/tests/harness/test_http.h
+++ b/tests/harness/test_http.h
@@ -57,7 +57,7 @@
                    const test_headers& headers = {});
 
 /// Returns `body` as compact JSON text.
-std::string JsonText(const QJsonObject& body);
+std::string BodyText(const QJsonObject& body);
 
 /// One server-sent event as a test sees it.
 struct test_event {
--- a/tests/standins_test.cc
+++ b/tests/standins_test.cc
@@ -109,7 +109,7 @@
   ASSERT_EQ(PrefillAndImport(engines, "r1").status, 200);
   test_request request{"POST", engines.decode.port, "/v1/decode", {}, "",
                        kBound};
-  request.body = JsonText(Named("r1", {{"from", 0}}));
+  request.body = BodyText(Named("r1", {{"from", 0}}));
   event_stream earlier(request);
   ASSERT_TRUE(earlier.WaitForEvents(2, kBound));
   const auto later = Decode(engines.decode, "r1", 0, kMaxTokens + 1);
@@ -137,7 +137,7 @@
   SetFault(engines.prefill.port, "stall_prefill", {{"request_id", "stalled"}});
   test_request call{"POST", engines.prefill.port, "/v1/prefill", {}, "",
                     kBound};
-  call.body = JsonText(Named("stalled", {{"model", "model"}, {"prompt", "x"}}));
+  call.body = BodyText(Named("stalled", {{"model", "model"}, {"prompt", "x"}}));
   event_stream stalled(call);
   ASSERT_TRUE(
       Eventually(kBound, [&] { return !HoldsNothing(engines.prefill); }));
@@ -210,7 +210,7 @@
   for (int i = 0; i < kStreams; ++i) {
     test_request call{"POST", decode.port, "/v1/decode",
                       {},     "",          absl::Seconds(20)};
-    call.body = JsonText(Named(("r" + std::to_string(i)).c_str()));
+    call.body = BodyText(Named(("r" + std::to_string(i)).c_str()));
     streams.push_back(std::make_unique<event_stream>(call));
   }
   for (const auto& stream : streams) {
