--- a/src/config/config_command.cc
+++ b/src/config/config_command.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
 #include "base/error_kind.h"
 #include "base/ids.h"
@@ -205,6 +206,10 @@
   if (command.reason.empty() || command.reason.size() > kMaxReasonBytes) {
     return Invalid("reason: expected 1 to 500 bytes");
   }
+  if (std::any_of(command.reason.begin(), command.reason.end(),
+                  absl::ascii_iscntrl)) {
+    return Invalid("reason: expected no control characters");
+  }
   if (!VerbTakes(command.verb, command.object)) {
     return Invalid(absl::StrCat(NameOf(command.object), ": can't be used with ",
                                 NameOf(command.verb)));
--- a/src/config/config_faults_test.cc
+++ b/src/config/config_faults_test.cc
@@ -35,10 +35,12 @@
   struct daemon {
     config_follower follower;
     std::deque<config_publisher> publishers;
+    // A peer's snapshot, which arrives one turn later.
+    std::optional<std::string> on_its_way;
   };
   fake_log log;
   std::vector<daemon> daemons;
-  // Highest offset each daemon has had in force, to see it never go back.
+  // Highest offset of a command that was accepted.
   int64_t highest_accepted = 0;
 
   explicit fleet(size_t count) : daemons(count) {
@@ -60,16 +62,22 @@
     const int64_t before = OffsetInForce(daemon.follower);
     ReadLog(daemon.follower);
     const auto peers = PeersOf(self);
+    TakeSnapshot(daemon);
     if (const auto* peer = PeerToAsk(daemon.follower, peers, log.now)) {
       const auto& source = daemons[std::stoul(peer->address)].follower;
-      OnPeerSnapshot(daemon.follower,
-                     *ParseSnapshot(SnapshotText(*source.in_force)));
+      daemon.on_its_way = SnapshotText(*source.in_force);
     }
     for (auto& publisher : daemon.publishers) Advance(daemon, publisher, peers);
     EXPECT_GE(OffsetInForce(daemon.follower), before);
     log.now += absl::Seconds(1);
   }
 
+  static void TakeSnapshot(daemon& daemon) {
+    if (!daemon.on_its_way) return;
+    OnPeerSnapshot(daemon.follower, *ParseSnapshot(*daemon.on_its_way));
+    daemon.on_its_way.reset();
+  }
+
   void ReadLog(config_follower& follower) {
     const follow_step step = NextFollowStep(follower, log.now);
     if (step.what == follow_step::action::pause) return;
@@ -252,6 +260,16 @@
   EXPECT_EQ(OffsetInForce(reader), 9);
 }
 
+TEST(config_faults_test, PeersOlderSnapshotIsNotTaken) {
+  fleet f(2);
+  f.Run(kSettle);
+  const config_state old = *f.daemons[0].follower.in_force;
+  f.Publish(0, Create("choirs"));
+  f.Run(kSettle);
+  EXPECT_FALSE(OnPeerSnapshot(f.daemons[0].follower, old));
+  EXPECT_EQ(f.Offset(0), 1);
+}
+
 TEST(config_faults_test, SnapshotsAreDueByCountAndBeforeRetention) {
   config_follower follower;
   follower.limits.log_retention = absl::Hours(8);
