Add claims: a call with an idempotency key runs at most once

Cause: two daemons, a retry after a kill, a freeze between claim and send or a lost append answer could run a posting twice. An owner per key was ruled out: its view of the live members may be wrong, and it keeps nothing.

What is left to a fencing upstream: a freeze between the check and the first byte.

--- /dev/null
+++ b/src/claims/claim_wiring.cc
@@ -0,0 +1,48 @@
+#include "claims/claim_wiring.h"
+
+#include <utility>
+
+#include "base/clock.h"
+#include "base/event_loop.h"
+#include "claims/claim_service.h"
+
+namespace anvilridge {
+
+claim_io MakeClaimIo(log_client& log, peer_client& peers,
+                     membership_service& membership, QObject* context) {
+  claim_io io;
+  io.append = [&log](const std::string& stream,
+                     const std::vector<log_append>& records, auto done) {
+    log.Append(stream, records, std::move(done));
+  };
+  io.read = [&log](const std::string& stream, int64_t from, int limit,
+                   auto done) {
+    log.Read(stream, from, limit, absl::ZeroDuration(), std::move(done));
+  };
+  io.call = [&peers](const std::string& address, const std::string& method,
+                     const QCborMap& request, absl::Duration timeout,
+                     auto done) {
+    peers.Call(address, method, request, timeout, std::move(done));
+  };
+  io.live = [&membership] { return membership.Live(); };
+  io.self = [&membership] { return membership.Self(); };
+  io.now = MonotonicNow;
+  io.wall_now = WallNow;
+  io.run_after = [context](absl::Duration delay, std::function<void()> task) {
+    RunAfter(context, delay, std::move(task));
+  };
+  return io;
+}
+
+void claim_service::RegisterPeerHandlers(peer_server& server) {
+  server.Handle("claims/claim",
+                [this](const QCborMap& request, const peer_responder& respond) {
+                  HandleClaim(request, respond);
+                });
+  server.Handle("claims/settle",
+                [this](const QCborMap& request, const peer_responder& respond) {
+                  HandleSettle(request, respond);
+                });
+}
+
+}  // namespace anvilridge
