Claim keyed calls before they are sent

Cause: a posting with an Idempotency-Key was sent without a claim. Change: the service flow claims through the control thread, checks again right before it sends, and settles, releases or leaves the claim; claim types replace the flow's own.

--- a/src/daemon/control_state.cc
+++ b/src/daemon/control_state.cc
@@ -73,6 +73,32 @@
   return env;
 }
 
+claim_io ClaimIo(control_state& state) {
+  claim_io io;
+  io.append = [&state](const std::string& stream,
+                       const std::vector<log_append>& records,
+                       std::function<void(absl::StatusOr<int64_t>)> done) {
+    state.log.Append(stream, records, std::move(done));
+  };
+  io.read = [&state](const std::string& stream, int64_t from, int limit,
+                     std::function<void(absl::StatusOr<log_page>)> done) {
+    state.log.Read(stream, from, limit, absl::ZeroDuration(), std::move(done));
+  };
+  io.call = [&state](const std::string& address, const std::string& method,
+                     const QCborMap& request, absl::Duration timeout,
+                     std::function<void(absl::StatusOr<QCborMap>)> done) {
+    state.peers_out.Call(address, method, request, timeout, std::move(done));
+  };
+  io.live = [&state] { return state.membership.Live(); };
+  io.self = [&state] { return state.membership.Self(); };
+  io.now = MonotonicNow;
+  io.wall_now = WallNow;
+  io.run_after = [&state](absl::Duration delay, std::function<void()> task) {
+    RunAfter(&state.context, delay, std::move(task));
+  };
+  return io;
+}
+
 follow_limits FollowLimits(const daemon_settings& settings) {
   follow_limits limits;
   limits.log_retention = settings.platform.log_retention;
@@ -109,9 +135,11 @@
       config(LogCallsOf(log), PeersOf(*this), FollowLimits(daemon)),
       homes(client, HomesEnvironment(*this)),
       places(peers_out, homes, PlacerEnvironment(*this)),
-      cancels(client) {
+      cancels(client),
+      claims(ClaimIo(*this), daemon.platform.log_appends_per_second) {
   PublishOwner(*this);
   homes.RegisterPeerHandlers(peers_in);
+  claims.RegisterPeerHandlers(peers_in);
   ServeSnapshots(*this);
   homes.OnList([this](const upstream_config& engine,
                       absl::Span<const engine_request> listed) {
@@ -149,6 +177,7 @@
     state.peer_addresses[daemon.id.daemon] = daemon.peer_address;
   }
   state.config.PeersChanged();
+  state.claims.OnMembersChanged();
 }
 
 void SweepOrphans(control_state& state, const upstream_config& engine,
--- a/src/daemon/control_state.h
+++ b/src/daemon/control_state.h
@@ -11,6 +11,7 @@
 
 #include "admission/team_limits.h"
 #include "base/published.h"
+#include "claims/claim_service.h"
 #include "config/config_service.h"
 #include "daemon/request_registry.h"
 #include "membership/membership_service.h"
@@ -49,6 +50,7 @@
   engine_homes homes;
   placer places;
   canceller cancels;
+  claim_service claims;
   team_limits limits;
   health_table health;
   request_registry requests;
--- a/src/daemon/thread_bridge.cc
+++ b/src/daemon/thread_bridge.cc
@@ -89,6 +89,32 @@
   };
 }
 
+void AddClaims(request_services& services, control_state& state,
+               QObject* thread) {
+  services.claim = [&state, thread](
+                       const claim_request& request,
+                       std::function<void(absl::StatusOr<claim_result>)> done) {
+    PostTo(&state.context,
+           [&state, request, done = OnThread(thread, std::move(done))] {
+             state.claims.Claim(request, done);
+           });
+  };
+  services.settle = [&state](const std::string& claim_id,
+                             const claim_outcome& outcome) {
+    PostTo(&state.context, [&state, claim_id, outcome] {
+      state.claims.Settle(claim_id, outcome);
+    });
+  };
+  services.release = [&state](const std::string& claim_id) {
+    PostTo(&state.context,
+           [&state, claim_id] { state.claims.Release(claim_id); });
+  };
+  services.leave_unknown = [&state](const std::string& claim_id) {
+    PostTo(&state.context,
+           [&state, claim_id] { state.claims.LeaveUnknown(claim_id); });
+  };
+}
+
 void AddIdentity(request_services& services, control_state& state) {
   services.config = [&state] { return state.config_in_force.Get(); };
   services.owner = [&state] { return *state.owner.Get(); };
@@ -114,6 +140,7 @@
   AddIdentity(services, state);
   AddAdmission(services, state, thread);
   AddPlacement(services, state, thread);
+  AddClaims(services, state, thread);
   return services;
 }
 
--- a/src/requests/request_services.h
+++ b/src/requests/request_services.h
@@ -8,9 +8,9 @@
 #include "absl/status/statusor.h"
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
+#include "claims/claim_service.h"
 #include "config/config_state.h"
 #include "placement/place_request.h"
-#include "requests/call_claim.h"
 
 namespace anvilridge {
 
@@ -55,13 +55,15 @@
   /// Cancels at the engine until the engine has confirmed it.
   std::function<void(const engine_cancel&)> cancel;
   /// Claims the right to run a call that may not be repeated.
-  std::function<void(const call_claim&,
-                     std::function<void(absl::StatusOr<claim_reply>)>)>
+  std::function<void(const claim_request&,
+                     std::function<void(absl::StatusOr<claim_result>)>)>
       claim;
   /// Records the answer to a claimed call that was sent.
-  std::function<void(const std::string& claim_id, const stored_answer&)> settle;
+  std::function<void(const std::string& claim_id, const claim_outcome&)> settle;
   /// Gives back a claim whose call was surely never sent.
   std::function<void(const std::string& claim_id)> release;
+  /// Says that a claimed call may have run without an answer.
+  std::function<void(const std::string& claim_id)> leave_unknown;
   /// Whether an upstream may be given new work, by its health.
   std::function<bool(absl::string_view upstream)> healthy;
   /// Reports how a call to a plain service went.
--- a/src/requests/service_flow.cc
+++ b/src/requests/service_flow.cc
@@ -3,6 +3,7 @@
 #include <QCryptographicHash>
 #include <QJsonObject>
 #include <algorithm>
+#include <optional>
 #include <random>
 #include <utility>
 #include <vector>
@@ -10,6 +11,7 @@
 #include "absl/strings/str_cat.h"
 #include "base/clock.h"
 #include "base/error_kind.h"
+#include "claims/claim_holder.h"
 #include "log/decision_log.h"
 #include "requests/header_rules.h"
 
@@ -20,7 +22,6 @@
 constexpr int kMaxAttempts = 3;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
-constexpr int kPreconditionFailed = 412;
 
 QString Text(absl::string_view text) {
   return QString::fromUtf8(text.data(), static_cast<int>(text.size()));
@@ -88,25 +89,28 @@
 
   void Claim() {
     if (repeatable_ || key_.empty()) return Send();
+    claim_request ask;
+    ask.team = request_.caller.team;
+    ask.route = request_.route.name;
+    ask.key = key_;
+    ask.body_hash = CallHash(request_.inbound);
+    ask.answer_window = kServiceTimeout;
     services().claim(
-        {request_.caller.team, request_.route.name, key_,
-         CallHash(request_.inbound)},
-        [self = shared_from_this()](absl::StatusOr<claim_reply> reply) {
-          self->TakeClaim(std::move(reply));
+        ask, [self = shared_from_this()](absl::StatusOr<claim_result> result) {
+          self->TakeClaim(std::move(result));
         });
   }
 
-  void TakeClaim(absl::StatusOr<claim_reply> reply) {
-    if (!reply.ok()) return Fail(reply.status());
-    if (const auto* stored = std::get_if<stored_answer>(&*reply)) {
+  void TakeClaim(absl::StatusOr<claim_result> result) {
+    if (!result.ok()) return Fail(result.status());
+    if (const auto* stored = std::get_if<claim_outcome>(&*result)) {
       return Replay(*stored);
     }
-    claim_ = std::get<claimed_call>(*reply);
-    claimed_ = true;
+    claim_ = std::get<claim_grant>(*result);
     Send();
   }
 
-  void Replay(const stored_answer& stored) {
+  void Replay(const claim_outcome& stored) {
     if (!stored.body_kept) {
       return Fail(MakeError(
           error_kind::outcome_unknown,
@@ -159,12 +163,8 @@
       return Fail(MakeError(error_kind::no_upstream,
                             "no service takes calls of this route"));
     }
-    // The last check before the call leaves: a daemon that was paused since it
-    // got the claim sends nothing.
-    if (!services().may_act(owner_) ||
-        (claimed_ && MonotonicNow() >= claim_.send_by)) {
-      return Fail(MakeError(error_kind::lease_lost,
-                            "this daemon was paused before it sent the call"));
+    if (const absl::Status allowed = CheckSend(); !allowed.ok()) {
+      return Fail(allowed);
     }
     tried_.push_back(upstream_.name);
     services().update(Active("service"));
@@ -180,6 +180,19 @@
     call_ = context_.client->Start(MakeCall(), std::move(handler));
   }
 
+  // The last check before the call leaves: a daemon that was paused since it
+  // got the claim sends nothing.
+  absl::Status CheckSend() const {
+    const bool lease_valid = services().may_act(owner_);
+    if (claim_) {
+      return CheckBeforeSend(*claim_,
+                             {MonotonicNow(), lease_valid, !caller_left_});
+    }
+    if (lease_valid) return absl::OkStatus();
+    return MakeError(error_kind::lease_lost,
+                     "this daemon was paused before it sent the call");
+  }
+
   http_call MakeCall() const {
     http_call call;
     call.method = request_.inbound.method;
@@ -190,8 +203,9 @@
     }
     call.headers = ForwardedRequestHeaders(request_.inbound.headers);
     call.headers.emplace_back("x-request-id", request_.request_id);
-    if (claimed_) {
-      call.headers.emplace_back("x-fencing-number", absl::StrCat(claim_.fence));
+    if (claim_) {
+      call.headers.emplace_back("x-fencing-number",
+                                absl::StrCat(claim_->fencing_number));
     }
     call.body = request_.inbound.body;
     call.repeatable = repeatable_;
@@ -212,19 +226,31 @@
     const bool busy =
         result.http_status == kBadGateway || result.http_status == kUnavailable;
     if (busy && repeatable_ && MayRetry()) return Send();
-    if (claimed_ && result.http_status == kPreconditionFailed) {
+    if (claim_ && !Conclude(result)) {
       return Fail(MakeError(error_kind::outcome_unknown,
                             "the upstream refused this call's fencing number"));
     }
-    const std::string content_type(HeaderValue(result.headers, "content-type"));
-    if (claimed_) {
-      services().settle(claim_.claim_id, {result.http_status, content_type,
-                                          result.body, /*body_kept=*/true});
-    }
     Answer(result.http_status, ForwardedAnswerHeaders(result.headers),
            result.body);
   }
 
+  // Settles the claim by the upstream's answer; false when the answer speaks of
+  // another holder of the key.
+  bool Conclude(const http_result& result) {
+    call_end end;
+    end.http_status = result.http_status;
+    end.upstream_checks_fencing = upstream_.checks_fencing;
+    if (FollowUp(end) != claim_follow_up::settle) return false;
+    claim_outcome outcome;
+    outcome.http_status = result.http_status;
+    outcome.content_type =
+        std::string(HeaderValue(result.headers, "content-type"));
+    outcome.body = result.body;
+    services().settle(claim_->claim_id, outcome);
+    concluded_ = true;
+    return true;
+  }
+
   void TakeFailure(const absl::Status& error) {
     const bool never_sent = RunStateOf(error) == run_state::not_run;
     if (never_sent) sent_ = false;
@@ -235,6 +261,15 @@
                                 " and no answer came: ", error.message())));
   }
 
+  void EndClaim() {
+    if (!claim_ || concluded_) return;
+    if (sent_) {
+      services().leave_unknown(claim_->claim_id);
+    } else {
+      services().release(claim_->claim_id);
+    }
+  }
+
   bool MayRetry() {
     return tried_.size() < kMaxAttempts && TakeRetry(context_.retries);
   }
@@ -258,7 +293,7 @@
   void End() {
     if (over_) return;
     over_ = true;
-    if (claimed_ && !sent_) services().release(claim_.claim_id);
+    EndClaim();
     if (admitted_) services().leave(request_.request_id);
     LogEvent(log_level::info, "request_ended",
              {{"request_id", Text(request_.request_id)},
@@ -278,11 +313,12 @@
   absl::Time started_;
   upstream_config upstream_;
   std::vector<std::string> tried_;
-  claimed_call claim_;
+  std::optional<claim_grant> claim_;
   std::string result_ = "caller_left";
   http_client::call_id call_ = 0;
   bool admitted_ = false;
-  bool claimed_ = false;
+  // Whether the claim was settled.
+  bool concluded_ = false;
   // Whether a call left that an upstream may have read.
   bool sent_ = false;
   bool in_upstream_ = false;
