--- a/standins/engine/engine_json.cc
+++ b/standins/engine/engine_json.cc
@@ -33,6 +33,23 @@
 
 }  // namespace
 
+QJsonObject ErrorJson(absl::string_view error) {
+  return {{"error", Text(error)}};
+}
+
+int StatusFor(engine_refusal refusal) {
+  switch (refusal) {
+    case engine_refusal::queue_full:
+    case engine_refusal::no_slot:
+    case engine_refusal::no_pieces:
+      return 503;
+    case engine_refusal::unknown_order:
+      return 400;
+    default:
+      return 409;
+  }
+}
+
 std::string TextOf(const QJsonObject& object, const char* key) {
   return object.value(QLatin1String(key)).toString().toStdString();
 }
--- a/standins/engine/engine_json.h
+++ b/standins/engine/engine_json.h
@@ -8,6 +8,12 @@
 
 namespace anvilridge {
 
+/// Returns `{error: ...}`.
+QJsonObject ErrorJson(absl::string_view error);
+
+/// Returns the HTTP status of `refusal`.
+int StatusFor(engine_refusal refusal);
+
 /// Returns the text member `key` of `object`, or "".
 std::string TextOf(const QJsonObject& object, const char* key);
 
--- a/standins/engine/engine_model.cc
+++ b/standins/engine/engine_model.cc
@@ -1,6 +1,7 @@
 #include "engine/engine_model.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "common/token_text.h"
 #include "engine/engine_steps.h"
@@ -45,6 +46,14 @@
   return promised;
 }
 
+// Returns the length of the answer, which the prompt alone decides.
+int OutputTokens(uint64_t text_seed, int max_tokens, double share_min) {
+  constexpr uint64_t kSteps = 1000;
+  const double drawn = static_cast<double>(text_seed % kSteps) / kSteps;
+  const double share = share_min + (1 - share_min) * drawn;
+  return std::max(1, static_cast<int>(std::lround(max_tokens * share)));
+}
+
 held_request MakeRequest(engine_state& state, const request_terms& terms,
                          absl::Time now) {
   held_request request;
@@ -56,6 +65,8 @@
   request.max_tokens = std::max(terms.max_tokens, 1);
   request.text_seed =
       TextSeed(state.settings.model, terms.prompt, terms.max_tokens);
+  request.output_tokens = OutputTokens(request.text_seed, request.max_tokens,
+                                       state.settings.output_share_min);
   ++state.totals.started[terms.request_id];
   return request;
 }
--- a/standins/engine/engine_state.h
+++ b/standins/engine/engine_state.h
@@ -40,6 +40,9 @@
   absl::Duration load_report_lag = absl::Milliseconds(500);
   absl::Duration cache_event_lag = absl::Milliseconds(500);
   double cache_event_loss = 0.02;
+  /// Smallest share of `max_tokens` after which an answer may end; each prompt
+  /// has its own fixed length between this share and 1.
+  double output_share_min = 1;
   /// How long a load order takes to come into effect.
   absl::Duration model_load = absl::Seconds(2);
   uint64_t seed = 1;
@@ -79,6 +82,8 @@
   absl::Time arrived;
   int prompt_tokens = 0;
   int max_tokens = 0;
+  /// Length of the answer.
+  int output_tokens = 0;
   int cached_tokens = 0;
   /// Tokens of the prompt that are done, cached ones included.
   int prefilled_tokens = 0;
--- a/standins/engine/main.cc
+++ b/standins/engine/main.cc
@@ -60,6 +60,8 @@
       cxxopts::value<double>()->default_value("500"));
   add("cache-event-loss", "Share of cache events lost",
       cxxopts::value<double>()->default_value("0.02"));
+  add("output-share-min", "Answers end between this share of max_tokens and 1",
+      cxxopts::value<double>()->default_value("1"));
   add("model-load-ms", "Time that a load order takes",
       cxxopts::value<double>()->default_value("2000"));
   add("seed", "Seed of all random choices",
@@ -96,6 +98,7 @@
   engine.load_report_lag = Milliseconds(parsed, "load-report-lag-ms");
   engine.cache_event_lag = Milliseconds(parsed, "cache-event-lag-ms");
   engine.cache_event_loss = parsed["cache-event-loss"].as<double>();
+  engine.output_share_min = parsed["output-share-min"].as<double>();
   engine.model_load = Milliseconds(parsed, "model-load-ms");
   engine.seed = parsed["seed"].as<uint64_t>();
   return engine;
--- a/tests/harness/child_process.cc
+++ b/tests/harness/child_process.cc
@@ -62,6 +62,7 @@
                              std::vector<std::string> arguments) {
   arguments.insert(arguments.begin(), ProgramPath(program));
   std::vector<char*> raw;
+  raw.reserve(arguments.size() + 1);
   for (std::string& argument : arguments) raw.push_back(argument.data());
   raw.push_back(nullptr);
   const int out = OpenForWriting(folder_.File("out"));
