--- a/src/membership/home_map_test.cc
+++ b/src/membership/home_map_test.cc
@@ -24,7 +24,7 @@
     }
   }
   for (const std::string& name : four) {
-    EXPECT_NEAR(count[name], kResources / 4, kResources / 20) << name;
+    EXPECT_NEAR(count[name], kResources / 4.0, kResources / 20.0) << name;
   }
   EXPECT_EQ(HomeOf("engine-1", {}), "");
 }
--- a/src/membership/member_table.cc
+++ b/src/membership/member_table.cc
@@ -73,7 +73,7 @@
   return Strength(a) > Strength(b);
 }
 
-member_table MakeMemberTable(member_update self, absl::Time now) {
+member_table MakeMemberTable(const member_update& self, absl::Time now) {
   member_table table;
   table.self = self.id.daemon;
   AddMember(table, self, now);
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -65,7 +65,7 @@
 bool Overrides(const member_update& a, const member_update& b);
 
 /// Returns a table that holds this daemon only.
-member_table MakeMemberTable(member_update self, absl::Time now);
+member_table MakeMemberTable(const member_update& self, absl::Time now);
 
 /// Merges what was heard.
 merge_result MergeUpdate(member_table& table, const member_update& heard,
--- a/src/membership/membership_service_test.cc
+++ b/src/membership/membership_service_test.cc
@@ -31,7 +31,7 @@
 
   std::unique_ptr<membership_service> Make(
       const std::string& name, const std::string& key = "key",
-      membership_service::clock now = MonotonicNow) {
+      const membership_service::clock& now = MonotonicNow) {
     identity_settings identity;
     identity.name = name;
     identity.failure_domain = "zagreb-a";
--- a/src/membership/swim_message.cc
+++ b/src/membership/swim_message.cc
@@ -66,7 +66,7 @@
   }
 
   std::string String(size_t max_bytes) {
-    const std::string text = Next().toString().toStdString();
+    std::string text = Next().toString().toStdString();
     good_ = good_ && text.size() <= max_bytes;
     return text;
   }
@@ -113,7 +113,7 @@
   const auto sender = DecodeUpdate(reader.Array());
   message.target_address = reader.String(kMaxAddressBytes);
   message.cursor = reader.String(kMaxNameBytes);
-  for (const QCborValue& item : reader.Array()) {
+  for (const auto& item : reader.Array()) {
     const auto update = DecodeUpdate(item.toArray());
     if (!update) return std::nullopt;
     message.updates.push_back(*update);
@@ -126,7 +126,8 @@
 }  // namespace
 
 size_t UpdateBytes(const member_update& update) {
-  constexpr size_t kNumbers = 2 * kNumberBytes + 2 * 5 + 2;
+  constexpr size_t kOtherNumbers = 12;
+  constexpr size_t kNumbers = 2 * kNumberBytes + kOtherNumbers;
   return kArrayHeadBytes + kNumbers + 3 * kStringHeadBytes +
          update.id.daemon.size() + update.peer_address.size() +
          update.failure_domain.size();
--- a/src/membership/swim_probe.cc
+++ b/src/membership/swim_probe.cc
@@ -4,99 +4,17 @@
 #include <cmath>
 #include <utility>
 
-#include "absl/random/random.h"
+#include "membership/swim_gossip.h"
+#include "membership/swim_sync.h"
 
 namespace anvilridge {
 namespace {
 
 /// Part of the interval that a direct probe may take.
 constexpr double kDirectPart = 0.4;
-/// Every update is passed on this many times log10 of the members.
-constexpr double kSpreadFactor = 4;
 /// Daemons told of this one's end.
 constexpr int kEndMessages = 6;
 
-int SpreadLimit(const member_table& table) {
-  const double members = static_cast<double>(table.members.size());
-  return static_cast<int>(std::ceil(kSpreadFactor * std::log10(members + 1)));
-}
-
-uint64_t NewSequence(absl::BitGenRef random) {
-  return absl::Uniform<uint64_t>(random, 1, uint64_t{1} << 62);
-}
-
-/// Returns names of running members other than this one and `except`.
-std::vector<std::string> RunningOthers(const member_table& table,
-                                       absl::string_view except = "") {
-  std::vector<std::string> names;
-  for (const auto& [name, entry] : table.members) {
-    if (name == table.self || name == except) continue;
-    if (IsRunning(entry.update.state)) names.push_back(name);
-  }
-  return names;
-}
-
-const std::string& AddressOf(const swim_node& node, absl::string_view name) {
-  return node.table.members.find(name)->second.update.peer_address;
-}
-
-member_update ForSending(const member_entry& entry, absl::Time now) {
-  member_update update = entry.update;
-  if (!IsRunning(update.state)) {
-    update.verdict_age =
-        std::max(absl::ZeroDuration(), now - entry.verdict_time);
-  }
-  return update;
-}
-
-/// Tells the receiver what is believed of it, so that it can deny a suspicion
-/// or learn of a verdict.
-void AddVerdictOnReceiver(swim_node& node, const std::string& address,
-                          absl::Time now, swim_message& message) {
-  for (const auto& [name, entry] : node.table.members) {
-    if (entry.update.peer_address != address || name == node.table.self) {
-      continue;
-    }
-    if (entry.update.state == member_state::alive) continue;
-    message.updates.push_back(ForSending(entry, now));
-  }
-}
-
-/// Adds the least-sent updates up to the size of a probe.
-void AddNews(swim_node& node, absl::Time now, swim_message& message) {
-  const int limit = SpreadLimit(node.table);
-  std::vector<member_entry*> news;
-  for (auto& [name, entry] : node.table.members) {
-    if (name != node.table.self && entry.times_sent < limit) {
-      news.push_back(&entry);
-    }
-  }
-  std::stable_sort(news.begin(), news.end(), [](auto* a, auto* b) {
-    return a->times_sent < b->times_sent;
-  });
-  size_t bytes = MessageBaseBytes(message);
-  for (const member_update& update : message.updates) {
-    bytes += UpdateBytes(update);
-  }
-  for (member_entry* entry : news) {
-    bytes += UpdateBytes(entry->update);
-    if (bytes > node.config.probe_bytes) break;
-    message.updates.push_back(ForSending(*entry, now));
-    ++entry->times_sent;
-  }
-}
-
-swim_send MakeSend(swim_node& node, std::string address, swim_kind kind,
-                   uint64_t sequence, absl::Time now) {
-  swim_send send{std::move(address), {}};
-  send.message.kind = kind;
-  send.message.sequence = sequence;
-  send.message.sender = SelfEntry(node.table).update;
-  AddVerdictOnReceiver(node, send.address, now, send.message);
-  AddNews(node, now, send.message);
-  return send;
-}
-
 /// Takes the next target in a random order that visits everyone in turn.
 std::string NextTarget(swim_node& node, absl::BitGenRef random) {
   for (int pass = 0; pass < 2; ++pass) {
@@ -193,82 +111,6 @@
   }
 }
 
-swim_send SyncRequest(swim_node& node, const std::string& address,
-                      absl::Time now, absl::BitGenRef random) {
-  swim_send send{address, {}};
-  send.message.kind = swim_kind::sync_request;
-  send.message.sequence = NewSequence(random);
-  send.message.sender = SelfEntry(node.table).update;
-  send.message.cursor = node.sync_cursor;
-  AddVerdictOnReceiver(node, address, now, send.message);
-  return send;
-}
-
-/// Returns addresses at which no running member is known.
-std::vector<std::string> SilentContacts(const swim_node& node) {
-  std::vector<std::string> silent = node.contacts;
-  for (const auto& [name, entry] : node.table.members) {
-    if (entry.update.state == member_state::dead) {
-      silent.push_back(entry.update.peer_address);
-    }
-  }
-  const auto running = [&](const std::string& address) {
-    return std::any_of(node.table.members.begin(), node.table.members.end(),
-                       [&](const auto& item) {
-                         return item.second.update.peer_address == address &&
-                                IsRunning(item.second.update.state);
-                       });
-  };
-  std::erase_if(silent, running);
-  return silent;
-}
-
-void TryContacts(swim_node& node, absl::Time now, absl::BitGenRef random,
-                 swim_result& result) {
-  if (now < node.next_contact) return;
-  const int intervals = node.joined ? node.config.contact_intervals : 1;
-  node.next_contact = now + intervals * node.config.interval;
-  const std::vector<std::string> silent = SilentContacts(node);
-  if (silent.empty()) return;
-  const size_t pick = absl::Uniform<size_t>(random, 0, silent.size());
-  result.sends.push_back(SyncRequest(node, silent[pick], now, random));
-}
-
-void ReadOthersTable(swim_node& node, absl::Time now, absl::BitGenRef random,
-                     swim_result& result) {
-  if (now < node.next_sync) return;
-  const int intervals = node.joined ? node.config.sync_intervals : 1;
-  node.next_sync = now + intervals * node.config.interval;
-  const std::vector<std::string> others = RunningOthers(node.table);
-  if (others.empty()) return;
-  const size_t pick = absl::Uniform<size_t>(random, 0, others.size());
-  result.sends.push_back(
-      SyncRequest(node, AddressOf(node, others[pick]), now, random));
-}
-
-swim_send SyncReply(swim_node& node, const swim_message& request,
-                    absl::Time now) {
-  swim_send send{request.sender.peer_address, {}};
-  send.message.kind = swim_kind::sync_reply;
-  send.message.sequence = request.sequence;
-  send.message.sender = SelfEntry(node.table).update;
-  AddVerdictOnReceiver(node, send.address, now, send.message);
-  constexpr size_t kCursorBytes = 64;
-  size_t bytes = MessageBaseBytes(send.message) + kCursorBytes;
-  for (const member_update& update : send.message.updates) {
-    bytes += UpdateBytes(update);
-  }
-  auto it = node.table.members.upper_bound(request.cursor);
-  for (; it != node.table.members.end(); ++it) {
-    bytes += UpdateBytes(it->second.update);
-    if (bytes > kMaxDatagramBytes) break;
-    send.message.updates.push_back(ForSending(it->second, now));
-    send.message.cursor = it->first;
-  }
-  if (it == node.table.members.end()) send.message.cursor.clear();
-  return send;
-}
-
 void Merge(swim_node& node, const member_update& update, absl::Time now,
            swim_result& result) {
   if (update.verdict_age >= node.config.verdict_memory) return;
@@ -326,16 +168,6 @@
       SyncRequest(node, message.sender.peer_address, now, random));
 }
 
-/// Tells a sender that speaks for a superseded or dead incarnation so.
-void CorrectSender(swim_node& node, const swim_message& message, absl::Time now,
-                   swim_message& reply) {
-  const auto known = node.table.members.find(message.sender.id.daemon);
-  if (known == node.table.members.end()) return;
-  const member_update& update = known->second.update;
-  if (update.id.incarnation <= message.sender.id.incarnation) return;
-  reply.updates.push_back(ForSending(known->second, now));
-}
-
 swim_send Ack(swim_node& node, const swim_message& ping, absl::Time now) {
   swim_send send = MakeSend(node, ping.sender.peer_address, swim_kind::ack,
                             ping.sequence, now);
@@ -345,11 +177,11 @@
 
 }  // namespace
 
-swim_node MakeSwimNode(const swim_config& config, member_update self,
+swim_node MakeSwimNode(const swim_config& config, const member_update& self,
                        absl::Time now) {
   swim_node node;
   node.config = config;
-  node.table = MakeMemberTable(std::move(self), now);
+  node.table = MakeMemberTable(self, now);
   return node;
 }
 
--- a/src/membership/swim_probe_test.cc
+++ b/src/membership/swim_probe_test.cc
@@ -146,13 +146,15 @@
   network.bytes = 0;
   network.RunFor(absl::Seconds(kSeconds));
   // Every byte is sent by one daemon and received by another.
-  const double steady = 2.0 * network.bytes / kMembers / kSeconds;
+  const double steady =
+      2.0 * static_cast<double>(network.bytes) / kMembers / kSeconds;
   network.silent.insert(network.Node(7)
                             .table.members.find(swim_network::Name(7))
                             ->second.update.peer_address);
   network.bytes = 0;
   network.RunFor(absl::Seconds(kSeconds));
-  const double with_loss = 2.0 * network.bytes / kMembers / kSeconds;
+  const double with_loss =
+      2.0 * static_cast<double>(network.bytes) / kMembers / kSeconds;
   std::cout << "bytes/s a daemon, sent and received, UDP and IP included: "
             << steady << " steady, " << with_loss
             << " while one of 370 dies; largest datagram " << network.largest
