Open the operator port on every daemon

Cause: commands and queries had no port to come in by. Change: operator_port wires the administration API to the control thread; a view gathers the rows of all live daemons; a planned stop also waits a bounded time for the outcomes of claimed calls.

--- a/src/daemon/control_plane.cc
+++ b/src/daemon/control_plane.cc
@@ -5,20 +5,25 @@
 #include "absl/strings/str_cat.h"
 #include "base/error_kind.h"
 #include "daemon/control_state.h"
+#include "daemon/operator_port.h"
 #include "daemon/thread_bridge.h"
 
 namespace anvilridge {
 
 struct control_plane::impl {
   control_state state;
+  operator_port operators;
 
-  impl(const daemon_settings& settings, std::string key)
-      : state(settings, std::move(key)) {}
+  impl(const daemon_settings& settings, std::string key,
+       const std::string& administrator_key)
+      : state(settings, std::move(key)), operators(state, administrator_key) {}
 };
 
 control_plane::control_plane(const daemon_settings& settings,
-                             std::string deployment_key)
-    : impl_(std::make_unique<impl>(settings, std::move(deployment_key))) {}
+                             std::string deployment_key,
+                             const std::string& administrator_key)
+    : impl_(std::make_unique<impl>(settings, std::move(deployment_key),
+                                   administrator_key)) {}
 
 control_plane::~control_plane() = default;
 
@@ -35,7 +40,7 @@
   }
   UpdateMembers(state);
   state.config.Start();
-  return absl::OkStatus();
+  return impl_->operators.Listen();
 }
 
 request_services control_plane::ServicesFor(QObject* thread) {
@@ -60,13 +65,17 @@
   return impl_->state.peers_in.Port();
 }
 
-uint16_t control_plane::OperatorPort() const { return 0; }
+uint16_t control_plane::OperatorPort() const { return impl_->operators.Port(); }
 
 bool control_plane::MayExit() const {
   const control_state& state = impl_->state;
   return state.requests.active.empty() && state.cancels.Pending() == 0;
 }
 
+bool control_plane::RecordsWritten() const {
+  return impl_->state.claims.UnwrittenRecords() == 0;
+}
+
 int control_plane::RequestsInProgress() const {
   return static_cast<int>(impl_->state.requests.active.size());
 }
@@ -75,6 +84,7 @@
   impl_->state.stopping = true;
   impl_->state.membership.Leave();
   UpdateMembers(impl_->state);
+  impl_->operators.BeginStop();
 }
 
 }  // namespace anvilridge
--- a/src/daemon/control_plane.h
+++ b/src/daemon/control_plane.h
@@ -18,8 +18,10 @@
 /// and clean-up.
 class control_plane {
  public:
-  /// `deployment_key` is the secret that the deployment's daemons share.
-  control_plane(const daemon_settings& settings, std::string deployment_key);
+  /// `deployment_key` is the secret that the deployment's daemons share,
+  /// `administrator_key` the bootstrap key of operators, or "".
+  control_plane(const daemon_settings& settings, std::string deployment_key,
+                const std::string& administrator_key);
   ~control_plane();
 
   /// Binds the peer and operator ports and joins the other daemons.
@@ -33,7 +35,6 @@
   absl::Status Ready() const;
 
   uint16_t PeerPort() const;
-  /// 0 until the operator port is open.
   uint16_t OperatorPort() const;
 
   /// Requests in progress.
@@ -43,6 +44,9 @@
   /// still to be told of a cancel.
   bool MayExit() const;
 
+  /// Whether the log has all outcomes of claimed calls.
+  bool RecordsWritten() const;
+
   /// Announces a planned stop: not ready, and the homes move to other daemons.
   void BeginStop();
 
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -31,13 +31,17 @@
 // Every request has its own time limits; one that outlives all of them is a
 // fault that must not keep a stop from ending.
 constexpr absl::Duration kLongestStop = absl::Minutes(5);
+// Outcomes of claimed calls are written for this long after the last request;
+// in an outage of the log their keys stay used without an answer.
+constexpr absl::Duration kLongestFlush = absl::Seconds(3);
 
 // The daemon's parts, in the order in which they start; they end in reverse.
 class running_daemon {
  public:
-  running_daemon(const daemon_settings &settings, std::string deployment_key)
+  running_daemon(const daemon_settings& settings, std::string deployment_key,
+                 const std::string& administrator_key)
       : settings_(settings),
-        plane_(settings, std::move(deployment_key)),
+        plane_(settings, std::move(deployment_key), administrator_key),
         health_(settings.metrics, &context_, HealthSources()) {}
 
   absl::Status Start() {
@@ -65,18 +69,28 @@
     LogEvent(log_level::info, "stop_began",
              {{"requests", plane_.RequestsInProgress()}});
     stop_began_ = MonotonicNow();
+    idle_since_ = stop_began_;
     plane_.BeginStop();
-    stop_timer_ = RunEvery(kStopPollInterval, [this] {
-      const bool late = MonotonicNow() - stop_began_ > kLongestStop;
-      if (!late && !plane_.MayExit()) return;
-      if (!late && caller_->RequestsInProgress() > 0) return;
-      LogEvent(late ? log_level::error : log_level::info, "stop_ended",
-               {{"requests", plane_.RequestsInProgress()}});
-      QCoreApplication::quit();
-    });
+    stop_timer_ = RunEvery(kStopPollInterval, [this] { TryExit(); });
   }
 
  private:
+  void TryExit() {
+    const absl::Time now = MonotonicNow();
+    const bool late = now - stop_began_ > kLongestStop;
+    const bool idle = plane_.MayExit() && caller_->RequestsInProgress() == 0;
+    if (!idle && !late) {
+      idle_since_ = now;
+      return;
+    }
+    const bool flushing = !late && !plane_.RecordsWritten();
+    if (flushing && now - idle_since_ < kLongestFlush) return;
+    LogEvent(late ? log_level::error : log_level::info, "stop_ended",
+             {{"requests", plane_.RequestsInProgress()},
+              {"unwritten_records", !plane_.RecordsWritten()}});
+    QCoreApplication::quit();
+  }
+
   health_sources HealthSources() {
     return {[this] { return plane_.Ready(); },
             [this] { return metrics_.MetricsText(); }};
@@ -85,13 +99,13 @@
   void StartTrafficThreads() {
     for (int i = 0; i < settings_.identity.traffic_threads; ++i) {
       threads_.push_back(std::make_unique<traffic_thread>(
-          [this](QObject *thread) { return plane_.ServicesFor(thread); }));
+          [this](QObject* thread) { return plane_.ServicesFor(thread); }));
     }
   }
 
-  std::vector<QObject *> ThreadContexts() const {
-    std::vector<QObject *> contexts;
-    for (const auto &thread : threads_) contexts.push_back(thread->Context());
+  std::vector<QObject*> ThreadContexts() const {
+    std::vector<QObject*> contexts;
+    for (const auto& thread : threads_) contexts.push_back(thread->Context());
     return contexts;
   }
 
@@ -104,9 +118,11 @@
   health_port health_;
   std::unique_ptr<QTimer> stop_timer_;
   absl::Time stop_began_;
+  // Since when nothing is in progress, while a stop is.
+  absl::Time idle_since_;
 };
 
-int Complain(const absl::Status &status) {
+int Complain(const absl::Status& status) {
   std::fprintf(stderr, "anvilridged: %s\n",
                std::string(status.message()).c_str());
   return kExitFailed;
@@ -114,10 +130,10 @@
 
 }  // namespace
 
-int RunDaemon(const daemon_settings &settings) {
+int RunDaemon(const daemon_settings& settings) {
   int count = 1;
   char name[] = "anvilridged";
-  char *arguments[] = {name, nullptr};
+  char* arguments[] = {name, nullptr};
   QCoreApplication app(count, arguments);
   if (absl::Status opened = OpenLog(settings.log, settings.identity.name);
       !opened.ok()) {
@@ -125,7 +141,14 @@
   }
   const absl::StatusOr<std::string> key = ReadKeyFile(settings.peers.key_file);
   if (!key.ok()) return Complain(key.status());
-  running_daemon daemon(settings, *key);
+  std::string administrator_key;
+  if (!settings.administrator_key_file.empty()) {
+    const absl::StatusOr<std::string> read =
+        ReadKeyFile(settings.administrator_key_file);
+    if (!read.ok()) return Complain(read.status());
+    administrator_key = *read;
+  }
+  running_daemon daemon(settings, *key, administrator_key);
   if (absl::Status started = daemon.Start(); !started.ok()) {
     return Complain(started);
   }
--- a/src/placement/engine_homes.cc
+++ b/src/placement/engine_homes.cc
@@ -224,6 +224,14 @@
   if (it != impl_->engines.end()) it->second.list_due = absl::InfinitePast();
 }
 
+void engine_homes::ForEachHold(
+    const std::function<void(absl::string_view engine, absl::string_view id,
+                             const decode_hold& hold)>& visit) const {
+  for (const auto& [name, engine] : impl_->engines) {
+    for (const auto& [id, hold] : engine.decode.holds) visit(name, id, hold);
+  }
+}
+
 void engine_homes::OnList(list_listener listener) {
   impl_->listeners.push_back(std::move(listener));
 }
--- a/src/placement/engine_homes.h
+++ b/src/placement/engine_homes.h
@@ -52,6 +52,12 @@
   /// Fetches the list of `engine` soon, whether or not it is due.
   void ListSoon(absl::string_view engine);
 
+  /// Calls `visit` with each decode place promised or used, by engine and
+  /// request.
+  void ForEachHold(
+      const std::function<void(absl::string_view engine, absl::string_view id,
+                               const decode_hold& hold)>& visit) const;
+
   /// Called with every list that arrives, from engines homed here.
   void OnList(list_listener listener);
 
