--- a/tests/harness/fleet.cc
+++ b/tests/harness/fleet.cc
@@ -19,7 +19,6 @@
 
 constexpr char kCallerKey[] = "choir-key";
 constexpr char kPeerKey[] = "deployment-secret";
-constexpr char kAdministratorKey[] = "administrator-secret";
 constexpr absl::Duration kStartBound = absl::Seconds(20);
 
 std::string Sha256Hex(absl::string_view text) {
--- a/tests/harness/fleet.h
+++ b/tests/harness/fleet.h
@@ -16,6 +16,9 @@
 
 namespace anvilridge {
 
+/// Key of the bootstrap administrator of a test's daemons.
+inline constexpr char kAdministratorKey[] = "administrator-secret";
+
 /// How large a deployment a test starts, and with what options.
 struct fleet_options {
   int daemons = 2;
