--- a/standins/engine/engine_server.cc
+++ b/standins/engine/engine_server.cc
@@ -212,12 +212,11 @@
     const auto stall =
         TakeFault(state.faults, "stall_transfer", {{"request_id", Text(id)}});
     if (!stall) return fetch();
-    pending.stall = RunEvery(FaultDelay(*stall, kStallWithoutEnd),
-                             [this, id, fetch] {
-                               imports.at(id).stall->stop();
-                               fetch();
-                             }  // namespace anvilridge
-    );
+    pending.stall =
+        RunEvery(FaultDelay(*stall, kStallWithoutEnd), [this, id, fetch] {
+          imports.at(id).stall->stop();
+          fetch();
+        });
   }
 
   // Deferred, because the fetch that calls must not be destroyed meanwhile.
--- a/standins/platform/main.cc
+++ b/standins/platform/main.cc
@@ -16,6 +16,7 @@
       cxxopts::value<uint16_t>()->default_value("0"));
   add("ports-file", "Also write the port here",
       cxxopts::value<std::string>()->default_value(""));
+  add("id", "Name", cxxopts::value<std::string>()->default_value("platform"));
   add("retention-ms", "Life of a log record; 0 for no end",
       cxxopts::value<double>()->default_value("0"));
   add("max-records", "Records that a stream keeps",
