Part the HTTP/2 state of peer connections from their sockets

Change: peer_http2 goes from bytes to bytes; peer_session drives a socket with it. A connection that ended while bytes were unsent is closed once they are.

--- a/src/peer/peer_client.cc
+++ b/src/peer/peer_client.cc
@@ -91,10 +91,11 @@
   const auto connection = std::make_shared<client_connection>();
   peer_session_events events;
   events.on_connected = [this, id] { connections.at(id)->connected = true; };
-  events.on_answer = [this, id](int32_t stream, const peer_answer& answer) {
+  events.http2.on_answer = [this, id](int32_t stream,
+                                      const peer_answer& answer) {
     Finish(id, stream, DecodePeerAnswer(answer));
   };
-  events.on_reset = [this, id](int32_t stream, run_state ran) {
+  events.http2.on_reset = [this, id](int32_t stream, run_state ran) {
     Finish(
         id, stream,
         MakeError(error_kind::upstream_failed, "the peer ended the call", ran));
--- a/src/peer/peer_server.cc
+++ b/src/peer/peer_server.cc
@@ -81,11 +81,11 @@
 void peer_server::impl::Open(std::unique_ptr<QTcpSocket> socket) {
   const uint64_t id = ++last_id;
   peer_session_events events;
-  events.authorize = [this](absl::string_view sent) {
+  events.http2.authorize = [this](absl::string_view sent) {
     return ConstantTimeEqual(sent, key);
   };
-  events.on_call = [this, id](int32_t stream, const std::string& method,
-                              const QByteArray& body) {
+  events.http2.on_call = [this, id](int32_t stream, const std::string& method,
+                                    const QByteArray& body) {
     Dispatch(id, stream, method, body);
   };
   events.on_broken = [this, id](const std::string&) { Drop(id); };
--- a/src/peer/peer_session.cc
+++ b/src/peer/peer_session.cc
@@ -1,94 +1,31 @@
 #include "peer/peer_session.h"
 
-#include <nghttp2/nghttp2.h>
-
-#include <algorithm>
-#include <array>
-#include <cstring>
 #include <utility>
-#include <vector>
 
-#include "absl/container/flat_hash_map.h"
-#include "absl/strings/numbers.h"
-#include "absl/strings/str_cat.h"
-#include "absl/strings/strip.h"
-#include "absl/types/span.h"
 #include "base/clock.h"
-#include "base/error_kind.h"
 #include "base/event_loop.h"
 
 namespace anvilridge {
 namespace {
 
-constexpr uint32_t kMaxConcurrentStreams = 10000;
-constexpr uint32_t kStreamWindowBytes = 1 << 20;
-constexpr int32_t kConnectionWindowBytes = 16 << 20;
 /// Bytes handed to the socket that it has not sent yet.
 constexpr qint64 kMaxUnsentBytes = 1 << 20;
 /// How long a side that refused a key waits for the other to close, so that
 /// the refusal is read before the connection is reset.
 constexpr absl::Duration kLinger = absl::Seconds(1);
-constexpr absl::string_view kKeyField = "anvil-key";
-
-/// One stream: what has arrived of it and what is still to be sent.
-struct peer_stream {
-  std::string method;
-  std::string key;
-  int http_status = 0;
-  QByteArray received;
-  QByteArray outgoing;
-  qsizetype sent = 0;
-  bool complete = false;
-  /// Given up by this side: nothing more is told of it.
-  bool abandoned = false;
-};
-
-nghttp2_nv MakeField(absl::string_view name, absl::string_view value) {
-  // nghttp2 copies both; its C signature lacks the const.
-  const auto bytes = [](absl::string_view text) {
-    return reinterpret_cast<uint8_t*>(const_cast<char*>(text.data()));
-  };
-  return {bytes(name), bytes(value), name.size(), value.size(),
-          NGHTTP2_NV_FLAG_NONE};
-}
-
-absl::string_view TextOf(const uint8_t* bytes, size_t length) {
-  return {reinterpret_cast<const char*>(bytes), length};
-}
-
-ssize_t ReadOutgoing(nghttp2_session*, int32_t, uint8_t* buffer, size_t length,
-                     uint32_t* flags, nghttp2_data_source* source, void*) {
-  auto& stream = *static_cast<peer_stream*>(source->ptr);
-  const qsizetype left = stream.outgoing.size() - stream.sent;
-  const qsizetype count = std::min(left, static_cast<qsizetype>(length));
-  std::memcpy(buffer, stream.outgoing.constData() + stream.sent,
-              static_cast<size_t>(count));
-  stream.sent += count;
-  if (stream.sent == stream.outgoing.size()) *flags |= NGHTTP2_DATA_FLAG_EOF;
-  return count;
-}
-
-bool EndsStream(const nghttp2_frame& frame) {
-  return (frame.hd.flags & NGHTTP2_FLAG_END_STREAM) != 0;
-}
 
 }  // namespace
 
-// nghttp2's callbacks only change streams and queue what to tell; `Tell` runs
-// the queue after nghttp2 has returned.
 struct peer_session::impl {
-  peer_side side;
   std::unique_ptr<QTcpSocket> socket;
-  peer_session_events events;
-  nghttp2_session* session = nullptr;
-  absl::flat_hash_map<int32_t, std::unique_ptr<peer_stream>> streams;
-  std::vector<std::function<void()>> untold;
+  std::function<void()> on_connected;
+  std::function<void(const std::string& reason)> on_broken;
+  peer_http2 http2;
   absl::Time last_received = MonotonicNow();
   uint64_t bytes_sent = 0;
   uint64_t bytes_received = 0;
   bool flush_queued = false;
-  bool authorized = false;
-  bool refused = false;
+  bool lingering = false;
   bool broken = false;
   QObject context;
 
@@ -96,99 +33,39 @@
        peer_session_events events);
   ~impl();
 
-  void MakeNghttp2Session();
-  void SubmitSettings();
   void ConnectSignals();
   void OnConnected();
-
-  static int OnBeginHeaders(nghttp2_session*, const nghttp2_frame* frame,
-                            void* user);
-  static int OnHeader(nghttp2_session*, const nghttp2_frame* frame,
-                      const uint8_t* name, size_t name_length,
-                      const uint8_t* value, size_t value_length, uint8_t flags,
-                      void* user);
-  static int OnData(nghttp2_session*, uint8_t flags, int32_t stream,
-                    const uint8_t* data, size_t length, void* user);
-  static int OnFrame(nghttp2_session*, const nghttp2_frame* frame, void* user);
-  static int OnFrameNotSent(nghttp2_session*, const nghttp2_frame* frame,
-                            int error, void* user);
-  static int OnStreamClose(nghttp2_session*, int32_t stream,
-                           uint32_t error_code, void* user);
-
-  peer_stream* Find(int32_t id);
-  void CheckKey(int32_t id, const peer_stream& stream);
-  void Complete(int32_t id, peer_stream& stream);
-  void TellCall(int32_t id);
-  void EndStream(int32_t id, run_state ran);
   void Receive();
-  void Tell();
   void QueueFlush();
   void Flush();
-  QByteArray TakeOutput();
   void CloseIfOver();
   void Close(const std::string& reason);
 };
 
 peer_session::impl::impl(peer_side side, std::unique_ptr<QTcpSocket> socket,
                          peer_session_events events)
-    : side(side), socket(std::move(socket)), events(std::move(events)) {
-  MakeNghttp2Session();
-  SubmitSettings();
+    : socket(std::move(socket)),
+      on_connected(std::move(events.on_connected)),
+      on_broken(std::move(events.on_broken)),
+      http2(side, std::move(events.http2)) {
   ConnectSignals();
   if (side == peer_side::server) OnConnected();
 }
 
 peer_session::impl::~impl() {
   QObject::disconnect(socket.get(), nullptr, &context, nullptr);
-  nghttp2_session_del(session);
-}
-
-void peer_session::impl::MakeNghttp2Session() {
-  nghttp2_session_callbacks* callbacks = nullptr;
-  nghttp2_session_callbacks_new(&callbacks);
-  nghttp2_session_callbacks_set_on_begin_headers_callback(callbacks,
-                                                          &OnBeginHeaders);
-  nghttp2_session_callbacks_set_on_header_callback(callbacks, &OnHeader);
-  nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks, &OnData);
-  nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks, &OnFrame);
-  nghttp2_session_callbacks_set_on_frame_not_send_callback(callbacks,
-                                                           &OnFrameNotSent);
-  nghttp2_session_callbacks_set_on_stream_close_callback(callbacks,
-                                                         &OnStreamClose);
-  nghttp2_option* option = nullptr;
-  nghttp2_option_new(&option);
-  nghttp2_option_set_peer_max_concurrent_streams(option, kMaxConcurrentStreams);
-  nghttp2_option_set_no_closed_streams(option, 1);
-  if (side == peer_side::client) {
-    nghttp2_session_client_new2(&session, callbacks, this, option);
-  } else {
-    nghttp2_session_server_new2(&session, callbacks, this, option);
-  }
-  nghttp2_option_del(option);
-  nghttp2_session_callbacks_del(callbacks);
-}
-
-void peer_session::impl::SubmitSettings() {
-  const std::array<nghttp2_settings_entry, 2> settings = {{
-      {NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, kMaxConcurrentStreams},
-      {NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, kStreamWindowBytes},
-  }};
-  nghttp2_submit_settings(session, NGHTTP2_FLAG_NONE, settings.data(),
-                          settings.size());
-  nghttp2_session_set_local_window_size(session, NGHTTP2_FLAG_NONE, 0,
-                                        kConnectionWindowBytes);
 }
 
 void peer_session::impl::ConnectSignals() {
   QTcpSocket* source = socket.get();
   QObject::connect(source, &QTcpSocket::connected, &context, [this] {
     OnConnected();
-    if (events.on_connected) events.on_connected();
+    if (on_connected) on_connected();
   });
   QObject::connect(source, &QTcpSocket::readyRead, &context,
                    [this] { Receive(); });
   QObject::connect(source, &QTcpSocket::bytesWritten, &context, [this] {
-    if (nghttp2_session_want_write(session) != 0) QueueFlush();
+    if (http2.WantsToSend() || http2.IsOver()) QueueFlush();
   });
   QObject::connect(source, &QTcpSocket::disconnected, &context,
                    [this] { Close("the peer closed the connection"); });
@@ -202,204 +79,54 @@
   QueueFlush();
 }
 
-int peer_session::impl::OnBeginHeaders(nghttp2_session*,
-                                       const nghttp2_frame* frame, void* user) {
-  auto& self = *static_cast<impl*>(user);
-  if (frame->headers.cat == NGHTTP2_HCAT_REQUEST) {
-    self.streams[frame->hd.stream_id] = std::make_unique<peer_stream>();
-  }
-  return 0;
-}
-
-int peer_session::impl::OnHeader(nghttp2_session*, const nghttp2_frame* frame,
-                                 const uint8_t* name, size_t name_length,
-                                 const uint8_t* value, size_t value_length,
-                                 uint8_t, void* user) {
-  peer_stream* stream = static_cast<impl*>(user)->Find(frame->hd.stream_id);
-  // Fields of trailers are not read.
-  if (stream == nullptr || frame->headers.cat == NGHTTP2_HCAT_HEADERS) return 0;
-  const absl::string_view field = TextOf(name, name_length);
-  const absl::string_view text = TextOf(value, value_length);
-  if (field == ":path") {
-    stream->method = std::string(absl::StripPrefix(text, "/"));
-  } else if (field == ":status") {
-    (void)absl::SimpleAtoi(text, &stream->http_status);
-  } else if (field == kKeyField) {
-    stream->key = std::string(text);
-  }
-  return 0;
-}
-
-int peer_session::impl::OnData(nghttp2_session*, uint8_t, int32_t id,
-                               const uint8_t* data, size_t length, void* user) {
-  auto& self = *static_cast<impl*>(user);
-  peer_stream* stream = self.Find(id);
-  if (stream == nullptr || self.refused) return 0;
-  const auto added = static_cast<qsizetype>(length);
-  if (stream->received.size() + added > kMaxPeerBodyBytes) {
-    nghttp2_submit_rst_stream(self.session, NGHTTP2_FLAG_NONE, id,
-                              NGHTTP2_ENHANCE_YOUR_CALM);
-    return 0;
-  }
-  stream->received.append(reinterpret_cast<const char*>(data), added);
-  return 0;
-}
-
-int peer_session::impl::OnFrame(nghttp2_session*, const nghttp2_frame* frame,
-                                void* user) {
-  auto& self = *static_cast<impl*>(user);
-  const int32_t id = frame->hd.stream_id;
-  const bool headers = frame->hd.type == NGHTTP2_HEADERS;
-  if (!headers && frame->hd.type != NGHTTP2_DATA) return 0;
-  peer_stream* stream = self.Find(id);
-  if (stream == nullptr) return 0;
-  if (headers && frame->headers.cat == NGHTTP2_HCAT_REQUEST) {
-    self.CheckKey(id, *stream);
-  }
-  if (EndsStream(*frame)) self.Complete(id, *stream);
-  return 0;
-}
-
-int peer_session::impl::OnFrameNotSent(nghttp2_session*,
-                                       const nghttp2_frame* frame, int,
-                                       void* user) {
-  const bool call = frame->hd.type == NGHTTP2_HEADERS &&
-                    frame->headers.cat == NGHTTP2_HCAT_REQUEST;
-  if (call) {
-    static_cast<impl*>(user)->EndStream(frame->hd.stream_id,
-                                        run_state::not_run);
-  }
-  return 0;
-}
-
-int peer_session::impl::OnStreamClose(nghttp2_session*, int32_t id,
-                                      uint32_t error_code, void* user) {
-  const bool refused = error_code == NGHTTP2_REFUSED_STREAM;
-  static_cast<impl*>(user)->EndStream(
-      id, refused ? run_state::not_run : run_state::unknown);
-  return 0;
-}
-
-peer_stream* peer_session::impl::Find(int32_t id) {
-  const auto found = streams.find(id);
-  return found == streams.end() ? nullptr : found->second.get();
-}
-
-void peer_session::impl::CheckKey(int32_t id, const peer_stream& stream) {
-  if (refused) return;
-  if (events.authorize(stream.key)) {
-    authorized = true;
-    return;
-  }
-  refused = true;
-  const std::string status = absl::StrCat(kPeerStatusForbidden);
-  const nghttp2_nv field = MakeField(":status", status);
-  nghttp2_submit_response(session, id, &field, 1, nullptr);
-  RunAfter(&context, kLinger, [this] { Close("the key was refused"); });
-}
-
-void peer_session::impl::Complete(int32_t id, peer_stream& stream) {
-  if (refused || stream.complete || stream.abandoned) return;
-  stream.complete = true;
-  if (side == peer_side::server) {
-    untold.emplace_back([this, id] { TellCall(id); });
-    return;
-  }
-  // The stream itself may be gone by the time that this is told.
-  peer_answer answer{stream.http_status, std::move(stream.received)};
-  untold.emplace_back(
-      [this, id, answer = std::move(answer)] { events.on_answer(id, answer); });
-}
-
-void peer_session::impl::TellCall(int32_t id) {
-  peer_stream* stream = Find(id);
-  // A call that was given up in the meantime is not run.
-  if (stream == nullptr) return;
-  events.on_call(id, std::move(stream->method), std::move(stream->received));
-}
-
-void peer_session::impl::EndStream(int32_t id, run_state ran) {
-  const auto found = streams.find(id);
-  if (found == streams.end()) return;
-  const bool tell = side == peer_side::client && !found->second->complete &&
-                    !found->second->abandoned;
-  streams.erase(found);
-  if (!tell) return;
-  untold.emplace_back([this, id, ran] { events.on_reset(id, ran); });
-}
-
 void peer_session::impl::Receive() {
   if (broken) return;
   const QByteArray bytes = socket->readAll();
   if (bytes.isEmpty()) return;
   last_received = MonotonicNow();
   bytes_received += static_cast<uint64_t>(bytes.size());
-  const ssize_t taken = nghttp2_session_mem_recv(
-      session, reinterpret_cast<const uint8_t*>(bytes.constData()),
-      static_cast<size_t>(bytes.size()));
-  Tell();
-  if (taken < 0) return Close(nghttp2_strerror(static_cast<int>(taken)));
+  const absl::Status status = http2.Receive(bytes);
+  if (!status.ok()) return Close(std::string(status.message()));
   QueueFlush();
 }
 
-void peer_session::impl::Tell() {
-  std::vector<std::function<void()>> told;
-  told.swap(untold);
-  for (const auto& tell : told) {
-    if (broken) return;
-    tell();
-  }
-}
-
 void peer_session::impl::QueueFlush() {
   if (flush_queued || broken) return;
   flush_queued = true;
   PostTo(&context, [this] { Flush(); });
 }
 
-QByteArray peer_session::impl::TakeOutput() {
-  QByteArray output;
-  while (output.size() + socket->bytesToWrite() < kMaxUnsentBytes) {
-    const uint8_t* bytes = nullptr;
-    const ssize_t count = nghttp2_session_mem_send(session, &bytes);
-    if (count <= 0) break;
-    output.append(reinterpret_cast<const char*>(bytes), count);
-  }
-  return output;
-}
-
 void peer_session::impl::Flush() {
   flush_queued = false;
   if (broken || socket->state() != QAbstractSocket::ConnectedState) return;
-  QByteArray output = TakeOutput();
-  if (refused) {
-    // Once told to terminate, nghttp2 sends nothing but that: the refusal must
-    // have been taken before.
-    nghttp2_session_terminate_session(session, NGHTTP2_NO_ERROR);
-    output += TakeOutput();
-  }
+  const QByteArray output =
+      http2.TakeOutput(kMaxUnsentBytes - socket->bytesToWrite());
   if (!output.isEmpty()) {
     bytes_sent += static_cast<uint64_t>(output.size());
     socket->write(output);
     socket->flush();
   }
-  Tell();
   CloseIfOver();
 }
 
 void peer_session::impl::CloseIfOver() {
-  // The side that refused lingers; the other one closes as soon as it knows.
-  if (broken || refused || socket->bytesToWrite() > 0) return;
-  const bool over = nghttp2_session_want_read(session) == 0 &&
-                    nghttp2_session_want_write(session) == 0;
+  if (broken) return;
+  if (http2.Refused()) {
+    // The other side closes as soon as it knows.
+    if (std::exchange(lingering, true)) return;
+    return RunAfter(&context, kLinger,
+                    [this] { Close("the key was refused"); });
+  }
+  const bool over = http2.IsOver() && socket->bytesToWrite() == 0;
   if (over) Close("the connection has ended");
 }
 
 void peer_session::impl::Close(const std::string& reason) {
   if (broken) return;
   broken = true;
+  http2.Close();
   socket->disconnectFromHost();
-  if (events.on_broken) events.on_broken(reason);
+  if (on_broken) on_broken(reason);
 }
 
 peer_session::peer_session(peer_side side, std::unique_ptr<QTcpSocket> socket,
@@ -412,61 +139,22 @@
 absl::StatusOr<int32_t> peer_session::SubmitCall(absl::string_view method,
                                                  absl::string_view key,
                                                  QByteArray body) {
-  const bool takes_calls =
-      !impl_->broken &&
-      nghttp2_session_check_request_allowed(impl_->session) != 0;
-  if (!takes_calls) {
-    return MakeError(error_kind::upstream_failed,
-                     "the connection takes no more calls", run_state::not_run);
-  }
-  auto stream = std::make_unique<peer_stream>();
-  stream->outgoing = std::move(body);
-  const std::string path = absl::StrCat("/", method);
-  // The same fields each time, so that header compression sends the key once.
-  const std::array<nghttp2_nv, 5> fields = {
-      MakeField(":method", "POST"), MakeField(":scheme", "http"),
-      MakeField(":authority", "peer"), MakeField(":path", path),
-      MakeField(kKeyField, key)};
-  nghttp2_data_provider provider{};
-  provider.source.ptr = stream.get();
-  provider.read_callback = &ReadOutgoing;
-  const int32_t id =
-      nghttp2_submit_request(impl_->session, nullptr, fields.data(),
-                             fields.size(), &provider, nullptr);
-  if (id < 0) {
-    return MakeError(error_kind::upstream_failed, nghttp2_strerror(id),
-                     run_state::not_run);
-  }
-  impl_->streams[id] = std::move(stream);
   impl_->QueueFlush();
-  return id;
+  return impl_->http2.SubmitCall(method, key, std::move(body));
 }
 
-void peer_session::SubmitAnswer(int32_t id, peer_answer answer) {
-  peer_stream* stream = impl_->Find(id);
-  if (stream == nullptr || impl_->broken) return;
-  stream->outgoing = std::move(answer.body);
-  const std::string status = absl::StrCat(answer.http_status);
-  const nghttp2_nv field = MakeField(":status", status);
-  nghttp2_data_provider provider{};
-  provider.source.ptr = stream;
-  provider.read_callback = &ReadOutgoing;
-  nghttp2_submit_response(impl_->session, id, &field, 1, &provider);
+void peer_session::SubmitAnswer(int32_t stream, peer_answer answer) {
+  impl_->http2.SubmitAnswer(stream, std::move(answer));
   impl_->QueueFlush();
 }
 
-void peer_session::Reset(int32_t id) {
-  peer_stream* stream = impl_->Find(id);
-  if (stream == nullptr || impl_->broken) return;
-  stream->abandoned = true;
-  nghttp2_submit_rst_stream(impl_->session, NGHTTP2_FLAG_NONE, id,
-                            NGHTTP2_CANCEL);
+void peer_session::Reset(int32_t stream) {
+  impl_->http2.Reset(stream);
   impl_->QueueFlush();
 }
 
 void peer_session::Ping() {
-  if (impl_->broken) return;
-  nghttp2_submit_ping(impl_->session, NGHTTP2_FLAG_NONE, nullptr);
+  impl_->http2.Ping();
   impl_->QueueFlush();
 }
 
@@ -475,7 +163,7 @@
 absl::Time peer_session::LastReceived() const { return impl_->last_received; }
 uint64_t peer_session::BytesSent() const { return impl_->bytes_sent; }
 uint64_t peer_session::BytesReceived() const { return impl_->bytes_received; }
-bool peer_session::Authorized() const { return impl_->authorized; }
-size_t peer_session::OpenStreams() const { return impl_->streams.size(); }
+bool peer_session::Authorized() const { return impl_->http2.Authorized(); }
+size_t peer_session::OpenStreams() const { return impl_->http2.OpenStreams(); }
 
 }  // namespace anvilridge
