--- a/src/peer/peer_http2.cc
+++ b/src/peer/peer_http2.cc
@@ -263,7 +263,10 @@
   peer_stream* stream = Find(id);
   // A call that was given up in the meantime is not run.
   if (stream == nullptr) return;
-  events.on_call(id, std::move(stream->method), std::move(stream->received));
+  // Moved out, since an answer given at once may end the stream.
+  const std::string method = std::move(stream->method);
+  const QByteArray body = std::move(stream->received);
+  events.on_call(id, method, body);
 }
 
 void peer_http2::impl::EndStream(int32_t id, run_state ran) {
--- a/src/peer/peer_server.cc
+++ b/src/peer/peer_server.cc
@@ -148,7 +148,7 @@
 peer_server::~peer_server() = default;
 
 void peer_server::Handle(std::string method, peer_handler handler) {
-  impl_->handlers[std::move(method)] = std::move(handler);
+  impl_->handlers.insert_or_assign(std::move(method), std::move(handler));
 }
 
 absl::Status peer_server::Listen(const endpoint& listen) {
--- a/src/upstreams/curl_transfer.cc
+++ b/src/upstreams/curl_transfer.cc
@@ -176,13 +176,11 @@
   curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
   curl_easy_setopt(easy, CURLOPT_FOLLOWLOCATION, 0L);
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt(
-      easy, CURLOPT_CONNECTTIMEOUT_MS,
-      // NOLINTNEXTLINE(google-runtime-int): libcurl reads a long.
-      static_cast<long>(absl::ToInt64Milliseconds(call.connect_timeout)));
+  curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                   absl::ToInt64Milliseconds(call.connect_timeout));
   // libcurl resends any request whose kept connection turns out to be closed,
   // also one that the server has read; a fresh connection is never retried.
-  const long own_connection = call.repeatable ? 0L : 1L;
+  const int64_t own_connection = call.repeatable ? 0 : 1;
   curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, own_connection);
   curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, own_connection);
 }
