--- a/src/peer/peer_server.cc
+++ b/src/peer/peer_server.cc
@@ -81,11 +81,11 @@
 void peer_server::impl::Open(std::unique_ptr<QTcpSocket> socket) {
   const uint64_t id = ++last_id;
   peer_session_events events;
-  events.authorize = [this](absl::string_view sent) {
+  events.http2.authorize = [this](absl::string_view sent) {
     return ConstantTimeEqual(sent, key);
   };
-  events.on_call = [this, id](int32_t stream, const std::string& method,
-                              const QByteArray& body) {
+  events.http2.on_call = [this, id](int32_t stream, const std::string& method,
+                                    const QByteArray& body) {
     Dispatch(id, stream, method, body);
   };
   events.on_broken = [this, id](const std::string&) { Drop(id); };
@@ -148,7 +148,7 @@
 peer_server::~peer_server() = default;
 
 void peer_server::Handle(std::string method, peer_handler handler) {
-  impl_->handlers[std::move(method)] = std::move(handler);
+  impl_->handlers.insert_or_assign(std::move(method), std::move(handler));
 }
 
 absl::Status peer_server::Listen(const endpoint& listen) {
