End posted tasks on the thread that runs them

ThreadSanitizer over the caller port showed Qt 6.4 dropping the last reference to a posted functor on the posting thread, so what a task captured could end on the wrong thread. posted_task now empties itself where it runs.

--- a/src/base/event_loop.h
+++ b/src/base/event_loop.h
@@ -8,13 +8,15 @@
 #include <utility>
 
 #include "absl/time/time.h"
+#include "base/posted_task.h"
 
 namespace anvilridge {
 
 /// Runs `task` on the thread of `context`, after what is queued there; drops
 /// it when `context` is destroyed first.
 inline void PostTo(QObject* context, std::function<void()> task) {
-  QMetaObject::invokeMethod(context, std::move(task), Qt::QueuedConnection);
+  QMetaObject::invokeMethod(context, posted_task(std::move(task)),
+                            Qt::QueuedConnection);
 }
 
 /// Runs `task` once on the thread of `context` after `delay`; must be called
--- a/src/caller/caller_port.cc
+++ b/src/caller/caller_port.cc
@@ -2,13 +2,13 @@
 
 #include <QHostAddress>
 #include <QTcpServer>
-#include <QThread>
 #include <algorithm>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "base/error_kind.h"
 #include "base/event_loop.h"
+#include "base/event_thread.h"
 #include "caller/port_worker.h"
 #include "caller/tls_configuration.h"
 
@@ -37,16 +37,6 @@
   std::function<void(int descriptor)> on_connection_;
 };
 
-/// Runs `task` on the thread of `context` and returns when it has run.
-void RunOn(QObject* context, const std::function<void()>& task) {
-  QThread* thread = context->thread();
-  if (thread == QThread::currentThread() || !thread->isRunning()) {
-    task();
-    return;
-  }
-  QMetaObject::invokeMethod(context, task, Qt::BlockingQueuedConnection);
-}
-
 }  // namespace
 
 struct caller_port::impl {
@@ -96,7 +86,7 @@
 }
 
 caller_port::caller_port(port_settings port, limit_settings limits,
-                         std::vector<QObject*> threads)
+                         const std::vector<QObject*>& threads)
     : impl_(std::make_unique<impl>()) {
   impl_->port = std::move(port);
   impl_->limits = limits;
@@ -110,12 +100,12 @@
 caller_port::~caller_port() {
   impl_->listener.reset();
   for (const auto& slot : impl_->slots) {
-    RunOn(slot->thread, [&slot] { slot->worker.reset(); });
+    RunAndWait(slot->thread, [&slot] { slot->worker.reset(); });
   }
 }
 
 absl::Status caller_port::Listen(
-    std::function<inbound_handler(size_t thread)> handler_for) {
+    const std::function<inbound_handler(size_t thread)>& handler_for) {
   const endpoint& listen = impl_->port.listen;
   std::optional<QSslConfiguration> tls;
   if (impl_->port.tls) {
--- a/src/caller/caller_port.h
+++ b/src/caller/caller_port.h
@@ -64,13 +64,13 @@
   /// `threads` are contexts that live on the traffic threads; one of them is
   /// picked in turn for each connection.
   caller_port(port_settings port, limit_settings limits,
-              std::vector<QObject*> threads);
+              const std::vector<QObject*>& threads);
   ~caller_port();
 
   /// `handler_for(i)` makes the handler that runs on thread `i`; called once a
   /// thread, on this thread, before listening.
   absl::Status Listen(
-      std::function<inbound_handler(size_t thread)> handler_for);
+      const std::function<inbound_handler(size_t thread)>& handler_for);
 
   uint16_t Port() const;
 
--- a/src/caller/request_feed.cc
+++ b/src/caller/request_feed.cc
@@ -123,7 +123,7 @@
 }
 
 qint64 request_feed::bytesAvailable() const {
-  return bytes_.size() + QIODevice::bytesAvailable();
+  return bytes_.size() + QTcpSocket::bytesAvailable();
 }
 
 bool request_feed::canReadLine() const {
--- a/src/caller/tls_configuration.cc
+++ b/src/caller/tls_configuration.cc
@@ -24,7 +24,7 @@
 
 QSslKey ParseKey(const QByteArray& pem) {
   for (const QSsl::KeyAlgorithm algorithm : {QSsl::Rsa, QSsl::Ec}) {
-    const QSslKey key(pem, algorithm, QSsl::Pem);
+    QSslKey key(pem, algorithm, QSsl::Pem);
     if (!key.isNull()) return key;
   }
   return {};
--- a/src/log/decision_log_test.cc
+++ b/src/log/decision_log_test.cc
@@ -67,6 +67,7 @@
   const QString name = folder.filePath("log");
   ASSERT_TRUE(OpenLog({"info", name.toStdString()}, "entry-1").ok());
   std::vector<std::thread> threads;
+  threads.reserve(kThreads);
   for (int i = 0; i < kThreads; ++i) {
     threads.emplace_back([i] {
       for (int n = 0; n < kLinesEach; ++n) {
--- a/src/metrics/metrics_test.cc
+++ b/src/metrics/metrics_test.cc
@@ -20,6 +20,7 @@
   constexpr int kCountsEach = 100;
   metrics_registry registry;
   std::vector<std::thread> threads;
+  threads.reserve(kThreads);
   for (int i = 0; i < kThreads; ++i) {
     threads.emplace_back([&registry] {
       for (int n = 0; n < kCountsEach; ++n) {
