--- a/src/base/event_thread_test.cc
+++ b/src/base/event_thread_test.cc
@@ -31,7 +31,8 @@
   {
     event_thread thread("worker");
     for (int i = 0; i < kTasks; ++i) {
-      auto state = std::make_shared<owned_state>(thread.Context(), &strayed);
+      std::shared_ptr<owned_state> state(
+          new owned_state{thread.Context(), &strayed});
       PostTo(thread.Context(), [&ran, state = std::move(state)] { ++ran; });
     }
   }
