--- a/src/config/apply_command.cc
+++ b/src/config/apply_command.cc
@@ -58,7 +58,7 @@
   const std::string name = object.name;
   auto [place, inserted] = objects.try_emplace(name);
   T former = std::exchange(place->second, std::move(object));
-  const absl::Status check = CheckObject(state, place->second);
+  absl::Status check = CheckObject(state, place->second);
   if (check.ok()) return check;
   if (inserted) {
     objects.erase(place);
@@ -90,7 +90,7 @@
 }
 
 absl::Status Remove(config_state& state, const config_command& command) {
-  const absl::Status check = CheckUnused(state, command.object, command.name);
+  absl::Status check = CheckUnused(state, command.object, command.name);
   if (!check.ok()) return check;
   WithObjects(state, command.object,
               [&](auto& objects) { objects.erase(command.name); });
--- a/src/config/config_command.cc
+++ b/src/config/config_command.cc
@@ -87,6 +87,20 @@
   return absl::OkStatus();
 }
 
+// JSON keeps no order; a person reads the fields in that of their table.
+void SortFields(config_command& command) {
+  const auto rules = FieldRules(command.verb, command.object);
+  const auto place = [&](const field_value& field) {
+    return std::find_if(
+        rules.begin(), rules.end(),
+        [&](const field_rule& rule) { return rule.name == field.name; });
+  };
+  std::stable_sort(command.fields.begin(), command.fields.end(),
+                   [&](const field_value& a, const field_value& b) {
+                     return place(a) < place(b);
+                   });
+}
+
 bool VerbTakes(command_verb verb, object_kind object) {
   switch (verb) {
     case command_verb::create:
@@ -108,6 +122,7 @@
       [&](const field_rule& known) { return known.name == field.name; });
   if (rule == rules.end()) {
     std::vector<absl::string_view> names;
+    names.reserve(rules.size());
     for (const field_rule& known : rules) names.push_back(known.name);
     return Invalid(absl::StrCat(field.name, ": unknown field; expected ",
                                 Alternatives(names)));
@@ -188,6 +203,7 @@
   read.Update(ReadFields(json, command.fields));
   if (!read.ok()) return read;
   command.time = absl::FromUnixMillis(time_ms);
+  SortFields(command);
   if (auto check = CheckCommandForm(command); !check.ok()) return check;
   return command;
 }
--- a/src/config/config_service.cc
+++ b/src/config/config_service.cc
@@ -86,7 +86,7 @@
     const bool records = step.what == action::read_records;
     log.read(records ? kConfigStream : kSnapshotStream, step.from, step.limit,
              step.wait,
-             WhileAlive([this, records](absl::StatusOr<log_page> page) {
+             WhileAlive([this, records](const absl::StatusOr<log_page>& page) {
                TakePage(records, page);
              }));
   }
@@ -148,7 +148,7 @@
     OnAppendSent(item->publisher);
     const config_command& command = item->publisher.command;
     log.append(kConfigStream, {{command.id, EncodeCommand(command)}},
-               WhileAlive([this, item](absl::StatusOr<int64_t> offset) {
+               WhileAlive([this, item](const absl::StatusOr<int64_t>& offset) {
                  OnAppendAnswer(item->publisher, offset, MonotonicNow());
                  PostTo(context.get(), [this] { Advance(); });
                }));
@@ -217,11 +217,12 @@
 
   void WriteSnapshot() {
     const int64_t offset = OffsetInForce(follower);
-    log.append(kSnapshotStream, {{NewId(), EncodeSnapshot(*follower.in_force)}},
-               WhileAlive([this, offset](absl::StatusOr<int64_t> written) {
-                 if (written.ok()) NoteSnapshot(follower, offset, WallNow());
-                 EndSnapshotCheck();
-               }));
+    log.append(
+        kSnapshotStream, {{NewId(), EncodeSnapshot(*follower.in_force)}},
+        WhileAlive([this, offset](const absl::StatusOr<int64_t>& written) {
+          if (written.ok()) NoteSnapshot(follower, offset, WallNow());
+          EndSnapshotCheck();
+        }));
   }
 
   // A failed attempt is repeated after another jitter.
--- a/src/config/config_snapshot.cc
+++ b/src/config/config_snapshot.cc
@@ -69,7 +69,7 @@
 }
 
 absl::Status DecodeRest(const QJsonObject& json, upstream_config& upstream) {
-  for (const QJsonValue& row : json["orders"].toArray()) {
+  for (const QJsonValue row : json["orders"].toArray()) {
     auto order = DecodeOrder(row.toObject());
     if (!order.ok()) return order.status();
     upstream.orders.push_back(*std::move(order));
@@ -177,7 +177,7 @@
 
 absl::Status DecodeHistory(const QJsonValue& value, config_state& state) {
   if (!value.isArray()) return Invalid("history: expected an array");
-  for (const QJsonValue& row : value.toArray()) {
+  for (const QJsonValue row : value.toArray()) {
     auto entry = DecodeEntry(row.toObject());
     if (!entry.ok()) return entry.status();
     state.history.push_back(
@@ -219,7 +219,7 @@
       decoded.Update(DecodeObjects(json[ToQt(NameOf(kind))], objects));
     });
   }
-  for (const QJsonValue& row : json["cancels"].toArray()) {
+  for (const QJsonValue row : json["cancels"].toArray()) {
     state.cancels.push_back({ToText(row["request"]), ToInteger(row["offset"])});
   }
   decoded.Update(DecodeHistory(json["history"], state));
--- a/src/config/object_fields.cc
+++ b/src/config/object_fields.cc
@@ -162,52 +162,60 @@
 
 template <>
 absl::Span<const object_field<pool_config>> FieldsOf() {
-  using T = pool_config;
-  static constexpr object_field<T> kFields[] = {
-      {"role", required, "prefill, decode or service", SetEnum<T, &T::role>,
-       GetEnum<T, &T::role>},
-      NameField<T, &T::model>("model", optional)};
+  using object = pool_config;
+  static constexpr object_field<object> kFields[] = {
+      {"role", required, "prefill, decode or service",
+       SetEnum<object, &object::role>, GetEnum<object, &object::role>},
+      NameField<object, &object::model>("model", optional)};
   return kFields;
 }
 
 template <>
 absl::Span<const object_field<upstream_config>> FieldsOf() {
-  using T = upstream_config;
+  using object = upstream_config;
   constexpr int kMaxSlots = 10'000;
   constexpr int kMaxPieces = 10'000'000;
-  static constexpr object_field<T> kFields[] = {
-      NameField<T, &T::pool>("pool", required),
+  static constexpr object_field<object> kFields[] = {
+      NameField<object, &object::pool>("pool", required),
       {"address", required, "an IP address and port such as 10.0.0.1:8000",
-       SetText<T, &T::address, IsAddress>, GetText<T, &T::address>},
-      NameField<T, &T::failure_domain>("domain", required),
-      {"fencing", optional, "yes or no", SetYesNo<T, &T::checks_fencing>,
-       GetYesNo<T, &T::checks_fencing>},
+       SetText<object, &object::address, IsAddress>,
+       GetText<object, &object::address>},
+      NameField<object, &object::failure_domain>("domain", required),
+      {"fencing", optional, "yes or no",
+       SetYesNo<object, &object::checks_fencing>,
+       GetYesNo<object, &object::checks_fencing>},
       {"slots", optional, "a whole number from 1 to 10000",
-       SetWhole<T, &T::slots, 1, kMaxSlots>, GetWhole<T, &T::slots>},
+       SetWhole<object, &object::slots, 1, kMaxSlots>,
+       GetWhole<object, &object::slots>},
       {"pieces", optional, "a whole number from 0 to 10000000",
-       SetWhole<T, &T::pieces, 0, kMaxPieces>, GetWhole<T, &T::pieces>},
-      {"draining", internal, "yes or no", SetYesNo<T, &T::draining>,
-       GetYesNo<T, &T::draining>}};
+       SetWhole<object, &object::pieces, 0, kMaxPieces>,
+       GetWhole<object, &object::pieces>},
+      {"draining", internal, "yes or no", SetYesNo<object, &object::draining>,
+       GetYesNo<object, &object::draining>}};
   return kFields;
 }
 
 template <>
 absl::Span<const object_field<route_config>> FieldsOf() {
-  using T = route_config;
+  using object = route_config;
   constexpr absl::string_view kDelay = "a duration such as 900ms, up to 1h";
-  static constexpr object_field<T> kFields[] = {
+  static constexpr object_field<object> kFields[] = {
       {"path", optional, "a path prefix such as /ledger/",
-       SetOptionalText<T, &T::path, IsPath>, GetText<T, &T::path>},
-      NameField<T, &T::model>("model", optional),
-      NameField<T, &T::prefill_pool>("prefill_pool", optional),
-      NameField<T, &T::decode_pool>("decode_pool", optional),
-      NameField<T, &T::service_pool>("service_pool", optional),
+       SetOptionalText<object, &object::path, IsPath>,
+       GetText<object, &object::path>},
+      NameField<object, &object::model>("model", optional),
+      NameField<object, &object::prefill_pool>("prefill_pool", optional),
+      NameField<object, &object::decode_pool>("decode_pool", optional),
+      NameField<object, &object::service_pool>("service_pool", optional),
       {"objective", optional, "goodput or wasted_prefill",
-       SetEnum<T, &T::objective>, GetEnum<T, &T::objective>},
-      {"first_token", optional, kDelay, SetDelay<T, &T::first_token_target>,
-       GetDelay<T, &T::first_token_target>},
-      {"between_tokens", optional, kDelay, SetDelay<T, &T::token_target>,
-       GetDelay<T, &T::token_target>},
+       SetEnum<object, &object::objective>,
+       GetEnum<object, &object::objective>},
+      {"first_token", optional, kDelay,
+       SetDelay<object, &object::first_token_target>,
+       GetDelay<object, &object::first_token_target>},
+      {"between_tokens", optional, kDelay,
+       SetDelay<object, &object::token_target>,
+       GetDelay<object, &object::token_target>},
       {"repeatable", optional,
        "methods separated by commas, such as GET,HEAD; empty for none",
        SetMethods, GetMethods}};
@@ -216,44 +224,49 @@
 
 template <>
 absl::Span<const object_field<team_config>> FieldsOf() {
-  using T = team_config;
+  using object = team_config;
   constexpr int kMaxWeight = 1000;
   constexpr int kMaxRate = 1'000'000;
   constexpr int kMaxPriority = 9;
-  static constexpr object_field<T> kFields[] = {
+  static constexpr object_field<object> kFields[] = {
       {"weight", optional, "a number above 0, up to 1000",
-       SetNumber<T, &T::weight, kMaxWeight, true>, GetNumber<T, &T::weight>},
+       SetNumber<object, &object::weight, kMaxWeight, true>,
+       GetNumber<object, &object::weight>},
       {"rate", optional, "requests per second from 0 (no limit) to 1000000",
-       SetNumber<T, &T::rate, kMaxRate, false>, GetNumber<T, &T::rate>},
+       SetNumber<object, &object::rate, kMaxRate, false>,
+       GetNumber<object, &object::rate>},
       {"concurrency", optional, "a whole number from 0 (no limit) to 1000000",
-       SetWhole<T, &T::concurrency, 0, kMaxRate>, GetWhole<T, &T::concurrency>},
+       SetWhole<object, &object::concurrency, 0, kMaxRate>,
+       GetWhole<object, &object::concurrency>},
       {"priority", optional, "a whole number from 0 to 9",
-       SetWhole<T, &T::priority, 0, kMaxPriority>, GetWhole<T, &T::priority>}};
+       SetWhole<object, &object::priority, 0, kMaxPriority>,
+       GetWhole<object, &object::priority>}};
   return kFields;
 }
 
 template <>
 absl::Span<const object_field<key_config>> FieldsOf() {
-  using T = key_config;
-  static constexpr object_field<T> kFields[] = {
-      NameField<T, &T::team>("team", optional),
+  using object = key_config;
+  static constexpr object_field<object> kFields[] = {
+      NameField<object, &object::team>("team", optional),
       {"sha256", required, "the 64 hexadecimal digits of a key's SHA-256",
-       SetText<T, &T::sha256_hex, IsSha256>, GetText<T, &T::sha256_hex>},
+       SetText<object, &object::sha256_hex, IsSha256>,
+       GetText<object, &object::sha256_hex>},
       {"role", optional, "none, read, operate or administer",
-       SetEnum<T, &T::role>, GetEnum<T, &T::role>}};
+       SetEnum<object, &object::role>, GetEnum<object, &object::role>}};
   return kFields;
 }
 
 template <>
 absl::Span<const object_field<link_config>> FieldsOf() {
-  using T = link_config;
+  using object = link_config;
   constexpr int kMaxRate = 1'000'000'000;
-  static constexpr object_field<T> kFields[] = {
-      NameField<T, &T::from_domain>("from", required),
-      NameField<T, &T::to_domain>("to", required),
+  static constexpr object_field<object> kFields[] = {
+      NameField<object, &object::from_domain>("from", required),
+      NameField<object, &object::to_domain>("to", required),
       {"pieces_per_second", required, "a number above 0, up to 1000000000",
-       SetNumber<T, &T::pieces_per_second, kMaxRate, true>,
-       GetNumber<T, &T::pieces_per_second>}};
+       SetNumber<object, &object::pieces_per_second, kMaxRate, true>,
+       GetNumber<object, &object::pieces_per_second>}};
   return kFields;
 }
 
@@ -266,8 +279,8 @@
   if (kind == object_kind::request) return {};
   const config_state none;
   return WithObjects(none, kind, [](const auto& objects) {
-    using object = typename std::decay_t<decltype(objects)>::mapped_type;
-    return SettableFields<object>();
+    using mapped = typename std::decay_t<decltype(objects)>::mapped_type;
+    return SettableFields<mapped>();
   });
 }
 
@@ -282,8 +295,8 @@
   }
   const config_state none;
   return WithObjects(none, kind, [&](const auto& objects) {
-    using object = typename std::decay_t<decltype(objects)>::mapped_type;
-    return IsSettable<object>(name, text);
+    using mapped = typename std::decay_t<decltype(objects)>::mapped_type;
+    return IsSettable<mapped>(name, text);
   });
 }
 
--- a/src/operators/command_parser.cc
+++ b/src/operators/command_parser.cc
@@ -22,6 +22,7 @@
 
 std::string FieldNames(const std::vector<field_rule>& rules) {
   std::vector<absl::string_view> names;
+  names.reserve(rules.size());
   for (const field_rule& rule : rules) names.push_back(rule.name);
   return absl::StrCat(Alternatives(names), " with =value, against or because");
 }
--- a/src/operators/command_words.cc
+++ b/src/operators/command_words.cc
@@ -122,8 +122,9 @@
   parse_error error;
   error.expected = std::string(expected);
   error.column = word ? word->column + offset : end_column_;
-  if (word)
+  if (word) {
     error.found = word->text.substr(std::min(offset, word->text.size()));
+  }
   error_ = std::move(error);
 }
 
--- a/src/operators/dry_run.cc
+++ b/src/operators/dry_run.cc
@@ -100,8 +100,9 @@
     if (key.team == team) Add(table, "key", name, "belongs to this team");
   }
   for (const request_row& request : view.requests) {
-    if (request.team == team)
+    if (request.team == team) {
       Add(table, "request", request.id, "is the team's");
+    }
   }
 }
 
--- a/src/operators/operator_api.cc
+++ b/src/operators/operator_api.cc
@@ -216,8 +216,9 @@
     }
     services.status_of(id,
                        [exchange](const absl::StatusOr<publish_result>& known) {
-                         if (!known.ok())
+                         if (!known.ok()) {
                            return RespondApiError(*exchange, known.status());
+                         }
                          RespondOutcome(*exchange, *known);
                        });
   }
@@ -246,7 +247,7 @@
 }
 
 void operator_api::Handle(const inbound_request& request,
-                          std::shared_ptr<inbound_exchange> exchange) {
+                          const std::shared_ptr<inbound_exchange>& exchange) {
   impl_->Route(request, exchange);
 }
 
@@ -264,16 +265,16 @@
     };
   };
   operator_services crossing;
-  crossing.view = [=](std::function<void(operator_view)> done) {
+  crossing.view = [=](const std::function<void(operator_view)>& done) {
     PostTo(control, [=] { shared->view(back(done)); });
   };
   crossing.publish = [=](const config_command& command, absl::Duration patience,
-                         std::function<void(publish_result)> done) {
+                         const std::function<void(publish_result)>& done) {
     PostTo(control, [=] { shared->publish(command, patience, back(done)); });
   };
   crossing.status_of =
       [=](const std::string& id,
-          std::function<void(absl::StatusOr<publish_result>)> done) {
+          const std::function<void(absl::StatusOr<publish_result>)>& done) {
         PostTo(control, [=] { shared->status_of(id, back(done)); });
       };
   return crossing;
--- a/src/operators/operator_api.h
+++ b/src/operators/operator_api.h
@@ -50,7 +50,7 @@
 
   /// Answers one request.
   void Handle(const inbound_request& request,
-              std::shared_ptr<inbound_exchange> exchange);
+              const std::shared_ptr<inbound_exchange>& exchange);
 
   /// Sends each follower a comment, so that broken connections are noticed.
   void KeepFollowersAlive();
--- a/src/operators/past_form.cc
+++ b/src/operators/past_form.cc
@@ -43,8 +43,8 @@
     default:
       break;
   }
-  const std::string object = absl::StrCat(
-      NameOf(command.verb), " ", NameOf(command.object), " ", command.name);
+  std::string object = absl::StrCat(NameOf(command.verb), " ",
+                                    NameOf(command.object), " ", command.name);
   if (command.fields.empty()) return object;
   return absl::StrCat(object, ": ", FieldsText(command));
 }
--- a/src/operators/result_table.cc
+++ b/src/operators/result_table.cc
@@ -24,6 +24,7 @@
 
 std::vector<size_t> ColumnWidths(const result_table& table) {
   std::vector<size_t> widths;
+  widths.reserve(table.columns.size());
   for (const auto& column : table.columns) widths.push_back(Width(column));
   for (const auto& row : table.rows) {
     for (size_t i = 0; i < widths.size(); ++i) {
@@ -46,6 +47,7 @@
 
 std::vector<std::string> CellTexts(const std::vector<QJsonValue>& row) {
   std::vector<std::string> texts;
+  texts.reserve(row.size());
   for (const QJsonValue& cell : row) texts.push_back(CellText(cell));
   return texts;
 }
@@ -111,10 +113,10 @@
   result_table table;
   table.name = json["table"].toString().toStdString();
   table.grouped = json["grouped"].toBool();
-  for (const QJsonValue& column : json["columns"].toArray()) {
+  for (const QJsonValue column : json["columns"].toArray()) {
     table.columns.push_back(column.toString().toStdString());
   }
-  for (const QJsonValue& row : json["rows"].toArray()) {
+  for (const QJsonValue row : json["rows"].toArray()) {
     std::vector<QJsonValue> cells;
     for (const auto& column : table.columns) {
       cells.push_back(row.toObject().value(ToQt(column)));
