--- a/programs/anvilctl.cc
+++ b/programs/anvilctl.cc
@@ -103,7 +103,8 @@
   rl_attempted_completion_over = 1;
   const bool open_field =
       Completions().size() == 1 && absl::EndsWith(Completions()[0], "=");
-  rl_completion_append_character = open_field ? '\0' : ' ';
+  rl_completion_append_character =
+      open_field ? 0 : static_cast<unsigned char>(' ');
   return rl_completion_matches(text, NextCompletion);
 }
 
--- a/src/config/config_faults_test.cc
+++ b/src/config/config_faults_test.cc
@@ -126,8 +126,8 @@
 
   void WriteSnapshot(size_t self) {
     const auto state = daemons[self].follower.in_force;
-    if (state)
-      (void)log.Append(kSnapshotStream, {{"s", EncodeSnapshot(*state)}});
+    if (!state) return;
+    (void)log.Append(kSnapshotStream, {{"s", EncodeSnapshot(*state)}});
   }
 
   int64_t Offset(size_t self) const {
--- a/src/config/config_service_test.cc
+++ b/src/config/config_service_test.cc
@@ -84,7 +84,9 @@
   daemon.peers = {{"peer", 0}};
   log_.fault = fake_log::append_fault::lost_after;
   std::vector<publish_result> answers;
-  const auto keep = [&](publish_result result) { answers.push_back(result); };
+  const auto keep = [&](const publish_result& result) {
+    answers.push_back(result);
+  };
   daemon.service.Publish(CreateTeam("choirs"), absl::Milliseconds(50), keep);
   ASSERT_TRUE(RunUntil([&] { return !answers.empty(); }));
   EXPECT_EQ(answers[0].status, "pending");
