--- a/src/claims/claim_partition.cc
+++ b/src/claims/claim_partition.cc
@@ -246,6 +246,7 @@
     const absl::Duration wait = TakeAppend(allowance, io.now());
     if (wait > absl::ZeroDuration()) return RetryAppendAfter(wait);
     std::vector<size_t> sizes;
+    sizes.reserve(records.size());
     for (const log_append& record : records) {
       sizes.push_back(EncodedBytes(record));
     }
--- a/src/claims/claim_world_for_test.h
+++ b/src/claims/claim_world_for_test.h
@@ -183,7 +183,7 @@
 
   void Append(daemon& d, const std::string& stream,
               const std::vector<log_append>& records,
-              std::function<void(absl::StatusOr<int64_t>)> done) {
+              const std::function<void(absl::StatusOr<int64_t>)>& done) {
     ++append_calls;
     const append_fault fault = appends;
     const absl::Duration delay = fault == append_fault::late ? late_by : kHop;
@@ -203,8 +203,9 @@
 
   absl::StatusOr<log_page> Read(const daemon& d, const std::string& stream,
                                 int64_t from, int limit) {
-    if (reads_down || d.reads_down)
+    if (reads_down || d.reads_down) {
       return MakeError(error_kind::log_unavailable, "fault");
+    }
     const auto& kept = streams[stream];
     log_page page;
     page.complete_since = complete_since;
@@ -218,7 +219,7 @@
 
   void Call(daemon& from, daemon& to, const std::string& method,
             const QCborMap& request, absl::Duration timeout,
-            std::function<void(absl::StatusOr<QCborMap>)> done) {
+            const std::function<void(absl::StatusOr<QCborMap>)>& done) {
     auto once = std::make_shared<bool>(false);
     auto answer = [once, done](const absl::StatusOr<QCborMap>& result) {
       if (!std::exchange(*once, true)) done(result);
@@ -228,7 +229,8 @@
     });
     if (peers_down) return;
     Post(&to, kHop, [=, this, &from, &to] {
-      const auto respond = [=, this, &from](absl::StatusOr<QCborMap> result) {
+      const auto respond = [=, this,
+                            &from](const absl::StatusOr<QCborMap>& result) {
         Post(&from, kHop, [=] { answer(result); });
       };
       if (method == "claims/claim") {
