Lend team limits from one home per team

Cause: each daemon granted limit / live daemons and at least one, so a team with 3 concurrent requests on 4 daemons could have 4, and a busy daemon could not use what the others left. Ruled out: asking every peer (cost grows with the fleet), a counter in the log (appends a request). Change: the team's home lends concurrency by lease and rate by tokens; what a dead daemon held lapses with its lease; without its home a daemon lends itself an even part. The static split is gone.

--- a/src/daemon/control_state.cc
+++ b/src/daemon/control_state.cc
@@ -75,6 +75,20 @@
   return env;
 }
 
+team_admission_environment AdmissionEnvironment(control_state& state) {
+  team_admission_environment env;
+  env.config = [&state] { return state.config.InForce(); };
+  env.home_address = [&state](absl::string_view team) {
+    return HomeAddress(state, absl::StrCat("team:", team));
+  };
+  env.live_daemons = [&state] {
+    return static_cast<int>(state.live_names.size());
+  };
+  env.owner = [&state] { return OwnerText(state.membership.Self()); };
+  env.now = MonotonicNow;
+  return env;
+}
+
 follow_limits FollowLimits(const daemon_settings& settings) {
   follow_limits limits;
   limits.log_retention = settings.platform.log_retention;
@@ -113,10 +127,12 @@
       places(peers_out, homes, PlacerEnvironment(*this)),
       cancels(client),
       claims(MakeClaimIo(log, peers_out, membership, &context),
-             daemon.platform.log_appends_per_second) {
+             daemon.platform.log_appends_per_second),
+      admission(peers_out, AdmissionEnvironment(*this)) {
   PublishOwner(*this);
   homes.RegisterPeerHandlers(peers_in);
   claims.RegisterPeerHandlers(peers_in);
+  admission.RegisterPeerHandlers(peers_in);
   ServeSnapshots(*this);
   homes.OnList([this](const upstream_config& engine,
                       absl::Span<const engine_request> listed) {
--- a/src/daemon/control_state.h
+++ b/src/daemon/control_state.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "admission/team_limits.h"
+#include "admission/team_admission.h"
 #include "base/published.h"
 #include "claims/claim_service.h"
 #include "config/config_service.h"
@@ -51,7 +51,7 @@
   placer places;
   canceller cancels;
   claim_service claims;
-  team_limits limits;
+  team_admission admission;
   health_table health;
   request_registry requests;
   std::map<std::string, orphan_watch, std::less<>> orphans;
--- a/src/daemon/thread_bridge.cc
+++ b/src/daemon/thread_bridge.cc
@@ -17,26 +17,31 @@
   };
 }
 
-absl::Status Admit(control_state& state, const active_request& request) {
+void Admit(control_state& state, const active_request& request,
+           const std::function<void(absl::Status)>& done) {
   if (state.stopping) {
-    return MakeError(error_kind::shutting_down, "come back to another daemon");
+    return done(
+        MakeError(error_kind::shutting_down, "come back to another daemon"));
   }
   const auto config = state.config.InForce();
-  if (!config) return MakeError(error_kind::not_ready, "no configuration");
+  if (!config) {
+    return done(MakeError(error_kind::not_ready, "no configuration"));
+  }
   const auto team = config->teams.find(request.team);
   if (team == config->teams.end()) {
-    return MakeError(error_kind::unknown_credential, "the team was removed");
+    return done(
+        MakeError(error_kind::unknown_credential, "the team was removed"));
   }
-  const int live = static_cast<int>(state.live_names.size());
-  const absl::Status entered =
-      EnterTeam(state.limits, team->second, live, MonotonicNow());
-  if (entered.ok()) Note(state.requests, request);
-  return entered;
+  state.admission.Enter(team->second,
+                        [&state, request, done](const absl::Status& entered) {
+                          if (entered.ok()) Note(state.requests, request);
+                          done(entered);
+                        });
 }
 
 void Leave(control_state& state, const std::string& request_id) {
   const std::string team = Remove(state.requests, request_id);
-  if (!team.empty()) LeaveTeam(state.limits, team);
+  if (!team.empty()) state.admission.Leave(team);
 }
 
 void Finish(control_state& state, const place_outcome& outcome) {
@@ -55,7 +60,7 @@
                                     std::function<void(absl::Status)> done) {
     PostTo(&state.context,
            [&state, request, done = OnThread(thread, std::move(done))] {
-             done(Admit(state, request));
+             Admit(state, request, done);
            });
   };
   services.update = [&state](const active_request& request) {
