Give no new work to upstreams that the VM list says are leaving

Cause: nobody read the platform's VM list; only a drain command kept new work away. Change: vm_watch reads the list on the control thread (1 to 3 s by its length, with jitter), placement and service calls pass over the upstreams it names, and its entry VMs become membership hints. An unreadable list stays in force, except that after 10 s it may not leave a pool without any upstream. Not proved: a frozen list can't be told from a quiet one, so a pool whose VMs it all shows as leaving gets no work until it thaws.

--- a/src/daemon/control_plane.cc
+++ b/src/daemon/control_plane.cc
@@ -35,6 +35,7 @@
   }
   UpdateMembers(state);
   state.config.Start();
+  state.vms.Start();
   return absl::OkStatus();
 }
 
--- a/src/daemon/control_state.cc
+++ b/src/daemon/control_state.cc
@@ -66,8 +66,7 @@
   };
   env.owner = [&state] { return OwnerText(state.membership.Self()); };
   env.healthy = [&state](absl::string_view engine) {
-    const auto ejected = state.ejected.Get();
-    return !ejected || !ejected->contains(engine);
+    return TakesWork(state, engine);
   };
   env.now = MonotonicNow;
   return env;
@@ -110,6 +109,18 @@
       std::make_shared<const std::string>(OwnerText(state.membership.Self())));
 }
 
+void PublishLeaving(control_state& state) {
+  const auto config = state.config.InForce();
+  if (!config) return;
+  state.leaving.Set(std::make_shared<const name_set>(
+      LeavingUpstreams(*config, state.vms.View(), MonotonicNow())));
+}
+
+void TakeVmList(control_state& state) {
+  state.membership.AddHints(EntryPeerAddresses(state.vms.View()));
+  PublishLeaving(state);
+}
+
 void ServeSnapshots(control_state& state) {
   state.peers_in.Handle(
       kSnapshotMethod, [&state](const QCborMap&, peer_responder respond) {
@@ -136,7 +147,9 @@
       homes(client, HomesEnvironment(*this)),
       places(peers_out, homes, PlacerEnvironment(*this)),
       cancels(client),
-      claims(ClaimIo(*this), daemon.platform.log_appends_per_second) {
+      claims(ClaimIo(*this), daemon.platform.log_appends_per_second),
+      vms(client, Address(daemon.platform.vm_list),
+          [this] { TakeVmList(*this); }) {
   PublishOwner(*this);
   homes.RegisterPeerHandlers(peers_in);
   claims.RegisterPeerHandlers(peers_in);
@@ -154,6 +167,7 @@
   config.OnChange([this](const config_service::state_ptr& in_force) {
     config_in_force.Set(in_force);
     membership.SetConfigOffset(in_force->applied_offset);
+    PublishLeaving(*this);
   });
   health_timer = RunEvery(kHealthInterval, [this] {
     ejected.Set(
@@ -198,6 +212,13 @@
   }
 }
 
+bool TakesWork(const control_state& state, absl::string_view upstream) {
+  const auto ejected = state.ejected.Get();
+  if (ejected && ejected->contains(upstream)) return false;
+  const auto leaving = state.leaving.Get();
+  return !leaving || !leaving->contains(upstream);
+}
+
 void ReportUpstream(control_state& state, absl::string_view upstream, bool ok) {
   ReportCall(state.health, upstream, ok, MonotonicNow());
 }
--- a/src/daemon/control_state.h
+++ b/src/daemon/control_state.h
@@ -25,6 +25,7 @@
 #include "settings/daemon_settings.h"
 #include "upstreams/health_table.h"
 #include "upstreams/http_client.h"
+#include "upstreams/vm_watch.h"
 
 namespace anvilridge {
 
@@ -53,6 +54,7 @@
   claim_service claims;
   team_limits limits;
   health_table health;
+  vm_watch vms;
   request_registry requests;
   std::map<std::string, orphan_watch, std::less<>> orphans;
   /// Names of the live daemons, by which homes are found.
@@ -63,6 +65,8 @@
   published<config_state> config_in_force;
   published<std::string> owner;
   published<name_set> ejected;
+  /// Upstreams whose VM is leaving.
+  published<name_set> leaving;
   std::unique_ptr<QTimer> health_timer;
 };
 
@@ -76,6 +80,10 @@
 void SweepOrphans(control_state& state, const upstream_config& engine,
                   absl::Span<const engine_request> listed);
 
+/// Whether an upstream may be given new work, by its health and its VM. Any
+/// thread.
+bool TakesWork(const control_state& state, absl::string_view upstream);
+
 /// Notes the result of a call to an upstream.
 void ReportUpstream(control_state& state, absl::string_view upstream, bool ok);
 
--- a/src/placement/placer.h
+++ b/src/placement/placer.h
@@ -22,7 +22,7 @@
   std::function<std::string(absl::string_view engine)> home_address;
   /// Owner text of this daemon's current incarnation.
   std::function<std::string()> owner;
-  /// Whether an engine may be given new work, by its health.
+  /// Whether an engine may be given new work, by its health and its VM.
   std::function<bool(absl::string_view engine)> healthy;
   std::function<absl::Time()> now;
 };
--- a/src/requests/request_services.h
+++ b/src/requests/request_services.h
@@ -64,7 +64,7 @@
   std::function<void(const std::string& claim_id)> release;
   /// Says that a claimed call may have run without an answer.
   std::function<void(const std::string& claim_id)> leave_unknown;
-  /// Whether an upstream may be given new work, by its health.
+  /// Whether an upstream may be given new work, by its health and its VM.
   std::function<bool(absl::string_view upstream)> healthy;
   /// Reports how a call to a plain service went.
   std::function<void(absl::string_view upstream, bool ok)> report;
