Continue answers over engine deaths, pauses and crossed replies

Cause: a decode engine that died mid-stream, a crossed stream, or an engine that closed the connection ended the answer; a caller that came back to the same daemon had its stream cancelled behind the first reader's grace; the error event of a broken stream was dropped with the unsent bytes; a stream whose incarnation expired was cancelled by the engine's home; a stream that the engine had forgotten was answered upstream_refused, not_run. Change: decode_stream reads one request's output and attaches again on breaks, gaps and foreign answers; request_adoption hands a request to the new incarnation or to the daemon the caller came back through, and never back to a fenced reader; a lost engine is replaced by a prefill of the prompt and the text so far (generated, generated_tokens of prefill and import). Engines refuse a decode call of another owner with 409. Engines that failed a request are asked again when no other is left. A resume of what no engine holds is 410 resume_gone.

--- a/src/caller/caller_exchange.cc
+++ b/src/caller/caller_exchange.cc
@@ -169,6 +169,9 @@
 void caller_exchange::Abort() {
   if (connection_ == nullptr) return;
   listener_ = nullptr;
+  // What was written says why the answer is not whole.
+  connection_->socket_->flush();
+  if (connection_ == nullptr) return;
   // Without chunks only a reset tells the caller that the answer is not whole.
   connection_->Break(/*reset=*/!form_.chunked);
 }
--- a/src/daemon/request_registry.h
+++ b/src/daemon/request_registry.h
@@ -21,6 +21,12 @@
 /// Changes the stage of a request; one that has ended is left alone.
 void Change(request_registry& registry, const active_request& request);
 
+/// Returns how many requests in progress are served by `engine_request_id`:
+/// two while a caller has come back to this daemon and the earlier one still
+/// waits for it.
+int CountServedBy(const request_registry& registry,
+                  absl::string_view engine_request_id);
+
 /// Removes a request; returns its team, or "" if it was not there.
 std::string Remove(request_registry& registry, absl::string_view request_id);
 
--- a/src/daemon/thread_bridge.cc
+++ b/src/daemon/thread_bridge.cc
@@ -85,7 +85,11 @@
     PostTo(&state.context, [&state, outcome] { Finish(state, outcome); });
   };
   services.cancel = [&state](const engine_cancel& cancel) {
-    PostTo(&state.context, [&state, cancel] { state.cancels.Cancel(cancel); });
+    PostTo(&state.context, [&state, cancel] {
+      // Its caller came back to this daemon: a later request goes on with it.
+      if (CountServedBy(state.requests, cancel.request_id) > 1) return;
+      state.cancels.Cancel(cancel);
+    });
   };
 }
 
--- a/src/orphans/canceller.cc
+++ b/src/orphans/canceller.cc
@@ -2,8 +2,8 @@
 
 #include <QObject>
 #include <algorithm>
+#include <compare>
 #include <map>
-#include <set>
 #include <utility>
 #include <vector>
 
@@ -28,7 +28,15 @@
   absl::Duration pause = kFirstPause;
 };
 
-using cancel_key = std::pair<std::string, std::string>;
+// One request may be cancelled for two owners, when it is not known which of
+// them holds it.
+struct cancel_key {
+  std::string engine;
+  std::string request_id;
+  std::string owner;
+
+  friend auto operator<=>(const cancel_key&, const cancel_key&) = default;
+};
 
 }  // namespace
 
@@ -73,10 +81,9 @@
   // A request that now belongs to another owner is not ours to cancel.
   bool Shows(const std::vector<engine_request>& listed,
              const cancel_key& key) const {
-    const std::string& owner = pending.at(key).cancel.owner;
     return std::any_of(
         listed.begin(), listed.end(), [&](const engine_request& row) {
-          return row.request_id == key.second && row.owner == owner;
+          return row.request_id == key.request_id && row.owner == key.owner;
         });
   }
 
@@ -86,8 +93,8 @@
     pending_cancel& entry = it->second;
     if (MonotonicNow() - entry.began > kGiveUpAfter) {
       LogEvent(log_level::warn, "cancel_given_up",
-               {{"request_id", QString::fromStdString(key.second)},
-                {"upstream", QString::fromStdString(key.first)}});
+               {{"request_id", QString::fromStdString(key.request_id)},
+                {"upstream", QString::fromStdString(key.engine)}});
       pending.erase(it);
       return;
     }
@@ -103,7 +110,7 @@
 canceller::~canceller() = default;
 
 void canceller::Cancel(const engine_cancel& cancel) {
-  const cancel_key key{cancel.engine, cancel.request_id};
+  const cancel_key key{cancel.engine, cancel.request_id, cancel.owner};
   const auto [it, inserted] =
       impl_->pending.try_emplace(key, pending_cancel{cancel, MonotonicNow()});
   if (inserted) impl_->Send(key);
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -101,12 +101,21 @@
                [](const absl::StatusOr<QCborMap>&) {});
   }
 
-  engine_list Order(absl::string_view pool, const attempt& a,
-                    const engine_hints& hints) {
-    engine_list candidates = Candidates(*a.config, pool, a.request.avoid);
+  engine_list Usable(absl::string_view pool, const attempt& a,
+                     absl::Span<const std::string> avoid) const {
+    engine_list candidates = Candidates(*a.config, pool, avoid);
     std::erase_if(candidates, [this](const upstream_config* engine) {
       return !env.healthy(engine->name);
     });
+    return candidates;
+  }
+
+  // An engine that failed the request before is asked again when no other is
+  // left; the attempts are counted by who asks.
+  engine_list Order(absl::string_view pool, const attempt& a,
+                    const engine_hints& hints) {
+    engine_list candidates = Usable(pool, a, a.request.avoid);
+    if (candidates.empty()) candidates = Usable(pool, a, {});
     return AskingOrder(std::move(candidates), hints, env.now(), random);
   }
 
--- a/src/requests/answer_writer.cc
+++ b/src/requests/answer_writer.cc
@@ -46,10 +46,8 @@
                                   writer.next_index, " was due"));
   }
   ++writer.next_index;
-  if (!writer.stream) {
-    absl::StrAppend(&writer.text, token);
-    return absl::OkStatus();
-  }
+  absl::StrAppend(&writer.text, token);
+  if (!writer.stream) return absl::OkStatus();
   BeginStream(writer);
   sse_event event;
   event.id = std::string(event_id);
--- a/src/requests/answer_writer.h
+++ b/src/requests/answer_writer.h
@@ -21,7 +21,8 @@
   int next_index = 0;
   bool begun = false;
   bool ended = false;
-  /// The text so far, for an answer that is not streamed.
+  /// The text so far: the answer when it is not streamed, and what another
+  /// engine continues from.
   std::string text;
 };
 
--- a/src/requests/completion_flow.cc
+++ b/src/requests/completion_flow.cc
@@ -1,9 +1,7 @@
 #include "requests/completion_flow.h"
 
-#include <QJsonDocument>
-#include <QJsonObject>
-#include <algorithm>
 #include <utility>
+#include <vector>
 
 #include "absl/strings/str_cat.h"
 #include "base/clock.h"
@@ -11,8 +9,9 @@
 #include "base/event_loop.h"
 #include "log/decision_log.h"
 #include "requests/answer_writer.h"
+#include "requests/decode_stream.h"
+#include "requests/request_adoption.h"
 #include "upstreams/engine_client.h"
-#include "upstreams/sse_parser.h"
 
 namespace anvilridge {
 namespace {
@@ -20,15 +19,12 @@
 // Longest time past its prediction that a prefill may take.
 constexpr absl::Duration kPrefillSlack = absl::Seconds(3);
 constexpr absl::Duration kImportTimeout = absl::Seconds(2);
-// A decode stream without a token for this long is stalled.
-constexpr absl::Duration kDecodeStall = absl::Seconds(2);
 // Pause before an import that found no free place is ordered again.
 constexpr absl::Duration kImportRetryPause = absl::Milliseconds(20);
 // Attempts over different engines before the request is given up.
 constexpr int kMaxAttempts = 3;
-// Attachments to one decode stream before its engine is given up.
-constexpr int kMaxAttachments = 4;
-constexpr absl::Duration kFirstAttachPause = absl::Milliseconds(50);
+// Pause before it is asked again whether this daemon has a valid lease.
+constexpr absl::Duration kLeasePause = absl::Milliseconds(50);
 // How long a started answer is kept for a caller that may come back.
 constexpr absl::Duration kResumeGrace = absl::Seconds(2);
 
@@ -36,35 +32,6 @@
   return QString::fromUtf8(text.data(), static_cast<int>(text.size()));
 }
 
-// One message of an engine's decode stream.
-struct decode_message {
-  enum class kinds { token, done, fenced, foreign, malformed };
-  kinds kind = kinds::malformed;
-  int index = 0;
-  std::string token;
-};
-
-decode_message ParseDecodeMessage(const sse_event& event,
-                                  absl::string_view request_id) {
-  decode_message message;
-  const QJsonObject object =
-      QJsonDocument::fromJson(QByteArray::fromStdString(event.data)).object();
-  const QJsonValue id = object["request_id"];
-  if (id.isString() && id.toString() != Text(request_id)) {
-    message.kind = decode_message::kinds::foreign;
-  } else if (object["fenced"].toBool()) {
-    message.kind = decode_message::kinds::fenced;
-  } else if (object["done"].toBool()) {
-    message.kind = decode_message::kinds::done;
-    message.index = object["tokens"].toInt(-1);
-  } else if (object["token"].isString() && object["index"].isDouble()) {
-    message.kind = decode_message::kinds::token;
-    message.index = object["index"].toInt();
-    message.token = object["token"].toString().toStdString();
-  }
-  return message;
-}
-
 // The stages of one completion on its traffic thread. Keeps itself alive
 // through the callbacks it waits for.
 class completion_flow : public std::enable_shared_from_this<completion_flow> {
@@ -90,8 +57,9 @@
     engine_request_id_ = token.request_id;
     grant_.decode = engine;
     grant_.owner = services().owner();
+    resumed_ = true;
     WatchCaller();
-    Admit([self = shared_from_this()] { self->FindCurrentOwner(); });
+    Admit([self = shared_from_this()] { self->TakeOver(); });
   }
 
  private:
@@ -99,7 +67,8 @@
 
   active_request Active(absl::string_view stage) const {
     return {request_.request_id, request_.caller.team, request_.route,
-            std::string(stage),  grant_.decode.name,   started_};
+            std::string(stage),  grant_.decode.name,   started_,
+            engine_request_id_};
   }
 
   void Admit(std::function<void()> next) {
@@ -137,17 +106,24 @@
 
   void Place() {
     if (over_) return;
+    if (!services().may_act(services().owner())) {
+      return RunAfter(context_.thread, kLeasePause,
+                      [self = shared_from_this()] { self->Place(); });
+    }
     ++attempts_;
+    engine_request_id_ = absl::StrCat(request_.request_id, ".", attempts_);
     SetStage("placement");
     place_request ask;
-    engine_request_id_ = absl::StrCat(request_.request_id, ".", attempts_);
     ask.request_id = engine_request_id_;
     ask.team = request_.caller.team;
     ask.route = request_.route;
-    ask.prompt_tokens = EstimateTokens(request_.body.prompt);
-    ask.max_tokens = request_.body.max_tokens;
+    ask.prompt_tokens =
+        EstimateTokens(request_.body.prompt) + writer_.next_index;
+    ask.max_tokens = request_.body.max_tokens - writer_.next_index;
     ask.prefix_hashes = PromptPrefixHashes(request_.body.prompt);
-    ask.first_token_due = started_ + FirstTokenTarget();
+    // A further attempt is late already; it gets the time of a first one.
+    const absl::Time begun = attempts_ == 1 ? started_ : MonotonicNow();
+    ask.first_token_due = begun + FirstTokenTarget();
     ask.avoid = avoid_;
     services().place(
         ask, [self = shared_from_this()](absl::StatusOr<place_grant> grant) {
@@ -173,12 +149,18 @@
     if (!grant.ok()) return Fail(grant.status());
     grant_ = *std::move(grant);
     placed_ = true;
-    if (!services().may_act(grant_.owner)) {
-      return Fail(MakeError(error_kind::lease_lost, "paused past the lease"));
-    }
+    if (LeaseLost()) return StartOver();
     Prefill();
   }
 
+  bool LeaseLost() const { return !services().may_act(grant_.owner); }
+
+  // Gives up what was begun before a pause past the lease.
+  void StartOver() {
+    RetryElsewhere(MakeError(error_kind::lease_lost, "paused past the lease"),
+                   "");
+  }
+
   void Prefill() {
     SetStage("prefill");
     prefill_call call;
@@ -187,6 +169,8 @@
     call.model = request_.body.model;
     call.prompt = request_.body.prompt;
     call.max_tokens = request_.body.max_tokens;
+    call.generated = writer_.text;
+    call.generated_tokens = writer_.next_index;
     sent_to_engine_ = true;
     prefill_sent_ = true;
     prefill_started_ = MonotonicNow();
@@ -200,6 +184,7 @@
   }
 
   void TakePrefill(absl::StatusOr<prefill_result> result) {
+    if (LeaseLost()) return StartOver();
     if (!result.ok()) {
       outcome_.prefill_failed = true;
       return RetryElsewhere(result.status(), grant_.prefill.name);
@@ -223,6 +208,8 @@
     call.pieces = prefill_.pieces;
     call.prompt_tokens = prefill_.prompt_tokens;
     call.max_tokens = request_.body.max_tokens;
+    call.generated = writer_.text;
+    call.generated_tokens = writer_.next_index;
     import_sent_ = true;
     call_ = StartImport(
         *context_.client, grant_.decode.address, call, kImportTimeout,
@@ -233,6 +220,7 @@
   }
 
   void TakeImport(const absl::Status& result) {
+    if (LeaseLost()) return StartOver();
     if (result.ok()) return Decode();
     const bool refused = KindOf(result) == error_kind::upstream_refused;
     const bool no_room = refused && (result.message() == "no_slot" ||
@@ -244,105 +232,109 @@
       return;
     }
     outcome_.decode_failed = !refused;
-    RetryElsewhere(result, grant_.decode.name);
+    // An evicted result says nothing against either engine.
+    const bool evicted = refused && result.message() == "evicted";
+    RetryElsewhere(result, evicted ? "" : grant_.decode.name);
+  }
+
+  decode_source Source() const {
+    return {engine_request_id_, grant_.decode, grant_.owner};
   }
 
   void Decode() {
     SetStage("decode");
-    if (!services().may_act(grant_.owner)) {
-      return Fail(MakeError(error_kind::lease_lost, "paused past the lease",
-                            run_state::unknown));
-    }
-    ++attachments_;
-    progressed_ = false;
-    parser_ = sse_parser();
     outcome_.decode_started = true;
-    call_ = StartDecode(
-        *context_.client, grant_.decode.address, engine_request_id_,
-        grant_.owner, writer_.next_index, kDecodeStall,
-        [self = shared_from_this()](absl::string_view bytes) {
-          self->TakeBytes(bytes);
-        },
-        [self = shared_from_this()](const absl::Status& ended) {
-          self->call_ = 0;
-          if (!self->over_) self->StreamBroke(ended);
-        });
-  }
-
-  void TakeBytes(absl::string_view bytes) {
-    if (over_ || writer_.ended) return;
-    const absl::Status fed =
-        FeedSse(parser_, bytes, [this](const sse_event& event) {
-          if (!over_) TakeEvent(event);
-        });
-    if (!fed.ok() && !over_) Fail(fed);
+    decode_listener listener;
+    listener.on_token = [self = shared_from_this()](int index,
+                                                    const std::string& token) {
+      self->TakeToken(index, token);
+    };
+    listener.on_end = [self = shared_from_this()](const absl::Status& ended) {
+      self->EndStream(ended);
+    };
+    stream_ = std::make_shared<decode_stream>(context_, Source(),
+                                              std::move(listener));
+    stream_->Attach(writer_.next_index);
+  }
+
+  void TakeToken(int index, const std::string& token) {
+    if (LeaseLost()) return Readopt();
+    const resume_token place{engine_request_id_, grant_.decode.name, index};
+    const std::string event_id = FormatResumeToken(place, request_.caller.team,
+                                                   services().deployment_key);
+    const absl::Status written = WriteToken(writer_, index, token, event_id);
+    if (!written.ok()) Fail(written);
   }
 
-  void TakeEvent(const sse_event& event) {
-    const decode_message message =
-        ParseDecodeMessage(event, engine_request_id_);
-    using kinds = decode_message::kinds;
-    if (message.kind == kinds::foreign || message.kind == kinds::malformed) {
-      LogEvent(log_level::warn, "foreign_answer_dropped",
-               {{"request_id", Text(request_.request_id)},
-                {"upstream", Text(grant_.decode.name)}});
-      return;
+  void EndStream(const absl::Status& ended) {
+    stream_ = nullptr;
+    if (over_) return;
+    if (ended.ok()) {
+      outcome_.decode_finished = true;
+      FinishAnswer(writer_);
+      return End(absl::OkStatus());
     }
-    if (message.kind == kinds::fenced) {
-      fenced_ = true;
-      return Fail(MakeError(error_kind::resume_fenced,
-                            "a later connection took this stream over"));
+    if (KindOf(ended) == error_kind::resume_fenced) return FailFenced(ended);
+    if (LeaseLost()) return Readopt();
+    const bool refused = KindOf(ended) == error_kind::upstream_refused;
+    if (refused && ended.message() == "not_owner") {
+      return FailFenced(MakeError(error_kind::resume_fenced,
+                                  "another daemon has taken this stream over"));
     }
-    if (message.kind == kinds::done) return TakeDone(message.index);
-    TakeToken(message);
+    if (refused && resumed_) {
+      return Fail(
+          MakeError(error_kind::resume_gone, "the engine has let it go"));
+    }
+    outcome_.decode_failed = !refused;
+    RetryElsewhere(ended, grant_.decode.name);
   }
 
-  void TakeToken(const decode_message& message) {
-    progressed_ = true;
-    const resume_token place{engine_request_id_, grant_.decode.name,
-                             message.index};
-    const std::string event_id = FormatResumeToken(place, request_.caller.team,
-                                                   services().deployment_key);
-    const absl::Status written =
-        WriteToken(writer_, message.index, message.token, event_id);
-    if (!written.ok()) Fail(written);
+  // The request belongs to a later reader and is not ours to cancel.
+  void FailFenced(const absl::Status& error) {
+    fenced_ = true;
+    Fail(error);
   }
 
-  void TakeDone(int tokens) {
-    if (tokens != writer_.next_index) {
-      return Fail(
-          MakeError(error_kind::upstream_failed,
-                    absl::StrCat("the engine ended after ", tokens, " tokens, ",
-                                 writer_.next_index, " arrived")));
-    }
-    outcome_.decode_finished = true;
-    FinishAnswer(writer_);
-    End(absl::OkStatus());
-  }
-
-  // The engine keeps a stream whose connection broke, so it is attached again
-  // from the next token before the engine is given up.
-  void StreamBroke(const absl::Status& ended) {
-    if (writer_.ended) return;
-    const absl::Status why =
-        ended.ok() ? MakeError(error_kind::upstream_failed,
-                               "the stream ended before its last token")
-                   : ended;
-    if (progressed_) attachments_ = 0;
-    const bool gone = KindOf(why) == error_kind::upstream_refused;
-    if (!gone && attachments_ < kMaxAttachments) {
-      const absl::Duration pause = kFirstAttachPause * (1 << attachments_);
-      RunAfter(context_.thread, pause, [self = shared_from_this()] {
-        if (!self->over_ && !self->writer_.ended) self->Decode();
-      });
-      return;
+  // A pause ended the incarnation under which the stream was read. It goes on
+  // under the new one, unless another daemon has taken it over meanwhile.
+  void Readopt() {
+    StopCall();
+    // Once the caller has left, what it may come back for is cancelled later.
+    if (over_ || writer_.ended) return;
+    const std::string old_owner = grant_.owner;
+    const std::string new_owner = services().owner();
+    if (!services().may_act(new_owner)) {
+      return RunAfter(context_.thread, kLeasePause,
+                      [self = shared_from_this()] { self->Readopt(); });
     }
-    outcome_.decode_failed = true;
-    RetryElsewhere(why, grant_.decode.name);
+    SetStage("adoption");
+    grant_.owner = new_owner;
+    AdoptFrom(context_, Source(), old_owner,
+              [self = shared_from_this(), old_owner](const absl::Status& done) {
+                self->TakeAdoption(done, old_owner);
+              });
   }
 
-  // Frees what the attempt holds and starts over at other engines, as long as
-  // no token has reached the caller.
+  void TakeAdoption(const absl::Status& adopted, const std::string& old_owner) {
+    if (KindOf(adopted) == error_kind::resume_fenced && !adopted.ok()) {
+      return FailFenced(adopted);
+    }
+    LogEvent(log_level::info, "request_adopted",
+             {{"request_id", Text(engine_request_id_)},
+              {"owner", Text(grant_.owner)},
+              {"from", Text(old_owner)},
+              {"ok", adopted.ok()}});
+    if (writer_.ended && !over_) return;
+    if (adopted.ok() && !over_) return Decode();
+    // The engine may hold it for either owner.
+    CancelAs(old_owner, grant_.decode);
+    CancelAs(grant_.owner, grant_.decode);
+    if (!over_) RetryElsewhere(adopted, grant_.decode.name);
+  }
+
+  // Frees what the attempt holds and starts over at other engines; after the
+  // first token, from the text that the caller has. `engine` is not asked
+  // again; "" for none to avoid.
   void RetryElsewhere(const absl::Status& why, const std::string& engine) {
     LogEvent(log_level::warn, "attempt_failed",
              {{"request_id", Text(request_.request_id)},
@@ -352,43 +344,23 @@
               {"detail", Text(why.message())}});
     CancelAtEngines();
     FinishPlacement();
-    avoid_.push_back(engine);
-    if (writer_.next_index > 0 || attempts_ >= kMaxAttempts || resumed_) {
-      return Fail(why);
-    }
-    attachments_ = 0;
+    if (!engine.empty()) avoid_.push_back(engine);
+    // Who resumes a stream knows neither its prompt nor its earlier text.
+    if (attempts_ >= kMaxAttempts || resumed_) return Fail(why);
     Place();
   }
 
   // A resumed stream belongs to the daemon that held it before, until the
   // engine hands it over.
-  void FindCurrentOwner() {
+  void TakeOver() {
     SetStage("resume");
-    resumed_ = true;
-    ListEngineRequests(*context_.client, grant_.decode.address,
-                       [self = shared_from_this()](
-                           absl::StatusOr<std::vector<engine_request>> listed) {
-                         if (self->over_) return;
-                         if (!listed.ok()) return self->Fail(listed.status());
-                         self->Adopt(*listed);
-                       });
-  }
-
-  void Adopt(const std::vector<engine_request>& listed) {
-    const auto row = std::find_if(listed.begin(), listed.end(),
-                                  [this](const engine_request& r) {
-                                    return r.request_id == engine_request_id_;
-                                  });
-    // A finished request has no owner any more, but its output is kept.
-    if (row == listed.end()) return Decode();
     import_sent_ = true;
-    AdoptEngineRequest(*context_.client, grant_.decode.address,
-                       engine_request_id_, row->owner, grant_.owner,
-                       [self = shared_from_this()](absl::StatusOr<bool> done) {
-                         if (self->over_) return;
-                         if (!done.ok()) return self->Fail(done.status());
-                         self->Decode();
-                       });
+    AdoptFromAny(context_, Source(),
+                 [self = shared_from_this()](const absl::Status& adopted) {
+                   if (self->over_) return self->CancelAtEngines();
+                   if (!adopted.ok()) return self->Fail(adopted);
+                   self->Decode();
+                 });
   }
 
   void SetStage(absl::string_view stage) {
@@ -408,12 +380,15 @@
     import_sent_ = false;
   }
 
-  void Cancel(const placed_engine& engine) {
-    services().cancel(
-        {engine_request_id_, grant_.owner, engine.name, engine.address});
+  void Cancel(const placed_engine& engine) { CancelAs(grant_.owner, engine); }
+
+  void CancelAs(const std::string& owner, const placed_engine& engine) {
+    services().cancel({engine_request_id_, owner, engine.name, engine.address});
   }
 
   void StopCall() {
+    if (stream_) stream_->Detach();
+    stream_ = nullptr;
     if (call_ != 0) context_.client->Cancel(call_);
     call_ = 0;
   }
@@ -445,7 +420,7 @@
     over_ = true;
     if (!placed_ && attempts_ > 0) services().abandon(engine_request_id_);
     CancelAtEngines();
-    if (placed_ || resumed_) FinishPlacement();
+    if (placed_) FinishPlacement();
     if (admitted_) Leave();
     LogEvent(log_level::info, "request_ended",
              {{"request_id", Text(request_.request_id)},
@@ -468,15 +443,13 @@
   prefill_result prefill_;
   absl::Time prefill_started_;
   absl::Time prefill_expires_;
-  sse_parser parser_;
+  std::shared_ptr<decode_stream> stream_;
   std::vector<std::string> avoid_;
   http_client::call_id call_ = 0;
   int attempts_ = 0;
-  int attachments_ = 0;
   bool admitted_ = false;
   bool placed_ = false;
   bool resumed_ = false;
-  bool progressed_ = false;
   bool fenced_ = false;
   // Whether any engine was asked to work for this request.
   bool sent_to_engine_ = false;
--- a/src/requests/request_services.h
+++ b/src/requests/request_services.h
@@ -22,6 +22,8 @@
   std::string stage;
   std::string upstream;
   absl::Time since;
+  /// The request's id at its engines; empty before there is one.
+  std::string engine_request_id;
 };
 
 /// A request that an engine is to drop.
--- a/src/requests/service_flow.cc
+++ b/src/requests/service_flow.cc
@@ -73,8 +73,13 @@
   const request_services& services() const { return *context_.services; }
 
   active_request Active(absl::string_view stage) const {
-    return {request_.request_id, request_.caller.team, request_.route.name,
-            std::string(stage),  upstream_.name,       started_};
+    return {request_.request_id,
+            request_.caller.team,
+            request_.route.name,
+            std::string(stage),
+            upstream_.name,
+            started_,
+            {}};
   }
 
   // A call that may not be repeated goes on without its caller: its outcome is
--- a/src/upstreams/engine_client.cc
+++ b/src/upstreams/engine_client.cc
@@ -201,25 +201,36 @@
   return result;
 }
 
+template <typename Call>
+void AddGenerated(QJsonObject& body, const Call& call) {
+  if (call.generated_tokens == 0) return;
+  body["generated"] = ToQString(call.generated);
+  body["generated_tokens"] = call.generated_tokens;
+}
+
 QJsonObject PrefillBody(const prefill_call& call) {
-  return {{"request_id", ToQString(call.request_id)},
-          {"owner", ToQString(call.owner)},
-          {"model", ToQString(call.model)},
-          {"prompt", ToQString(call.prompt)},
-          {"max_tokens", call.max_tokens},
-          {"priority", call.priority}};
+  QJsonObject body{{"request_id", ToQString(call.request_id)},
+                   {"owner", ToQString(call.owner)},
+                   {"model", ToQString(call.model)},
+                   {"prompt", ToQString(call.prompt)},
+                   {"max_tokens", call.max_tokens},
+                   {"priority", call.priority}};
+  AddGenerated(body, call);
+  return body;
 }
 
 QJsonObject ImportBody(const import_call& call) {
-  return {{"request_id", ToQString(call.request_id)},
-          {"owner", ToQString(call.owner)},
-          {"source", ToQString(call.source)},
-          {"kv_handle", ToQString(call.kv_handle)},
-          {"pieces", call.pieces},
-          {"prompt", ToQString(call.prompt)},
-          {"prompt_tokens", call.prompt_tokens},
-          {"max_tokens", call.max_tokens},
-          {"priority", call.priority}};
+  QJsonObject body{{"request_id", ToQString(call.request_id)},
+                   {"owner", ToQString(call.owner)},
+                   {"source", ToQString(call.source)},
+                   {"kv_handle", ToQString(call.kv_handle)},
+                   {"pieces", call.pieces},
+                   {"prompt", ToQString(call.prompt)},
+                   {"prompt_tokens", call.prompt_tokens},
+                   {"max_tokens", call.max_tokens},
+                   {"priority", call.priority}};
+  AddGenerated(body, call);
+  return body;
 }
 
 QJsonObject OrderBody(const engine_order& order) {
--- a/src/upstreams/engine_client.h
+++ b/src/upstreams/engine_client.h
@@ -54,6 +54,9 @@
   std::string prompt;
   int max_tokens = 0;
   int priority = 5;
+  /// Output that another engine has made before, which this one continues.
+  std::string generated;
+  int generated_tokens = 0;
 };
 
 struct prefill_result {
@@ -75,6 +78,9 @@
   int prompt_tokens = 0;
   int max_tokens = 0;
   int priority = 5;
+  /// As for the prefill.
+  std::string generated;
+  int generated_tokens = 0;
 };
 
 struct engine_order {
--- a/standins/engine/decode_steps.cc
+++ b/standins/engine/decode_steps.cc
@@ -26,14 +26,6 @@
          (1 + state.settings.interval_growth * others);
 }
 
-void FinishDecode(engine_state& state, const held_request& request,
-                  absl::Time now) {
-  state.finished[request.id] = {request.owner, request.generated,
-                                request.text_seed, now + kFinishedKept};
-  ++state.totals.finished_requests;
-  state.requests.erase(request.id);
-}
-
 void MakeToken(engine_state& state, const std::string& id, absl::Time now,
                std::vector<engine_event>& events) {
   const auto found = state.requests.find(id);
@@ -52,6 +44,14 @@
 
 }  // namespace
 
+void FinishDecode(engine_state& state, const held_request& request,
+                  absl::Time now) {
+  state.finished[request.id] = {request.owner, request.generated,
+                                request.text_seed, now + kFinishedKept};
+  ++state.totals.finished_requests;
+  state.requests.erase(std::string(request.id));
+}
+
 void StartBatch(engine_state& state, absl::Time now) {
   if (!state.batch.empty()) return;
   state.batch_ends = absl::InfiniteFuture();
--- a/standins/engine/engine_json.cc
+++ b/standins/engine/engine_json.cc
@@ -64,6 +64,7 @@
   terms.priority = body.value("priority").toInt(kDefaultPriority);
   terms.pieces = body.value("pieces").toInt();
   terms.prompt_tokens = body.value("prompt_tokens").toInt();
+  terms.generated_tokens = body.value("generated_tokens").toInt();
   return terms;
 }
 
--- a/standins/engine/engine_model.cc
+++ b/standins/engine/engine_model.cc
@@ -205,8 +205,9 @@
   }
   held_request request = MakeRequest(state, terms, now);
   const int characters = static_cast<int>(terms.prompt.size());
-  request.prompt_tokens =
-      std::max(1, (characters + kCharactersPerToken - 1) / kCharactersPerToken);
+  request.prompt_tokens = std::max(1, (characters + kCharactersPerToken - 1) /
+                                          kCharactersPerToken) +
+                          terms.generated_tokens;
   if (PiecesFor(request.prompt_tokens) > state.settings.pieces) {
     return engine_refusal::no_pieces;
   }
@@ -224,15 +225,17 @@
   if (static_cast<int>(state.requests.size()) >= state.settings.slots) {
     return engine_refusal::no_slot;
   }
+  const int prompt_tokens = terms.prompt_tokens - terms.generated_tokens;
   const int promised =
-      std::max(terms.pieces, PiecesFor(terms.prompt_tokens + terms.max_tokens));
+      std::max(terms.pieces, PiecesFor(prompt_tokens + terms.max_tokens));
   if (PromisedPieces(state) + promised > state.settings.pieces) {
     return engine_refusal::no_pieces;
   }
   held_request request = MakeRequest(state, terms, now);
   request.phase = request_phase::transfer;
-  request.prompt_tokens = terms.prompt_tokens;
+  request.prompt_tokens = prompt_tokens;
   request.prefilled_tokens = terms.prompt_tokens;
+  request.generated = terms.generated_tokens;
   request.pieces = terms.pieces;
   request.promised_pieces = promised;
   state.requests[request.id] = std::move(request);
@@ -286,6 +289,12 @@
   RecordLoad(state, now);
 }
 
+bool MayDecode(const engine_state& state, absl::string_view request_id,
+               absl::string_view owner) {
+  const auto held = state.requests.find(std::string(request_id));
+  return held == state.requests.end() || held->second.owner == owner;
+}
+
 std::optional<stream_source> FindStream(const engine_state& state,
                                         absl::string_view request_id) {
   const std::string id(request_id);
@@ -306,6 +315,8 @@
   held_request* request = Find(state, request_id);
   if (request != nullptr && request->phase == request_phase::ready) {
     request->phase = request_phase::decode;
+    const bool complete = request->generated >= request->output_tokens;
+    if (complete) FinishDecode(state, *request, now);
     StartBatch(state, now);
     RecordLoad(state, now);
   }
--- a/standins/engine/engine_model.h
+++ b/standins/engine/engine_model.h
@@ -81,6 +81,11 @@
   bool finished = false;
 };
 
+/// Whether `owner` may read the output: a request that is held is read by its
+/// owner alone, finished output by anyone.
+bool MayDecode(const engine_state& state, absl::string_view request_id,
+               absl::string_view owner);
+
 /// Starts decoding, or returns where a started or finished one is; nothing for
 /// a request that is unknown or has no KV cache yet.
 std::optional<stream_source> StartDecode(engine_state& state,
--- a/standins/engine/engine_server.cc
+++ b/standins/engine/engine_server.cc
@@ -249,6 +249,9 @@
   void StartDecodeCall(const http_request& request,
                        const exchange_ptr& exchange) {
     const std::string id = TextOf(request.json, "request_id");
+    if (!MayDecode(state, id, TextOf(request.json, "owner"))) {
+      return exchange->Answer(409, ErrorJson("not_owner"));
+    }
     if (!StartDecode(state, id, Now())) {
       return exchange->Answer(404, ErrorJson("unknown_request"));
     }
--- a/standins/engine/engine_state.h
+++ b/standins/engine/engine_state.h
@@ -69,6 +69,9 @@
   /// Only of an import: size of the KV cache to fetch.
   int pieces = 0;
   int prompt_tokens = 0;
+  /// Tokens of the answer that another engine has made before; part of the
+  /// prefill, and decoding begins behind them.
+  int generated_tokens = 0;
 };
 
 /// A request that the engine holds.
--- a/standins/engine/engine_steps.h
+++ b/standins/engine/engine_steps.h
@@ -29,6 +29,10 @@
 void EndBatch(engine_state& state, absl::Time now,
               std::vector<engine_event>& events);
 
+/// Ends the decoding of `request`, which is forgotten but for its output.
+void FinishDecode(engine_state& state, const held_request& request,
+                  absl::Time now);
+
 /// Adds the load of now to the history behind the lagged report.
 void RecordLoad(engine_state& state, absl::Time now);
 
