Settle requests that a living daemon has forgotten

Change: the engine's home asks the owner over the peer port (orphans/held, at most 64 ids) about requests that are 3 s old and that nobody reads, and cancels what the same owner denies twice in a row. An owner that does not answer has denied nothing. The decision is held_check, pure. SweepOrphans moved to daemon/orphan_control.

--- a/src/daemon/control_state.cc
+++ b/src/daemon/control_state.cc
@@ -8,6 +8,7 @@
 #include "base/error_kind.h"
 #include "base/event_loop.h"
 #include "config/config_snapshot.h"
+#include "daemon/orphan_control.h"
 #include "log/decision_log.h"
 #include "membership/home_map.h"
 
@@ -154,6 +155,7 @@
   homes.RegisterPeerHandlers(peers_in);
   claims.RegisterPeerHandlers(peers_in);
   ServeSnapshots(*this);
+  ServeHeldQuestions(*this);
   homes.OnList([this](const upstream_config& engine,
                       absl::Span<const engine_request> listed) {
     SweepOrphans(*this, engine, listed);
@@ -194,24 +196,6 @@
   state.claims.OnMembersChanged();
 }
 
-void SweepOrphans(control_state& state, const upstream_config& engine,
-                  absl::Span<const engine_request> listed) {
-  const std::vector<engine_request> orphans = FindOrphans(
-      state.orphans[engine.name], listed,
-      [&state](const owner_id& owner) {
-        return state.membership.IsOwnerLive(owner);
-      },
-      {}, MonotonicNow());
-  for (const engine_request& orphan : orphans) {
-    LogEvent(log_level::warn, "orphan_cancelled",
-             {{"request_id", QString::fromStdString(orphan.request_id)},
-              {"owner", QString::fromStdString(orphan.owner)},
-              {"upstream", QString::fromStdString(engine.name)}});
-    state.cancels.Cancel(
-        {orphan.request_id, orphan.owner, engine.name, engine.address});
-  }
-}
-
 bool TakesWork(const control_state& state, absl::string_view upstream) {
   const auto ejected = state.ejected.Get();
   if (ejected && ejected->contains(upstream)) return false;
--- a/src/daemon/control_state.h
+++ b/src/daemon/control_state.h
@@ -16,6 +16,7 @@
 #include "daemon/request_registry.h"
 #include "membership/membership_service.h"
 #include "orphans/canceller.h"
+#include "orphans/held_check.h"
 #include "orphans/orphan_sweep.h"
 #include "peer/peer_client.h"
 #include "peer/peer_server.h"
@@ -56,7 +57,9 @@
   health_table health;
   vm_watch vms;
   request_registry requests;
+  /// By engine, for those whose home is this daemon.
   std::map<std::string, orphan_watch, std::less<>> orphans;
+  std::map<std::string, held_watch, std::less<>> held;
   /// Names of the live daemons, by which homes are found.
   std::vector<std::string> live_names;
   std::map<std::string, std::string, std::less<>> peer_addresses;
@@ -76,10 +79,6 @@
 /// Takes over a change of the live daemons.
 void UpdateMembers(control_state& state);
 
-/// Cancels what the engine holds for owners that are gone.
-void SweepOrphans(control_state& state, const upstream_config& engine,
-                  absl::Span<const engine_request> listed);
-
 /// Whether an upstream may be given new work, by its health and its VM. Any
 /// thread.
 bool TakesWork(const control_state& state, absl::string_view upstream);
--- /dev/null
+++ b/src/orphans/held_check_test.cc
@@ -0,0 +1,59 @@
+#include "orphans/held_check.h"
+
+#include "gtest/gtest.h"
+
+namespace anvilridge {
+namespace {
+
+engine_request Row(const std::string& id, const std::string& owner,
+                   absl::Duration age, bool attached) {
+  engine_request row;
+  row.request_id = id;
+  row.owner = owner;
+  row.age = age;
+  row.attached = attached;
+  return row;
+}
+
+std::optional<bool> IsLive(const owner_id& owner) {
+  if (owner.daemon == "stranger") return std::nullopt;
+  return owner.incarnation == 2;
+}
+
+TEST(held_check_test, AsksLiveOwnersAboutOldRequestsThatNobodyReads) {
+  held_watch watch;
+  std::vector<engine_request> listed = {
+      Row("old", "a:2", absl::Seconds(3), false),
+      Row("young", "a:2", absl::Seconds(2), false),
+      Row("read", "a:2", absl::Hours(1), true),
+      Row("dead", "a:1", absl::Hours(1), false),
+      Row("strange", "stranger:2", absl::Hours(1), false),
+      Row("garbage", "nobody", absl::Hours(1), false)};
+  const auto questions = HeldQuestions(watch, listed, IsLive, {});
+  ASSERT_EQ(questions.size(), 1U);
+  EXPECT_EQ(questions[0].owner, (owner_id{"a", 2}));
+  EXPECT_EQ(questions[0].request_ids, std::vector<std::string>{"old"});
+  for (size_t i = 0; i < 2 * kMaxHeldIds; ++i) {
+    listed.push_back(Row(std::to_string(i), "b:2", absl::Seconds(9), false));
+  }
+  EXPECT_EQ(HeldQuestions(watch, listed, IsLive, {})[1].request_ids.size(),
+            kMaxHeldIds);
+}
+
+TEST(held_check_test, CancelsWhatTheSameOwnerDeniesTwiceInARow) {
+  held_watch watch;
+  const held_question a{{"a", 2}, {"r"}};
+  const held_question b{{"b", 2}, {"r"}};
+  const std::vector<std::string> none;
+  EXPECT_EQ(TakeHeldAnswer(watch, a, {}, {}), none);
+  EXPECT_EQ(TakeHeldAnswer(watch, a, {"r"}, {}), none) << "held after all";
+  EXPECT_EQ(TakeHeldAnswer(watch, a, {}, {}), none);
+  EXPECT_EQ(TakeHeldAnswer(watch, b, {}, {}), none) << "adopted meanwhile";
+  const auto unlisted = HeldQuestions(watch, {}, IsLive, {});
+  EXPECT_TRUE(unlisted.empty());
+  EXPECT_EQ(TakeHeldAnswer(watch, b, {}, {}), none) << "was not listed";
+  EXPECT_EQ(TakeHeldAnswer(watch, b, {}, {}), std::vector<std::string>{"r"});
+}
+
+}  // namespace
+}  // namespace anvilridge
