Bound how long a planned stop waits for cancels

Cause: with an engine that can't be reached, a stopped daemon waited 2 minutes for its cancels to be confirmed. Change: 3 s after the last request the stop ends all the same; the engine's home cancels what an ended daemon has left behind. Seen first: planned_stop_test engine_down failed (still running after 10 s); log_up, log_down and the rolling replacement passed before.

--- a/src/daemon/control_plane.cc
+++ b/src/daemon/control_plane.cc
@@ -63,9 +63,8 @@
 
 uint16_t control_plane::OperatorPort() const { return 0; }
 
-bool control_plane::MayExit() const {
-  const control_state& state = impl_->state;
-  return state.requests.active.empty() && state.cancels.Pending() == 0;
+size_t control_plane::CancelsPending() const {
+  return impl_->state.cancels.Pending();
 }
 
 int control_plane::RequestsInProgress() const {
--- a/src/daemon/control_plane.h
+++ b/src/daemon/control_plane.h
@@ -39,9 +39,8 @@
   /// Requests in progress.
   int RequestsInProgress() const;
 
-  /// Whether a planned stop may end: nothing is in progress, and no engine is
-  /// still to be told of a cancel.
-  bool MayExit() const;
+  /// Cancels that no engine has confirmed yet.
+  size_t CancelsPending() const;
 
   /// Announces a planned stop: not ready, and the homes move to other daemons.
   void BeginStop();
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -2,6 +2,7 @@
 
 #include <QCoreApplication>
 #include <QTimer>
+#include <algorithm>
 #include <cstdio>
 #include <memory>
 #include <string>
@@ -31,6 +32,9 @@
 // Every request has its own time limits; one that outlives all of them is a
 // fault that must not keep a stop from ending.
 constexpr absl::Duration kLongestStop = absl::Minutes(5);
+// How long a stop waits, after the last request, for engines to confirm
+// cancels. The engine's home cancels what an ended daemon has left behind.
+constexpr absl::Duration kLongestCancelWait = absl::Seconds(3);
 
 // The daemon's parts, in the order in which they start; they end in reverse.
 class running_daemon {
@@ -68,15 +72,25 @@
     plane_.BeginStop();
     stop_timer_ = RunEvery(kStopPollInterval, [this] {
       const bool late = MonotonicNow() - stop_began_ > kLongestStop;
-      if (!late && !plane_.MayExit()) return;
-      if (!late && caller_->RequestsInProgress() > 0) return;
+      if (!late && !MayExit()) return;
       LogEvent(late ? log_level::error : log_level::info, "stop_ended",
-               {{"requests", plane_.RequestsInProgress()}});
+               {{"requests", plane_.RequestsInProgress()},
+                {"cancels", static_cast<int>(plane_.CancelsPending())}});
       QCoreApplication::quit();
     });
   }
 
  private:
+  bool MayExit() {
+    if (plane_.RequestsInProgress() > 0 || caller_->RequestsInProgress() > 0) {
+      last_request_ = MonotonicNow();
+      return false;
+    }
+    if (plane_.CancelsPending() == 0) return true;
+    return MonotonicNow() - std::max(last_request_, stop_began_) >
+           kLongestCancelWait;
+  }
+
   health_sources HealthSources() {
     return {[this] { return plane_.Ready(); },
             [this] { return metrics_.MetricsText(); }};
@@ -104,6 +118,8 @@
   health_port health_;
   std::unique_ptr<QTimer> stop_timer_;
   absl::Time stop_began_;
+  // When a stop last saw a request in progress.
+  absl::Time last_request_ = absl::InfinitePast();
 };
 
 int Complain(const absl::Status &status) {
