--- /dev/null
+++ b/src/requests/attempt_calls.cc
@@ -0,0 +1,52 @@
+#include "requests/attempt_calls.h"
+
+#include "requests/completion_body.h"
+
+namespace anvilridge {
+
+place_request MakePlaceRequest(const completion_request& request,
+                               const answer_writer& answer,
+                               const std::string& engine_request_id) {
+  place_request ask;
+  ask.request_id = engine_request_id;
+  ask.team = request.caller.team;
+  ask.route = request.route;
+  ask.prompt_tokens = EstimateTokens(request.body.prompt) + answer.next_index;
+  ask.max_tokens = request.body.max_tokens - answer.next_index;
+  ask.prefix_hashes = PromptPrefixHashes(request.body.prompt);
+  return ask;
+}
+
+prefill_call MakePrefillCall(const completion_request& request,
+                             const answer_writer& answer,
+                             const place_grant& grant) {
+  prefill_call call;
+  call.request_id = grant.request_id;
+  call.owner = grant.owner;
+  call.model = request.body.model;
+  call.prompt = request.body.prompt;
+  call.max_tokens = request.body.max_tokens;
+  call.generated = answer.text;
+  call.generated_tokens = answer.next_index;
+  return call;
+}
+
+import_call MakeImportCall(const completion_request& request,
+                           const answer_writer& answer,
+                           const place_grant& grant,
+                           const prefill_result& prefill) {
+  import_call call;
+  call.request_id = grant.request_id;
+  call.owner = grant.owner;
+  call.source = grant.prefill.address;
+  call.kv_handle = prefill.kv_handle;
+  call.prompt = request.body.prompt;
+  call.pieces = prefill.pieces;
+  call.prompt_tokens = prefill.prompt_tokens;
+  call.max_tokens = request.body.max_tokens;
+  call.generated = answer.text;
+  call.generated_tokens = answer.next_index;
+  return call;
+}
+
+}  // namespace anvilridge
--- a/src/requests/completion_flow.cc
+++ b/src/requests/completion_flow.cc
@@ -9,6 +9,7 @@
 #include "base/event_loop.h"
 #include "log/decision_log.h"
 #include "requests/answer_writer.h"
+#include "requests/attempt_calls.h"
 #include "requests/decode_stream.h"
 #include "requests/request_adoption.h"
 #include "upstreams/engine_client.h"
@@ -113,14 +114,7 @@
     ++attempts_;
     engine_request_id_ = absl::StrCat(request_.request_id, ".", attempts_);
     SetStage("placement");
-    place_request ask;
-    ask.request_id = engine_request_id_;
-    ask.team = request_.caller.team;
-    ask.route = request_.route;
-    ask.prompt_tokens =
-        EstimateTokens(request_.body.prompt) + writer_.next_index;
-    ask.max_tokens = request_.body.max_tokens - writer_.next_index;
-    ask.prefix_hashes = PromptPrefixHashes(request_.body.prompt);
+    place_request ask = MakePlaceRequest(request_, writer_, engine_request_id_);
     // A further attempt is late already; it gets the time of a first one.
     const absl::Time begun = attempts_ == 1 ? started_ : MonotonicNow();
     ask.first_token_due = begun + FirstTokenTarget();
@@ -163,19 +157,12 @@
 
   void Prefill() {
     SetStage("prefill");
-    prefill_call call;
-    call.request_id = engine_request_id_;
-    call.owner = grant_.owner;
-    call.model = request_.body.model;
-    call.prompt = request_.body.prompt;
-    call.max_tokens = request_.body.max_tokens;
-    call.generated = writer_.text;
-    call.generated_tokens = writer_.next_index;
     sent_to_engine_ = true;
     prefill_sent_ = true;
     prefill_started_ = MonotonicNow();
     call_ = StartPrefill(
-        *context_.client, grant_.prefill.address, call,
+        *context_.client, grant_.prefill.address,
+        MakePrefillCall(request_, writer_, grant_),
         grant_.predicted_first_token + kPrefillSlack,
         [self = shared_from_this()](absl::StatusOr<prefill_result> result) {
           self->call_ = 0;
@@ -199,20 +186,10 @@
 
   void Import() {
     SetStage("transfer");
-    import_call call;
-    call.request_id = engine_request_id_;
-    call.owner = grant_.owner;
-    call.source = grant_.prefill.address;
-    call.kv_handle = prefill_.kv_handle;
-    call.prompt = request_.body.prompt;
-    call.pieces = prefill_.pieces;
-    call.prompt_tokens = prefill_.prompt_tokens;
-    call.max_tokens = request_.body.max_tokens;
-    call.generated = writer_.text;
-    call.generated_tokens = writer_.next_index;
     import_sent_ = true;
     call_ = StartImport(
-        *context_.client, grant_.decode.address, call, kImportTimeout,
+        *context_.client, grant_.decode.address,
+        MakeImportCall(request_, writer_, grant_, prefill_), kImportTimeout,
         [self = shared_from_this()](const absl::StatusOr<std::string>& result) {
           self->call_ = 0;
           if (!self->over_) self->TakeImport(result.status());
--- a/tests/held_for_nobody_test.cc
+++ b/tests/held_for_nobody_test.cc
@@ -61,6 +61,8 @@
   static fleet_options Options() {
     fleet_options options;
     options.daemons = 4;
+    // Nothing is freed because the engine itself gives a transfer up.
+    options.decode_options = {"--import-timeout-ms=60000"};
     return options;
   }
 
@@ -214,6 +216,9 @@
   }
   ExpectLiveWhole();
   EXPECT_TRUE(Eventually(kGoneBound, [&] { return HeldIds().empty(); }));
+  const auto fresh = Open(Other(), kPrompt, 2);
+  ASSERT_TRUE(fresh->WaitForEnd(kBound));
+  EXPECT_EQ(StreamedText(fresh->Events()), AnswerText("model", kPrompt, 2));
 }
 
 INSTANTIATE_TEST_SUITE_P(
