--- a/src/orphans/canceller.cc
+++ b/src/orphans/canceller.cc
@@ -2,8 +2,8 @@
 
 #include <QObject>
 #include <algorithm>
-#include <compare>
 #include <map>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -35,7 +35,10 @@
   std::string request_id;
   std::string owner;
 
-  friend auto operator<=>(const cancel_key&, const cancel_key&) = default;
+  friend bool operator<(const cancel_key& a, const cancel_key& b) {
+    return std::tie(a.engine, a.request_id, a.owner) <
+           std::tie(b.engine, b.request_id, b.owner);
+  }
 };
 
 }  // namespace
--- a/src/orphans/held_check.cc
+++ b/src/orphans/held_check.cc
@@ -28,6 +28,7 @@
     if (ids.size() < kMaxHeldIds) ids.push_back(row.request_id);
   }
   std::vector<held_question> questions;
+  questions.reserve(by_owner.size());
   for (auto& [owner, ids] : by_owner) {
     questions.push_back({owner, std::move(ids)});
   }
