--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 
 #include "absl/strings/string_view.h"
 
@@ -16,7 +17,10 @@
   uint64_t incarnation = 0;
 
   friend bool operator==(const owner_id&, const owner_id&) = default;
-  friend auto operator<=>(const owner_id&, const owner_id&) = default;
+  friend bool operator<(const owner_id& a, const owner_id& b) {
+    return std::tie(a.daemon, a.incarnation) <
+           std::tie(b.daemon, b.incarnation);
+  }
 };
 
 /// Returns `daemon:incarnation`, the form that engines keep with a request.
--- a/src/daemon/control_plane.cc
+++ b/src/daemon/control_plane.cc
@@ -40,6 +40,7 @@
   }
   UpdateMembers(state);
   state.config.Start();
+  state.vms.Start();
   return impl_->operators.Listen();
 }
 
@@ -67,9 +68,8 @@
 
 uint16_t control_plane::OperatorPort() const { return impl_->operators.Port(); }
 
-bool control_plane::MayExit() const {
-  const control_state& state = impl_->state;
-  return state.requests.active.empty() && state.cancels.Pending() == 0;
+size_t control_plane::CancelsPending() const {
+  return impl_->state.cancels.Pending();
 }
 
 bool control_plane::RecordsWritten() const {
--- a/src/daemon/control_plane.h
+++ b/src/daemon/control_plane.h
@@ -40,9 +40,8 @@
   /// Requests in progress.
   int RequestsInProgress() const;
 
-  /// Whether a planned stop may end: nothing is in progress, and no engine is
-  /// still to be told of a cancel.
-  bool MayExit() const;
+  /// Cancels that no engine has confirmed yet.
+  size_t CancelsPending() const;
 
   /// Whether the log has all outcomes of claimed calls.
   bool RecordsWritten() const;
--- a/src/daemon/control_state.cc
+++ b/src/daemon/control_state.cc
@@ -9,6 +9,7 @@
 #include "base/event_loop.h"
 #include "claims/claim_wiring.h"
 #include "config/config_snapshot.h"
+#include "daemon/orphan_control.h"
 #include "log/decision_log.h"
 #include "membership/home_map.h"
 
@@ -68,8 +69,7 @@
   };
   env.owner = [&state] { return OwnerText(state.membership.Self()); };
   env.healthy = [&state](absl::string_view engine) {
-    const auto ejected = state.ejected.Get();
-    return !ejected || !ejected->contains(engine);
+    return TakesWork(state, engine);
   };
   env.now = MonotonicNow;
   return env;
@@ -100,6 +100,18 @@
       std::make_shared<const std::string>(OwnerText(state.membership.Self())));
 }
 
+void PublishLeaving(control_state& state) {
+  const auto config = state.config.InForce();
+  if (!config) return;
+  state.leaving.Set(std::make_shared<const name_set>(
+      LeavingUpstreams(*config, state.vms.View(), MonotonicNow())));
+}
+
+void TakeVmList(control_state& state) {
+  state.membership.AddHints(EntryPeerAddresses(state.vms.View()));
+  PublishLeaving(state);
+}
+
 void ServeSnapshots(control_state& state) {
   state.peers_in.Handle(
       kSnapshotMethod, [&state](const QCborMap&, peer_responder respond) {
@@ -128,12 +140,15 @@
       cancels(client),
       claims(MakeClaimIo(log, peers_out, membership, &context),
              daemon.platform.log_appends_per_second),
-      admission(peers_out, AdmissionEnvironment(*this)) {
+      admission(peers_out, AdmissionEnvironment(*this)),
+      vms(client, Address(daemon.platform.vm_list),
+          [this] { TakeVmList(*this); }) {
   PublishOwner(*this);
   homes.RegisterPeerHandlers(peers_in);
   claims.RegisterPeerHandlers(peers_in);
   admission.RegisterPeerHandlers(peers_in);
   ServeSnapshots(*this);
+  ServeHeldQuestions(*this);
   homes.OnList([this](const upstream_config& engine,
                       absl::Span<const engine_request> listed) {
     SweepOrphans(*this, engine, listed);
@@ -147,6 +162,7 @@
   config.OnChange([this](const config_service::state_ptr& in_force) {
     config_in_force.Set(in_force);
     membership.SetConfigOffset(in_force->applied_offset);
+    PublishLeaving(*this);
   });
   health_timer = RunEvery(kHealthInterval, [this] {
     ejected.Set(
@@ -173,22 +189,11 @@
   state.claims.OnMembersChanged();
 }
 
-void SweepOrphans(control_state& state, const upstream_config& engine,
-                  absl::Span<const engine_request> listed) {
-  const std::vector<engine_request> orphans = FindOrphans(
-      state.orphans[engine.name], listed,
-      [&state](const owner_id& owner) {
-        return state.membership.IsOwnerLive(owner);
-      },
-      {}, MonotonicNow());
-  for (const engine_request& orphan : orphans) {
-    LogEvent(log_level::warn, "orphan_cancelled",
-             {{"request_id", QString::fromStdString(orphan.request_id)},
-              {"owner", QString::fromStdString(orphan.owner)},
-              {"upstream", QString::fromStdString(engine.name)}});
-    state.cancels.Cancel(
-        {orphan.request_id, orphan.owner, engine.name, engine.address});
-  }
+bool TakesWork(const control_state& state, absl::string_view upstream) {
+  const auto ejected = state.ejected.Get();
+  if (ejected && ejected->contains(upstream)) return false;
+  const auto leaving = state.leaving.Get();
+  return !leaving || !leaving->contains(upstream);
 }
 
 void ReportUpstream(control_state& state, absl::string_view upstream, bool ok) {
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -2,6 +2,7 @@
 
 #include <QCoreApplication>
 #include <QTimer>
+#include <algorithm>
 #include <cstdio>
 #include <memory>
 #include <string>
@@ -31,9 +32,11 @@
 // Every request has its own time limits; one that outlives all of them is a
 // fault that must not keep a stop from ending.
 constexpr absl::Duration kLongestStop = absl::Minutes(5);
-// Outcomes of claimed calls are written for this long after the last request;
-// in an outage of the log their keys stay used without an answer.
-constexpr absl::Duration kLongestFlush = absl::Seconds(3);
+// How long a stop waits, after the last request, for engines to confirm cancels
+// and for the log to take the outcomes of claimed calls. The engine's home
+// cancels what an ended daemon has left behind; a key without an outcome stays
+// used.
+constexpr absl::Duration kLongestSettling = absl::Seconds(3);
 
 // The daemon's parts, in the order in which they start; they end in reverse.
 class running_daemon {
@@ -78,15 +81,18 @@
   void TryExit() {
     const absl::Time now = MonotonicNow();
     const bool late = now - stop_began_ > kLongestStop;
-    const bool idle = plane_.MayExit() && caller_->RequestsInProgress() == 0;
+    const bool idle =
+        plane_.RequestsInProgress() == 0 && caller_->RequestsInProgress() == 0;
     if (!idle && !late) {
       idle_since_ = now;
       return;
     }
-    const bool flushing = !late && !plane_.RecordsWritten();
-    if (flushing && now - idle_since_ < kLongestFlush) return;
+    const bool settled =
+        plane_.CancelsPending() == 0 && plane_.RecordsWritten();
+    if (!late && !settled && now - idle_since_ < kLongestSettling) return;
     LogEvent(late ? log_level::error : log_level::info, "stop_ended",
              {{"requests", plane_.RequestsInProgress()},
+              {"cancels", static_cast<int>(plane_.CancelsPending())},
               {"unwritten_records", !plane_.RecordsWritten()}});
     QCoreApplication::quit();
   }
--- a/src/daemon/thread_bridge.cc
+++ b/src/daemon/thread_bridge.cc
@@ -90,7 +90,11 @@
     PostTo(&state.context, [&state, outcome] { Finish(state, outcome); });
   };
   services.cancel = [&state](const engine_cancel& cancel) {
-    PostTo(&state.context, [&state, cancel] { state.cancels.Cancel(cancel); });
+    PostTo(&state.context, [&state, cancel] {
+      // Its caller came back to this daemon: a later request goes on with it.
+      if (CountServedBy(state.requests, cancel.request_id) > 1) return;
+      state.cancels.Cancel(cancel);
+    });
   };
 }
 
@@ -127,8 +131,7 @@
     return state.membership.LeaseValid() && *state.owner.Get() == owner;
   };
   services.healthy = [&state](absl::string_view upstream) {
-    const auto ejected = state.ejected.Get();
-    return !ejected || !ejected->contains(upstream);
+    return TakesWork(state, upstream);
   };
   services.report = [&state](absl::string_view upstream, bool ok) {
     PostTo(&state.context, [&state, name = std::string(upstream), ok] {
--- a/src/orphans/canceller.cc
+++ b/src/orphans/canceller.cc
@@ -3,7 +3,7 @@
 #include <QObject>
 #include <algorithm>
 #include <map>
-#include <set>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -28,7 +28,18 @@
   absl::Duration pause = kFirstPause;
 };
 
-using cancel_key = std::pair<std::string, std::string>;
+// One request may be cancelled for two owners, when it is not known which of
+// them holds it.
+struct cancel_key {
+  std::string engine;
+  std::string request_id;
+  std::string owner;
+
+  friend bool operator<(const cancel_key& a, const cancel_key& b) {
+    return std::tie(a.engine, a.request_id, a.owner) <
+           std::tie(b.engine, b.request_id, b.owner);
+  }
+};
 
 }  // namespace
 
@@ -73,10 +84,9 @@
   // A request that now belongs to another owner is not ours to cancel.
   bool Shows(const std::vector<engine_request>& listed,
              const cancel_key& key) const {
-    const std::string& owner = pending.at(key).cancel.owner;
     return std::any_of(
         listed.begin(), listed.end(), [&](const engine_request& row) {
-          return row.request_id == key.second && row.owner == owner;
+          return row.request_id == key.request_id && row.owner == key.owner;
         });
   }
 
@@ -86,8 +96,8 @@
     pending_cancel& entry = it->second;
     if (MonotonicNow() - entry.began > kGiveUpAfter) {
       LogEvent(log_level::warn, "cancel_given_up",
-               {{"request_id", QString::fromStdString(key.second)},
-                {"upstream", QString::fromStdString(key.first)}});
+               {{"request_id", QString::fromStdString(key.request_id)},
+                {"upstream", QString::fromStdString(key.engine)}});
       pending.erase(it);
       return;
     }
@@ -103,7 +113,7 @@
 canceller::~canceller() = default;
 
 void canceller::Cancel(const engine_cancel& cancel) {
-  const cancel_key key{cancel.engine, cancel.request_id};
+  const cancel_key key{cancel.engine, cancel.request_id, cancel.owner};
   const auto [it, inserted] =
       impl_->pending.try_emplace(key, pending_cancel{cancel, MonotonicNow()});
   if (inserted) impl_->Send(key);
--- a/src/requests/request_services.h
+++ b/src/requests/request_services.h
@@ -22,6 +22,8 @@
   std::string stage;
   std::string upstream;
   absl::Time since;
+  /// The request's id at its engines; empty before there is one.
+  std::string engine_request_id;
 };
 
 /// A request that an engine is to drop.
@@ -64,7 +66,7 @@
   std::function<void(const std::string& claim_id)> release;
   /// Says that a claimed call may have run without an answer.
   std::function<void(const std::string& claim_id)> leave_unknown;
-  /// Whether an upstream may be given new work, by its health.
+  /// Whether an upstream may be given new work, by its health and its VM.
   std::function<bool(absl::string_view upstream)> healthy;
   /// Reports how a call to a plain service went.
   std::function<void(absl::string_view upstream, bool ok)> report;
