Let services and the log answer late after the effect

Cause: the faults delay and slow hold back the effect with the answer, against what their rows said, so no test could kill or freeze a daemon between an effect and its answer (seen: a call that was to be cut off had answered 201).

--- a/standins/platform/platform_server.cc
+++ b/standins/platform/platform_server.cc
@@ -69,7 +69,7 @@
       : settings(settings), http(faults) {
     log.settings = settings.log;
     faults.known = {"outage", "slow", "lose_answer_after_effect", "half_page",
-                    "freeze_vms"};
+                    "freeze_vms", "late_answer"};
   }
 
   platform_standin_settings settings;
--- a/standins/service/main.cc
+++ b/standins/service/main.cc
@@ -67,8 +67,9 @@
  public:
   explicit service_server(const service_options& options) : options_(options) {
     state_.checks_fencing = options.checks_fencing;
-    state_.faults.known = {"close_after_read", "close_after_run", "delay",
-                           "error_500", "lose_answer"};
+    state_.faults.known = {
+        "close_after_read", "close_after_run", "delay",
+        "late_answer",      "error_500",       "lose_answer"};
     http_.Handle("GET", "/standin/counts",
                  [this](const auto&, const auto& exchange) {
                    exchange->Answer(200, CountsJson(state_));
