Prove at most once and not_run over processes, and mend three faults

Seen before the mend, over processes: - A call whose bytes had left when the upstream froze ran 4 s later on a service that checks fencing (1 run, expected 0): X-Fencing-Expires-Ms was never sent. It now is, from the end of the send window; callers can't set it. - A lookup whose upstream closed after the execution, with no further upstream, was answered no_upstream, not_run with 1 execution. Once an upstream may have run a call, not_run becomes unknown. - A keyed call refused before its claim (not ready, no credential) said not_run, which an earlier attempt through another daemon may belie. It says unknown. The other cases passed on the code as it was. Conclusion: completions are answered unknown after an engine refused the connection or the prefill, which is true but more careful than needed; left as it is.

--- a/src/requests/caller_handler.cc
+++ b/src/requests/caller_handler.cc
@@ -124,6 +124,16 @@
                            {request_id, *caller, {}, {}}, exchange);
 }
 
+// A refusal before the claim says nothing of earlier attempts with the same
+// key, through this daemon or another.
+absl::Status Honest(const inbound_request& inbound, const absl::Status& error) {
+  const bool keyed = !HeaderValue(inbound.headers, "idempotency-key").empty() &&
+                     inbound.path != kCompletionsPath;
+  if (!keyed || RunStateOf(error) != run_state::not_run) return error;
+  return MakeError(KindOf(error), error.message(), run_state::unknown,
+                   RetryAfterOf(error));
+}
+
 }  // namespace
 
 inbound_handler MakeCallerHandler(flow_context& context) {
@@ -131,7 +141,8 @@
     const std::string request_id = NewId();
     const absl::Status started =
         Dispatch(context, inbound, request_id, exchange);
-    if (!started.ok()) RespondProblem(*exchange, started, request_id);
+    if (started.ok()) return;
+    RespondProblem(*exchange, Honest(inbound, started), request_id);
   };
 }
 
--- a/src/requests/header_rules.cc
+++ b/src/requests/header_rules.cc
@@ -21,7 +21,8 @@
 
 // Fields that a caller may not set towards a service.
 constexpr std::array kCallerOnlyFields = {"authorization", "cookie", "host",
-                                          "x-fencing-number"};
+                                          "x-fencing-number",
+                                          "x-fencing-expires-ms"};
 
 template <typename Names>
 bool IsOneOf(const std::string& name, const Names& names) {
--- a/src/requests/service_flow.cc
+++ b/src/requests/service_flow.cc
@@ -204,16 +204,23 @@
     }
     call.headers = ForwardedRequestHeaders(request_.inbound.headers);
     call.headers.emplace_back("x-request-id", request_.request_id);
-    if (claim_) {
-      call.headers.emplace_back("x-fencing-number",
-                                absl::StrCat(claim_->fencing_number));
-    }
+    if (claim_) AddFencing(call.headers);
     call.body = request_.inbound.body;
     call.repeatable = repeatable_;
     call.timeout = kServiceTimeout;
     return call;
   }
 
+  void AddFencing(http_headers& headers) const {
+    // In this order: a pause between the two clocks makes the expiry earlier.
+    const absl::Time wall_now = WallNow();
+    const absl::Time expires = wall_now + (claim_->send_by - MonotonicNow());
+    headers.emplace_back("x-fencing-number",
+                         absl::StrCat(claim_->fencing_number));
+    headers.emplace_back("x-fencing-expires-ms",
+                         absl::StrCat(absl::ToUnixMillis(expires)));
+  }
+
   void EndUpstreamCall() {
     if (!in_upstream_) return;
     in_upstream_ = false;
@@ -226,6 +233,7 @@
     if (broken) return TakeFailure(result.status);
     const bool busy =
         result.http_status == kBadGateway || result.http_status == kUnavailable;
+    may_have_run_ = true;
     if (busy && repeatable_ && MayRetry()) return Send();
     if (claim_ && !Conclude(result)) {
       return Fail(MakeError(error_kind::outcome_unknown,
@@ -255,6 +263,7 @@
   void TakeFailure(const absl::Status& error) {
     const bool never_sent = RunStateOf(error) == run_state::not_run;
     if (never_sent) sent_ = false;
+    if (!never_sent) may_have_run_ = true;
     if ((never_sent || repeatable_) && MayRetry()) return Send();
     if (never_sent || repeatable_) return Fail(error);
     Fail(MakeError(error_kind::outcome_unknown,
@@ -285,10 +294,12 @@
   }
 
   // Without a claim it can't be said that an earlier attempt with the same key
-  // did not run.
+  // did not run, nor that an upstream tried before the last one did not.
   absl::Status Honest(const absl::Status& error) const {
     const bool keyed = !repeatable_ && !key_.empty();
-    if (!keyed || claim_asked_) return error;
+    const bool other_attempts = keyed && !claim_asked_;
+    if (!other_attempts && !may_have_run_) return error;
+    if (RunStateOf(error) != run_state::not_run) return error;
     return MakeError(KindOf(error), error.message(), run_state::unknown,
                      RetryAfterOf(error));
   }
@@ -334,6 +345,8 @@
   bool concluded_ = false;
   // Whether a call left that an upstream may have read.
   bool sent_ = false;
+  // Whether an upstream that was tried may have run the call.
+  bool may_have_run_ = false;
   bool in_upstream_ = false;
   bool caller_left_ = false;
   bool over_ = false;
