Carry out loads and role changes at the homes of engines

Cause: orders stood in the configuration and nothing carried them out. Change: src/loads decides by pure functions what an engine's orders need next (delivery by the weight store, leaving, an empty engine, the order with its fence, a look at what it shows) and the home of the engine does it. Homes tell the other daemons which engines are leaving, so that no entry gives them work. Settings have [platform] weight_store. show loads has the progress. Seen to fail in place: with the wait for an empty engine, the delivery and the refusal switched off, ALoadIsDelivered (0 deliveries), ARoleChangeWaits (role changed under requests) and AStaleFence, and one unit test; with only full fleets taken for homes, AnotherHome. A further unit trial that ended every leaving failed 8 of 9 unit tests, but by stopping all orders. Not closed: engines that ignore fences and take a delayed order; docs/OPERATING.md tells how far.

--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -103,6 +103,7 @@
 [platform]
 log = 127.0.0.1:$(standin_port platform)
 vm_list = 127.0.0.1:$(standin_port platform)
+weight_store = 127.0.0.1:$(standin_port platform)
 
 [peers]
 key_file = $run/peer.key
--- a/src/daemon/control_state.cc
+++ b/src/daemon/control_state.cc
@@ -9,6 +9,7 @@
 #include "base/event_loop.h"
 #include "claims/claim_wiring.h"
 #include "config/config_snapshot.h"
+#include "daemon/load_wiring.h"
 #include "log/decision_log.h"
 #include "membership/home_map.h"
 
@@ -18,6 +19,7 @@
 constexpr char kSnapshotMethod[] = "config/snapshot";
 constexpr absl::Duration kSnapshotTimeout = absl::Seconds(2);
 constexpr absl::Duration kHealthInterval = absl::Milliseconds(250);
+constexpr absl::Duration kLoadInterval = absl::Milliseconds(250);
 
 std::string Address(const endpoint& where) {
   return absl::StrCat(where.address, ":", where.port);
@@ -68,8 +70,7 @@
   };
   env.owner = [&state] { return OwnerText(state.membership.Self()); };
   env.healthy = [&state](absl::string_view engine) {
-    const auto ejected = state.ejected.Get();
-    return !ejected || !ejected->contains(engine);
+    return MayServe(state, engine);
   };
   env.now = MonotonicNow;
   return env;
@@ -113,11 +114,13 @@
       places(peers_out, homes, PlacerEnvironment(*this)),
       cancels(client),
       claims(MakeClaimIo(log, peers_out, membership, &context),
-             daemon.platform.log_appends_per_second) {
+             daemon.platform.log_appends_per_second),
+      loads(client, LoadEnvironment(*this)) {
   PublishOwner(*this);
   homes.RegisterPeerHandlers(peers_in);
   claims.RegisterPeerHandlers(peers_in);
   ServeSnapshots(*this);
+  RegisterLeavingHandler(*this);
   homes.OnList([this](const upstream_config& engine,
                       absl::Span<const engine_request> listed) {
     SweepOrphans(*this, engine, listed);
@@ -129,6 +132,7 @@
     PublishOwner(*this);
   });
   config.OnChange([this](const config_service::state_ptr& in_force) {
+    NoteRoleOrders(*this, in_force);
     config_in_force.Set(in_force);
     membership.SetConfigOffset(in_force->applied_offset);
   });
@@ -136,6 +140,7 @@
     ejected.Set(
         std::make_shared<const name_set>(Ejected(health, MonotonicNow())));
   });
+  load_timer = RunEvery(kLoadInterval, [this] { RunLoads(*this); });
 }
 
 std::string HomeAddress(const control_state& state,
@@ -146,6 +151,13 @@
   return it == state.peer_addresses.end() ? "" : it->second;
 }
 
+bool MayServe(const control_state& state, absl::string_view upstream) {
+  const auto ejected = state.ejected.Get();
+  if (ejected && ejected->contains(upstream)) return false;
+  const auto leaving = state.leaving.Get();
+  return !leaving || !leaving->contains(upstream);
+}
+
 void UpdateMembers(control_state& state) {
   state.live_names.clear();
   state.peer_addresses.clear();
--- a/src/daemon/control_state.h
+++ b/src/daemon/control_state.h
@@ -5,7 +5,6 @@
 #include <QTimer>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -13,7 +12,9 @@
 #include "base/published.h"
 #include "claims/claim_service.h"
 #include "config/config_service.h"
+#include "daemon/leaving_engines.h"
 #include "daemon/request_registry.h"
+#include "loads/load_service.h"
 #include "membership/membership_service.h"
 #include "orphans/canceller.h"
 #include "orphans/orphan_sweep.h"
@@ -28,9 +29,6 @@
 
 namespace anvilridge {
 
-/// Names of upstreams.
-using name_set = std::set<std::string, std::less<>>;
-
 /// The parts of the control plane, on its thread. What traffic threads read
 /// directly is `published`.
 struct control_state {
@@ -51,6 +49,8 @@
   placer places;
   canceller cancels;
   claim_service claims;
+  load_service loads;
+  leaving_engines leaving_elsewhere;
   team_limits limits;
   health_table health;
   request_registry requests;
@@ -63,12 +63,18 @@
   published<config_state> config_in_force;
   published<std::string> owner;
   published<name_set> ejected;
+  /// Engines that get no new work because of an order.
+  published<name_set> leaving;
   std::unique_ptr<QTimer> health_timer;
+  std::unique_ptr<QTimer> load_timer;
 };
 
 /// Peer address of the home of `resource`; empty when it is this daemon.
 std::string HomeAddress(const control_state& state, absl::string_view resource);
 
+/// Whether `upstream` may be given new work; any thread.
+bool MayServe(const control_state& state, absl::string_view upstream);
+
 /// Takes over a change of the live daemons.
 void UpdateMembers(control_state& state);
 
--- a/src/daemon/operator_port.cc
+++ b/src/daemon/operator_port.cc
@@ -30,6 +30,11 @@
       view.conditions.push_back({name, "ejected"});
     }
   }
+  if (const auto leaving = state.leaving.Get()) {
+    for (const std::string& name : *leaving) {
+      view.conditions.push_back({name, "leaving"});
+    }
+  }
   AddRows(view, LocalRows(state));
   return view;
 }
--- a/src/daemon/thread_bridge.cc
+++ b/src/daemon/thread_bridge.cc
@@ -122,8 +122,7 @@
     return state.membership.LeaseValid() && *state.owner.Get() == owner;
   };
   services.healthy = [&state](absl::string_view upstream) {
-    const auto ejected = state.ejected.Get();
-    return !ejected || !ejected->contains(upstream);
+    return MayServe(state, upstream);
   };
   services.report = [&state](absl::string_view upstream, bool ok) {
     PostTo(&state.context, [&state, name = std::string(upstream), ok] {
--- a/src/daemon/view_rows.cc
+++ b/src/daemon/view_rows.cc
@@ -45,6 +45,16 @@
           row.pieces,           ToQt(row.state),    Age(row.age)};
 }
 
+QCborArray Encode(const order_progress& row) {
+  return {ToQt(row.upstream), static_cast<qint64>(row.fence), ToQt(row.state)};
+}
+
+void Decode(const QCborArray& from, order_progress& row) {
+  row.upstream = TextAt(from, 0);
+  row.fence = from.at(1).toInteger();
+  row.state = TextAt(from, 2);
+}
+
 void Decode(const QCborArray& from, request_row& row) {
   row.id = TextAt(from, 0);
   row.team = TextAt(from, 1);
@@ -149,16 +159,27 @@
   return rows;
 }
 
+std::vector<order_progress> OrderRows(const control_state& state) {
+  std::vector<order_progress> rows;
+  for (const order_state& order : state.loads.Progress()) {
+    rows.push_back(
+        {order.upstream, order.fence, std::string(NameOf(order.stage))});
+  }
+  return rows;
+}
+
 }  // namespace
 
 view_rows LocalRows(const control_state& state) {
-  return {RequestRows(state), ReservationRows(state), OrphanRows(state)};
+  return {RequestRows(state), ReservationRows(state), OrphanRows(state),
+          OrderRows(state)};
 }
 
 QCborMap ToCbor(const view_rows& rows) {
   return {{QLatin1String("requests"), EncodeAll(rows.requests)},
           {QLatin1String("reservations"), EncodeAll(rows.reservations)},
-          {QLatin1String("orphans"), EncodeAll(rows.orphans)}};
+          {QLatin1String("orphans"), EncodeAll(rows.orphans)},
+          {QLatin1String("orders"), EncodeAll(rows.orders)}};
 }
 
 view_rows ParseViewRows(const QCborMap& map) {
@@ -167,6 +188,7 @@
   rows.reservations =
       DecodeAll<reservation_row>(map.value(QLatin1String("reservations")));
   rows.orphans = DecodeAll<orphan_row>(map.value(QLatin1String("orphans")));
+  rows.orders = DecodeAll<order_progress>(map.value(QLatin1String("orders")));
   return rows;
 }
 
@@ -174,6 +196,7 @@
   Append(view.requests, std::move(more.requests));
   Append(view.reservations, std::move(more.reservations));
   Append(view.orphans, std::move(more.orphans));
+  Append(view.orders, std::move(more.orders));
 }
 
 }  // namespace anvilridge
--- a/src/daemon/view_rows.h
+++ b/src/daemon/view_rows.h
@@ -17,6 +17,7 @@
   std::vector<request_row> requests;
   std::vector<reservation_row> reservations;
   std::vector<orphan_row> orphans;
+  std::vector<order_progress> orders;
 };
 
 /// Returns this daemon's rows.
--- /dev/null
+++ b/src/loads/engine_info.h
@@ -0,0 +1,19 @@
+#ifndef ANVILRIDGE_LOADS_ENGINE_INFO_H_
+#define ANVILRIDGE_LOADS_ENGINE_INFO_H_
+
+#include "absl/strings/string_view.h"
+#include "loads/engine_orders.h"
+#include "upstreams/engine_client.h"
+#include "upstreams/http_client.h"
+
+namespace anvilridge {
+
+/// Asks the engine at `address` what it serves. Errors are `upstream_failed`
+/// and `upstream_stalled`.
+http_client::call_id GetEngineInfo(http_client& client,
+                                   absl::string_view address,
+                                   engine_callback<engine_info> done);
+
+}  // namespace anvilridge
+
+#endif  // ANVILRIDGE_LOADS_ENGINE_INFO_H_
--- a/src/operators/operator_view.h
+++ b/src/operators/operator_view.h
@@ -54,7 +54,7 @@
   std::string upstream;
   /// Fencing number: names the order.
   int64_t fence = 0;
-  /// `waiting`, `fetching`, `sent`, `done` or `refused`.
+  /// `waiting`, `fetching`, `leaving`, `sent`, `done` or `refused`.
   std::string state;
 };
 
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -50,6 +50,8 @@
 struct platform_settings {
   endpoint log;
   endpoint vm_list;
+  /// Port 0 where engines fetch weights by themselves.
+  endpoint weight_store;
   /// Appends per second that this deployment may use in all.
   int log_appends_per_second = 200;
   /// How long the log keeps records.
--- a/src/settings/parse_settings_test.cc
+++ b/src/settings/parse_settings_test.cc
@@ -73,6 +73,7 @@
       "max_connections = 5\nmax_requests = 6\nrequest_timeout = 500ms\n"
       "idle_timeout = 7m\nmax_unsent_bytes = 8192\n"
       "[platform]\nlog = 127.0.0.1:1\nvm_list = 127.0.0.1:2\n"
+      "weight_store = 127.0.0.1:3\n"
       "log_appends_per_second = 9\nlog_retention = 48h\n"
       "[peers]\nseeds = 10.0.0.1:1, 10.0.0.2:2\nkey_file = s\n"
       "probe_interval = 2s\nlease = 11s\n"
--- a/src/settings/settings_table.cc
+++ b/src/settings/settings_table.cc
@@ -223,6 +223,16 @@
   rows.push_back(EndpointKey(
       {"platform", "vm_list", "The platform's VM list.", /*required=*/true}, 1,
       [](auto& s) -> auto& { return s.platform.vm_list; }));
+  settings_key weight_store = EndpointKey(
+      {"platform", "weight_store",
+       "The platform's weight store; without it, engines fetch the weights of "
+       "a load by themselves."},
+      1, [](auto& s) -> auto& { return s.platform.weight_store; });
+  weight_store.show = [](daemon_settings& s) {
+    const endpoint& store = s.platform.weight_store;
+    return store.port == 0 ? "" : EndpointText(store);
+  };
+  rows.push_back(std::move(weight_store));
   rows.push_back(IntegerKey<int>(
       {"platform", "log_appends_per_second",
        "Appends that all daemons of the deployment may use together."},
--- a/tests/harness/fleet.cc
+++ b/tests/harness/fleet.cc
@@ -96,6 +96,7 @@
   }
   ini.Set("platform", "log", platform.Address());
   ini.Set("platform", "vm_list", platform.Address());
+  ini.Set("platform", "weight_store", platform.Address());
   ini.Set("peers", "key_file", folder_.Write("peer.key", kPeerKey));
   const std::string seeds = Seeds(daemon);
   if (!seeds.empty()) ini.Set("peers", "seeds", seeds);
