--- a/src/base/error_kind_test.cc
+++ b/src/base/error_kind_test.cc
@@ -1,8 +1,11 @@
 #include "base/error_kind.h"
 
+#include <fstream>
+#include <iterator>
 #include <set>
 #include <string>
 
+#include "absl/strings/str_cat.h"
 #include "gtest/gtest.h"
 
 namespace anvilridge {
@@ -36,5 +39,19 @@
   EXPECT_EQ(RunStateOf(foreign), run_state::unknown);
 }
 
+TEST(error_kind_test, OperatorsPageHasEveryKindAndSaysWhatToDo) {
+  std::ifstream file(ANVIL_SOURCE_DIR "/docs/OPERATING.md");
+  const std::string page((std::istreambuf_iterator<char>(file)), {});
+  for (int i = 0; i <= static_cast<int>(error_kind::internal); ++i) {
+    const error_answer& answer = AnswerFor(static_cast<error_kind>(i));
+    const std::string row =
+        absl::StrCat("\n| `", answer.name, "` | ", answer.http_status, " | ",
+                     RunStateName(answer.ran), " | ", answer.title, " | ");
+    const size_t at = page.find(row);
+    ASSERT_NE(at, std::string::npos) << row;
+    EXPECT_NE(page[at + row.size()], '|') << "nothing to do for " << row;
+  }
+}
+
 }  // namespace
 }  // namespace anvilridge
--- a/src/daemon/control_plane.cc
+++ b/src/daemon/control_plane.cc
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "base/error_kind.h"
+#include "daemon/control_metrics.h"
 #include "daemon/control_state.h"
 #include "daemon/operator_port.h"
 #include "daemon/thread_bridge.h"
@@ -80,6 +81,10 @@
   return static_cast<int>(impl_->state.requests.active.size());
 }
 
+void control_plane::UpdateMetrics(metrics_registry& to) const {
+  UpdateControlMetrics(impl_->state, to);
+}
+
 void control_plane::BeginStop() {
   impl_->state.stopping = true;
   impl_->state.membership.Leave();
--- a/src/daemon/control_plane.h
+++ b/src/daemon/control_plane.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "absl/status/status.h"
+#include "metrics/metrics.h"
 #include "requests/request_services.h"
 #include "settings/daemon_settings.h"
 
@@ -47,6 +48,9 @@
   /// Whether the log has all outcomes of claimed calls.
   bool RecordsWritten() const;
 
+  /// Sets the metrics that tell the state of the control plane.
+  void UpdateMetrics(metrics_registry& to) const;
+
   /// Announces a planned stop: not ready, and the homes move to other daemons.
   void BeginStop();
 
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -93,7 +93,10 @@
 
   health_sources HealthSources() {
     return {[this] { return plane_.Ready(); },
-            [this] { return metrics_.MetricsText(); }};
+            [this] {
+              plane_.UpdateMetrics(metrics_);
+              return metrics_.MetricsText();
+            }};
   }
 
   void StartTrafficThreads() {
