Cancel requests for operators wherever they run

Cause: cancel request was accepted and did nothing. Change: the home that promised a request's decode place cancels each of its attempts at the engine for a minute from the command; postings to plain services are not covered. A process test of the cancel, one of the metrics that the alerts name.

--- a/src/daemon/control_state.cc
+++ b/src/daemon/control_state.cc
@@ -133,6 +133,7 @@
   });
   config.OnChange([this](const config_service::state_ptr& in_force) {
     NoteRoleOrders(*this, in_force);
+    TakeCancels(operator_cancelled, *in_force, MonotonicNow());
     config_in_force.Set(in_force);
     membership.SetConfigOffset(in_force->applied_offset);
   });
@@ -140,7 +141,10 @@
     ejected.Set(
         std::make_shared<const name_set>(Ejected(health, MonotonicNow())));
   });
-  load_timer = RunEvery(kLoadInterval, [this] { RunLoads(*this); });
+  load_timer = RunEvery(kLoadInterval, [this] {
+    RunLoads(*this);
+    CancelForOperators(*this);
+  });
 }
 
 std::string HomeAddress(const control_state& state,
@@ -187,6 +191,20 @@
   }
 }
 
+void CancelForOperators(control_state& state) {
+  const auto config = state.config.InForce();
+  if (!config || state.operator_cancelled.wanted.empty()) return;
+  const absl::Time now = MonotonicNow();
+  state.homes.ForEachHold([&](absl::string_view engine, absl::string_view id,
+                              const decode_hold& hold) {
+    if (!IsCancelled(state.operator_cancelled, id, now)) return;
+    const auto upstream = config->upstreams.find(engine);
+    if (upstream == config->upstreams.end()) return;
+    state.cancels.Cancel({std::string(id), hold.owner, std::string(engine),
+                          upstream->second.address});
+  });
+}
+
 void ReportUpstream(control_state& state, absl::string_view upstream, bool ok) {
   ReportCall(state.health, upstream, ok, MonotonicNow());
 }
--- a/src/daemon/control_state.h
+++ b/src/daemon/control_state.h
@@ -13,6 +13,7 @@
 #include "claims/claim_service.h"
 #include "config/config_service.h"
 #include "daemon/leaving_engines.h"
+#include "daemon/operator_cancels.h"
 #include "daemon/request_registry.h"
 #include "loads/load_service.h"
 #include "membership/membership_service.h"
@@ -51,6 +52,7 @@
   claim_service claims;
   load_service loads;
   leaving_engines leaving_elsewhere;
+  operator_cancels operator_cancelled;
   team_limits limits;
   health_table health;
   request_registry requests;
@@ -82,6 +84,10 @@
 void SweepOrphans(control_state& state, const upstream_config& engine,
                   absl::Span<const engine_request> listed);
 
+/// Cancels at their engines the requests that operators have cancelled, where
+/// this daemon is the home that promised their places.
+void CancelForOperators(control_state& state);
+
 /// Notes the result of a call to an upstream.
 void ReportUpstream(control_state& state, absl::string_view upstream, bool ok);
 
--- a/tests/operator_session_test.cc
+++ b/tests/operator_session_test.cc
@@ -10,6 +10,7 @@
 namespace {
 
 using testing::HasSubstr;
+using testing::Not;
 
 // The users' target for a change to be in force everywhere.
 constexpr absl::Duration kInForceBound = absl::Seconds(9);
@@ -111,5 +112,55 @@
   }));
 }
 
+TEST(operator_session_test, ACancelledRequestEndsWhereverItRuns) {
+  fleet_options options = FourDaemons();
+  options.decode_options = {"--token-interval-ms=50"};
+  fleet fleet(options);
+  test_request request;
+  request.method = "POST";
+  request.port = fleet.daemons[3].caller;
+  request.target = "/v1/completions";
+  request.headers = fleet.Caller();
+  request.timeout = absl::Seconds(40);
+  request.body = BodyText(fleet::Completion("A long summary.", 600));
+  event_stream stream(request);
+  ASSERT_TRUE(stream.WaitForEvents(1, absl::Seconds(5)));
+  const QString id =
+      FirstRow(fleet.daemons[0], "show requests")["id"].toString();
+  ASSERT_FALSE(id.isEmpty());
+  const test_answer given =
+      GiveCommand(fleet.daemons[1],
+                  "cancel request " + id.toStdString() + " because \"stuck\"");
+  ASSERT_EQ(given.status, 200) << given.body;
+  ASSERT_TRUE(stream.WaitForEnd(kInForceBound));
+  EXPECT_NE(stream.Events().back().data, "[DONE]");
+  EXPECT_TRUE(
+      Eventually(kInForceBound, [&] { return fleet.HeldRequests().empty(); }));
+}
+
+TEST(operator_session_test, MetricsTellTheStateThatTheAlertsNeed) {
+  const fleet fleet;
+  const fleet_daemon& daemon = fleet.daemons[0];
+  std::string text;
+  EXPECT_TRUE(Eventually(kInForceBound, [&] {
+    text = Get(daemon.metrics, "/metrics").body;
+    return text.find("\nanvil_live_daemons 2\n") != std::string::npos;
+  })) << text;
+  EXPECT_THAT(text, HasSubstr("\nanvil_log_out 0\n"));
+  EXPECT_THAT(text, Not(HasSubstr("\nanvil_config_offset 0\n")));
+  for (const char* name :
+       {"anvil_config_offset ", "anvil_cancels_pending ",
+        "anvil_requests_active ", "anvil_upstreams_ejected ",
+        "anvil_upstreams_leaving ",
+        "anvil_control_bytes{channel=\"membership\",direction=\"sent\"} "}) {
+    EXPECT_THAT(text, HasSubstr(std::string("\n") + name));
+  }
+  SetFault(fleet.platform.port, "outage", {{"what", "read"}});
+  EXPECT_TRUE(Eventually(absl::Seconds(20), [&] {
+    return Get(daemon.metrics, "/metrics").body.find("\nanvil_log_out 1\n") !=
+           std::string::npos;
+  }));
+}
+
 }  // namespace
 }  // namespace anvilridge
