--- a/src/daemon/load_wiring.cc
+++ b/src/daemon/load_wiring.cc
@@ -85,11 +85,12 @@
 }
 
 void RegisterLeavingHandler(control_state& state) {
-  state.peers_in.Handle(kLeavingMethod, [&state](const QCborMap& message,
-                                                 peer_responder respond) {
-    TakeWord(state.leaving_elsewhere, message, MonotonicNow());
-    respond(QCborMap());
-  });
+  state.peers_in.Handle(
+      kLeavingMethod,
+      [&state](const QCborMap& message, const peer_responder& respond) {
+        TakeWord(state.leaving_elsewhere, message, MonotonicNow());
+        respond(QCborMap());
+      });
 }
 
 void NoteRoleOrders(control_state& state,
--- a/tests/operator_session_test.cc
+++ b/tests/operator_session_test.cc
@@ -125,9 +125,11 @@
   request.body = BodyText(fleet::Completion("A long summary.", 600));
   event_stream stream(request);
   ASSERT_TRUE(stream.WaitForEvents(1, absl::Seconds(5)));
-  const QString id =
-      FirstRow(fleet.daemons[0], "show requests")["id"].toString();
-  ASSERT_FALSE(id.isEmpty());
+  QString id;
+  ASSERT_TRUE(Eventually(kInForceBound, [&] {
+    id = FirstRow(fleet.daemons[0], "show requests")["id"].toString();
+    return !id.isEmpty();
+  }));
   const test_answer given =
       GiveCommand(fleet.daemons[1],
                   "cancel request " + id.toStdString() + " because \"stuck\"");
