--- a/src/daemon/control_state.cc
+++ b/src/daemon/control_state.cc
@@ -9,6 +9,7 @@
 #include "base/event_loop.h"
 #include "claims/claim_wiring.h"
 #include "config/config_snapshot.h"
+#include "daemon/load_wiring.h"
 #include "daemon/orphan_control.h"
 #include "log/decision_log.h"
 #include "membership/home_map.h"
@@ -19,6 +20,7 @@
 constexpr char kSnapshotMethod[] = "config/snapshot";
 constexpr absl::Duration kSnapshotTimeout = absl::Seconds(2);
 constexpr absl::Duration kHealthInterval = absl::Milliseconds(250);
+constexpr absl::Duration kLoadInterval = absl::Milliseconds(250);
 
 std::string Address(const endpoint& where) {
   return absl::StrCat(where.address, ":", where.port);
@@ -140,6 +142,7 @@
       cancels(client),
       claims(MakeClaimIo(log, peers_out, membership, &context),
              daemon.platform.log_appends_per_second),
+      loads(client, LoadEnvironment(*this)),
       admission(peers_out, AdmissionEnvironment(*this)),
       vms(client, Address(daemon.platform.vm_list),
           [this] { TakeVmList(*this); }) {
@@ -149,6 +152,7 @@
   admission.RegisterPeerHandlers(peers_in);
   ServeSnapshots(*this);
   ServeHeldQuestions(*this);
+  RegisterLeavingHandler(*this);
   homes.OnList([this](const upstream_config& engine,
                       absl::Span<const engine_request> listed) {
     SweepOrphans(*this, engine, listed);
@@ -160,6 +164,8 @@
     PublishOwner(*this);
   });
   config.OnChange([this](const config_service::state_ptr& in_force) {
+    NoteRoleOrders(*this, in_force);
+    TakeCancels(operator_cancelled, *in_force, MonotonicNow());
     config_in_force.Set(in_force);
     membership.SetConfigOffset(in_force->applied_offset);
     PublishLeaving(*this);
@@ -168,6 +174,10 @@
     ejected.Set(
         std::make_shared<const name_set>(Ejected(health, MonotonicNow())));
   });
+  load_timer = RunEvery(kLoadInterval, [this] {
+    RunLoads(*this);
+    CancelForOperators(*this);
+  });
 }
 
 std::string HomeAddress(const control_state& state,
@@ -190,10 +200,26 @@
 }
 
 bool TakesWork(const control_state& state, absl::string_view upstream) {
-  const auto ejected = state.ejected.Get();
-  if (ejected && ejected->contains(upstream)) return false;
-  const auto leaving = state.leaving.Get();
-  return !leaving || !leaving->contains(upstream);
+  for (const published<name_set>* refused :
+       {&state.ejected, &state.leaving, &state.under_order}) {
+    const std::shared_ptr<const name_set> names = refused->Get();
+    if (names && names->contains(upstream)) return false;
+  }
+  return true;
+}
+
+void CancelForOperators(control_state& state) {
+  const auto config = state.config.InForce();
+  if (!config || state.operator_cancelled.wanted.empty()) return;
+  const absl::Time now = MonotonicNow();
+  state.homes.ForEachHold([&](absl::string_view engine, absl::string_view id,
+                              const decode_hold& hold) {
+    if (!IsCancelled(state.operator_cancelled, id, now)) return;
+    const auto upstream = config->upstreams.find(engine);
+    if (upstream == config->upstreams.end()) return;
+    state.cancels.Cancel({std::string(id), hold.owner, std::string(engine),
+                          upstream->second.address});
+  });
 }
 
 void ReportUpstream(control_state& state, absl::string_view upstream, bool ok) {
--- a/src/daemon/control_state.h
+++ b/src/daemon/control_state.h
@@ -5,7 +5,6 @@
 #include <QTimer>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -13,7 +12,10 @@
 #include "base/published.h"
 #include "claims/claim_service.h"
 #include "config/config_service.h"
+#include "daemon/leaving_engines.h"
+#include "daemon/operator_cancels.h"
 #include "daemon/request_registry.h"
+#include "loads/load_service.h"
 #include "membership/membership_service.h"
 #include "orphans/canceller.h"
 #include "orphans/held_check.h"
@@ -30,9 +32,6 @@
 
 namespace anvilridge {
 
-/// Names of upstreams.
-using name_set = std::set<std::string, std::less<>>;
-
 /// The parts of the control plane, on its thread. What traffic threads read
 /// directly is `published`.
 struct control_state {
@@ -53,6 +52,9 @@
   placer places;
   canceller cancels;
   claim_service claims;
+  load_service loads;
+  leaving_engines leaving_elsewhere;
+  operator_cancels operator_cancelled;
   team_admission admission;
   health_table health;
   vm_watch vms;
@@ -70,7 +72,10 @@
   published<name_set> ejected;
   /// Upstreams whose VM is leaving.
   published<name_set> leaving;
+  /// Engines that get no new work because of an order.
+  published<name_set> under_order;
   std::unique_ptr<QTimer> health_timer;
+  std::unique_ptr<QTimer> load_timer;
 };
 
 /// Peer address of the home of `resource`; empty when it is this daemon.
@@ -79,10 +84,14 @@
 /// Takes over a change of the live daemons.
 void UpdateMembers(control_state& state);
 
-/// Whether an upstream may be given new work, by its health and its VM. Any
-/// thread.
+/// Whether an upstream may be given new work, by its health, its VM and the
+/// orders given to it. Any thread.
 bool TakesWork(const control_state& state, absl::string_view upstream);
 
+/// Cancels at their engines the requests that operators have cancelled, where
+/// this daemon is the home that promised their places.
+void CancelForOperators(control_state& state);
+
 /// Notes the result of a call to an upstream.
 void ReportUpstream(control_state& state, absl::string_view upstream, bool ok);
 
--- a/src/daemon/operator_port.cc
+++ b/src/daemon/operator_port.cc
@@ -18,6 +18,15 @@
 constexpr absl::Duration kRowsTimeout = absl::Milliseconds(500);
 constexpr absl::Duration kKeepAliveInterval = absl::Seconds(15);
 
+void AddConditions(operator_view& view, const published<name_set>& upstreams,
+                   const char* condition) {
+  const std::shared_ptr<const name_set> names = upstreams.Get();
+  if (!names) return;
+  for (const std::string& name : *names) {
+    view.conditions.push_back({name, condition});
+  }
+}
+
 operator_view LocalView(const control_state& state) {
   operator_view view;
   view.now = WallNow();
@@ -25,11 +34,9 @@
   view.log_out = state.config.LogOut();
   view.members = state.membership.Members();
   view.pending = state.config.Pending();
-  if (const auto ejected = state.ejected.Get()) {
-    for (const std::string& name : *ejected) {
-      view.conditions.push_back({name, "ejected"});
-    }
-  }
+  AddConditions(view, state.ejected, "ejected");
+  AddConditions(view, state.leaving, "leaving");
+  AddConditions(view, state.under_order, "under_order");
   AddRows(view, LocalRows(state));
   return view;
 }
