--- /dev/null
+++ b/bench/capacity.sh
@@ -0,0 +1,43 @@
+#!/usr/bin/env bash
+# Runs the measurements behind docs/CAPACITY.md and prints one JSON line each,
+# with the load average beside them: bench/capacity.sh [BUILD_FOLDER] [PART...]
+# Parts: config home claims limits membership idle entry (all by default).
+set -euo pipefail
+build=$(cd "${1:-build}" && pwd)
+shift || true
+parts=${*:-config home claims limits membership idle entry}
+
+runs() {  # runs PROGRAM SIZES...
+  local program=$1
+  shift
+  for sizes in "$@"; do
+    # Sizes of one run are words of one argument.
+    # shellcheck disable=SC2086
+    timeout 120 "$build/$program" $sizes || echo "failed: $program $sizes"
+  done
+}
+
+for part in $parts; do
+  echo "# $part, load average $(cut -d' ' -f1-3 /proc/loadavg)"
+  case $part in
+    # TEAMS UPSTREAMS HISTORY
+    config) runs config_cost "100 250 300" "250 1000 1000" "500 2500 2000" \
+      "990 4900 3000" ;;
+    # ENGINES ROWS DAEMONS UPSTREAMS
+    home) runs home_cost "5 20 90 1225" "13 20 185 2450" "40 20 370 4900" \
+      "13 20 370 4900" ;;
+    # KEYS
+    claims) runs claims_cost 1000 10000 100000 ;;
+    # TEAMS UPSTREAMS LINES
+    limits) runs limits_cost "100 10 1000" "400 100 3000" "990 1000 5000" ;;
+    # MEMBERS OFFSET_CHANGES
+    membership) runs membership_cost "8 0" "32 0" "128 0" "370 0" "370 1" \
+      "370 4" ;;
+    # STREAMS TOKENS ROUNDS ENGINES SECONDS DAEMONS
+    idle) runs entry_cost "0 0 0 1 10 1" "0 0 0 4 10 1" "0 0 0 8 10 1" \
+      "0 0 0 1 10 8" "0 0 0 1 10 16" "0 0 0 1 10 32" ;;
+    entry) runs entry_cost "10 200 1 4" "50 200 1 4" "100 200 1 4" \
+      "200 200 1 4" "100 1 1 4" "100 100 1 4" ;;
+    *) echo "unknown part $part" >&2; exit 2 ;;
+  esac
+done
--- /dev/null
+++ b/bench/capacity/home_cost.cc
@@ -0,0 +1,160 @@
+// Cost of being an engine's home: home_cost ENGINES ROWS DAEMONS UPSTREAMS
+#include <QCborValue>
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "bench_meter.h"
+#include "membership/home_map.h"
+#include "orphans/orphan_sweep.h"
+#include "placement/decode_ledger.h"
+#include "placement/home_messages.h"
+#include "placement/list_schedule.h"
+
+namespace anvilridge {
+namespace {
+
+const absl::Time kStart = absl::FromUnixSeconds(1'800'000'000);
+
+std::vector<engine_request> Rows(int engine, int count) {
+  std::vector<engine_request> rows;
+  for (int i = 0; i < count; ++i) {
+    engine_request row;
+    row.request_id = absl::StrCat("0123456789abcdef0123456789ab", engine, i);
+    row.owner = absl::StrCat("entry-zagreb-a-", i, ":1800000000000000");
+    row.phase = engine_phase::decode;
+    row.pieces = 80;
+    row.prompt_tokens = 900;
+    row.generated = 200;
+    row.max_tokens = 400;
+    row.age = absl::Seconds(4);
+    row.attached = true;
+    rows.push_back(row);
+  }
+  return rows;
+}
+
+// The list as an engine sends it.
+QByteArray ListText(const std::vector<engine_request>& rows, int finished) {
+  QJsonArray requests;
+  for (const engine_request& row : rows) {
+    requests.append(
+        QJsonObject{{"request_id", QString::fromStdString(row.request_id)},
+                    {"owner", QString::fromStdString(row.owner)},
+                    {"phase", "decode"},
+                    {"pieces", row.pieces},
+                    {"prompt_tokens", row.prompt_tokens},
+                    {"generated", row.generated},
+                    {"max_tokens", row.max_tokens},
+                    {"age_ms", 4000},
+                    {"attached", true}});
+  }
+  QJsonArray ended;
+  for (int i = 0; i < finished; ++i) {
+    ended.append(QJsonObject{
+        {"request_id", QString("0123456789abcdef0123456789ab%1").arg(i)},
+        {"generated", 400}});
+  }
+  return QJsonDocument(QJsonObject{{"requests", requests}, {"finished", ended}})
+      .toJson(QJsonDocument::Compact);
+}
+
+int Run(int engines, int rows, int daemons, int upstreams) {
+  const double before = HeapBytes();
+  std::vector<decode_ledger> ledgers(engines);
+  std::vector<std::vector<engine_request>> lists;
+  for (int i = 0; i < engines; ++i) lists.push_back(Rows(i, rows));
+  const double rows_heap = HeapBytes() - before;
+  std::vector<orphan_watch> watches(engines);
+  const auto merge_all = [&] {
+    for (int i = 0; i < engines; ++i) {
+      ledgers[i].slots = rows;
+      ledgers[i].pieces = 2000;
+      MergeDecodeList(ledgers[i], lists[i], absl::Milliseconds(25), kStart);
+      FindOrphans(
+          watches[i], lists[i], [](const owner_id&) { return true; }, {},
+          kStart);
+    }
+  };
+  merge_all();
+  const double ledgers_heap = HeapBytes() - before - rows_heap;
+  const double merge = CpuOf(20, merge_all);
+  const QByteArray text = ListText(lists[0], 0);
+  const QByteArray with_finished = ListText(lists[0], 1);
+  const double parse =
+      CpuOf(200, [&] { (void)QJsonDocument::fromJson(text).object().size(); });
+
+  decode_ask_message ask{
+      "engine-zagreb-a-1",
+      {"0123456789abcdef0123456789abcdef", "entry-zagreb-a-1:1800000000000000",
+       80, absl::Milliseconds(300), absl::Seconds(8)}};
+  decode_ledger free_ledger = ledgers[0];
+  free_ledger.slots = rows + 1;
+  const double ask_release = CpuOf(1000, [&] {
+    const QByteArray body = QCborValue(ToCbor(ask)).toCbor();
+    const auto parsed = ParseDecodeAsk(QCborValue::fromCbor(body).toMap());
+    const decode_answer answer =
+        AskDecode(free_ledger, parsed->ask, {}, kStart);
+    (void)QCborValue(ToCbor(answer)).toCbor();
+    ReleaseDecode(free_ledger, ask.ask.request_id);
+  });
+  const qsizetype ask_bytes = QCborValue(ToCbor(ask)).toCbor().size();
+  const qsizetype answer_bytes =
+      QCborValue(ToCbor(decode_answer{})).toCbor().size();
+  const release_message release{"engine-zagreb-a-1", ask.ask.request_id, 900,
+                                absl::Milliseconds(120)};
+  const qsizetype release_bytes = QCborValue(ToCbor(release)).toCbor().size();
+
+  std::vector<std::string> names;
+  for (int i = 0; i < daemons; ++i) {
+    names.push_back(absl::StrCat("entry-zagreb-a-", i));
+  }
+  size_t homed = 0;
+  const double find_homes = CpuOf(2, [&] {
+    homed = 0;
+    for (int i = 0; i < upstreams; ++i) {
+      homed += HomeOf(absl::StrCat("engine-zagreb-a-", i), names) == names[0];
+    }
+  });
+
+  list_situation situation;
+  situation.live_daemons = daemons;
+  situation.round_bytes = engines * ListBytes(rows);
+  const auto interval = [&] {
+    return absl::ToDoubleSeconds(NextList({}, situation, kStart) - kStart);
+  };
+  const double routine = interval();
+  situation.next_lapse = kStart + promise_policy{}.promise_margin;
+  const double with_promises = interval();
+  PrintLine({{"bench", "home_cost"},
+             {"engines", engines},
+             {"rows", rows},
+             {"daemons", daemons},
+             {"upstreams", upstreams},
+             {"ledger_heap_bytes", ledgers_heap},
+             {"list_body_bytes", static_cast<double>(text.size())},
+             {"finished_row_bytes",
+              static_cast<double>(with_finished.size() - text.size())},
+             {"parse_list_us", parse},
+             {"merge_all_us", merge},
+             {"ask_and_release_us", ask_release},
+             {"ask_body_bytes", static_cast<double>(ask_bytes)},
+             {"answer_body_bytes", static_cast<double>(answer_bytes)},
+             {"release_body_bytes", static_cast<double>(release_bytes)},
+             {"find_homes_us", find_homes},
+             {"homed", static_cast<double>(homed)},
+             {"list_interval_routine_s", routine},
+             {"list_interval_under_load_s", with_promises}});
+  return 0;
+}
+
+}  // namespace
+}  // namespace anvilridge
+
+int main(int argc, char** argv) {
+  using anvilridge::SizeArgument;
+  return anvilridge::Run(
+      SizeArgument(argc, argv, 1, 13), SizeArgument(argc, argv, 2, 20),
+      SizeArgument(argc, argv, 3, 370), SizeArgument(argc, argv, 4, 4900));
+}
--- a/src/daemon/control_state.cc
+++ b/src/daemon/control_state.cc
@@ -9,13 +9,16 @@
 #include "base/event_loop.h"
 #include "claims/claim_wiring.h"
 #include "config/config_snapshot.h"
+#include "config/packed_snapshot.h"
 #include "log/decision_log.h"
 #include "membership/home_map.h"
+#include "membership/member_table.h"
 
 namespace anvilridge {
 namespace {
 
 constexpr char kSnapshotMethod[] = "config/snapshot";
+constexpr QLatin1String kPackedSnapshot("packed");
 constexpr absl::Duration kSnapshotTimeout = absl::Seconds(2);
 constexpr absl::Duration kHealthInterval = absl::Milliseconds(250);
 
@@ -38,14 +41,13 @@
   peers.fetch_snapshot =
       [&state](const std::string& address,
                std::function<void(absl::StatusOr<std::string>)> done) {
-        state.peers_out.Call(address, kSnapshotMethod, QCborMap(),
-                             kSnapshotTimeout,
-                             [done](absl::StatusOr<QCborMap> answer) {
-                               if (!answer.ok()) return done(answer.status());
-                               done(answer->value(QLatin1String("snapshot"))
-                                        .toString()
-                                        .toStdString());
-                             });
+        state.peers_out.Call(
+            address, kSnapshotMethod, QCborMap(), kSnapshotTimeout,
+            [done](absl::StatusOr<QCborMap> answer) {
+              if (!answer.ok()) return done(answer.status());
+              done(UnpackSnapshotText(
+                  answer->value(kPackedSnapshot).toByteArray()));
+            });
       };
   return peers;
 }
@@ -56,6 +58,10 @@
   env.is_home = [&state](absl::string_view engine) {
     return HomeAddress(state, engine).empty();
   };
+  env.homes_version = [&state] { return state.running_version; };
+  env.live_daemons = [&state] {
+    return static_cast<int>(state.live_names.size());
+  };
   env.now = MonotonicNow;
   return env;
 }
@@ -86,6 +92,16 @@
       std::make_shared<const std::string>(OwnerText(state.membership.Self())));
 }
 
+// Many daemons may ask for the same state at once, when the log is out.
+QByteArray PackedSnapshot(control_state& state,
+                          const std::shared_ptr<const config_state>& config) {
+  if (state.packed_of != config) {
+    state.packed_snapshot = PackSnapshotText(SnapshotText(*config));
+    state.packed_of = config;
+  }
+  return state.packed_snapshot;
+}
+
 void ServeSnapshots(control_state& state) {
   state.peers_in.Handle(
       kSnapshotMethod, [&state](const QCborMap&, peer_responder respond) {
@@ -94,11 +110,19 @@
           return respond(
               MakeError(error_kind::not_ready, "no configuration in force"));
         }
-        respond(QCborMap{{QLatin1String("snapshot"),
-                          QString::fromStdString(SnapshotText(*config))}});
+        respond(QCborMap{{kPackedSnapshot, PackedSnapshot(state, config)}});
       });
 }
 
+std::vector<running_daemon> RunningDaemons(const control_state& state) {
+  std::vector<running_daemon> running;
+  for (const member& daemon : state.membership.Members()) {
+    if (!IsRunning(daemon.state)) continue;
+    running.push_back({daemon.id, daemon.peer_address, daemon.leaving});
+  }
+  return running;
+}
+
 }  // namespace
 
 control_state::control_state(const daemon_settings& daemon, std::string key)
@@ -147,13 +171,19 @@
 }
 
 void UpdateMembers(control_state& state) {
+  state.config.PeersChanged();
+  // Most changes are of configuration offsets, which move no home and end no
+  // owner.
+  std::vector<running_daemon> running = RunningDaemons(state);
+  if (running == state.running) return;
+  state.running = std::move(running);
+  ++state.running_version;
   state.live_names.clear();
   state.peer_addresses.clear();
   for (const member& daemon : state.membership.Live()) {
     state.live_names.push_back(daemon.id.daemon);
     state.peer_addresses[daemon.id.daemon] = daemon.peer_address;
   }
-  state.config.PeersChanged();
   state.claims.OnMembersChanged();
 }
 
@@ -165,6 +195,9 @@
         return state.membership.IsOwnerLive(owner);
       },
       {}, MonotonicNow());
+  if (!state.orphans[engine.name].since.empty()) {
+    state.homes.WatchOrphan(engine.name);
+  }
   for (const engine_request& orphan : orphans) {
     LogEvent(log_level::warn, "orphan_cancelled",
              {{"request_id", QString::fromStdString(orphan.request_id)},
--- a/src/daemon/control_state.h
+++ b/src/daemon/control_state.h
@@ -1,8 +1,10 @@
 #ifndef ANVILRIDGE_DAEMON_CONTROL_STATE_H_
 #define ANVILRIDGE_DAEMON_CONTROL_STATE_H_
 
+#include <QByteArray>
 #include <QObject>
 #include <QTimer>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <set>
@@ -31,6 +33,16 @@
 /// Names of upstreams.
 using name_set = std::set<std::string, std::less<>>;
 
+/// What decides whether a daemon is home to anything and which owners live.
+struct running_daemon {
+  owner_id id;
+  std::string peer_address;
+  bool leaving = false;
+
+  friend bool operator==(const running_daemon&,
+                         const running_daemon&) = default;
+};
+
 /// The parts of the control plane, on its thread. What traffic threads read
 /// directly is `published`.
 struct control_state {
@@ -57,7 +69,15 @@
   std::map<std::string, orphan_watch, std::less<>> orphans;
   /// Names of the live daemons, by which homes are found.
   std::vector<std::string> live_names;
+  /// What homes and owners depend on: the running daemons' incarnations, peer
+  /// addresses and plans to leave.
+  std::vector<running_daemon> running;
+  /// Counts the changes of `running`.
+  uint64_t running_version = 0;
   std::map<std::string, std::string, std::less<>> peer_addresses;
+  /// The configuration as last packed for a peer, and what was packed.
+  QByteArray packed_snapshot;
+  std::shared_ptr<const config_state> packed_of;
   bool stopping = false;
 
   published<config_state> config_in_force;
--- a/src/placement/engine_homes.cc
+++ b/src/placement/engine_homes.cc
@@ -9,11 +9,13 @@
 #include "base/error_kind.h"
 #include "base/event_loop.h"
 #include "log/decision_log.h"
+#include "placement/list_schedule.h"
 
 namespace anvilridge {
 namespace {
 
-constexpr absl::Duration kListInterval = absl::Milliseconds(500);
+// What a refusal names while the first list is on its way.
+constexpr absl::Duration kFirstListWait = absl::Milliseconds(500);
 constexpr absl::Duration kSweepInterval = absl::Milliseconds(100);
 // Interval between tokens that predictions assume before any is learned.
 constexpr absl::Duration kAssumedTokenInterval = absl::Milliseconds(25);
@@ -22,7 +24,12 @@
   decode_ledger decode;
   prefill_ledger prefill;
   bool listing = false;
-  absl::Time list_due = absl::InfinitePast();
+  absl::Time listed = absl::InfinitePast();
+  // Set by `ListSoon`, until the next list.
+  bool wanted = false;
+  // Whether a request there waits out the grace for its lost owner.
+  bool watching_orphan = false;
+  size_t list_bytes = 0;
   // Asks that wait for the first list.
   std::vector<std::function<void()>> waiting;
 };
@@ -45,6 +52,10 @@
   std::map<std::string, homed_engine, std::less<>> engines;
   std::vector<list_listener> listeners;
   std::unique_ptr<QTimer> sweep_timer;
+  // By which the engines homed here were found.
+  std::shared_ptr<const config_state> swept_config;
+  uint64_t swept_version = 0;
+  absl::Time daemons_changed = absl::InfinitePast();
   // Outlived by callbacks that check it.
   std::shared_ptr<char> alive = std::make_shared<char>();
 
@@ -60,18 +71,46 @@
     return engine;
   }
 
-  // Forgets engines that are homed elsewhere now and lists those that are due.
+  // Lists the engines that are due. Which engines are homed here is found anew
+  // only when configuration or live daemons have changed: with thousands of
+  // engines and hundreds of daemons it would take most of a core.
   void Sweep() {
     const std::shared_ptr<const config_state> config = env.config();
     if (!config) return;
-    for (const auto& [name, upstream] : config->upstreams) {
-      if (!IsEngine(*config, upstream)) continue;
-      if (!env.is_home(name)) {
+    const uint64_t version = env.homes_version();
+    if (version != swept_version) daemons_changed = env.now();
+    if (config != swept_config || version != swept_version) FindHomed(*config);
+    swept_config = config;
+    swept_version = version;
+    ListDue(*config);
+  }
+
+  // Forgets engines that are homed elsewhere now, and takes up new ones.
+  void FindHomed(const config_state& config) {
+    for (const auto& [name, upstream] : config.upstreams) {
+      if (!IsEngine(config, upstream)) continue;
+      if (env.is_home(name)) {
+        EngineNamed(upstream);
+      } else {
         Forget(name);
-        continue;
       }
-      homed_engine& engine = EngineNamed(upstream);
-      if (!engine.listing && engine.list_due <= env.now()) List(upstream);
+    }
+  }
+
+  void ListDue(const config_state& config) {
+    list_situation situation;
+    situation.live_daemons = env.live_daemons();
+    situation.daemons_changed = daemons_changed;
+    for (const auto& [name, engine] : engines) {
+      situation.round_bytes += engine.list_bytes;
+    }
+    for (auto& [name, engine] : engines) {
+      const auto upstream = config.upstreams.find(name);
+      if (engine.listing || upstream == config.upstreams.end()) continue;
+      situation.watching_orphan = engine.watching_orphan;
+      situation.next_lapse = NextLapse(engine.decode);
+      const absl::Time due = NextList({}, situation, engine.listed);
+      if (engine.wanted || due <= env.now()) List(upstream->second);
     }
   }
 
@@ -91,7 +130,8 @@
   void List(const upstream_config& upstream) {
     homed_engine& engine = EngineNamed(upstream);
     engine.listing = true;
-    engine.list_due = env.now() + kListInterval;
+    engine.wanted = false;
+    engine.listed = env.now();
     const std::weak_ptr<char> guard = alive;
     ListEngineRequests(client, upstream.address,
                        [this, guard, upstream](
@@ -107,7 +147,9 @@
     if (it == engines.end()) return;
     homed_engine& engine = it->second;
     engine.listing = false;
+    engine.watching_orphan = false;
     if (listed.ok()) {
+      engine.list_bytes = ListBytes(listed->size());
       MergeDecodeList(engine.decode, *listed, kAssumedTokenInterval, env.now());
       MergePrefillList(engine.prefill, *listed, env.now());
       for (const list_listener& listener : listeners) {
@@ -148,7 +190,7 @@
     const upstream_config& upstream = config->upstreams.at(message.engine);
     homed_engine& engine = EngineNamed(upstream);
     if (engine.decode.listed_at == absl::InfinitePast()) {
-      return decode_answer{.free_in = kListInterval};
+      return decode_answer{.free_in = kFirstListWait};
     }
     const promise_policy policy = PolicyFor(*config, upstream.pool);
     return AskDecode(engine.decode, message.ask, policy, env.now());
@@ -221,7 +263,12 @@
 
 void engine_homes::ListSoon(absl::string_view engine) {
   const auto it = impl_->engines.find(engine);
-  if (it != impl_->engines.end()) it->second.list_due = absl::InfinitePast();
+  if (it != impl_->engines.end()) it->second.wanted = true;
+}
+
+void engine_homes::WatchOrphan(absl::string_view engine) {
+  const auto it = impl_->engines.find(engine);
+  if (it != impl_->engines.end()) it->second.watching_orphan = true;
 }
 
 void engine_homes::ForEachHold(
--- a/src/placement/engine_homes.h
+++ b/src/placement/engine_homes.h
@@ -1,6 +1,7 @@
 #ifndef ANVILRIDGE_PLACEMENT_ENGINE_HOMES_H_
 #define ANVILRIDGE_PLACEMENT_ENGINE_HOMES_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -22,6 +23,9 @@
   std::function<std::shared_ptr<const config_state>()> config;
   /// Whether this daemon is the home of the engine by current membership.
   std::function<bool(absl::string_view engine)> is_home;
+  /// Changes whenever `is_home` may answer otherwise by other live daemons.
+  std::function<uint64_t()> homes_version;
+  std::function<int()> live_daemons;
   std::function<absl::Time()> now;
 };
 
@@ -52,6 +56,10 @@
   /// Fetches the list of `engine` soon, whether or not it is due.
   void ListSoon(absl::string_view engine);
 
+  /// Says that a request at `engine` waits out the grace for its lost owner, so
+  /// that the engine is listed again soon. Called from a list listener.
+  void WatchOrphan(absl::string_view engine);
+
   /// Calls `visit` with each decode place promised or used, by engine and
   /// request.
   void ForEachHold(
