--- a/bench/capacity.sh
+++ b/bench/capacity.sh
@@ -36,8 +36,9 @@
     # STREAMS TOKENS ROUNDS ENGINES SECONDS DAEMONS
     idle) runs entry_cost "0 0 0 1 10 1" "0 0 0 4 10 1" "0 0 0 8 10 1" \
       "0 0 0 1 10 8" "0 0 0 1 10 16" "0 0 0 1 10 32" ;;
-    entry) runs entry_cost "10 200 1 4" "50 200 1 4" "100 200 1 4" \
-      "200 200 1 4" "100 1 1 4" "100 100 1 4" ;;
+    entry) runs entry_cost "10 200 1 10" "50 200 1 10" "100 200 1 10" \
+      "200 200 1 10" "400 40 1 20" "100 1 1 10" "100 50 1 10" \
+      "100 100 1 10" ;;
     *) echo "unknown part $part" >&2; exit 2 ;;
   esac
 done
--- a/src/config/apply_command_test.cc
+++ b/src/config/apply_command_test.cc
@@ -274,5 +274,23 @@
   EXPECT_FALSE(DecodeSnapshot(dangling).ok());
 }
 
+TEST(config_snapshot_test, EqualAddressesAndKeysAreRefused) {
+  config_state twice = Fleet();
+  ASSERT_FALSE(twice.upstreams.empty());
+  twice.upstreams["twin"] = twice.upstreams.begin()->second;
+  EXPECT_THAT(DecodeSnapshot(EncodeSnapshot(twice)).status().ToString(),
+              testing::HasSubstr("already has the address"));
+  twice = Fleet();
+  key_config key;
+  key.version = 1;
+  key.role = operator_role::read;
+  key.sha256_hex = std::string(64, 'a');
+  twice.keys["one"] = key;
+  ASSERT_TRUE(DecodeSnapshot(EncodeSnapshot(twice)).ok());
+  twice.keys["two"] = key;
+  EXPECT_THAT(DecodeSnapshot(EncodeSnapshot(twice)).status().ToString(),
+              testing::HasSubstr("already has this hash"));
+}
+
 }  // namespace
 }  // namespace anvilridge
--- a/src/config/check_references.cc
+++ b/src/config/check_references.cc
@@ -1,5 +1,6 @@
 #include "config/check_references.h"
 
+#include "absl/container/flat_hash_set.h"
 #include "absl/strings/str_cat.h"
 #include "base/error_kind.h"
 #include "config/config_names.h"
@@ -96,8 +97,64 @@
   return absl::OkStatus();
 }
 
+absl::Status CheckPoolOf(const config_state& state,
+                         const upstream_config& upstream) {
+  if (state.pools.count(upstream.pool) > 0) return absl::OkStatus();
+  return Invalid(
+      absl::StrCat("pool: there is no pool \"", upstream.pool, "\""));
+}
+
+absl::Status CheckOwnerOf(const config_state& state, const key_config& key) {
+  if (!key.team.empty() && state.teams.count(key.team) == 0) {
+    return Invalid(absl::StrCat("team: there is no team \"", key.team, "\""));
+  }
+  if (key.team.empty() && key.role == operator_role::none) {
+    return Invalid("team: missing; a key has a team, a role or both");
+  }
+  if (!key.team.empty() && key.role > operator_role::read) {
+    return Invalid("role: a team's key may have the role none or read");
+  }
+  return absl::OkStatus();
+}
+
+// Checks each of `objects` by `check`, and in full one whose `unique` text came
+// before.
+template <typename Objects, typename Check, typename Unique>
+absl::Status CheckMany(const config_state& state, const Objects& objects,
+                       Check check, Unique unique) {
+  absl::flat_hash_set<std::string> seen;
+  for (const auto& [name, object] : objects) {
+    const bool first = seen.insert(unique(object)).second;
+    const absl::Status checked =
+        first ? check(state, object) : CheckObject(state, object);
+    if (!checked.ok()) return checked;
+  }
+  return absl::OkStatus();
+}
+
+template <typename Objects>
+absl::Status CheckFew(const config_state& state, const Objects& objects) {
+  for (const auto& [name, object] : objects) {
+    const absl::Status checked = CheckObject(state, object);
+    if (!checked.ok()) return checked;
+  }
+  return absl::OkStatus();
+}
+
 }  // namespace
 
+absl::Status CheckAllObjects(const config_state& state) {
+  absl::Status check = CheckFew(state, state.pools);
+  check.Update(CheckMany(
+      state, state.upstreams, CheckPoolOf,
+      [](const upstream_config& upstream) { return upstream.address; }));
+  check.Update(CheckFew(state, state.routes));
+  check.Update(CheckMany(state, state.keys, CheckOwnerOf,
+                         [](const key_config& key) { return key.sha256_hex; }));
+  check.Update(CheckFew(state, state.links));
+  return check;
+}
+
 absl::Status CheckObject(const config_state& state, const pool_config& pool) {
   const bool serves_model = pool.role != pool_role::service;
   if (serves_model && pool.model.empty()) {
@@ -119,10 +176,7 @@
 
 absl::Status CheckObject(const config_state& state,
                          const upstream_config& upstream) {
-  if (state.pools.count(upstream.pool) == 0) {
-    return Invalid(
-        absl::StrCat("pool: there is no pool \"", upstream.pool, "\""));
-  }
+  if (auto check = CheckPoolOf(state, upstream); !check.ok()) return check;
   const std::string other = OtherWith(
       state.upstreams, upstream.name, [&](const upstream_config& known) {
         return known.address == upstream.address;
@@ -142,15 +196,7 @@
 }
 
 absl::Status CheckObject(const config_state& state, const key_config& key) {
-  if (!key.team.empty() && state.teams.count(key.team) == 0) {
-    return Invalid(absl::StrCat("team: there is no team \"", key.team, "\""));
-  }
-  if (key.team.empty() && key.role == operator_role::none) {
-    return Invalid("team: missing; a key has a team, a role or both");
-  }
-  if (!key.team.empty() && key.role > operator_role::read) {
-    return Invalid("role: a team's key may have the role none or read");
-  }
+  if (auto check = CheckOwnerOf(state, key); !check.ok()) return check;
   const std::string other =
       OtherWith(state.keys, key.name, [&](const key_config& known) {
         return known.sha256_hex == key.sha256_hex;
--- a/src/config/check_references.h
+++ b/src/config/check_references.h
@@ -18,6 +18,10 @@
 absl::Status CheckObject(const config_state& state, const key_config& key);
 absl::Status CheckObject(const config_state& state, const link_config& link);
 
+/// Checks every object of `state`. Of upstreams and keys, of which there are
+/// thousands, the time grows with their number and not with its square.
+absl::Status CheckAllObjects(const config_state& state);
+
 /// Checks that nothing refers to the object that is to be removed.
 absl::Status CheckUnused(const config_state& state, object_kind kind,
                          absl::string_view name);
--- a/src/config/config_snapshot.cc
+++ b/src/config/config_snapshot.cc
@@ -130,19 +130,6 @@
   return absl::OkStatus();
 }
 
-// Objects refer to each other, so they are checked once all are there.
-absl::Status CheckAll(const config_state& state) {
-  absl::Status check;
-  for (const object_kind kind : kKinds) {
-    WithObjects(state, kind, [&](const auto& objects) {
-      for (const auto& [name, object] : objects) {
-        check.Update(CheckObject(state, object));
-      }
-    });
-  }
-  return check;
-}
-
 QJsonObject EncodeEntry(const history_entry& entry) {
   return {{"offset", ToJson(entry.offset)},
           {"recorded_ms", ToJson(absl::ToUnixMillis(entry.recorded))},
@@ -223,7 +210,8 @@
     state.cancels.push_back({ToText(row["request"]), ToInteger(row["offset"])});
   }
   decoded.Update(DecodeHistory(json["history"], state));
-  decoded.Update(CheckAll(state));
+  // Objects refer to each other, so they are checked once all are there.
+  decoded.Update(CheckAllObjects(state));
   if (!decoded.ok()) return decoded;
   return state;
 }
