--- a/bench/capacity/home_cost.cc
+++ b/bench/capacity/home_cost.cc
@@ -8,6 +8,7 @@
 #include "bench_meter.h"
 #include "membership/home_map.h"
 #include "orphans/orphan_sweep.h"
+#include "placement/candidate_choice.h"
 #include "placement/decode_ledger.h"
 #include "placement/home_messages.h"
 #include "placement/list_schedule.h"
@@ -118,6 +119,17 @@
     }
   });
 
+  config_state config;
+  constexpr int kPools = 46;  // Prefill and decode of 23 models.
+  for (int i = 0; i < upstreams; ++i) {
+    upstream_config& upstream =
+        config.upstreams[absl::StrCat("engine-zagreb-a-", i)];
+    upstream.pool = absl::StrCat("pool-", i % kPools);
+  }
+  size_t found = 0;
+  const double candidates =
+      CpuOf(50, [&] { found = Candidates(config, "pool-1", {}).size(); });
+
   list_situation situation;
   situation.live_daemons = daemons;
   situation.round_bytes = engines * ListBytes(rows);
@@ -143,6 +155,8 @@
              {"answer_body_bytes", static_cast<double>(answer_bytes)},
              {"release_body_bytes", static_cast<double>(release_bytes)},
              {"find_homes_us", find_homes},
+             {"candidates_us", candidates},
+             {"candidates", static_cast<double>(found)},
              {"homed", static_cast<double>(homed)},
              {"list_interval_routine_s", routine},
              {"list_interval_under_load_s", with_promises}});
--- a/src/placement/engine_homes.cc
+++ b/src/placement/engine_homes.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "absl/container/flat_hash_map.h"
 #include "absl/strings/str_cat.h"
 #include "base/error_kind.h"
 #include "base/event_loop.h"
@@ -55,6 +56,8 @@
   // By which the engines homed here were found.
   std::shared_ptr<const config_state> swept_config;
   uint64_t swept_version = 0;
+  // Whether engines are homed here, by the live daemons of `swept_version`.
+  absl::flat_hash_map<std::string, bool> home_known;
   absl::Time daemons_changed = absl::InfinitePast();
   // Outlived by callbacks that check it.
   std::shared_ptr<char> alive = std::make_shared<char>();
@@ -78,7 +81,10 @@
     const std::shared_ptr<const config_state> config = env.config();
     if (!config) return;
     const uint64_t version = env.homes_version();
-    if (version != swept_version) daemons_changed = env.now();
+    if (version != swept_version) {
+      daemons_changed = env.now();
+      home_known.clear();
+    }
     if (config != swept_config || version != swept_version) FindHomed(*config);
     swept_config = config;
     swept_version = version;
@@ -89,7 +95,7 @@
   void FindHomed(const config_state& config) {
     for (const auto& [name, upstream] : config.upstreams) {
       if (!IsEngine(config, upstream)) continue;
-      if (env.is_home(name)) {
+      if (IsHome(name)) {
         EngineNamed(upstream);
       } else {
         Forget(name);
@@ -97,6 +103,13 @@
     }
   }
 
+  // A change of configuration moves no home, so what was found is kept.
+  bool IsHome(const std::string& name) {
+    const auto [it, added] = home_known.try_emplace(name, false);
+    if (added) it->second = env.is_home(name);
+    return it->second;
+  }
+
   void ListDue(const config_state& config) {
     list_situation situation;
     situation.live_daemons = env.live_daemons();
