--- a/bench/capacity.sh
+++ b/bench/capacity.sh
@@ -1,11 +1,11 @@
 #!/usr/bin/env bash
 # Runs the measurements behind docs/CAPACITY.md and prints one JSON line each,
 # with the load average beside them: bench/capacity.sh [BUILD_FOLDER] [PART...]
-# Parts: config home claims limits membership idle entry (all by default).
+# Parts: config home peer claims limits membership idle entry (all by default).
 set -euo pipefail
 build=$(cd "${1:-build}" && pwd)
 shift || true
-parts=${*:-config home claims limits membership idle entry}
+parts=${*:-config home peer claims limits membership idle entry}
 
 runs() {  # runs PROGRAM SIZES...
   local program=$1
@@ -26,6 +26,8 @@
     # ENGINES ROWS DAEMONS UPSTREAMS
     home) runs home_cost "5 20 90 1225" "13 20 185 2450" "40 20 370 4900" \
       "13 20 370 4900" ;;
+    # PEERS CALLS
+    peer) runs peer_cost "1 4000" "37 4000" "370 4000" ;;
     # KEYS
     claims) runs claims_cost 1000 10000 100000 ;;
     # TEAMS UPSTREAMS LINES
--- a/src/daemon/control_state.cc
+++ b/src/daemon/control_state.cc
@@ -104,7 +104,8 @@
 
 void ServeSnapshots(control_state& state) {
   state.peers_in.Handle(
-      kSnapshotMethod, [&state](const QCborMap&, peer_responder respond) {
+      kSnapshotMethod,
+      [&state](const QCborMap&, const peer_responder& respond) {
         const auto config = state.config.InForce();
         if (!config) {
           return respond(
