--- a/src/config/check_references.cc
+++ b/src/config/check_references.cc
@@ -125,7 +125,7 @@
   absl::flat_hash_set<std::string> seen;
   for (const auto& [name, object] : objects) {
     const bool first = seen.insert(unique(object)).second;
-    const absl::Status checked =
+    absl::Status checked =
         first ? check(state, object) : CheckObject(state, object);
     if (!checked.ok()) return checked;
   }
@@ -135,7 +135,7 @@
 template <typename Objects>
 absl::Status CheckFew(const config_state& state, const Objects& objects) {
   for (const auto& [name, object] : objects) {
-    const absl::Status checked = CheckObject(state, object);
+    absl::Status checked = CheckObject(state, object);
     if (!checked.ok()) return checked;
   }
   return absl::OkStatus();
--- a/src/daemon/control_state.cc
+++ b/src/daemon/control_state.cc
@@ -40,7 +40,7 @@
   };
   peers.fetch_snapshot =
       [&state](const std::string& address,
-               std::function<void(absl::StatusOr<std::string>)> done) {
+               const std::function<void(absl::StatusOr<std::string>)>& done) {
         state.peers_out.Call(
             address, kSnapshotMethod, QCborMap(), kSnapshotTimeout,
             [done](absl::StatusOr<QCborMap> answer) {
