--- a/src/daemon/control_metrics.cc
+++ b/src/daemon/control_metrics.cc
@@ -34,7 +34,8 @@
   to.Gauge(kRequestsActive)
       .Set(static_cast<double>(state.requests.active.size()));
   to.Gauge(kUpstreamsEjected).Set(SizeOf(state.ejected));
-  to.Gauge(kUpstreamsLeaving).Set(SizeOf(state.leaving) + SizeOf(state.under_order));
+  to.Gauge(kUpstreamsLeaving)
+      .Set(SizeOf(state.leaving) + SizeOf(state.under_order));
   SetControlBytes(state, to);
 }
 
--- a/src/daemon/control_state.h
+++ b/src/daemon/control_state.h
@@ -1,8 +1,10 @@
 #ifndef ANVILRIDGE_DAEMON_CONTROL_STATE_H_
 #define ANVILRIDGE_DAEMON_CONTROL_STATE_H_
 
+#include <QByteArray>
 #include <QObject>
 #include <QTimer>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -32,6 +34,16 @@
 
 namespace anvilridge {
 
+/// What decides whether a daemon is home to anything and which owners live.
+struct running_daemon {
+  owner_id id;
+  std::string peer_address;
+  bool leaving = false;
+
+  friend bool operator==(const running_daemon&,
+                         const running_daemon&) = default;
+};
+
 /// The parts of the control plane, on its thread. What traffic threads read
 /// directly is `published`.
 struct control_state {
@@ -64,7 +76,15 @@
   std::map<std::string, held_watch, std::less<>> held;
   /// Names of the live daemons, by which homes are found.
   std::vector<std::string> live_names;
+  /// What homes and owners depend on: the running daemons' incarnations, peer
+  /// addresses and plans to leave.
+  std::vector<running_daemon> running;
+  /// Counts the changes of `running`.
+  uint64_t running_version = 0;
   std::map<std::string, std::string, std::less<>> peer_addresses;
+  /// The configuration as last packed for a peer, and what was packed.
+  QByteArray packed_snapshot;
+  std::shared_ptr<const config_state> packed_of;
   bool stopping = false;
 
   published<config_state> config_in_force;
--- a/src/daemon/orphan_control.cc
+++ b/src/daemon/orphan_control.cc
@@ -110,6 +110,9 @@
   };
   const std::vector<engine_request> orphans = FindOrphans(
       state.orphans[engine.name], listed, is_live, {}, MonotonicNow());
+  if (!state.orphans[engine.name].since.empty()) {
+    state.homes.WatchOrphan(engine.name);
+  }
   for (const engine_request& orphan : orphans) {
     CancelOrphan(state, engine, orphan.request_id, orphan.owner,
                  "its owner is gone");
