--- /dev/null
+++ b/programs/anvil_load.cc
@@ -0,0 +1,3 @@
+#include "load/load_program.h"
+
+int main(int argc, char** argv) { return anvilridge::RunLoadProgram(argc, argv); }
--- a/src/daemon/control_state.cc
+++ b/src/daemon/control_state.cc
@@ -70,6 +70,8 @@
     return !ejected || !ejected->contains(engine);
   };
   env.now = MonotonicNow;
+  env.policy = state.settings.placement.policy;
+  env.client = &state.client;
   return env;
 }
 
--- a/src/placement/place_request.h
+++ b/src/placement/place_request.h
@@ -40,6 +40,9 @@
   std::string owner;
   placed_engine prefill;
   placed_engine decode;
+  /// Decode engines to try next, in turn, when `decode` has no room; only of
+  /// policies that promise no place.
+  std::vector<placed_engine> decode_fallbacks;
   /// Pieces promised at the decode engine.
   int pieces = 0;
   /// Predicted time until the first token.
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -13,7 +13,9 @@
 #include "base/error_kind.h"
 #include "base/event_loop.h"
 #include "log/decision_log.h"
+#include "placement/baseline_choice.h"
 #include "placement/candidate_choice.h"
+#include "placement/load_reports.h"
 
 namespace anvilridge {
 namespace {
@@ -68,9 +70,14 @@
   engine_hints decode_hints;
   engine_hints prefill_hints;
   std::mt19937_64 random{std::random_device{}()};
+  baseline_state baseline;
+  std::unique_ptr<load_reports> reports;
 
   impl(peer_client& peer, engine_homes& homes, placer_environment environment)
-      : peers(peer), local(homes), env(std::move(environment)) {}
+      : peers(peer), local(homes), env(std::move(environment)) {
+    if (env.policy != placement_policy::least_loaded) return;
+    reports = std::make_unique<load_reports>(*env.client, env.config);
+  }
 
   void AskHome(const decode_ask_message& message,
                engine_homes::decode_callback done) {
@@ -130,9 +137,31 @@
                                absl::StrCat("no engine takes work for route ",
                                             a->request.route)));
     }
+    if (env.policy != placement_policy::homes) return ChooseByBaseline(a);
     AskNextDecode(a);
   }
 
+  void ChooseByBaseline(const attempt_ptr& a) {
+    static const engine_loads kNoLoads;
+    const engine_loads& loads = reports ? reports->Loads() : kNoLoads;
+    const bool by_load = env.policy == placement_policy::least_loaded;
+    const engine_list decode =
+        by_load ? LeastLoadedOrder(a->decode_order, loads, random)
+                : RoundRobinOrder(a->decode_order, baseline.decode_turn);
+    const engine_list prefill =
+        by_load ? LeastLoadedOrder(a->prefill_order, loads, random)
+                : RoundRobinOrder(a->prefill_order, baseline.prefill_turn);
+    a->grant.decode = PlacedEngine(*decode.front());
+    a->grant.prefill = PlacedEngine(*prefill.front());
+    a->grant.decode_fallbacks.clear();
+    for (size_t i = 1; i < decode.size(); ++i) {
+      a->grant.decode_fallbacks.push_back(PlacedEngine(*decode[i]));
+    }
+    a->grant.predicted_first_token = a->request.first_token_due - env.now();
+    LogDecision(*a, "placed", by_load ? "least loaded" : "round robin");
+    End(a, a->grant);
+  }
+
   absl::Duration PrefillEstimate(const attempt& a) const {
     const absl::Duration work =
         absl::Seconds(a.request.prompt_tokens / kAssumedPrefillTokensPerSecond);
--- a/src/placement/placer.h
+++ b/src/placement/placer.h
@@ -12,6 +12,8 @@
 #include "peer/peer_client.h"
 #include "placement/engine_homes.h"
 #include "placement/place_request.h"
+#include "settings/daemon_settings.h"
+#include "upstreams/http_client.h"
 
 namespace anvilridge {
 
@@ -25,6 +27,9 @@
   /// Whether an engine may be given new work, by its health.
   std::function<bool(absl::string_view engine)> healthy;
   std::function<absl::Time()> now;
+  placement_policy policy = placement_policy::homes;
+  /// Polls load reports for `placement_policy::least_loaded`.
+  http_client* client = nullptr;
 };
 
 /// The entry's side of placement: gets a decode place, then a prefill engine,
--- a/src/requests/completion_flow.cc
+++ b/src/requests/completion_flow.cc
@@ -238,6 +238,7 @@
     const bool no_room = refused && (result.message() == "no_slot" ||
                                      result.message() == "no_pieces");
     if (no_room && MonotonicNow() + kImportRetryPause < prefill_expires_) {
+      TakeDecodeFallback();
       RunAfter(context_.thread, kImportRetryPause, [self = shared_from_this()] {
         if (!self->over_) self->Import();
       });
@@ -247,6 +248,14 @@
     RetryElsewhere(result, grant_.decode.name);
   }
 
+  // Engines that had no room come around again.
+  void TakeDecodeFallback() {
+    if (grant_.decode_fallbacks.empty()) return;
+    grant_.decode_fallbacks.push_back(grant_.decode);
+    grant_.decode = grant_.decode_fallbacks.front();
+    grant_.decode_fallbacks.erase(grant_.decode_fallbacks.begin());
+  }
+
   void Decode() {
     SetStage("decode");
     if (!services().may_act(grant_.owner)) {
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -66,6 +66,15 @@
   absl::Duration lease = absl::Seconds(5);
 };
 
+/// How engines are chosen for a completion. All but `homes` are baselines of
+/// measurements: they promise nothing before a prefill starts.
+enum class placement_policy { homes, round_robin, least_loaded };
+
+/// `[placement]`: how engines are chosen.
+struct placement_settings {
+  placement_policy policy = placement_policy::homes;
+};
+
 /// `[log]`: level and destination of the JSON log lines.
 struct log_settings {
   std::string level = "info";
@@ -83,6 +92,7 @@
   limit_settings limits;
   platform_settings platform;
   peer_settings peers;
+  placement_settings placement;
   log_settings log;
   /// `[bootstrap]`: file with an administrator's key, accepted on the operator
   /// port beside the keys of the configuration.
--- a/src/settings/settings_table.cc
+++ b/src/settings/settings_table.cc
@@ -270,6 +270,39 @@
       [](auto& s) -> auto& { return s.peers.lease; }));
 }
 
+struct policy_name {
+  placement_policy policy;
+  absl::string_view name;
+};
+
+constexpr policy_name kPolicyNames[] = {
+    {placement_policy::homes, "homes"},
+    {placement_policy::round_robin, "round_robin"},
+    {placement_policy::least_loaded, "least_loaded"}};
+
+settings_key PolicyKey() {
+  settings_key row = MakeKey(
+      {"placement", "policy",
+       "How engines are chosen; all but homes are baselines of measurements "
+       "that promise no place before a prefill starts."},
+      "homes, round_robin or least_loaded");
+  row.set = [](absl::string_view value, daemon_settings& s) {
+    for (const policy_name& row : kPolicyNames) {
+      if (row.name != value) continue;
+      s.placement.policy = row.policy;
+      return true;
+    }
+    return false;
+  };
+  row.show = [](daemon_settings& s) {
+    for (const policy_name& row : kPolicyNames) {
+      if (row.policy == s.placement.policy) return std::string(row.name);
+    }
+    return std::string();
+  };
+  return row;
+}
+
 void AddLogAndBootstrap(key_rows& rows) {
   rows.push_back(TextKey(
       {"log", "level", "Least level of the log lines written."},
@@ -298,6 +331,7 @@
   AddLimits(rows);
   AddPlatform(rows);
   AddPeers(rows);
+  rows.push_back(PolicyKey());
   AddLogAndBootstrap(rows);
   return rows;
 }
