Predict prefill queues by time and decode places by learned use

Cause: a prefill's hold stayed until the whole answer ended or a list came, and its rate was learned from times that included the queue, so homes refused 25.6% at load 1.0 as latency_unattainable. Change: the prefill ledger keeps the time until which work is promised and lists correct it; rates are learned from unqueued prefills; places that are expected to come free by the need are promised as far as the objective is bold, by the use that finished requests showed.

--- a/src/placement/decode_ledger.cc
+++ b/src/placement/decode_ledger.cc
@@ -10,27 +10,36 @@
 // Wait suggested when nothing predicts a free place.
 constexpr absl::Duration kUnpredictedWait = absl::Milliseconds(200);
 
+// A request that outlasts its prediction is expected to go on for this share
+// of its longest use.
+constexpr double kOverdueShare = 0.15;
+constexpr double kUseLearningShare = 0.05;
+
+// Places and pieces expected in use.
 struct ledger_use {
-  int slots = 0;
-  int pieces = 0;
+  double slots = 0;
+  double pieces = 0;
 };
 
-// A hold counts as used at `when` unless its predicted end, stretched by the
-// caution of the policy, has passed.
-bool UsedAt(const decode_hold& hold, const promise_policy& policy,
-            absl::Time when, absl::Time now) {
-  if (policy.boldness <= 0) return true;
-  const absl::Duration remaining = hold.predicted_end - now;
-  return now + remaining / policy.boldness > when;
+// Probability that a hold has ended at `when`; the remaining time is taken as
+// spread evenly up to twice its expectation.
+double EndedBy(const decode_hold& hold, absl::Time when, absl::Time now) {
+  const absl::Duration predicted =
+      std::max(hold.predicted_end - now, kOverdueShare * hold.longest_use);
+  const absl::Duration remaining = std::min(predicted, hold.latest_end - now);
+  const absl::Duration until = when - now;
+  if (remaining <= absl::ZeroDuration()) return 1;
+  if (hold.starts >= when) return 0;
+  return std::min(1.0, absl::FDivDuration(until, 2 * remaining));
 }
 
 ledger_use UseAt(const decode_ledger& ledger, const promise_policy& policy,
                  absl::Time when, absl::Time now) {
   ledger_use use;
   for (const auto& [id, hold] : ledger.holds) {
-    if (!UsedAt(hold, policy, when, now)) continue;
-    ++use.slots;
-    use.pieces += hold.pieces;
+    const double used = 1 - policy.boldness * EndedBy(hold, when, now);
+    use.slots += used;
+    use.pieces += used * hold.pieces;
   }
   return use;
 }
@@ -53,8 +62,12 @@
   const absl::Time needed = now + ask.needed_in;
   const ledger_use use = UseAt(ledger, policy, needed, now);
   decode_answer answer;
-  answer.free_slots = std::max(0, ledger.slots - use.slots);
-  answer.free_pieces = std::max(0, ledger.pieces - use.pieces);
+  // A bold policy rounds the expected number of free places to the nearest.
+  const double rounding = policy.boldness / 2;
+  answer.free_slots =
+      std::max(0, static_cast<int>(ledger.slots - use.slots + rounding));
+  answer.free_pieces =
+      std::max(0, static_cast<int>(ledger.pieces - use.pieces));
   answer.granted = answer.free_slots > 0 && answer.free_pieces >= ask.pieces;
   if (!answer.granted) {
     answer.free_in = NextFree(ledger, now);
@@ -64,7 +77,9 @@
   hold.owner = ask.owner;
   hold.pieces = ask.pieces;
   hold.starts = needed;
-  hold.predicted_end = needed + ask.expected_use;
+  hold.longest_use = ask.expected_use;
+  hold.predicted_end = needed + ledger.use_share * ask.expected_use;
+  hold.latest_end = needed + ask.expected_use;
   hold.promised_until = needed + policy.promise_margin;
   ledger.holds.emplace(ask.request_id, hold);
   --answer.free_slots;
@@ -77,6 +92,16 @@
   if (it != ledger.holds.end()) ledger.holds.erase(it);
 }
 
+void LearnDecodeUse(decode_ledger& ledger, absl::string_view request_id,
+                    absl::Time now) {
+  const auto it = ledger.holds.find(request_id);
+  if (it == ledger.holds.end()) return;
+  const decode_hold& hold = it->second;
+  if (hold.longest_use <= absl::ZeroDuration() || hold.starts >= now) return;
+  const double share = absl::FDivDuration(now - hold.starts, hold.longest_use);
+  ledger.use_share += kUseLearningShare * (share - ledger.use_share);
+}
+
 void MergeDecodeList(decode_ledger& ledger,
                      absl::Span<const engine_request> listed,
                      absl::Duration token_interval, absl::Time now) {
@@ -88,10 +113,13 @@
     const int longest = PiecesFor(row.prompt_tokens + row.max_tokens);
     hold.owner = row.owner;
     hold.pieces = std::max(row.pieces, longest);
-    if (inserted) hold.starts = now;
     hold.seen = true;
-    hold.predicted_end =
+    hold.latest_end =
         now + token_interval * std::max(0, row.max_tokens - row.generated);
+    if (!inserted) continue;
+    hold.starts = now - token_interval * row.generated;
+    hold.longest_use = token_interval * row.max_tokens;
+    hold.predicted_end = hold.starts + ledger.use_share * hold.longest_use;
   }
   for (auto it = ledger.holds.begin(); it != ledger.holds.end();) {
     const bool gone = it->second.seen && !shown.contains(it->first);
--- a/src/placement/decode_ledger.h
+++ b/src/placement/decode_ledger.h
@@ -26,8 +26,12 @@
   int pieces = 0;
   /// When the request should need the place.
   absl::Time starts;
-  /// When the place should be free again.
+  /// Longest use expected: the output limit at the token interval.
+  absl::Duration longest_use;
+  /// When the place should be free again, by the use of earlier requests.
   absl::Time predicted_end;
+  /// When it must be free unless the engine slows down.
+  absl::Time latest_end;
   /// A promise that the engine has not shown by then lapses.
   absl::Time promised_until;
   /// Whether the engine's own list has shown the request.
@@ -40,6 +44,8 @@
   int slots = 0;
   int pieces = 0;
   std::map<std::string, decode_hold, std::less<>> holds;
+  /// Use of finished requests as a share of their longest use, learned.
+  double use_share = 1;
   /// Time of the last list merged; infinite past for none.
   absl::Time listed_at = absl::InfinitePast();
 };
@@ -65,8 +71,8 @@
 
 /// How boldly places are promised that are not free yet.
 struct promise_policy {
-  /// Share of the predicted remaining time after which a place counts as free:
-  /// 1 trusts predictions fully, 0 promises only what is free now.
+  /// How far the places that are expected to come free until the need may be
+  /// promised: 1 all of them, 0 only what is free now.
   double boldness = 0;
   /// How long past the need a promise is kept.
   absl::Duration promise_margin = absl::Seconds(5);
@@ -80,6 +86,11 @@
 /// Forgets the hold of `request_id`; unknown ids are ignored.
 void ReleaseDecode(decode_ledger& ledger, absl::string_view request_id);
 
+/// Learns from the hold of a request that is about to be released because its
+/// answer is whole.
+void LearnDecodeUse(decode_ledger& ledger, absl::string_view request_id,
+                    absl::Time now);
+
 /// Takes over what the engine itself lists: requests it shows are held, seen
 /// ones that it no longer shows are free.
 void MergeDecodeList(decode_ledger& ledger,
--- a/src/placement/engine_homes.cc
+++ b/src/placement/engine_homes.cc
@@ -213,6 +213,9 @@
 void engine_homes::Release(const release_message& message) {
   const auto it = impl_->engines.find(message.engine);
   if (it == impl_->engines.end()) return;
+  if (message.finished) {
+    LearnDecodeUse(it->second.decode, message.request_id, impl_->env.now());
+  }
   ReleaseDecode(it->second.decode, message.request_id);
   ReleasePrefill(it->second.prefill, message.request_id);
   LearnPrefillRate(it->second.prefill, message.prefill_tokens,
--- a/src/placement/home_messages.cc
+++ b/src/placement/home_messages.cc
@@ -90,7 +90,8 @@
   return {{QLatin1String("engine"), ToQt(message.engine)},
           {QLatin1String("id"), ToQt(message.request_id)},
           {QLatin1String("tokens"), message.prefill_tokens},
-          {QLatin1String("time"), Microseconds(message.prefill_time)}};
+          {QLatin1String("time"), Microseconds(message.prefill_time)},
+          {QLatin1String("finished"), message.finished}};
 }
 
 QCborMap ToCbor(const decode_answer& answer) {
@@ -136,6 +137,7 @@
   message.request_id = fields.Text("id");
   message.prefill_tokens = fields.Count("tokens");
   message.prefill_time = fields.Time("time");
+  message.finished = fields.Flag("finished");
   return fields.Finish(std::move(message));
 }
 
--- a/src/placement/home_messages.h
+++ b/src/placement/home_messages.h
@@ -33,6 +33,8 @@
   /// Prompt tokens prefilled and the time it took; zero teaches nothing.
   int prefill_tokens = 0;
   absl::Duration prefill_time;
+  /// Whether the request's answer is whole.
+  bool finished = false;
 };
 
 QCborMap ToCbor(const decode_ask_message& message);
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <map>
 #include <random>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -30,6 +31,7 @@
 constexpr absl::Duration kShortestRetryAfter = absl::Seconds(1);
 // Assumed until homes have said better.
 constexpr double kAssumedPrefillTokensPerSecond = 8000;
+constexpr double kRateLearningShare = 0.1;
 constexpr absl::Duration kAssumedTransfer = absl::Milliseconds(20);
 constexpr absl::Duration kAssumedTokenInterval = absl::Milliseconds(25);
 
@@ -69,6 +71,11 @@
   std::map<std::string, attempt_ptr, std::less<>> attempts;
   engine_hints decode_hints;
   engine_hints prefill_hints;
+  // Rate that the homes' answers have shown.
+  double prefill_tokens_per_second = kAssumedPrefillTokensPerSecond;
+  // Placed requests whose prefill was to start at once: their time teaches the
+  // engine's rate.
+  std::set<std::string, std::less<>> unqueued;
   std::mt19937_64 random{std::random_device{}()};
   baseline_state baseline;
   std::unique_ptr<load_reports> reports;
@@ -162,9 +169,12 @@
     End(a, a->grant);
   }
 
+  absl::Duration PrefillWork(const place_request& request) const {
+    return absl::Seconds(request.prompt_tokens / prefill_tokens_per_second);
+  }
+
   absl::Duration PrefillEstimate(const attempt& a) const {
-    const absl::Duration work =
-        absl::Seconds(a.request.prompt_tokens / kAssumedPrefillTokensPerSecond);
+    const absl::Duration work = PrefillWork(a.request);
     const auto hint = prefill_hints.find(a.prefill_order.front()->name);
     if (hint == prefill_hints.end()) return work;
     const absl::Duration age = env.now() - hint->second.at;
@@ -216,13 +226,13 @@
   }
 
   void FreeDecode(const attempt& a, const upstream_config& engine) {
-    ReleaseAtHome({engine.name, a.request.request_id, 0, {}});
+    ReleaseAtHome({engine.name, a.request.request_id, 0, {}, false});
   }
 
   void AskNextPrefill(const attempt_ptr& a) {
     const size_t most = std::min(kPrefillAsksPerRound, a->prefill_order.size());
     if (a->prefill_next >= most) {
-      ReleaseAtHome({a->grant.decode.name, a->request.request_id, 0, {}});
+      ReleaseAtHome({a->grant.decode.name, a->request.request_id, 0, {}, false});
       return EndRound(a, error_kind::latency_unattainable);
     }
     const upstream_config& engine = *a->prefill_order[a->prefill_next++];
@@ -231,10 +241,10 @@
     message.ask.request_id = a->request.request_id;
     message.ask.owner = a->grant.owner;
     message.ask.tokens = a->request.prompt_tokens;
-    const absl::Duration work = absl::Seconds(a->request.prompt_tokens /
-                                              kAssumedPrefillTokensPerSecond);
+    const absl::Duration after =
+        PrefillWork(a->request) + kAssumedTransfer + kAssumedTokenInterval;
     message.ask.longest_wait = std::max(
-        absl::ZeroDuration(), a->request.first_token_due - env.now() - work);
+        absl::ZeroDuration(), a->request.first_token_due - env.now() - after);
     AskHome(message, [this, a, &engine](absl::StatusOr<prefill_answer> answer) {
       TakePrefillAnswer(a, engine, std::move(answer));
     });
@@ -244,7 +254,7 @@
                          absl::StatusOr<prefill_answer> answer) {
     if (a->over) {
       if (answer.ok() && answer->granted) FreeDecode(*a, engine);
-      ReleaseAtHome({a->grant.decode.name, a->request.request_id, 0, {}});
+      ReleaseAtHome({a->grant.decode.name, a->request.request_id, 0, {}, false});
       return;
     }
     QJsonObject seen{{"prefill", QString::fromStdString(engine.name)}};
@@ -255,6 +265,7 @@
       return AskNextPrefill(a);
     }
     prefill_hints[engine.name] = {0, answer->wait, env.now()};
+    LearnRate(a->request.prompt_tokens, answer->work);
     seen["wait_ms"] = absl::ToDoubleMilliseconds(answer->wait);
     seen["granted"] = answer->granted;
     a->considered.append(seen);
@@ -263,11 +274,21 @@
       return AskNextPrefill(a);
     }
     a->grant.prefill = PlacedEngine(engine);
+    if (answer->wait == absl::ZeroDuration()) {
+      unqueued.insert(a->request.request_id);
+    }
     a->grant.predicted_first_token =
         answer->wait + answer->work + kAssumedTransfer;
     Succeed(a);
   }
 
+  void LearnRate(int tokens, absl::Duration work) {
+    if (work <= absl::ZeroDuration()) return;
+    const double rate = tokens / absl::ToDoubleSeconds(work);
+    prefill_tokens_per_second +=
+        kRateLearningShare * (rate - prefill_tokens_per_second);
+  }
+
   // Waits for a place that is predicted to come free in time, else gives up.
   void EndRound(const attempt_ptr& a, error_kind kind) {
     const absl::Duration pause =
@@ -340,14 +361,20 @@
 }
 
 void placer::Finish(const place_outcome& outcome) {
-  release_message prefill{outcome.prefill.name, outcome.request_id, 0, {}};
-  if (outcome.prefilled) {
+  if (impl_->env.policy != placement_policy::homes) return;
+  release_message prefill{outcome.prefill.name, outcome.request_id, 0, {}, false};
+  const bool teaches = impl_->unqueued.erase(outcome.request_id) > 0;
+  if (outcome.prefilled && teaches) {
     prefill.prefill_tokens = outcome.prefill_tokens;
     prefill.prefill_time = outcome.prefill_time;
   }
   if (!prefill.engine.empty()) impl_->ReleaseAtHome(prefill);
   if (outcome.decode.name.empty()) return;
-  impl_->ReleaseAtHome({outcome.decode.name, outcome.request_id, 0, {}});
+  impl_->ReleaseAtHome({outcome.decode.name,
+                        outcome.request_id,
+                        0,
+                        {},
+                        outcome.decode_finished});
 }
 
 }  // namespace anvilridge
--- a/src/placement/prefill_ledger.cc
+++ b/src/placement/prefill_ledger.cc
@@ -6,42 +6,34 @@
 namespace anvilridge {
 namespace {
 
-// A promise whose request the engine never shows lapses after this time past
-// its predicted start.
-constexpr absl::Duration kPromiseMargin = absl::Seconds(2);
+// Time in which a promised prefill that the engine does not list yet may still
+// be on its way to it.
+constexpr absl::Duration kOnItsWay = absl::Milliseconds(60);
 constexpr double kRateLearningShare = 0.1;
 // Prefills shorter than this are dominated by overhead and teach nothing.
 constexpr int kSmallestLessonTokens = 64;
 
-double QueuedTokens(const prefill_ledger& ledger) {
-  double tokens = 0;
-  for (const auto& [id, hold] : ledger.holds) tokens += hold.tokens;
-  return tokens;
-}
-
-void ExpireLapsed(prefill_ledger& ledger, absl::Time now) {
-  for (auto it = ledger.holds.begin(); it != ledger.holds.end();) {
-    const bool lapsed = !it->second.seen && it->second.promised_until < now;
-    it = lapsed ? ledger.holds.erase(it) : std::next(it);
-  }
+void ForgetDone(prefill_ledger& ledger, absl::Time now) {
+  std::erase_if(ledger.holds, [now](const auto& entry) {
+    return entry.second.predicted_end < now;
+  });
 }
 
 }  // namespace
 
 prefill_answer AskPrefill(prefill_ledger& ledger, const prefill_ask& ask,
                           absl::Time now) {
-  ExpireLapsed(ledger, now);
+  ForgetDone(ledger, now);
   ReleasePrefill(ledger, ask.request_id);
+  const absl::Time starts = std::max(now, ledger.busy_until);
   prefill_answer answer;
-  answer.wait = absl::Seconds(QueuedTokens(ledger) / ledger.tokens_per_second);
+  answer.wait = starts - now;
   answer.work = absl::Seconds(ask.tokens / ledger.tokens_per_second);
   answer.granted = answer.wait <= ask.longest_wait;
   if (!answer.granted) return answer;
-  prefill_hold hold;
-  hold.owner = ask.owner;
-  hold.tokens = ask.tokens;
-  hold.promised_until = now + answer.wait + answer.work + kPromiseMargin;
-  ledger.holds.emplace(ask.request_id, hold);
+  ledger.busy_until = starts + answer.work;
+  ledger.holds[ask.request_id] = {ask.owner, ask.tokens, now,
+                                  ledger.busy_until};
   return answer;
 }
 
@@ -52,22 +44,20 @@
 
 void MergePrefillList(prefill_ledger& ledger,
                       absl::Span<const engine_request> listed, absl::Time now) {
-  std::set<absl::string_view> working;
+  ForgetDone(ledger, now);
+  std::set<absl::string_view> shown;
+  double tokens = 0;
   for (const engine_request& row : listed) {
-    const bool done =
-        row.phase != engine_phase::queued && row.phase != engine_phase::prefill;
-    if (done) continue;
-    working.insert(row.request_id);
-    auto [it, inserted] = ledger.holds.try_emplace(row.request_id);
-    it->second.owner = row.owner;
-    it->second.seen = true;
-    if (inserted) it->second.tokens = row.prompt_tokens;
+    shown.insert(row.request_id);
+    if (row.phase == engine_phase::queued) tokens += row.prompt_tokens;
+    if (row.phase == engine_phase::prefill) tokens += row.prompt_tokens / 2.0;
   }
-  for (auto it = ledger.holds.begin(); it != ledger.holds.end();) {
-    const bool gone = it->second.seen && !working.contains(it->first);
-    it = gone ? ledger.holds.erase(it) : std::next(it);
+  for (const auto& [id, hold] : ledger.holds) {
+    const bool on_its_way =
+        !shown.contains(id) && now - hold.granted < kOnItsWay;
+    if (on_its_way) tokens += hold.tokens;
   }
-  ExpireLapsed(ledger, now);
+  ledger.busy_until = now + absl::Seconds(tokens / ledger.tokens_per_second);
 }
 
 void LearnPrefillRate(prefill_ledger& ledger, int tokens, absl::Duration work) {
--- a/src/placement/prefill_ledger.h
+++ b/src/placement/prefill_ledger.h
@@ -15,13 +15,16 @@
 struct prefill_hold {
   std::string owner;
   int tokens = 0;
-  absl::Time promised_until;
-  bool seen = false;
+  absl::Time granted;
+  /// When the prefill should be done.
+  absl::Time predicted_end;
 };
 
 /// What the home of a prefill engine knows of its queue; soft state.
 struct prefill_ledger {
   std::map<std::string, prefill_hold, std::less<>> holds;
+  /// When the work promised and listed so far should be done.
+  absl::Time busy_until = absl::InfinitePast();
   /// Tokens per second, learned from finished prefills.
   double tokens_per_second = 8000;
 };
