Wait for a decode place at the engine's home

Cause: refused requests asked four homes every few milliseconds until their first token was due, hundreds of asks a request; the order of those that waited was random. Change: after one round of asks the request queues at the home that named the shortest wait, first come first served; a wait that is sure to be too long is refused at once with Retry-After. The log line holds the last round only, and the number of rounds.

--- a/src/placement/decode_ledger.cc
+++ b/src/placement/decode_ledger.cc
@@ -87,6 +87,17 @@
   return answer;
 }
 
+absl::Duration WaitForPlace(const decode_ledger& ledger, int waiters) {
+  if (ledger.holds.empty()) return waiters * kUnpredictedWait;
+  absl::Duration use;
+  for (const auto& [id, hold] : ledger.holds) {
+    use += ledger.use_share * hold.longest_use;
+  }
+  // Holds end one after another within the time that each lasts.
+  const auto holds = static_cast<int64_t>(ledger.holds.size());
+  return waiters * (use / holds / holds);
+}
+
 void ReleaseDecode(decode_ledger& ledger, absl::string_view request_id) {
   const auto it = ledger.holds.find(request_id);
   if (it != ledger.holds.end()) ledger.holds.erase(it);
--- a/src/placement/decode_ledger.h
+++ b/src/placement/decode_ledger.h
@@ -59,6 +59,8 @@
   absl::Duration needed_in;
   /// How long the place will be used from then on.
   absl::Duration expected_use;
+  /// How long the answer may be put off until a place comes free.
+  absl::Duration may_wait = absl::ZeroDuration();
 };
 
 struct decode_answer {
@@ -83,6 +85,10 @@
 decode_answer AskDecode(decode_ledger& ledger, const decode_ask& ask,
                         const promise_policy& policy, absl::Time now);
 
+/// Returns how long the last of `waiters` requests has to wait for a place that
+/// is not free now.
+absl::Duration WaitForPlace(const decode_ledger& ledger, int waiters);
+
 /// Forgets the hold of `request_id`; unknown ids are ignored.
 void ReleaseDecode(decode_ledger& ledger, absl::string_view request_id);
 
--- a/src/placement/engine_homes.cc
+++ b/src/placement/engine_homes.cc
@@ -1,6 +1,7 @@
 #include "placement/engine_homes.h"
 
 #include <QTimer>
+#include <deque>
 #include <map>
 #include <utility>
 #include <vector>
@@ -18,6 +19,13 @@
 // Interval between tokens that predictions assume before any is learned.
 constexpr absl::Duration kAssumedTokenInterval = absl::Milliseconds(25);
 
+// An ask that is put off until a place comes free.
+struct waiting_ask {
+  decode_ask ask;
+  absl::Time give_up_at;
+  engine_homes::decode_callback done;
+};
+
 struct homed_engine {
   decode_ledger decode;
   prefill_ledger prefill;
@@ -25,6 +33,8 @@
   absl::Time list_due = absl::InfinitePast();
   // Asks that wait for the first list.
   std::vector<std::function<void()>> waiting;
+  // In order of arrival.
+  std::deque<waiting_ask> queue;
 };
 
 promise_policy PolicyFor(const config_state& config, absl::string_view pool) {
@@ -40,6 +50,8 @@
 }  // namespace
 
 struct engine_homes::impl {
+  using decode_callback = engine_homes::decode_callback;
+
   http_client& client;
   engine_homes_environment env;
   std::map<std::string, homed_engine, std::less<>> engines;
@@ -71,6 +83,7 @@
         continue;
       }
       homed_engine& engine = EngineNamed(upstream);
+      ServeQueue(*config, upstream, engine);
       if (!engine.listing && engine.list_due <= env.now()) List(upstream);
     }
   }
@@ -85,7 +98,33 @@
   void Forget(absl::string_view name) {
     const auto it = engines.find(name);
     if (it == engines.end() || !it->second.waiting.empty()) return;
+    const std::deque<waiting_ask> queue = std::exchange(it->second.queue, {});
     engines.erase(it);
+    for (const waiting_ask& waiter : queue) waiter.done(decode_answer());
+  }
+
+  // Grants places to the asks that wait, in their order, and refuses those
+  // that have waited as long as they may.
+  void ServeQueue(const config_state& config, const upstream_config& upstream,
+                  homed_engine& engine) {
+    const promise_policy policy = PolicyFor(config, upstream.pool);
+    std::vector<std::pair<waiting_ask, decode_answer>> answered;
+    while (!engine.queue.empty()) {
+      const waiting_ask& first = engine.queue.front();
+      decode_answer answer;
+      const bool late = first.give_up_at <= env.now();
+      if (!late) answer = AskDecode(engine.decode, first.ask, policy, env.now());
+      if (!late && !answer.granted) break;
+      answered.emplace_back(std::move(engine.queue.front()), answer);
+      engine.queue.pop_front();
+      answered.back().second.free_in = WaitIn(engine);
+    }
+    for (const auto& [waiter, answer] : answered) waiter.done(answer);
+  }
+
+  static absl::Duration WaitIn(const homed_engine& engine) {
+    return WaitForPlace(engine.decode,
+                        static_cast<int>(engine.queue.size()) + 1);
   }
 
   void List(const upstream_config& upstream) {
@@ -143,15 +182,24 @@
     return it->second;
   }
 
-  decode_answer AnswerDecode(const decode_ask_message& message) {
-    const std::shared_ptr<const config_state> config = env.config();
-    const upstream_config& upstream = config->upstreams.at(message.engine);
+  void AnswerDecode(const decode_ask_message& message,
+                    const upstream_config& upstream, decode_callback done) {
     homed_engine& engine = EngineNamed(upstream);
+    decode_answer answer;
     if (engine.decode.listed_at == absl::InfinitePast()) {
-      return decode_answer{.free_in = kListInterval};
+      answer.free_in = kListInterval;
+      return done(answer);
     }
-    const promise_policy policy = PolicyFor(*config, upstream.pool);
-    return AskDecode(engine.decode, message.ask, policy, env.now());
+    const promise_policy policy = PolicyFor(*env.config(), upstream.pool);
+    // Nobody overtakes those that wait.
+    if (engine.queue.empty()) {
+      answer = AskDecode(engine.decode, message.ask, policy, env.now());
+      if (answer.granted) return done(answer);
+    }
+    answer.free_in = WaitIn(engine);
+    if (answer.free_in > message.ask.may_wait) return done(answer);
+    engine.queue.push_back(
+        {message.ask, env.now() + message.ask.may_wait, std::move(done)});
   }
 };
 
@@ -195,10 +243,9 @@
   const absl::StatusOr<upstream_config> upstream = impl_->Find(message.engine);
   if (!upstream.ok()) return done(upstream.status());
   impl_->WithLedger(*upstream, [this, message, done] {
-    if (const auto found = impl_->Find(message.engine); !found.ok()) {
-      return done(found.status());
-    }
-    done(impl_->AnswerDecode(message));
+    const auto found = impl_->Find(message.engine);
+    if (!found.ok()) return done(found.status());
+    impl_->AnswerDecode(message, *found, done);
   });
 }
 
@@ -220,6 +267,10 @@
   ReleasePrefill(it->second.prefill, message.request_id);
   LearnPrefillRate(it->second.prefill, message.prefill_tokens,
                    message.prefill_time);
+  if (it->second.queue.empty()) return;
+  const auto upstream = impl_->Find(message.engine);
+  if (!upstream.ok()) return;
+  impl_->ServeQueue(*impl_->env.config(), *upstream, it->second);
 }
 
 void engine_homes::ListSoon(absl::string_view engine) {
--- a/src/placement/home_messages.cc
+++ b/src/placement/home_messages.cc
@@ -75,7 +75,8 @@
           {QLatin1String("owner"), ToQt(message.ask.owner)},
           {QLatin1String("pieces"), message.ask.pieces},
           {QLatin1String("needed"), Microseconds(message.ask.needed_in)},
-          {QLatin1String("use"), Microseconds(message.ask.expected_use)}};
+          {QLatin1String("use"), Microseconds(message.ask.expected_use)},
+          {QLatin1String("wait"), Microseconds(message.ask.may_wait)}};
 }
 
 QCborMap ToCbor(const prefill_ask_message& message) {
@@ -116,6 +117,7 @@
   message.ask.pieces = fields.Count("pieces");
   message.ask.needed_in = fields.Time("needed");
   message.ask.expected_use = fields.Time("use");
+  message.ask.may_wait = fields.Time("wait");
   return fields.Finish(std::move(message));
 }
 
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -25,6 +25,8 @@
 constexpr absl::Duration kAskTimeout = absl::Milliseconds(250);
 // Decode engines asked in one round.
 constexpr size_t kDecodeAsksPerRound = 4;
+// A request that has waited so long at one home looks at the others again.
+constexpr absl::Duration kLongestWaitAtHome = absl::Seconds(1);
 constexpr size_t kPrefillAsksPerRound = 4;
 constexpr absl::Duration kShortestPause = absl::Milliseconds(5);
 constexpr absl::Duration kLongestPause = absl::Milliseconds(100);
@@ -45,6 +47,10 @@
   const route_config* route = nullptr;
   engine_list decode_order;
   size_t decode_next = 0;
+  // Engine that named the shortest wait in this round.
+  const upstream_config* shortest_queue = nullptr;
+  bool waited = false;
+  int rounds = 0;
   engine_list prefill_order;
   size_t prefill_next = 0;
   place_grant grant;
@@ -90,7 +96,8 @@
                engine_homes::decode_callback done) {
     const std::string address = env.home_address(message.engine);
     if (address.empty()) return local.Ask(message, std::move(done));
-    peers.Call(address, kAskDecodeMethod, ToCbor(message), kAskTimeout,
+    peers.Call(address, kAskDecodeMethod, ToCbor(message),
+               message.ask.may_wait + kAskTimeout,
                [done](absl::StatusOr<QCborMap> answer) {
                  if (!answer.ok()) return done(answer.status());
                  done(ParseDecodeAnswer(*answer));
@@ -139,6 +146,10 @@
     a->decode_next = 0;
     a->prefill_next = 0;
     a->free_in = absl::InfiniteDuration();
+    a->shortest_queue = nullptr;
+    a->waited = false;
+    a->considered = QJsonArray();
+    ++a->rounds;
     if (a->decode_order.empty() || a->prefill_order.empty()) {
       return Fail(a, MakeError(error_kind::no_upstream,
                                absl::StrCat("no engine takes work for route ",
@@ -183,8 +194,29 @@
 
   void AskNextDecode(const attempt_ptr& a) {
     const size_t most = std::min(kDecodeAsksPerRound, a->decode_order.size());
-    if (a->decode_next >= most) return EndRound(a, error_kind::overloaded);
-    const upstream_config& engine = *a->decode_order[a->decode_next++];
+    if (a->decode_next >= most) return WaitForDecode(a);
+    AskDecodeAt(a, *a->decode_order[a->decode_next++], absl::ZeroDuration());
+  }
+
+  // Queues at the engine with the shortest wait, if it serves the request.
+  void WaitForDecode(const attempt_ptr& a) {
+    const absl::Duration left = TimeToWait(*a);
+    const bool hopeless = a->shortest_queue == nullptr || a->waited;
+    if (hopeless || a->free_in > left) {
+      return EndRound(a, error_kind::overloaded);
+    }
+    a->waited = true;
+    AskDecodeAt(a, *a->shortest_queue, std::min(left, kLongestWaitAtHome));
+  }
+
+  // Time that the request may wait for a place and still be served in time.
+  absl::Duration TimeToWait(const attempt& a) const {
+    return a.request.first_token_due - env.now() - PrefillEstimate(a) -
+           kAssumedTransfer - kAssumedTokenInterval;
+  }
+
+  void AskDecodeAt(const attempt_ptr& a, const upstream_config& engine,
+                   absl::Duration may_wait) {
     decode_ask_message message;
     message.engine = engine.name;
     message.ask.request_id = a->request.request_id;
@@ -193,6 +225,7 @@
         PiecesFor(a->request.prompt_tokens + a->request.max_tokens);
     message.ask.needed_in = PrefillEstimate(*a) + kAssumedTransfer;
     message.ask.expected_use = a->request.max_tokens * kAssumedTokenInterval;
+    message.ask.may_wait = may_wait;
     a->grant.pieces = message.ask.pieces;
     AskHome(message, [this, a, &engine](absl::StatusOr<decode_answer> answer) {
       TakeDecodeAnswer(a, engine, std::move(answer));
@@ -218,6 +251,7 @@
     seen["granted"] = answer->granted;
     a->considered.append(seen);
     if (!answer->granted) {
+      if (answer->free_in < a->free_in) a->shortest_queue = &engine;
       a->free_in = std::min(a->free_in, answer->free_in);
       return AskNextDecode(a);
     }
@@ -289,12 +323,13 @@
         kRateLearningShare * (rate - prefill_tokens_per_second);
   }
 
-  // Waits for a place that is predicted to come free in time, else gives up.
+  // Looks again for a place that is predicted to come free in time, else gives
+  // up.
   void EndRound(const attempt_ptr& a, error_kind kind) {
-    const absl::Duration pause =
-        std::clamp(a->free_in, kShortestPause, kLongestPause);
-    const absl::Time next = env.now() + pause;
-    if (next + PrefillEstimate(*a) < a->request.first_token_due) {
+    // A wait that is sure to be too long is refused at once.
+    if (a->free_in < TimeToWait(*a)) {
+      const absl::Duration pause =
+          std::clamp(a->free_in, kShortestPause, kLongestPause);
       RunAfter(&context, pause, [this, a] {
         if (!a->over) StartRound(a);
       });
@@ -331,6 +366,7 @@
               {"route", QString::fromStdString(a.request.route)},
               {"result", QString::fromUtf8(result.data(), result.size())},
               {"why", QString::fromUtf8(why.data(), why.size())},
+              {"rounds", a.rounds},
               {"considered", a.considered},
               {"decode", QString::fromStdString(a.grant.decode.name)},
               {"prefill", QString::fromStdString(a.grant.prefill.name)}});
