Count a place as ending only once the engine has shown it in use

Change: predictions begin with the engine's own list; waits keep 15% of the first-token target as margin.

--- a/programs/anvil_load.cc
+++ b/programs/anvil_load.cc
@@ -1,3 +1,5 @@
 #include "load/load_program.h"
 
-int main(int argc, char** argv) { return anvilridge::RunLoadProgram(argc, argv); }
+int main(int argc, char** argv) {
+  return anvilridge::RunLoadProgram(argc, argv);
+}
--- a/src/load/load_profile.cc
+++ b/src/load/load_profile.cc
@@ -84,10 +84,10 @@
 absl::Status CheckRanges(const load_profile& profile) {
   const completion_mix& c = profile.completions;
   const fleet_size& f = profile.fleet;
-  const bool proper =
-      c.share > 0 && c.prefixes > 0 && c.max_tokens_least > 0 &&
-      c.max_tokens_least <= c.max_tokens_most && f.token_interval_ms > 0 &&
-      f.slots > 0 && f.decode_engines > 0 && f.output_share_min <= 1;
+  const bool proper = c.share > 0 && c.prefixes > 0 && c.max_tokens_least > 0 &&
+                      c.max_tokens_least <= c.max_tokens_most &&
+                      f.token_interval_ms > 0 && f.slots > 0 &&
+                      f.decode_engines > 0 && f.output_share_min <= 1;
   if (proper) return absl::OkStatus();
   return MakeError(error_kind::config_invalid, "a value is out of its range");
 }
--- a/src/load/load_program.cc
+++ b/src/load/load_program.cc
@@ -129,8 +129,7 @@
     const load_profile& profile = options_.run.profile;
     const double rate = options_.load * DecodeCapacity(profile);
     started_ = MonotonicNow();
-    run_.Start(PlanArrivals(profile, rate,
-                            options_.warm_up + options_.measured,
+    run_.Start(PlanArrivals(profile, rate, options_.warm_up + options_.measured,
                             options_.run.seed),
                [this](std::vector<request_sample> samples) {
                  samples_ = std::move(samples);
--- a/src/load/load_report.cc
+++ b/src/load/load_report.cc
@@ -106,17 +106,17 @@
     const double x = scale.X(group->load);
     absl::StrAppend(&points,
                     absl::StrFormat("%.1f,%.1f ", x, scale.Y(goodput.Mean())));
-    absl::StrAppend(
-        &bars, absl::StrFormat("<line x1='%.1f' y1='%.1f' x2='%.1f' "
-                               "y2='%.1f' stroke='%s'/>\n",
-                               x, scale.Y(goodput.least), x,
-                               scale.Y(goodput.most), colour));
+    absl::StrAppend(&bars,
+                    absl::StrFormat("<line x1='%.1f' y1='%.1f' x2='%.1f' "
+                                    "y2='%.1f' stroke='%s'/>\n",
+                                    x, scale.Y(goodput.least), x,
+                                    scale.Y(goodput.most), colour));
   }
   constexpr double kRowHeight = 16;
-  return absl::StrCat(
-      "<polyline fill='none' stroke-width='2' stroke='", colour, "' points='",
-      points, "'/>\n", bars, "<text x='", kPlotMargin + 10, "' y='",
-      20 + row * kRowHeight, "' fill='", colour, "'>", name, "</text>\n");
+  return absl::StrCat("<polyline fill='none' stroke-width='2' stroke='", colour,
+                      "' points='", points, "'/>\n", bars, "<text x='",
+                      kPlotMargin + 10, "' y='", 20 + row * kRowHeight,
+                      "' fill='", colour, "'>", name, "</text>\n");
 }
 
 std::string PlotAxes(const plot_scale& scale) {
@@ -185,8 +185,8 @@
         .push_back(&group);
   }
   const plot_scale scale = ScaleOf(groups);
-  const char* const kColours[] = {"#1b6ca8", "#c0392b", "#27864a", "#8e44ad",
-                                  "#d68910", "#566573"};
+  const char* const kColours[] = {"#1b6ca8", "#c0392b", "#27864a",
+                                  "#8e44ad", "#d68910", "#566573"};
   std::string svg = absl::StrFormat(
       "<svg xmlns='http://www.w3.org/2000/svg' width='%.0f' height='%.0f' "
       "font-family='sans-serif' font-size='12'>\n",
--- a/src/load/load_run.cc
+++ b/src/load/load_run.cc
@@ -24,11 +24,10 @@
   http_call call;
   call.method = "POST";
   call.target = "/v1/completions";
-  call.body =
-      JsonText({{"model", ToQString(options.profile.completions.model)},
-                {"prompt", ToQString(planned.prompt)},
-                {"max_tokens", planned.max_tokens},
-                {"stream", true}});
+  call.body = JsonText({{"model", ToQString(options.profile.completions.model)},
+                        {"prompt", ToQString(planned.prompt)},
+                        {"max_tokens", planned.max_tokens},
+                        {"stream", true}});
   call.headers.emplace_back("content-type", "application/json");
   return call;
 }
@@ -173,9 +172,8 @@
   }
 
   void TakeEnd(const call_ptr& call, const http_result& result) {
-    const bool unsent =
-        result.http_status == 0 && call->sample.tokens == 0 &&
-        call->planned.kind != load_kind::posting;
+    const bool unsent = result.http_status == 0 && call->sample.tokens == 0 &&
+                        call->planned.kind != load_kind::posting;
     if (unsent && !call->daemons_left.empty()) {
       ++call->sample.failed_connections;
       return Send(call);
--- a/src/placement/decode_ledger.cc
+++ b/src/placement/decode_ledger.cc
@@ -24,12 +24,13 @@
 // Probability that a hold has ended at `when`; the remaining time is taken as
 // spread evenly up to twice its expectation.
 double EndedBy(const decode_hold& hold, absl::Time when, absl::Time now) {
+  // A use that no list has shown may have begun later than predicted.
+  if (!hold.seen) return 0;
   const absl::Duration predicted =
       std::max(hold.predicted_end - now, kOverdueShare * hold.longest_use);
   const absl::Duration remaining = std::min(predicted, hold.latest_end - now);
   const absl::Duration until = when - now;
   if (remaining <= absl::ZeroDuration()) return 1;
-  if (hold.starts >= when) return 0;
   return std::min(1.0, absl::FDivDuration(until, 2 * remaining));
 }
 
@@ -119,15 +120,15 @@
   std::set<absl::string_view> shown;
   for (const engine_request& row : listed) {
     shown.insert(row.request_id);
-    auto [it, inserted] = ledger.holds.try_emplace(row.request_id);
-    decode_hold& hold = it->second;
+    decode_hold& hold = ledger.holds[row.request_id];
     const int longest = PiecesFor(row.prompt_tokens + row.max_tokens);
     hold.owner = row.owner;
     hold.pieces = std::max(row.pieces, longest);
+    const bool first_seen = !hold.seen;
     hold.seen = true;
     hold.latest_end =
         now + token_interval * std::max(0, row.max_tokens - row.generated);
-    if (!inserted) continue;
+    if (!first_seen) continue;
     hold.starts = now - token_interval * row.generated;
     hold.longest_use = token_interval * row.max_tokens;
     hold.predicted_end = hold.starts + ledger.use_share * hold.longest_use;
--- a/src/placement/engine_homes.cc
+++ b/src/placement/engine_homes.cc
@@ -113,7 +113,8 @@
       const waiting_ask& first = engine.queue.front();
       decode_answer answer;
       const bool late = first.give_up_at <= env.now();
-      if (!late) answer = AskDecode(engine.decode, first.ask, policy, env.now());
+      if (!late)
+        answer = AskDecode(engine.decode, first.ask, policy, env.now());
       if (!late && !answer.granted) break;
       answered.emplace_back(std::move(engine.queue.front()), answer);
       engine.queue.pop_front();
--- a/src/placement/load_reports.cc
+++ b/src/placement/load_reports.cc
@@ -45,9 +45,8 @@
     http_client& client,
     std::function<std::shared_ptr<const config_state>()> config)
     : impl_(new impl{client, std::move(config), {}, nullptr}) {
-  impl_->timer = RunEvery(kPollInterval, [state = impl_.get()] {
-    state->Poll();
-  });
+  impl_->timer =
+      RunEvery(kPollInterval, [state = impl_.get()] { state->Poll(); });
 }
 
 load_reports::~load_reports() = default;
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -27,6 +27,9 @@
 constexpr size_t kDecodeAsksPerRound = 4;
 // A request that has waited so long at one home looks at the others again.
 constexpr absl::Duration kLongestWaitAtHome = absl::Seconds(1);
+// Share of the first-token target that is left for what takes longer than
+// predicted.
+constexpr double kWaitMarginShare = 0.15;
 constexpr size_t kPrefillAsksPerRound = 4;
 constexpr absl::Duration kShortestPause = absl::Milliseconds(5);
 constexpr absl::Duration kLongestPause = absl::Milliseconds(100);
@@ -211,8 +214,10 @@
 
   // Time that the request may wait for a place and still be served in time.
   absl::Duration TimeToWait(const attempt& a) const {
+    const absl::Duration margin =
+        kWaitMarginShare * a.route->first_token_target;
     return a.request.first_token_due - env.now() - PrefillEstimate(a) -
-           kAssumedTransfer - kAssumedTokenInterval;
+           kAssumedTransfer - kAssumedTokenInterval - margin;
   }
 
   void AskDecodeAt(const attempt_ptr& a, const upstream_config& engine,
@@ -266,7 +271,8 @@
   void AskNextPrefill(const attempt_ptr& a) {
     const size_t most = std::min(kPrefillAsksPerRound, a->prefill_order.size());
     if (a->prefill_next >= most) {
-      ReleaseAtHome({a->grant.decode.name, a->request.request_id, 0, {}, false});
+      ReleaseAtHome(
+          {a->grant.decode.name, a->request.request_id, 0, {}, false});
       return EndRound(a, error_kind::latency_unattainable);
     }
     const upstream_config& engine = *a->prefill_order[a->prefill_next++];
@@ -288,7 +294,8 @@
                          absl::StatusOr<prefill_answer> answer) {
     if (a->over) {
       if (answer.ok() && answer->granted) FreeDecode(*a, engine);
-      ReleaseAtHome({a->grant.decode.name, a->request.request_id, 0, {}, false});
+      ReleaseAtHome(
+          {a->grant.decode.name, a->request.request_id, 0, {}, false});
       return;
     }
     QJsonObject seen{{"prefill", QString::fromStdString(engine.name)}};
@@ -398,7 +405,8 @@
 
 void placer::Finish(const place_outcome& outcome) {
   if (impl_->env.policy != placement_policy::homes) return;
-  release_message prefill{outcome.prefill.name, outcome.request_id, 0, {}, false};
+  release_message prefill{
+      outcome.prefill.name, outcome.request_id, 0, {}, false};
   const bool teaches = impl_->unqueued.erase(outcome.request_id) > 0;
   if (outcome.prefilled && teaches) {
     prefill.prefill_tokens = outcome.prefill_tokens;
