--- a/src/placement/decode_ledger_test.cc
+++ b/src/placement/decode_ledger_test.cc
@@ -77,5 +77,26 @@
   EXPECT_FALSE(AskDecode(ledger, Ask("r3"), bold, kStart).granted);
 }
 
+TEST(decode_ledger_test, UseIsPredictedFromFinishedRequests) {
+  decode_ledger ledger = Ledger(1, 100);
+  const promise_policy bold{1, absl::Seconds(5)};
+  for (int i = 0; i < 200; ++i) {
+    AskDecode(ledger, Ask("r1"), bold, kStart);
+    // Placed 100 ms after the ask, in use for a quarter of the longest.
+    LearnDecodeUse(ledger, "r1", kStart + absl::Milliseconds(350));
+    ReleaseDecode(ledger, "r1");
+  }
+  EXPECT_NEAR(ledger.use_share, 0.25, 0.001);
+  // What no list has shown in use is not about to end.
+  AskDecode(ledger, Ask("r1"), bold, kStart);
+  const absl::Time later = kStart + absl::Milliseconds(400);
+  EXPECT_FALSE(AskDecode(ledger, Ask("r2"), bold, later).granted);
+  MergeDecodeList(ledger, {Row("r1", 16)}, kInterval, later);
+  EXPECT_FALSE(AskDecode(ledger, Ask("r2"), {}, later).granted);
+  decode_ask patient = Ask("r2");
+  patient.needed_in = absl::Milliseconds(500);
+  EXPECT_TRUE(AskDecode(ledger, patient, bold, later).granted);
+}
+
 }  // namespace
 }  // namespace anvilridge
--- a/src/placement/engine_homes.cc
+++ b/src/placement/engine_homes.cc
@@ -1,7 +1,6 @@
 #include "placement/engine_homes.h"
 
 #include <QTimer>
-#include <deque>
 #include <map>
 #include <utility>
 #include <vector>
@@ -10,6 +9,7 @@
 #include "base/error_kind.h"
 #include "base/event_loop.h"
 #include "log/decision_log.h"
+#include "placement/place_queue.h"
 
 namespace anvilridge {
 namespace {
@@ -19,13 +19,6 @@
 // Interval between tokens that predictions assume before any is learned.
 constexpr absl::Duration kAssumedTokenInterval = absl::Milliseconds(25);
 
-// An ask that is put off until a place comes free.
-struct waiting_ask {
-  decode_ask ask;
-  absl::Time give_up_at;
-  engine_homes::decode_callback done;
-};
-
 struct homed_engine {
   decode_ledger decode;
   prefill_ledger prefill;
@@ -33,8 +26,9 @@
   absl::Time list_due = absl::InfinitePast();
   // Asks that wait for the first list.
   std::vector<std::function<void()>> waiting;
-  // In order of arrival.
-  std::deque<waiting_ask> queue;
+  place_queue queue;
+  // Callbacks of the asks that are queued, by request.
+  std::map<std::string, engine_homes::decode_callback> queued;
 };
 
 promise_policy PolicyFor(const config_state& config, absl::string_view pool) {
@@ -83,7 +77,7 @@
         continue;
       }
       homed_engine& engine = EngineNamed(upstream);
-      ServeQueue(*config, upstream, engine);
+      AnswerQueue(*config, upstream, engine);
       if (!engine.listing && engine.list_due <= env.now()) List(upstream);
     }
   }
@@ -98,34 +92,30 @@
   void Forget(absl::string_view name) {
     const auto it = engines.find(name);
     if (it == engines.end() || !it->second.waiting.empty()) return;
-    const std::deque<waiting_ask> queue = std::exchange(it->second.queue, {});
+    const auto queued = std::exchange(it->second.queued, {});
     engines.erase(it);
-    for (const waiting_ask& waiter : queue) waiter.done(decode_answer());
+    for (const auto& [id, done] : queued) done(decode_answer());
   }
 
-  // Grants places to the asks that wait, in their order, and refuses those
-  // that have waited as long as they may.
-  void ServeQueue(const config_state& config, const upstream_config& upstream,
-                  homed_engine& engine) {
+  void AnswerQueue(const config_state& config, const upstream_config& upstream,
+                   homed_engine& engine) {
     const promise_policy policy = PolicyFor(config, upstream.pool);
-    std::vector<std::pair<waiting_ask, decode_answer>> answered;
-    while (!engine.queue.empty()) {
-      const waiting_ask& first = engine.queue.front();
-      decode_answer answer;
-      const bool late = first.give_up_at <= env.now();
-      if (!late)
-        answer = AskDecode(engine.decode, first.ask, policy, env.now());
-      if (!late && !answer.granted) break;
-      answered.emplace_back(std::move(engine.queue.front()), answer);
-      engine.queue.pop_front();
-      answered.back().second.free_in = WaitIn(engine);
+    std::vector<std::pair<decode_callback, decode_answer>> calls;
+    for (const queue_answer& one :
+         ServeQueue(engine.queue, engine.decode, policy, env.now())) {
+      LogQueueAnswer(upstream, one);
+      auto queued = engine.queued.extract(one.request_id);
+      if (queued) calls.emplace_back(std::move(queued.mapped()), one.answer);
     }
-    for (const auto& [waiter, answer] : answered) waiter.done(answer);
+    for (const auto& [done, answer] : calls) done(answer);
   }
 
-  static absl::Duration WaitIn(const homed_engine& engine) {
-    return WaitForPlace(engine.decode,
-                        static_cast<int>(engine.queue.size()) + 1);
+  static void LogQueueAnswer(const upstream_config& upstream,
+                             const queue_answer& one) {
+    LogEvent(log_level::info, "place_queue",
+             {{"request_id", QString::fromStdString(one.request_id)},
+              {"upstream", QString::fromStdString(upstream.name)},
+              {"result", one.answer.granted ? "granted" : "waited too long"}});
   }
 
   void List(const upstream_config& upstream) {
@@ -192,15 +182,10 @@
       return done(answer);
     }
     const promise_policy policy = PolicyFor(*env.config(), upstream.pool);
-    // Nobody overtakes those that wait.
-    if (engine.queue.empty()) {
-      answer = AskDecode(engine.decode, message.ask, policy, env.now());
-      if (answer.granted) return done(answer);
-    }
-    answer.free_in = WaitIn(engine);
-    if (answer.free_in > message.ask.may_wait) return done(answer);
-    engine.queue.push_back(
-        {message.ask, env.now() + message.ask.may_wait, std::move(done)});
+    const auto now_or_later = AskOrQueue(engine.queue, engine.decode,
+                                         message.ask, policy, env.now());
+    if (now_or_later) return done(*now_or_later);
+    engine.queued[message.ask.request_id] = std::move(done);
   }
 };
 
@@ -268,10 +253,10 @@
   ReleasePrefill(it->second.prefill, message.request_id);
   LearnPrefillRate(it->second.prefill, message.prefill_tokens,
                    message.prefill_time);
-  if (it->second.queue.empty()) return;
+  if (it->second.queue.asks.empty()) return;
   const auto upstream = impl_->Find(message.engine);
   if (!upstream.ok()) return;
-  impl_->ServeQueue(*impl_->env.config(), *upstream, it->second);
+  impl_->AnswerQueue(*impl_->env.config(), *upstream, it->second);
 }
 
 void engine_homes::ListSoon(absl::string_view engine) {
