--- a/src/membership/membership_service.cc
+++ b/src/membership/membership_service.cc
@@ -10,6 +10,7 @@
 #include "absl/random/random.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "base/control_traffic.h"
 #include "base/error_kind.h"
 #include "base/event_loop.h"
 #include "membership/lease_clock.h"
@@ -70,7 +71,9 @@
       const QByteArray bytes = EncodeSwim(send.message, peer_key);
       const QHostAddress host(QString::fromStdString(to->address));
       const qint64 sent = socket->writeDatagram(bytes, host, to->port);
-      if (sent > 0) bytes_sent += static_cast<uint64_t>(sent);
+      if (sent <= 0) continue;
+      CountControlBytes(sent);
+      bytes_sent += static_cast<uint64_t>(sent);
     }
   }
 
@@ -111,6 +114,7 @@
     CheckLease();
     while (socket->hasPendingDatagrams()) {
       const QByteArray bytes = socket->receiveDatagram().data();
+      CountControlBytes(bytes.size());
       bytes_received += static_cast<uint64_t>(bytes.size());
       const auto message = DecodeSwim(bytes, peer_key);
       if (!message) {
--- a/src/metrics/metrics.cc
+++ b/src/metrics/metrics.cc
@@ -5,6 +5,7 @@
 
 #include <utility>
 
+#include "base/control_traffic.h"
 #include "metrics/process_usage.h"
 
 namespace anvilridge {
@@ -29,6 +30,9 @@
 
 constexpr metric_name kCpuSeconds{"process_cpu_seconds_total",
                                   "User and system CPU time in seconds"};
+constexpr metric_name kPeerBytes{
+    "anvilridge_peer_bytes_total",
+    "Bytes sent to and received from other daemons"};
 constexpr metric_name kResidentBytes{"process_resident_memory_bytes",
                                      "Resident memory in bytes"};
 
@@ -81,6 +85,8 @@
                                  usage.cpu_seconds));
   families.push_back(SingleValue(kResidentBytes, prometheus::MetricType::Gauge,
                                  static_cast<double>(usage.resident_bytes)));
+  families.push_back(SingleValue(kPeerBytes, prometheus::MetricType::Counter,
+                                 static_cast<double>(ControlBytes())));
   return prometheus::TextSerializer().Serialize(families);
 }
 
--- a/src/peer/peer_session.cc
+++ b/src/peer/peer_session.cc
@@ -14,6 +14,7 @@
 #include "absl/strings/strip.h"
 #include "absl/types/span.h"
 #include "base/clock.h"
+#include "base/control_traffic.h"
 #include "base/error_kind.h"
 #include "base/event_loop.h"
 
@@ -331,6 +332,7 @@
 void peer_session::impl::Receive() {
   if (broken) return;
   const QByteArray bytes = socket->readAll();
+  CountControlBytes(bytes.size());
   if (bytes.isEmpty()) return;
   last_received = MonotonicNow();
   bytes_received += static_cast<uint64_t>(bytes.size());
@@ -380,6 +382,7 @@
   }
   if (!output.isEmpty()) {
     bytes_sent += static_cast<uint64_t>(output.size());
+    CountControlBytes(output.size());
     socket->write(output);
     socket->flush();
   }
--- a/src/settings/parse_settings_test.cc
+++ b/src/settings/parse_settings_test.cc
@@ -76,6 +76,7 @@
       "log_appends_per_second = 9\nlog_retention = 48h\n"
       "[peers]\nseeds = 10.0.0.1:1, 10.0.0.2:2\nkey_file = s\n"
       "probe_interval = 2s\nlease = 11s\n"
+      "[placement]\npolicy = round_robin\n"
       "[log]\nlevel = debug\ndestination = l\n"
       "[bootstrap]\nadministrator_key_file = a\n",
       "a.ini");
@@ -107,7 +108,8 @@
   } kCases[] = {
       {"[engines]\n",
        "a.ini:9: [engines]: unknown section; allowed are daemon, caller, "
-       "operator, peer, metrics, limits, platform, peers, log, bootstrap"},
+       "operator, peer, metrics, limits, platform, peers, placement, "
+       "log, bootstrap"},
       {"[limits]\n[limits]\n",
        "a.ini:10: [limits]: duplicate section; first in line 9"},
       {"[log]\ncolour = red\n",
@@ -172,7 +174,7 @@
             "a.ini:5: [platform] log = 10.0.0.1: allowed is ip:port with a "
             "port from 1 to 65535\n"
             "a.ini:6: [unknown]: unknown section; allowed are daemon, caller, "
-            "operator, peer, metrics, limits, platform, peers, log, "
+            "operator, peer, metrics, limits, platform, peers, placement, log, "
             "bootstrap\n");
 }
 
