--- a/src/load/load_report.cc
+++ b/src/load/load_report.cc
@@ -1,6 +1,7 @@
 #include "load/load_report.h"
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 
 #include "absl/strings/str_cat.h"
@@ -65,6 +66,8 @@
                          mean("p99"));
 }
 
+constexpr const char* kColours[] = {"#1b6ca8", "#c0392b", "#27864a",
+                                    "#8e44ad", "#d68910", "#566573"};
 constexpr double kPlotWidth = 560;
 constexpr double kPlotHeight = 320;
 constexpr double kPlotMargin = 50;
@@ -98,7 +101,7 @@
 
 std::string PlotLine(const std::vector<const report_group*>& line,
                      const std::string& name, const std::string& colour,
-                     const plot_scale& scale, int row) {
+                     const plot_scale& scale, size_t row) {
   std::string points;
   std::string bars;
   for (const report_group* group : line) {
@@ -151,6 +154,7 @@
     AddRun(group, run);
   }
   std::vector<report_group> list;
+  list.reserve(groups.size());
   for (auto& [key, group] : groups) list.push_back(std::move(group));
   return list;
 }
@@ -185,6 +189,7 @@
         .push_back(&group);
   }
   const plot_scale scale = ScaleOf(groups);
+  const plot_scale scale = ScaleOf(groups);
   const char* const kColours[] = {"#1b6ca8", "#c0392b", "#27864a",
                                   "#8e44ad", "#d68910", "#566573"};
   std::string svg = absl::StrFormat(
@@ -192,9 +197,11 @@
       "font-family='sans-serif' font-size='12'>\n",
       kPlotWidth, kPlotHeight);
   absl::StrAppend(&svg, PlotAxes(scale));
-  int row = 0;
+  size_t row = 0;
   for (const auto& [name, line] : lines) {
-    absl::StrAppend(&svg, PlotLine(line, name, kColours[row % 6], scale, row));
+    absl::StrAppend(
+        &svg,
+        PlotLine(line, name, kColours[row % std::size(kColours)], scale, row));
     ++row;
   }
   return svg + "</svg>\n";
--- a/src/load/load_run.cc
+++ b/src/load/load_run.cc
@@ -136,7 +136,7 @@
     handler.on_data = [this, call](absl::string_view bytes) {
       TakeBytes(call, bytes);
     };
-    handler.on_done = [this, call](http_result result) {
+    handler.on_done = [this, call](const http_result& result) {
       if (!call->over) TakeEnd(call, result);
     };
     call->id = client.Start(std::move(http), std::move(handler));
--- a/src/load/load_summary_test.cc
+++ b/src/load/load_summary_test.cc
@@ -32,8 +32,7 @@
       Sample(load_result::whole, 100, kUneven),
       Sample(load_result::whole, 101, kUneven),
       Sample(load_result::whole, 100, kSlow),
-      Sample(load_result::refused, 0, {}),
-      Sample(load_result::failed, 0, {})};
+      Sample(load_result::refused, 0, {}), Sample(load_result::failed, 0, {})};
   samples.push_back(samples[0]);
   samples.back().at = absl::Seconds(4);
   samples.push_back(samples[0]);
--- a/src/placement/engine_homes.cc
+++ b/src/placement/engine_homes.cc
@@ -182,8 +182,8 @@
       return done(answer);
     }
     const promise_policy policy = PolicyFor(*env.config(), upstream.pool);
-    const auto now_or_later = AskOrQueue(engine.queue, engine.decode,
-                                         message.ask, policy, env.now());
+    const auto now_or_later =
+        AskOrQueue(engine.queue, engine.decode, message.ask, policy, env.now());
     if (now_or_later) return done(*now_or_later);
     engine.queued[message.ask.request_id] = std::move(done);
   }
--- a/src/placement/place_queue_test.cc
+++ b/src/placement/place_queue_test.cc
@@ -34,8 +34,8 @@
       ServeQueue(engine.queue, engine.ledger, kCautious, kStart).empty());
   ReleaseDecode(engine.ledger, "r1");
   // A place is free, but it belongs to the first that waits.
-  const auto refused = AskOrQueue(engine.queue, engine.ledger, Ask("r5", {}),
-                                  kCautious, kStart);
+  const auto refused =
+      AskOrQueue(engine.queue, engine.ledger, Ask("r5", {}), kCautious, kStart);
   ASSERT_TRUE(refused);
   EXPECT_FALSE(refused->granted);
   const auto served =
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -16,13 +16,12 @@
 #include "log/decision_log.h"
 #include "placement/baseline_choice.h"
 #include "placement/candidate_choice.h"
+#include "placement/home_calls.h"
 #include "placement/load_reports.h"
 
 namespace anvilridge {
 namespace {
 
-// A home that doesn't answer within this time is passed over.
-constexpr absl::Duration kAskTimeout = absl::Milliseconds(250);
 // Decode engines asked in one round.
 constexpr size_t kDecodeAsksPerRound = 4;
 // A request that has waited so long at one home looks at the others again.
@@ -73,9 +72,8 @@
 }  // namespace
 
 struct placer::impl {
-  peer_client& peers;
-  engine_homes& local;
   placer_environment env;
+  home_calls homes;
   QObject context;
   std::map<std::string, attempt_ptr, std::less<>> attempts;
   engine_hints decode_hints;
@@ -89,42 +87,12 @@
   baseline_state baseline;
   std::unique_ptr<load_reports> reports;
 
-  impl(peer_client& peer, engine_homes& homes, placer_environment environment)
-      : peers(peer), local(homes), env(std::move(environment)) {
+  impl(peer_client& peers, engine_homes& local, placer_environment environment)
+      : env(std::move(environment)), homes{&peers, &local, env.home_address} {
     if (env.policy != placement_policy::least_loaded) return;
     reports = std::make_unique<load_reports>(*env.client, env.config);
   }
 
-  void AskHome(const decode_ask_message& message,
-               engine_homes::decode_callback done) {
-    const std::string address = env.home_address(message.engine);
-    if (address.empty()) return local.Ask(message, std::move(done));
-    peers.Call(address, kAskDecodeMethod, ToCbor(message),
-               message.ask.may_wait + kAskTimeout,
-               [done](absl::StatusOr<QCborMap> answer) {
-                 if (!answer.ok()) return done(answer.status());
-                 done(ParseDecodeAnswer(*answer));
-               });
-  }
-
-  void AskHome(const prefill_ask_message& message,
-               engine_homes::prefill_callback done) {
-    const std::string address = env.home_address(message.engine);
-    if (address.empty()) return local.Ask(message, std::move(done));
-    peers.Call(address, kAskPrefillMethod, ToCbor(message), kAskTimeout,
-               [done](absl::StatusOr<QCborMap> answer) {
-                 if (!answer.ok()) return done(answer.status());
-                 done(ParsePrefillAnswer(*answer));
-               });
-  }
-
-  void ReleaseAtHome(const release_message& message) {
-    const std::string address = env.home_address(message.engine);
-    if (address.empty()) return local.Release(message);
-    peers.Call(address, kReleaseMethod, ToCbor(message), kAskTimeout,
-               [](const absl::StatusOr<QCborMap>&) {});
-  }
-
   engine_list Order(absl::string_view pool, const attempt& a,
                     const engine_hints& hints) {
     engine_list candidates = Candidates(*a.config, pool, a.request.avoid);
@@ -232,9 +200,10 @@
     message.ask.expected_use = a->request.max_tokens * kAssumedTokenInterval;
     message.ask.may_wait = may_wait;
     a->grant.pieces = message.ask.pieces;
-    AskHome(message, [this, a, &engine](absl::StatusOr<decode_answer> answer) {
-      TakeDecodeAnswer(a, engine, std::move(answer));
-    });
+    AskHome(homes, message,
+            [this, a, &engine](absl::StatusOr<decode_answer> answer) {
+              TakeDecodeAnswer(a, engine, std::move(answer));
+            });
   }
 
   void TakeDecodeAnswer(const attempt_ptr& a, const upstream_config& engine,
@@ -265,14 +234,14 @@
   }
 
   void FreeDecode(const attempt& a, const upstream_config& engine) {
-    ReleaseAtHome({engine.name, a.request.request_id, 0, {}, false});
+    ReleaseAtHome(homes, {engine.name, a.request.request_id, 0, {}, false});
   }
 
   void AskNextPrefill(const attempt_ptr& a) {
     const size_t most = std::min(kPrefillAsksPerRound, a->prefill_order.size());
     if (a->prefill_next >= most) {
       ReleaseAtHome(
-          {a->grant.decode.name, a->request.request_id, 0, {}, false});
+          homes, {a->grant.decode.name, a->request.request_id, 0, {}, false});
       return EndRound(a, error_kind::latency_unattainable);
     }
     const upstream_config& engine = *a->prefill_order[a->prefill_next++];
@@ -285,9 +254,10 @@
         PrefillWork(a->request) + kAssumedTransfer + kAssumedTokenInterval;
     message.ask.longest_wait = std::max(
         absl::ZeroDuration(), a->request.first_token_due - env.now() - after);
-    AskHome(message, [this, a, &engine](absl::StatusOr<prefill_answer> answer) {
-      TakePrefillAnswer(a, engine, std::move(answer));
-    });
+    AskHome(homes, message,
+            [this, a, &engine](absl::StatusOr<prefill_answer> answer) {
+              TakePrefillAnswer(a, engine, std::move(answer));
+            });
   }
 
   void TakePrefillAnswer(const attempt_ptr& a, const upstream_config& engine,
@@ -295,7 +265,7 @@
     if (a->over) {
       if (answer.ok() && answer->granted) FreeDecode(*a, engine);
       ReleaseAtHome(
-          {a->grant.decode.name, a->request.request_id, 0, {}, false});
+          homes, {a->grant.decode.name, a->request.request_id, 0, {}, false});
       return;
     }
     QJsonObject seen{{"prefill", QString::fromStdString(engine.name)}};
@@ -412,13 +382,13 @@
     prefill.prefill_tokens = outcome.prefill_tokens;
     prefill.prefill_time = outcome.prefill_time;
   }
-  if (!prefill.engine.empty()) impl_->ReleaseAtHome(prefill);
+  if (!prefill.engine.empty()) ReleaseAtHome(impl_->homes, prefill);
   if (outcome.decode.name.empty()) return;
-  impl_->ReleaseAtHome({outcome.decode.name,
-                        outcome.request_id,
-                        0,
-                        {},
-                        outcome.decode_finished});
+  ReleaseAtHome(impl_->homes, {outcome.decode.name,
+                               outcome.request_id,
+                               0,
+                               {},
+                               outcome.decode_finished});
 }
 
 }  // namespace anvilridge
--- a/src/placement/prefill_ledger_test.cc
+++ b/src/placement/prefill_ledger_test.cc
@@ -42,11 +42,11 @@
   const absl::Time now = kStart + absl::Seconds(1);
   const prefill_ask on_its_way{"on its way", "a:1", 300, absl::Seconds(9)};
   AskPrefill(ledger, on_its_way, now);
-  MergePrefillList(ledger,
-                   {Row("r1", engine_phase::queued),
-                    Row("r2", engine_phase::prefill),
-                    Row("r3", engine_phase::exportable)},
-                   now);
+  MergePrefillList(
+      ledger,
+      {Row("r1", engine_phase::queued), Row("r2", engine_phase::prefill),
+       Row("r3", engine_phase::exportable)},
+      now);
   // 200 queued, half of 200 under way, and 300 on their way.
   EXPECT_EQ(ledger.busy_until - now, absl::Milliseconds(600));
 }
