--- a/src/load/load_report.cc
+++ b/src/load/load_report.cc
@@ -101,7 +101,7 @@
 
 std::string PlotLine(const std::vector<const report_group*>& line,
                      const std::string& name, const std::string& colour,
-                     const plot_scale& scale, size_t row) {
+                     const plot_scale& scale, int row) {
   std::string points;
   std::string bars;
   for (const report_group* group : line) {
@@ -189,15 +189,12 @@
         .push_back(&group);
   }
   const plot_scale scale = ScaleOf(groups);
-  const plot_scale scale = ScaleOf(groups);
-  const char* const kColours[] = {"#1b6ca8", "#c0392b", "#27864a",
-                                  "#8e44ad", "#d68910", "#566573"};
   std::string svg = absl::StrFormat(
       "<svg xmlns='http://www.w3.org/2000/svg' width='%.0f' height='%.0f' "
       "font-family='sans-serif' font-size='12'>\n",
       kPlotWidth, kPlotHeight);
   absl::StrAppend(&svg, PlotAxes(scale));
-  size_t row = 0;
+  int row = 0;
   for (const auto& [name, line] : lines) {
     absl::StrAppend(
         &svg,
--- a/src/load/load_summary.cc
+++ b/src/load/load_summary.cc
@@ -9,7 +9,8 @@
 namespace {
 
 double NearestRank(const std::vector<absl::Duration>& sorted, double share) {
-  const auto rank = static_cast<size_t>(std::ceil(share * sorted.size()));
+  const auto rank = static_cast<size_t>(
+      std::ceil(share * static_cast<double>(sorted.size())));
   return absl::ToDoubleMilliseconds(sorted[std::max<size_t>(rank, 1) - 1]);
 }
 
--- a/src/placement/engine_homes.cc
+++ b/src/placement/engine_homes.cc
@@ -197,7 +197,7 @@
 
 void engine_homes::RegisterPeerHandlers(peer_server& server) {
   server.Handle(kAskDecodeMethod, [this](const QCborMap& request,
-                                         peer_responder respond) {
+                                         const peer_responder& respond) {
     const absl::StatusOr<decode_ask_message> message = ParseDecodeAsk(request);
     if (!message.ok()) return respond(message.status());
     Ask(*message, [respond](absl::StatusOr<decode_answer> answer) {
@@ -206,7 +206,7 @@
     });
   });
   server.Handle(kAskPrefillMethod, [this](const QCborMap& request,
-                                          peer_responder respond) {
+                                          const peer_responder& respond) {
     const absl::StatusOr<prefill_ask_message> message =
         ParsePrefillAsk(request);
     if (!message.ok()) return respond(message.status());
@@ -215,20 +215,20 @@
       respond(ToCbor(*answer));
     });
   });
-  server.Handle(
-      kReleaseMethod, [this](const QCborMap& request, peer_responder respond) {
-        const absl::StatusOr<release_message> message = ParseRelease(request);
-        if (!message.ok()) return respond(message.status());
-        Release(*message);
-        respond(QCborMap());
-      });
+  server.Handle(kReleaseMethod, [this](const QCborMap& request,
+                                       const peer_responder& respond) {
+    const absl::StatusOr<release_message> message = ParseRelease(request);
+    if (!message.ok()) return respond(message.status());
+    Release(*message);
+    respond(QCborMap());
+  });
 }
 
 void engine_homes::Ask(const decode_ask_message& message,
                        decode_callback done) {
   const absl::StatusOr<upstream_config> upstream = impl_->Find(message.engine);
   if (!upstream.ok()) return done(upstream.status());
-  impl_->WithLedger(*upstream, [this, message, done] {
+  impl_->WithLedger(*upstream, [this, message, done = std::move(done)] {
     const auto found = impl_->Find(message.engine);
     if (!found.ok()) return done(found.status());
     impl_->AnswerDecode(message, *found, done);
@@ -236,7 +236,7 @@
 }
 
 void engine_homes::Ask(const prefill_ask_message& message,
-                       prefill_callback done) {
+                       const prefill_callback& done) {
   const absl::StatusOr<upstream_config> upstream = impl_->Find(message.engine);
   if (!upstream.ok()) return done(upstream.status());
   homed_engine& engine = impl_->EngineNamed(*upstream);
--- a/src/placement/engine_homes.h
+++ b/src/placement/engine_homes.h
@@ -46,7 +46,7 @@
   /// Asks for a decode place; a ledger that has never seen the engine's list
   /// fetches it first.
   void Ask(const decode_ask_message& message, decode_callback done);
-  void Ask(const prefill_ask_message& message, prefill_callback done);
+  void Ask(const prefill_ask_message& message, const prefill_callback& done);
   void Release(const release_message& message);
 
   /// Fetches the list of `engine` soon, whether or not it is due.
--- a/src/placement/home_calls.cc
+++ b/src/placement/home_calls.cc
@@ -23,9 +23,9 @@
 }
 
 void AskHome(const home_calls& homes, const prefill_ask_message& message,
-             engine_homes::prefill_callback done) {
+             const engine_homes::prefill_callback& done) {
   const std::string address = homes.home_address(message.engine);
-  if (address.empty()) return homes.local->Ask(message, std::move(done));
+  if (address.empty()) return homes.local->Ask(message, done);
   homes.peers->Call(address, kAskPrefillMethod, ToCbor(message), kAskTimeout,
                     [done](absl::StatusOr<QCborMap> answer) {
                       if (!answer.ok()) return done(answer.status());
--- a/src/placement/home_calls.h
+++ b/src/placement/home_calls.h
@@ -23,7 +23,7 @@
 void AskHome(const home_calls& homes, const decode_ask_message& message,
              engine_homes::decode_callback done);
 void AskHome(const home_calls& homes, const prefill_ask_message& message,
-             engine_homes::prefill_callback done);
+             const engine_homes::prefill_callback& done);
 
 /// Tells the engine's home what a request no longer holds; not repeated when
 /// it is lost, since the engine's own list corrects the home.
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -338,15 +338,18 @@
 
   void LogDecision(const attempt& a, absl::string_view result,
                    absl::string_view why) {
-    LogEvent(log_level::info, "placement",
-             {{"request_id", QString::fromStdString(a.request.request_id)},
-              {"route", QString::fromStdString(a.request.route)},
-              {"result", QString::fromUtf8(result.data(), result.size())},
-              {"why", QString::fromUtf8(why.data(), why.size())},
-              {"rounds", a.rounds},
-              {"considered", a.considered},
-              {"decode", QString::fromStdString(a.grant.decode.name)},
-              {"prefill", QString::fromStdString(a.grant.prefill.name)}});
+    LogEvent(
+        log_level::info, "placement",
+        {{"request_id", QString::fromStdString(a.request.request_id)},
+         {"route", QString::fromStdString(a.request.route)},
+         {"result", QString::fromUtf8(result.data(),
+                                      static_cast<qsizetype>(result.size()))},
+         {"why",
+          QString::fromUtf8(why.data(), static_cast<qsizetype>(why.size()))},
+         {"rounds", a.rounds},
+         {"considered", a.considered},
+         {"decode", QString::fromStdString(a.grant.decode.name)},
+         {"prefill", QString::fromStdString(a.grant.prefill.name)}});
   }
 };
 
