--- a/bench/run.sh
+++ b/bench/run.sh
@@ -76,7 +76,8 @@
     --policy "$policy" --scenario "$SCENARIO" --output "$output" \
     > "$FLEET_DIR/load.out" 2> "$FLEET_DIR/load.err" &
   local load_pid=$!
-  sleep "$WARM_UP"
+  # Within the measured time, so that what the fault cuts is counted.
+  sleep $((WARM_UP + SECONDS_MEASURED / 3))
   apply_fault
   wait "$load_pid" || cat "$FLEET_DIR/load.err" >&2
   echo "$SCENARIO $DEPLOYMENT load $load seed $seed $policy:" \
