--- a/bench/capacity/limits_cost.cc
+++ b/bench/capacity/limits_cost.cc
@@ -2,10 +2,13 @@
 #include <unistd.h>
 
 #include <cstdlib>
+#include <map>
+#include <string>
 #include <vector>
 
 #include "absl/strings/str_cat.h"
-#include "admission/team_limits.h"
+#include "admission/limit_home.h"
+#include "admission/limit_share.h"
 #include "bench_meter.h"
 #include "log/decision_log.h"
 #include "metrics/metrics.h"
@@ -25,12 +28,21 @@
     configs[i].concurrency = 1'000'000;
   }
   const double heap = HeapBytes();
-  team_limits limits;
+  // Each team's home and one borrower, which asks for every request: the
+  // dearest case, since loans are kept between requests.
+  std::map<std::string, limit_ledger, std::less<>> homes;
+  limit_shares shares;
   bool entered = true;
   const auto once = [&] {
     for (const team_config& team : configs) {
-      entered = EnterTeam(limits, team, 370, kStart).ok() && entered;
-      LeaveTeam(limits, team.name);
+      limit_share& share = shares.teams[team.name];
+      share.waiting = 1;
+      const borrow_ask ask = AskFor(share, team, "entry-zagreb-a-1:1", 370);
+      TakeLoan(share, Lend(homes[team.name], team, ask, 370, kStart), kStart);
+      share.waiting = 0;
+      entered = MayStart(share, team, kStart) && entered;
+      if (entered) StartOne(share, team);
+      EndOne(shares, team.name);
     }
   };
   once();
--- a/src/daemon/control_state.cc
+++ b/src/daemon/control_state.cc
@@ -80,6 +80,8 @@
     return TakesWork(state, engine);
   };
   env.now = MonotonicNow;
+  env.policy = state.settings.placement.policy;
+  env.client = &state.client;
   return env;
 }
 
--- a/src/peer/peer_session.cc
+++ b/src/peer/peer_session.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "base/clock.h"
+#include "base/control_traffic.h"
 #include "base/event_loop.h"
 
 namespace anvilridge {
@@ -82,6 +83,7 @@
 void peer_session::impl::Receive() {
   if (broken) return;
   const QByteArray bytes = socket->readAll();
+  CountControlBytes(bytes.size());
   if (bytes.isEmpty()) return;
   last_received = MonotonicNow();
   bytes_received += static_cast<uint64_t>(bytes.size());
@@ -103,6 +105,7 @@
       http2.TakeOutput(kMaxUnsentBytes - socket->bytesToWrite());
   if (!output.isEmpty()) {
     bytes_sent += static_cast<uint64_t>(output.size());
+    CountControlBytes(output.size());
     socket->write(output);
     socket->flush();
   }
--- a/src/placement/engine_homes.cc
+++ b/src/placement/engine_homes.cc
@@ -11,6 +11,7 @@
 #include "base/event_loop.h"
 #include "log/decision_log.h"
 #include "placement/list_schedule.h"
+#include "placement/place_queue.h"
 
 namespace anvilridge {
 namespace {
@@ -33,6 +34,9 @@
   size_t list_bytes = 0;
   // Asks that wait for the first list.
   std::vector<std::function<void()>> waiting;
+  place_queue queue;
+  // Callbacks of the asks that are queued, by request.
+  std::map<std::string, engine_homes::decode_callback> queued;
 };
 
 promise_policy PolicyFor(const config_state& config, absl::string_view pool) {
@@ -48,6 +52,8 @@
 }  // namespace
 
 struct engine_homes::impl {
+  using decode_callback = engine_homes::decode_callback;
+
   http_client& client;
   engine_homes_environment env;
   std::map<std::string, homed_engine, std::less<>> engines;
@@ -119,7 +125,9 @@
     }
     for (auto& [name, engine] : engines) {
       const auto upstream = config.upstreams.find(name);
-      if (engine.listing || upstream == config.upstreams.end()) continue;
+      if (upstream == config.upstreams.end()) continue;
+      AnswerQueue(config, upstream->second, engine);
+      if (engine.listing) continue;
       situation.watching_orphan = engine.watching_orphan;
       situation.next_lapse = NextLapse(engine.decode);
       const absl::Time due = NextList({}, situation, engine.listed);
@@ -137,7 +145,30 @@
   void Forget(absl::string_view name) {
     const auto it = engines.find(name);
     if (it == engines.end() || !it->second.waiting.empty()) return;
+    const auto queued = std::exchange(it->second.queued, {});
     engines.erase(it);
+    for (const auto& [id, done] : queued) done(decode_answer());
+  }
+
+  void AnswerQueue(const config_state& config, const upstream_config& upstream,
+                   homed_engine& engine) {
+    const promise_policy policy = PolicyFor(config, upstream.pool);
+    std::vector<std::pair<decode_callback, decode_answer>> calls;
+    for (const queue_answer& one :
+         ServeQueue(engine.queue, engine.decode, policy, env.now())) {
+      LogQueueAnswer(upstream, one);
+      auto queued = engine.queued.extract(one.request_id);
+      if (queued) calls.emplace_back(std::move(queued.mapped()), one.answer);
+    }
+    for (const auto& [done, answer] : calls) done(answer);
+  }
+
+  static void LogQueueAnswer(const upstream_config& upstream,
+                             const queue_answer& one) {
+    LogEvent(log_level::info, "place_queue",
+             {{"request_id", QString::fromStdString(one.request_id)},
+              {"upstream", QString::fromStdString(upstream.name)},
+              {"result", one.answer.granted ? "granted" : "waited too long"}});
   }
 
   void List(const upstream_config& upstream) {
@@ -198,15 +229,19 @@
     return it->second;
   }
 
-  decode_answer AnswerDecode(const decode_ask_message& message) {
-    const std::shared_ptr<const config_state> config = env.config();
-    const upstream_config& upstream = config->upstreams.at(message.engine);
+  void AnswerDecode(const decode_ask_message& message,
+                    const upstream_config& upstream, decode_callback done) {
     homed_engine& engine = EngineNamed(upstream);
+    decode_answer answer;
     if (engine.decode.listed_at == absl::InfinitePast()) {
-      return decode_answer{.free_in = kFirstListWait};
+      answer.free_in = kFirstListWait;
+      return done(answer);
     }
-    const promise_policy policy = PolicyFor(*config, upstream.pool);
-    return AskDecode(engine.decode, message.ask, policy, env.now());
+    const promise_policy policy = PolicyFor(*env.config(), upstream.pool);
+    const auto now_or_later =
+        AskOrQueue(engine.queue, engine.decode, message.ask, policy, env.now());
+    if (now_or_later) return done(*now_or_later);
+    engine.queued[message.ask.request_id] = std::move(done);
   }
 };
 
@@ -218,7 +253,7 @@
 
 void engine_homes::RegisterPeerHandlers(peer_server& server) {
   server.Handle(kAskDecodeMethod, [this](const QCborMap& request,
-                                         peer_responder respond) {
+                                         const peer_responder& respond) {
     const absl::StatusOr<decode_ask_message> message = ParseDecodeAsk(request);
     if (!message.ok()) return respond(message.status());
     Ask(*message, [respond](absl::StatusOr<decode_answer> answer) {
@@ -227,7 +262,7 @@
     });
   });
   server.Handle(kAskPrefillMethod, [this](const QCborMap& request,
-                                          peer_responder respond) {
+                                          const peer_responder& respond) {
     const absl::StatusOr<prefill_ask_message> message =
         ParsePrefillAsk(request);
     if (!message.ok()) return respond(message.status());
@@ -236,29 +271,28 @@
       respond(ToCbor(*answer));
     });
   });
-  server.Handle(
-      kReleaseMethod, [this](const QCborMap& request, peer_responder respond) {
-        const absl::StatusOr<release_message> message = ParseRelease(request);
-        if (!message.ok()) return respond(message.status());
-        Release(*message);
-        respond(QCborMap());
-      });
+  server.Handle(kReleaseMethod, [this](const QCborMap& request,
+                                       const peer_responder& respond) {
+    const absl::StatusOr<release_message> message = ParseRelease(request);
+    if (!message.ok()) return respond(message.status());
+    Release(*message);
+    respond(QCborMap());
+  });
 }
 
 void engine_homes::Ask(const decode_ask_message& message,
                        decode_callback done) {
   const absl::StatusOr<upstream_config> upstream = impl_->Find(message.engine);
   if (!upstream.ok()) return done(upstream.status());
-  impl_->WithLedger(*upstream, [this, message, done] {
-    if (const auto found = impl_->Find(message.engine); !found.ok()) {
-      return done(found.status());
-    }
-    done(impl_->AnswerDecode(message));
+  impl_->WithLedger(*upstream, [this, message, done = std::move(done)] {
+    const auto found = impl_->Find(message.engine);
+    if (!found.ok()) return done(found.status());
+    impl_->AnswerDecode(message, *found, done);
   });
 }
 
 void engine_homes::Ask(const prefill_ask_message& message,
-                       prefill_callback done) {
+                       const prefill_callback& done) {
   const absl::StatusOr<upstream_config> upstream = impl_->Find(message.engine);
   if (!upstream.ok()) return done(upstream.status());
   homed_engine& engine = impl_->EngineNamed(*upstream);
@@ -268,10 +302,17 @@
 void engine_homes::Release(const release_message& message) {
   const auto it = impl_->engines.find(message.engine);
   if (it == impl_->engines.end()) return;
+  if (message.finished) {
+    LearnDecodeUse(it->second.decode, message.request_id, impl_->env.now());
+  }
   ReleaseDecode(it->second.decode, message.request_id);
   ReleasePrefill(it->second.prefill, message.request_id);
   LearnPrefillRate(it->second.prefill, message.prefill_tokens,
                    message.prefill_time);
+  if (it->second.queue.asks.empty()) return;
+  const auto upstream = impl_->Find(message.engine);
+  if (!upstream.ok()) return;
+  impl_->AnswerQueue(*impl_->env.config(), *upstream, it->second);
 }
 
 void engine_homes::ListSoon(absl::string_view engine) {
--- a/src/placement/home_messages.cc
+++ b/src/placement/home_messages.cc
@@ -75,7 +75,8 @@
           {QLatin1String("owner"), ToQt(message.ask.owner)},
           {QLatin1String("pieces"), message.ask.pieces},
           {QLatin1String("needed"), Microseconds(message.ask.needed_in)},
-          {QLatin1String("use"), Microseconds(message.ask.expected_use)}};
+          {QLatin1String("use"), Microseconds(message.ask.expected_use)},
+          {QLatin1String("wait"), Microseconds(message.ask.may_wait)}};
 }
 
 QCborMap ToCbor(const prefill_ask_message& message) {
@@ -90,7 +91,8 @@
   return {{QLatin1String("engine"), ToQt(message.engine)},
           {QLatin1String("id"), ToQt(message.request_id)},
           {QLatin1String("tokens"), message.prefill_tokens},
-          {QLatin1String("time"), Microseconds(message.prefill_time)}};
+          {QLatin1String("time"), Microseconds(message.prefill_time)},
+          {QLatin1String("finished"), message.finished}};
 }
 
 QCborMap ToCbor(const decode_answer& answer) {
@@ -115,6 +117,7 @@
   message.ask.pieces = fields.Count("pieces");
   message.ask.needed_in = fields.Time("needed");
   message.ask.expected_use = fields.Time("use");
+  message.ask.may_wait = fields.Time("wait");
   return fields.Finish(std::move(message));
 }
 
@@ -136,6 +139,7 @@
   message.request_id = fields.Text("id");
   message.prefill_tokens = fields.Count("tokens");
   message.prefill_time = fields.Time("time");
+  message.finished = fields.Flag("finished");
   return fields.Finish(std::move(message));
 }
 
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <map>
 #include <random>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -13,21 +14,28 @@
 #include "base/error_kind.h"
 #include "base/event_loop.h"
 #include "log/decision_log.h"
+#include "placement/baseline_choice.h"
 #include "placement/candidate_choice.h"
+#include "placement/home_calls.h"
+#include "placement/load_reports.h"
 
 namespace anvilridge {
 namespace {
 
-// A home that doesn't answer within this time is passed over.
-constexpr absl::Duration kAskTimeout = absl::Milliseconds(250);
 // Decode engines asked in one round.
 constexpr size_t kDecodeAsksPerRound = 4;
+// A request that has waited so long at one home looks at the others again.
+constexpr absl::Duration kLongestWaitAtHome = absl::Seconds(1);
+// Share of the first-token target that is left for what takes longer than
+// predicted.
+constexpr double kWaitMarginShare = 0.15;
 constexpr size_t kPrefillAsksPerRound = 4;
 constexpr absl::Duration kShortestPause = absl::Milliseconds(5);
 constexpr absl::Duration kLongestPause = absl::Milliseconds(100);
 constexpr absl::Duration kShortestRetryAfter = absl::Seconds(1);
 // Assumed until homes have said better.
 constexpr double kAssumedPrefillTokensPerSecond = 8000;
+constexpr double kRateLearningShare = 0.1;
 constexpr absl::Duration kAssumedTransfer = absl::Milliseconds(20);
 constexpr absl::Duration kAssumedTokenInterval = absl::Milliseconds(25);
 
@@ -41,6 +49,10 @@
   const route_config* route = nullptr;
   engine_list decode_order;
   size_t decode_next = 0;
+  // Engine that named the shortest wait in this round.
+  const upstream_config* shortest_queue = nullptr;
+  bool waited = false;
+  int rounds = 0;
   engine_list prefill_order;
   size_t prefill_next = 0;
   place_grant grant;
@@ -60,45 +72,25 @@
 }  // namespace
 
 struct placer::impl {
-  peer_client& peers;
-  engine_homes& local;
   placer_environment env;
+  home_calls homes;
   QObject context;
   std::map<std::string, attempt_ptr, std::less<>> attempts;
   engine_hints decode_hints;
   engine_hints prefill_hints;
+  // Rate that the homes' answers have shown.
+  double prefill_tokens_per_second = kAssumedPrefillTokensPerSecond;
+  // Placed requests whose prefill was to start at once: their time teaches the
+  // engine's rate.
+  std::set<std::string, std::less<>> unqueued;
   std::mt19937_64 random{std::random_device{}()};
+  baseline_state baseline;
+  std::unique_ptr<load_reports> reports;
 
-  impl(peer_client& peer, engine_homes& homes, placer_environment environment)
-      : peers(peer), local(homes), env(std::move(environment)) {}
-
-  void AskHome(const decode_ask_message& message,
-               engine_homes::decode_callback done) {
-    const std::string address = env.home_address(message.engine);
-    if (address.empty()) return local.Ask(message, std::move(done));
-    peers.Call(address, kAskDecodeMethod, ToCbor(message), kAskTimeout,
-               [done](absl::StatusOr<QCborMap> answer) {
-                 if (!answer.ok()) return done(answer.status());
-                 done(ParseDecodeAnswer(*answer));
-               });
-  }
-
-  void AskHome(const prefill_ask_message& message,
-               engine_homes::prefill_callback done) {
-    const std::string address = env.home_address(message.engine);
-    if (address.empty()) return local.Ask(message, std::move(done));
-    peers.Call(address, kAskPrefillMethod, ToCbor(message), kAskTimeout,
-               [done](absl::StatusOr<QCborMap> answer) {
-                 if (!answer.ok()) return done(answer.status());
-                 done(ParsePrefillAnswer(*answer));
-               });
-  }
-
-  void ReleaseAtHome(const release_message& message) {
-    const std::string address = env.home_address(message.engine);
-    if (address.empty()) return local.Release(message);
-    peers.Call(address, kReleaseMethod, ToCbor(message), kAskTimeout,
-               [](const absl::StatusOr<QCborMap>&) {});
+  impl(peer_client& peers, engine_homes& local, placer_environment environment)
+      : env(std::move(environment)), homes{&peers, &local, env.home_address} {
+    if (env.policy != placement_policy::least_loaded) return;
+    reports = std::make_unique<load_reports>(*env.client, env.config);
   }
 
   engine_list Usable(absl::string_view pool, const attempt& a,
@@ -134,17 +126,46 @@
     a->decode_next = 0;
     a->prefill_next = 0;
     a->free_in = absl::InfiniteDuration();
+    a->shortest_queue = nullptr;
+    a->waited = false;
+    a->considered = QJsonArray();
+    ++a->rounds;
     if (a->decode_order.empty() || a->prefill_order.empty()) {
       return Fail(a, MakeError(error_kind::no_upstream,
                                absl::StrCat("no engine takes work for route ",
                                             a->request.route)));
     }
+    if (env.policy != placement_policy::homes) return ChooseByBaseline(a);
     AskNextDecode(a);
   }
 
+  void ChooseByBaseline(const attempt_ptr& a) {
+    static const engine_loads kNoLoads;
+    const engine_loads& loads = reports ? reports->Loads() : kNoLoads;
+    const bool by_load = env.policy == placement_policy::least_loaded;
+    const engine_list decode =
+        by_load ? LeastLoadedOrder(a->decode_order, loads, random)
+                : RoundRobinOrder(a->decode_order, baseline.decode_turn);
+    const engine_list prefill =
+        by_load ? LeastLoadedOrder(a->prefill_order, loads, random)
+                : RoundRobinOrder(a->prefill_order, baseline.prefill_turn);
+    a->grant.decode = PlacedEngine(*decode.front());
+    a->grant.prefill = PlacedEngine(*prefill.front());
+    a->grant.decode_fallbacks.clear();
+    for (size_t i = 1; i < decode.size(); ++i) {
+      a->grant.decode_fallbacks.push_back(PlacedEngine(*decode[i]));
+    }
+    a->grant.predicted_first_token = a->request.first_token_due - env.now();
+    LogDecision(*a, "placed", by_load ? "least loaded" : "round robin");
+    End(a, a->grant);
+  }
+
+  absl::Duration PrefillWork(const place_request& request) const {
+    return absl::Seconds(request.prompt_tokens / prefill_tokens_per_second);
+  }
+
   absl::Duration PrefillEstimate(const attempt& a) const {
-    const absl::Duration work =
-        absl::Seconds(a.request.prompt_tokens / kAssumedPrefillTokensPerSecond);
+    const absl::Duration work = PrefillWork(a.request);
     const auto hint = prefill_hints.find(a.prefill_order.front()->name);
     if (hint == prefill_hints.end()) return work;
     const absl::Duration age = env.now() - hint->second.at;
@@ -153,8 +174,31 @@
 
   void AskNextDecode(const attempt_ptr& a) {
     const size_t most = std::min(kDecodeAsksPerRound, a->decode_order.size());
-    if (a->decode_next >= most) return EndRound(a, error_kind::overloaded);
-    const upstream_config& engine = *a->decode_order[a->decode_next++];
+    if (a->decode_next >= most) return WaitForDecode(a);
+    AskDecodeAt(a, *a->decode_order[a->decode_next++], absl::ZeroDuration());
+  }
+
+  // Queues at the engine with the shortest wait, if it serves the request.
+  void WaitForDecode(const attempt_ptr& a) {
+    const absl::Duration left = TimeToWait(*a);
+    const bool hopeless = a->shortest_queue == nullptr || a->waited;
+    if (hopeless || a->free_in > left) {
+      return EndRound(a, error_kind::overloaded);
+    }
+    a->waited = true;
+    AskDecodeAt(a, *a->shortest_queue, std::min(left, kLongestWaitAtHome));
+  }
+
+  // Time that the request may wait for a place and still be served in time.
+  absl::Duration TimeToWait(const attempt& a) const {
+    const absl::Duration margin =
+        kWaitMarginShare * a.route->first_token_target;
+    return a.request.first_token_due - env.now() - PrefillEstimate(a) -
+           kAssumedTransfer - kAssumedTokenInterval - margin;
+  }
+
+  void AskDecodeAt(const attempt_ptr& a, const upstream_config& engine,
+                   absl::Duration may_wait) {
     decode_ask_message message;
     message.engine = engine.name;
     message.ask.request_id = a->request.request_id;
@@ -163,10 +207,12 @@
         PiecesFor(a->request.prompt_tokens + a->request.max_tokens);
     message.ask.needed_in = PrefillEstimate(*a) + kAssumedTransfer;
     message.ask.expected_use = a->request.max_tokens * kAssumedTokenInterval;
+    message.ask.may_wait = may_wait;
     a->grant.pieces = message.ask.pieces;
-    AskHome(message, [this, a, &engine](absl::StatusOr<decode_answer> answer) {
-      TakeDecodeAnswer(a, engine, std::move(answer));
-    });
+    AskHome(homes, message,
+            [this, a, &engine](absl::StatusOr<decode_answer> answer) {
+              TakeDecodeAnswer(a, engine, std::move(answer));
+            });
   }
 
   void TakeDecodeAnswer(const attempt_ptr& a, const upstream_config& engine,
@@ -188,6 +234,7 @@
     seen["granted"] = answer->granted;
     a->considered.append(seen);
     if (!answer->granted) {
+      if (answer->free_in < a->free_in) a->shortest_queue = &engine;
       a->free_in = std::min(a->free_in, answer->free_in);
       return AskNextDecode(a);
     }
@@ -196,13 +243,14 @@
   }
 
   void FreeDecode(const attempt& a, const upstream_config& engine) {
-    ReleaseAtHome({engine.name, a.request.request_id, 0, {}});
+    ReleaseAtHome(homes, {engine.name, a.request.request_id, 0, {}, false});
   }
 
   void AskNextPrefill(const attempt_ptr& a) {
     const size_t most = std::min(kPrefillAsksPerRound, a->prefill_order.size());
     if (a->prefill_next >= most) {
-      ReleaseAtHome({a->grant.decode.name, a->request.request_id, 0, {}});
+      ReleaseAtHome(
+          homes, {a->grant.decode.name, a->request.request_id, 0, {}, false});
       return EndRound(a, error_kind::latency_unattainable);
     }
     const upstream_config& engine = *a->prefill_order[a->prefill_next++];
@@ -211,20 +259,22 @@
     message.ask.request_id = a->request.request_id;
     message.ask.owner = a->grant.owner;
     message.ask.tokens = a->request.prompt_tokens;
-    const absl::Duration work = absl::Seconds(a->request.prompt_tokens /
-                                              kAssumedPrefillTokensPerSecond);
+    const absl::Duration after =
+        PrefillWork(a->request) + kAssumedTransfer + kAssumedTokenInterval;
     message.ask.longest_wait = std::max(
-        absl::ZeroDuration(), a->request.first_token_due - env.now() - work);
-    AskHome(message, [this, a, &engine](absl::StatusOr<prefill_answer> answer) {
-      TakePrefillAnswer(a, engine, std::move(answer));
-    });
+        absl::ZeroDuration(), a->request.first_token_due - env.now() - after);
+    AskHome(homes, message,
+            [this, a, &engine](absl::StatusOr<prefill_answer> answer) {
+              TakePrefillAnswer(a, engine, std::move(answer));
+            });
   }
 
   void TakePrefillAnswer(const attempt_ptr& a, const upstream_config& engine,
                          absl::StatusOr<prefill_answer> answer) {
     if (a->over) {
       if (answer.ok() && answer->granted) FreeDecode(*a, engine);
-      ReleaseAtHome({a->grant.decode.name, a->request.request_id, 0, {}});
+      ReleaseAtHome(
+          homes, {a->grant.decode.name, a->request.request_id, 0, {}, false});
       return;
     }
     QJsonObject seen{{"prefill", QString::fromStdString(engine.name)}};
@@ -235,6 +285,7 @@
       return AskNextPrefill(a);
     }
     prefill_hints[engine.name] = {0, answer->wait, env.now()};
+    LearnRate(a->request.prompt_tokens, answer->work);
     seen["wait_ms"] = absl::ToDoubleMilliseconds(answer->wait);
     seen["granted"] = answer->granted;
     a->considered.append(seen);
@@ -243,17 +294,28 @@
       return AskNextPrefill(a);
     }
     a->grant.prefill = PlacedEngine(engine);
+    if (answer->wait == absl::ZeroDuration()) {
+      unqueued.insert(a->request.request_id);
+    }
     a->grant.predicted_first_token =
         answer->wait + answer->work + kAssumedTransfer;
     Succeed(a);
   }
 
-  // Waits for a place that is predicted to come free in time, else gives up.
+  void LearnRate(int tokens, absl::Duration work) {
+    if (work <= absl::ZeroDuration()) return;
+    const double rate = tokens / absl::ToDoubleSeconds(work);
+    prefill_tokens_per_second +=
+        kRateLearningShare * (rate - prefill_tokens_per_second);
+  }
+
+  // Looks again for a place that is predicted to come free in time, else gives
+  // up.
   void EndRound(const attempt_ptr& a, error_kind kind) {
-    const absl::Duration pause =
-        std::clamp(a->free_in, kShortestPause, kLongestPause);
-    const absl::Time next = env.now() + pause;
-    if (next + PrefillEstimate(*a) < a->request.first_token_due) {
+    // A wait that is sure to be too long is refused at once.
+    if (a->free_in < TimeToWait(*a)) {
+      const absl::Duration pause =
+          std::clamp(a->free_in, kShortestPause, kLongestPause);
       RunAfter(&context, pause, [this, a] {
         if (!a->over) StartRound(a);
       });
@@ -285,14 +347,18 @@
 
   void LogDecision(const attempt& a, absl::string_view result,
                    absl::string_view why) {
-    LogEvent(log_level::info, "placement",
-             {{"request_id", QString::fromStdString(a.request.request_id)},
-              {"route", QString::fromStdString(a.request.route)},
-              {"result", QString::fromUtf8(result.data(), result.size())},
-              {"why", QString::fromUtf8(why.data(), why.size())},
-              {"considered", a.considered},
-              {"decode", QString::fromStdString(a.grant.decode.name)},
-              {"prefill", QString::fromStdString(a.grant.prefill.name)}});
+    LogEvent(
+        log_level::info, "placement",
+        {{"request_id", QString::fromStdString(a.request.request_id)},
+         {"route", QString::fromStdString(a.request.route)},
+         {"result", QString::fromUtf8(result.data(),
+                                      static_cast<qsizetype>(result.size()))},
+         {"why",
+          QString::fromUtf8(why.data(), static_cast<qsizetype>(why.size()))},
+         {"rounds", a.rounds},
+         {"considered", a.considered},
+         {"decode", QString::fromStdString(a.grant.decode.name)},
+         {"prefill", QString::fromStdString(a.grant.prefill.name)}});
   }
 };
 
@@ -320,14 +386,21 @@
 }
 
 void placer::Finish(const place_outcome& outcome) {
-  release_message prefill{outcome.prefill.name, outcome.request_id, 0, {}};
-  if (outcome.prefilled) {
+  if (impl_->env.policy != placement_policy::homes) return;
+  release_message prefill{
+      outcome.prefill.name, outcome.request_id, 0, {}, false};
+  const bool teaches = impl_->unqueued.erase(outcome.request_id) > 0;
+  if (outcome.prefilled && teaches) {
     prefill.prefill_tokens = outcome.prefill_tokens;
     prefill.prefill_time = outcome.prefill_time;
   }
-  if (!prefill.engine.empty()) impl_->ReleaseAtHome(prefill);
+  if (!prefill.engine.empty()) ReleaseAtHome(impl_->homes, prefill);
   if (outcome.decode.name.empty()) return;
-  impl_->ReleaseAtHome({outcome.decode.name, outcome.request_id, 0, {}});
+  ReleaseAtHome(impl_->homes, {outcome.decode.name,
+                               outcome.request_id,
+                               0,
+                               {},
+                               outcome.decode_finished});
 }
 
 }  // namespace anvilridge
