Say not_run when the prefill engine refused or was never reached

Cause: a completion counted as run once a prefill was ordered, also when the engine refused it or could not be connected to; and since engines that failed are asked again, the last reason is the engine's, no longer no_upstream. Ruled out: a lost answer (it stays unknown). Change: a refused prefill takes the mark back; four rows of not_run_test name the engine's reason, and two of them now demand not_run, which the test checks against the engines' counts.

--- a/src/requests/completion_flow.cc
+++ b/src/requests/completion_flow.cc
@@ -157,17 +157,23 @@
 
   void Prefill() {
     SetStage("prefill");
-    sent_to_engine_ = true;
+    const bool ran_before = may_have_run_;
+    may_have_run_ = true;
     prefill_sent_ = true;
     prefill_started_ = MonotonicNow();
-    call_ = StartPrefill(
-        *context_.client, grant_.prefill.address,
-        MakePrefillCall(request_, writer_, grant_),
-        grant_.predicted_first_token + kPrefillSlack,
-        [self = shared_from_this()](absl::StatusOr<prefill_result> result) {
-          self->call_ = 0;
-          if (!self->over_) self->TakePrefill(std::move(result));
-        });
+    call_ = StartPrefill(*context_.client, grant_.prefill.address,
+                         MakePrefillCall(request_, writer_, grant_),
+                         grant_.predicted_first_token + kPrefillSlack,
+                         [self = shared_from_this(),
+                          ran_before](absl::StatusOr<prefill_result> result) {
+                           self->call_ = 0;
+                           const bool refused =
+                               !result.ok() && RunStateOf(result.status()) ==
+                                                   run_state::not_run;
+                           if (refused) self->may_have_run_ = ran_before;
+                           if (!self->over_)
+                             self->TakePrefill(std::move(result));
+                         });
   }
 
   void TakePrefill(absl::StatusOr<prefill_result> result) {
@@ -393,7 +399,7 @@
     if (over_) return;
     absl::Status shown = error;
     // Once an engine was asked, it can't be said that nothing ran.
-    if (sent_to_engine_ && RunStateOf(error) == run_state::not_run) {
+    if (may_have_run_ && RunStateOf(error) == run_state::not_run) {
       shown = MakeError(KindOf(error), error.message(), run_state::unknown,
                         RetryAfterOf(error));
     }
@@ -437,8 +443,8 @@
   bool placed_ = false;
   bool resumed_ = false;
   bool fenced_ = false;
-  // Whether any engine was asked to work for this request.
-  bool sent_to_engine_ = false;
+  // Whether an engine may have worked for this request.
+  bool may_have_run_ = false;
   // Whether the current attempt may hold memory at its engines.
   bool prefill_sent_ = false;
   bool import_sent_ = false;
--- a/tests/not_run_test.cc
+++ b/tests/not_run_test.cc
@@ -328,7 +328,7 @@
     {"KeyInProgress", KeyInProgress, Keyed, key_in_progress, unknown, true},
     {"ServiceGone", UpstreamsGone, Unkeyed, no_upstream, not_run, true},
     {"ServiceGoneKeyed", UpstreamsGone, Keyed, no_upstream, not_run, true},
-    {"PrefillGone", UpstreamsGone, Completion, no_upstream, unknown, true},
+    {"PrefillGone", UpstreamsGone, Completion, upstream_failed, not_run, true},
     {"DecodeGone", DecodeGone, Completion, overloaded, not_run, true},
     {"ClosedAfterRead", ServiceFault<kCloseAfterRead>, Unkeyed, outcome_unknown,
      unknown, false},
@@ -342,9 +342,12 @@
      false},
     {"Stalled", ServiceFault<kLoseAnswer>, Unkeyed, outcome_unknown, unknown,
      false},
-    {"PrefillRefuses", PrefillRefuses, Completion, no_upstream, unknown, true},
-    {"PrefillCloses", PrefillCloses, Completion, no_upstream, unknown, true},
-    {"ImportRefused", ImportRefused, Completion, no_upstream, unknown, true},
+    {"PrefillRefuses", PrefillRefuses, Completion, upstream_refused, not_run,
+     true},
+    {"PrefillCloses", PrefillCloses, Completion, upstream_failed, unknown,
+     true},
+    {"ImportRefused", ImportRefused, Completion, upstream_refused, unknown,
+     true},
 };
 
 class not_run_test : public testing::TestWithParam<refusal_case> {};
