--- a/tests/at_most_once_test.cc
+++ b/tests/at_most_once_test.cc
@@ -358,5 +358,60 @@
                                           testing::Bool()),
                          CaseName);
 
+// ---- Balance lookups may be repeated ----
+
+fleet_options OneThread() {
+  fleet_options options;
+  options.daemons = 1;
+  options.prefill_engines = 0;
+  options.decode_engines = 0;
+  options.services = 2;
+  options.settings = {{"daemon", {{"traffic_threads", "1"}}}};
+  return options;
+}
+
+// Lookups that the services have read, whatever became of them.
+int LookupsRead(const fleet& fleet) {
+  const QString call = QString("GET ") + kBalancePath;
+  int calls = 0;
+  for (const standin& service : fleet.services) {
+    calls += Get(service.port, "/standin/calls").Json()[call].toInt();
+  }
+  return calls;
+}
+
+TEST(lookup_retry_test, LookupMovesOnWhenItsUpstreamClosesTheConnection) {
+  constexpr int kLookups = 20;
+  constexpr int kClosed = 3;
+  for (const char* fault : {"close_after_read", "close_after_run"}) {
+    fleet fleet(OneThread());
+    SetFault(fleet.services[0].port, fault, {{"count", kClosed}});
+    for (int i = 0; i < kLookups; ++i) {
+      const test_answer answer =
+          Get(fleet.daemons[0].caller, kBalancePath, fleet.Caller());
+      EXPECT_EQ(answer.status, 200) << answer.body;
+    }
+    EXPECT_GT(LookupsRead(fleet), kLookups);
+    EXPECT_LE(LookupsRead(fleet), kLookups + kClosed);
+  }
+}
+
+TEST(lookup_retry_test, RetriesStayWithinTheirBudget) {
+  constexpr int kLookups = 200;
+  // The budget's stock, and one retry for each ten lookups.
+  constexpr int kMostRetries = 10 + kLookups / 10;
+  fleet fleet(OneThread());
+  SetServiceFault(fleet, "close_after_run", {{"probability", 0.4}});
+  int answered = 0;
+  for (int i = 0; i < kLookups; ++i) {
+    const test_answer answer =
+        Get(fleet.daemons[0].caller, kBalancePath, fleet.Caller());
+    if (answer.status == 200) ++answered;
+  }
+  EXPECT_GT(answered, 0);
+  EXPECT_GT(LookupsRead(fleet), kLookups / 2);
+  EXPECT_LE(LookupsRead(fleet), kLookups + kMostRetries);
+}
+
 }  // namespace
 }  // namespace anvilridge
