Keep resends of lookups within the budget of retries

Cause: libcurl sends a repeatable call again by itself when a kept connection closes without an answer; the retry budget never saw it (a trial with fresh connections passed, which ruled out the budget). Change: the second sending of one transfer is aborted, so that the flow decides and counts it. Conclusion: an upstream that closes a kept connection just as it is used now costs one retry of the budget.

--- a/src/upstreams/curl_transfer.cc
+++ b/src/upstreams/curl_transfer.cc
@@ -119,7 +119,11 @@
 }
 
 int OnConnected(void* user, char*, char*, int, int) {
-  static_cast<curl_transfer*>(user)->connected = true;
+  auto* transfer = static_cast<curl_transfer*>(user);
+  // libcurl sends again by itself when a kept connection closes without an
+  // answer; whether to repeat a call is decided by those who count it.
+  if (transfer->connected) return CURL_PREREQFUNC_ABORT;
+  transfer->connected = true;
   return CURL_PREREQFUNC_OK;
 }
 
