--- a/src/requests/caller_handler.cc
+++ b/src/requests/caller_handler.cc
@@ -137,13 +137,14 @@
 }  // namespace
 
 inbound_handler MakeCallerHandler(flow_context& context) {
-  return [&context](const inbound_request& inbound, exchange_ptr exchange) {
-    const std::string request_id = NewId();
-    const absl::Status started =
-        Dispatch(context, inbound, request_id, exchange);
-    if (started.ok()) return;
-    RespondProblem(*exchange, Honest(inbound, started), request_id);
-  };
+  return
+      [&context](const inbound_request& inbound, const exchange_ptr& exchange) {
+        const std::string request_id = NewId();
+        const absl::Status started =
+            Dispatch(context, inbound, request_id, exchange);
+        if (started.ok()) return;
+        RespondProblem(*exchange, Honest(inbound, started), request_id);
+      };
 }
 
 }  // namespace anvilridge
--- a/src/requests/service_flow.cc
+++ b/src/requests/service_flow.cc
@@ -60,7 +60,7 @@
     exchange_->OnClosed([weak = weak_from_this()] {
       if (const auto self = weak.lock()) self->CallerLeft();
     });
-    services().admit(Active("admission"),
+    Services().admit(Active("admission"),
                      [self = shared_from_this()](const absl::Status& admitted) {
                        if (!admitted.ok()) return self->Fail(admitted);
                        self->admitted_ = true;
@@ -70,7 +70,7 @@
   }
 
  private:
-  const request_services& services() const { return *context_.services; }
+  const request_services& Services() const { return *context_.services; }
 
   active_request Active(absl::string_view stage) const {
     return {request_.request_id, request_.caller.team, request_.route.name,
@@ -96,7 +96,7 @@
     ask.body_hash = CallHash(request_.inbound);
     ask.answer_window = kServiceTimeout;
     claim_asked_ = true;
-    services().claim(
+    Services().claim(
         ask, [self = shared_from_this()](absl::StatusOr<claim_result> result) {
           self->TakeClaim(std::move(result));
         });
@@ -131,11 +131,11 @@
 
   // Two choices at random, the one with fewer calls in progress.
   bool ChooseUpstream() {
-    const std::shared_ptr<const config_state> config = services().config();
+    const std::shared_ptr<const config_state> config = Services().config();
     std::vector<const upstream_config*> candidates;
     for (const auto& [name, upstream] : config->upstreams) {
       if (upstream.pool != request_.route.service_pool) continue;
-      if (upstream.draining || !services().healthy(name)) continue;
+      if (upstream.draining || !Services().healthy(name)) continue;
       if (std::find(tried_.begin(), tried_.end(), name) != tried_.end()) {
         continue;
       }
@@ -168,14 +168,14 @@
       return Fail(allowed);
     }
     tried_.push_back(upstream_.name);
-    services().update(Active("service"));
+    Services().update(Active("service"));
     ++context_.service_calls[upstream_.name];
     in_upstream_ = true;
     http_handler handler;
-    handler.on_done = [self = shared_from_this()](http_result result) {
+    handler.on_done = [self = shared_from_this()](const http_result& result) {
       self->call_ = 0;
       self->EndUpstreamCall();
-      if (!self->over_) self->TakeResult(std::move(result));
+      if (!self->over_) self->TakeResult(result);
     };
     sent_ = true;
     call_ = context_.client->Start(MakeCall(), std::move(handler));
@@ -184,7 +184,7 @@
   // The last check before the call leaves: a daemon that was paused since it
   // got the claim sends nothing.
   absl::Status CheckSend() const {
-    const bool lease_valid = services().may_act(owner_);
+    const bool lease_valid = Services().may_act(owner_);
     if (claim_) {
       return CheckBeforeSend(*claim_,
                              {MonotonicNow(), lease_valid, !caller_left_});
@@ -227,9 +227,9 @@
     --context_.service_calls[upstream_.name];
   }
 
-  void TakeResult(http_result result) {
+  void TakeResult(const http_result& result) {
     const bool broken = !result.status.ok();
-    services().report(upstream_.name, !broken && result.http_status < 500);
+    Services().report(upstream_.name, !broken && result.http_status < 500);
     if (broken) return TakeFailure(result.status);
     const bool busy =
         result.http_status == kBadGateway || result.http_status == kUnavailable;
@@ -255,7 +255,7 @@
     outcome.content_type =
         std::string(HeaderValue(result.headers, "content-type"));
     outcome.body = result.body;
-    services().settle(claim_->claim_id, outcome);
+    Services().settle(claim_->claim_id, outcome);
     concluded_ = true;
     return true;
   }
@@ -274,9 +274,9 @@
   void EndClaim() {
     if (!claim_ || concluded_) return;
     if (sent_) {
-      services().leave_unknown(claim_->claim_id);
+      Services().leave_unknown(claim_->claim_id);
     } else {
-      services().release(claim_->claim_id);
+      Services().release(claim_->claim_id);
     }
   }
 
@@ -316,7 +316,7 @@
     if (over_) return;
     over_ = true;
     EndClaim();
-    if (admitted_) services().leave(request_.request_id);
+    if (admitted_) Services().leave(request_.request_id);
     LogEvent(log_level::info, "request_ended",
              {{"request_id", Text(request_.request_id)},
               {"route", Text(request_.route.name)},
