Give every test fleet its own peer secret

Seen once in 114 process tests run eight at a time: OtherBodyUnfenced was answered unknown_route by every daemon of its fleet, after the test had put the route in the log. Likely cause, not shown: all fleets shared one secret, so a daemon that took up the former peer port of another fleet joined it and took its newer configuration. A fault of the service flow is ruled out, since the route was missing from the configuration in force on all three.

--- a/tests/config_in_force_test.cc
+++ b/tests/config_in_force_test.cc
@@ -148,6 +148,7 @@
 race_answers Race(const fleet& fleet, const std::string& team,
                   int64_t version) {
   std::vector<std::future<test_answer>> answers;
+  answers.reserve(2);
   for (int i = 0; i < 2; ++i) {
     answers.push_back(std::async(std::launch::async, [&, i] {
       return GiveCommand(
--- a/tests/harness/fleet.cc
+++ b/tests/harness/fleet.cc
@@ -18,7 +18,6 @@
 namespace {
 
 constexpr char kCallerKey[] = "choir-key";
-constexpr char kPeerKey[] = "deployment-secret";
 constexpr absl::Duration kStartBound = absl::Seconds(20);
 
 std::string Sha256Hex(absl::string_view text) {
@@ -96,7 +95,7 @@
   }
   ini.Set("platform", "log", platform.Address());
   ini.Set("platform", "vm_list", platform.Address());
-  ini.Set("peers", "key_file", folder_.Write("peer.key", kPeerKey));
+  ini.Set("peers", "key_file", folder_.Write("peer.key", peer_key_));
   const std::string seeds = Seeds(daemon);
   if (!seeds.empty()) ini.Set("peers", "seeds", seeds);
   ini.Set("peers", "probe_interval", "200ms");
--- a/tests/harness/fleet.h
+++ b/tests/harness/fleet.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "absl/strings/string_view.h"
+#include "base/ids.h"
 #include "config/config_command.h"
 #include "harness/child_process.h"
 #include "harness/daemon_ini.h"
@@ -92,6 +93,9 @@
   std::string Seeds(const fleet_daemon& starting) const;
 
   fleet_options options_;
+  // A secret of its own, so that daemons of tests that run at once and take up
+  // each other's former ports don't join.
+  std::string peer_key_ = NewId();
   temp_folder folder_;
 };
 
