--- a/src/requests/service_flow.cc
+++ b/src/requests/service_flow.cc
@@ -177,10 +177,10 @@
     ++context_.service_calls[upstream_.name];
     in_upstream_ = true;
     http_handler handler;
-    handler.on_done = [self = shared_from_this()](http_result result) {
+    handler.on_done = [self = shared_from_this()](const http_result& result) {
       self->call_ = 0;
       self->EndUpstreamCall();
-      if (!self->over_) self->TakeResult(std::move(result));
+      if (!self->over_) self->TakeResult(result);
     };
     sent_ = true;
     call_ = context_.client->Start(MakeCall(), std::move(handler));
@@ -232,7 +232,7 @@
     --context_.service_calls[upstream_.name];
   }
 
-  void TakeResult(http_result result) {
+  void TakeResult(const http_result& result) {
     const bool broken = !result.status.ok();
     Services().report(upstream_.name, !broken && result.http_status < 500);
     if (broken) return TakeFailure(result.status);
