Mend linter findings and run traffic on event threads

Cause: traffic_thread had a thread of its own beside base/event_thread, which ends posted tasks where they run; clang-tidy named ten places. Change: traffic_thread stands on event_thread; the places are mended.

--- a/bench/capacity/home_cost.cc
+++ b/bench/capacity/home_cost.cc
@@ -65,6 +65,7 @@
   const double before = HeapBytes();
   std::vector<decode_ledger> ledgers(engines);
   std::vector<std::vector<engine_request>> lists;
+  lists.reserve(engines);
   for (int i = 0; i < engines; ++i) lists.push_back(Rows(i, rows));
   const double rows_heap = HeapBytes() - before;
   std::vector<orphan_watch> watches(engines);
@@ -108,6 +109,7 @@
   const qsizetype release_bytes = QCborValue(ToCbor(release)).toCbor().size();
 
   std::vector<std::string> names;
+  names.reserve(daemons);
   for (int i = 0; i < daemons; ++i) {
     names.push_back(absl::StrCat("entry-zagreb-a-", i));
   }
--- a/bench/capacity/limits_cost.cc
+++ b/bench/capacity/limits_cost.cc
@@ -1,6 +1,7 @@
 // Cost of team limits, metrics and log lines: limits_cost TEAMS UPSTREAMS LINES
 #include <unistd.h>
 
+#include <cstdint>
 #include <cstdlib>
 #include <map>
 #include <string>
@@ -81,7 +82,7 @@
   }
   const double log_cpu = (CpuMicroseconds() - log_before) / lines;
   std::FILE* written = std::fopen(file, "rb");
-  long bytes = 0;
+  int64_t bytes = 0;
   if (written) {
     std::fseek(written, 0, SEEK_END);
     bytes = std::ftell(written);
--- a/src/daemon/operator_port.cc
+++ b/src/daemon/operator_port.cc
@@ -68,8 +68,9 @@
   for (const std::string& address : others) {
     state.peers_out.Call(address, kViewRowsMethod, QCborMap(), kRowsTimeout,
                          [gathered](const absl::StatusOr<QCborMap>& answer) {
-                           if (answer.ok())
+                           if (answer.ok()) {
                              AddRows(gathered->view, ParseViewRows(*answer));
+                           }
                            if (--gathered->missing > 0) return;
                            gathered->done(std::move(gathered->view));
                          });
@@ -133,8 +134,8 @@
 absl::Status operator_port::Listen() {
   return impl_->port.Listen([this](size_t) {
     return [this](const inbound_request& request,
-                  std::shared_ptr<inbound_exchange> exchange) {
-      impl_->api.Handle(request, std::move(exchange));
+                  const std::shared_ptr<inbound_exchange>& exchange) {
+      impl_->api.Handle(request, exchange);
     };
   });
 }
--- a/src/daemon/orphan_control.cc
+++ b/src/daemon/orphan_control.cc
@@ -95,12 +95,12 @@
 }  // namespace
 
 void ServeHeldQuestions(control_state& state) {
-  state.peers_in.Handle(
-      kHeldMethod, [&state](const QCborMap& request, peer_responder respond) {
-        const auto ids = ParseIds(request);
-        if (!ids.ok()) return respond(ids.status());
-        respond(IdsMessage(HeldHere(state, *ids)));
-      });
+  state.peers_in.Handle(kHeldMethod, [&state](const QCborMap& request,
+                                              const peer_responder& respond) {
+    const auto ids = ParseIds(request);
+    if (!ids.ok()) return respond(ids.status());
+    respond(IdsMessage(HeldHere(state, *ids)));
+  });
 }
 
 void SweepOrphans(control_state& state, const upstream_config& engine,
--- a/src/daemon/traffic_thread.cc
+++ b/src/daemon/traffic_thread.cc
@@ -1,7 +1,6 @@
 #include "daemon/traffic_thread.h"
 
-#include <QThread>
-
+#include "base/event_thread.h"
 #include "requests/caller_handler.h"
 #include "requests/flow_context.h"
 #include "upstreams/http_client.h"
@@ -9,8 +8,7 @@
 namespace anvilridge {
 
 struct traffic_thread::impl {
-  QThread thread;
-  std::unique_ptr<QObject> context;
+  event_thread thread{"traffic"};
   request_services services;
   // Made, used and destroyed on the thread.
   std::unique_ptr<http_client> client;
@@ -19,7 +17,7 @@
   void Open() {
     client = std::make_unique<http_client>();
     flows = std::make_unique<flow_context>();
-    flows->thread = context.get();
+    flows->thread = thread.Context();
     flows->client = client.get();
     flows->services = &services;
   }
@@ -28,30 +26,20 @@
     client.reset();
     flows.reset();
   }
-
-  void RunOnThread(const std::function<void()>& task) {
-    QMetaObject::invokeMethod(context.get(), task,
-                              Qt::BlockingQueuedConnection);
-  }
 };
 
 traffic_thread::traffic_thread(
     const std::function<request_services(QObject* thread)>& services_for)
     : impl_(std::make_unique<impl>()) {
-  impl_->context = std::make_unique<QObject>();
-  impl_->context->moveToThread(&impl_->thread);
-  impl_->services = services_for(impl_->context.get());
-  impl_->thread.start();
-  impl_->RunOnThread([this] { impl_->Open(); });
+  impl_->services = services_for(impl_->thread.Context());
+  RunAndWait(impl_->thread.Context(), [this] { impl_->Open(); });
 }
 
 traffic_thread::~traffic_thread() {
-  impl_->RunOnThread([this] { impl_->Close(); });
-  impl_->thread.quit();
-  impl_->thread.wait();
+  RunAndWait(impl_->thread.Context(), [this] { impl_->Close(); });
 }
 
-QObject* traffic_thread::Context() const { return impl_->context.get(); }
+QObject* traffic_thread::Context() const { return impl_->thread.Context(); }
 
 inbound_handler traffic_thread::Handler() const {
   return MakeCallerHandler(*impl_->flows);
--- a/src/load/load_profile_test.cc
+++ b/src/load/load_profile_test.cc
@@ -19,8 +19,8 @@
   const struct {
     std::string file;
     int model_engines;
-  } kCases[] = {{"blagajna.ini", 14}, {"thuan-phat.ini", 12}};
-  for (const auto& row : kCases) {
+  } cases[] = {{"blagajna.ini", 14}, {"thuan-phat.ini", 12}};
+  for (const auto& row : cases) {
     const auto profile = ParseLoadProfile(Example(row.file));
     ASSERT_TRUE(profile.ok()) << profile.status();
     const fleet_size& fleet = profile->fleet;
--- a/src/load/load_summary_test.cc
+++ b/src/load/load_summary_test.cc
@@ -24,14 +24,13 @@
 TEST(load_summary_test, GoodputNeedsAllOfTheAnswerAndBothTargets) {
   const latency_targets targets{Milliseconds(100), Milliseconds(20),
                                 absl::Seconds(1)};
-  const std::vector<absl::Duration> kUneven = {Milliseconds(10),
-                                               Milliseconds(30)};
-  const std::vector<absl::Duration> kSlow = {Milliseconds(11),
-                                             Milliseconds(30)};
+  const std::vector<absl::Duration> uneven = {Milliseconds(10),
+                                              Milliseconds(30)};
+  const std::vector<absl::Duration> slow = {Milliseconds(11), Milliseconds(30)};
   std::vector<request_sample> samples = {
-      Sample(load_result::whole, 100, kUneven),
-      Sample(load_result::whole, 101, kUneven),
-      Sample(load_result::whole, 100, kSlow),
+      Sample(load_result::whole, 100, uneven),
+      Sample(load_result::whole, 101, uneven),
+      Sample(load_result::whole, 100, slow),
       Sample(load_result::refused, 0, {}), Sample(load_result::failed, 0, {})};
   samples.push_back(samples[0]);
   samples.back().at = absl::Seconds(4);
