--- a/src/load/fleet_counters.cc
+++ b/src/load/fleet_counters.cc
@@ -14,7 +14,7 @@
 
 constexpr absl::Duration kReadTimeout = absl::Seconds(5);
 constexpr char kCpuMetric[] = "process_cpu_seconds_total";
-constexpr char kPeerBytesMetric[] = "anvilridge_peer_bytes_total";
+constexpr char kPeerBytesMetric[] = "anvil_peer_bytes_total";
 
 http_call Get(const std::string& address, const char* target) {
   http_call call;
--- a/src/load/load_summary_test.cc
+++ b/src/load/load_summary_test.cc
@@ -69,8 +69,8 @@
   AddDaemonMetrics(used,
                    "# HELP process_cpu_seconds_total text\n"
                    "process_cpu_seconds_total 1.5\n"
-                   "anvilridge_peer_bytes_total{direction=\"sent\"} 70\n"
-                   "anvilridge_peer_bytes_total{direction=\"received\"} 30\n");
+                   "anvil_peer_bytes_total{direction=\"sent\"} 70\n"
+                   "anvil_peer_bytes_total{direction=\"received\"} 30\n");
   EXPECT_EQ(used.cpu_seconds, 1.5);
   EXPECT_EQ(used.control_bytes, 100);
 }
--- a/src/metrics/metrics_test.cc
+++ b/src/metrics/metrics_test.cc
@@ -48,7 +48,7 @@
       text, std::regex("\nprocess_cpu_seconds_total [0-9.e+-]+\n")))
       << text;
   EXPECT_TRUE(std::regex_search(
-      text, std::regex("\nanvilridge_peer_bytes_total [0-9.e+]+\n")))
+      text, std::regex("\nanvil_peer_bytes_total [0-9.e+]+\n")))
       << text;
   EXPECT_TRUE(std::regex_search(
       text, std::regex("\nprocess_resident_memory_bytes [0-9.e+]+\n")))
--- a/src/requests/completion_flow.cc
+++ b/src/requests/completion_flow.cc
@@ -33,6 +33,10 @@
   return QString::fromUtf8(text.data(), static_cast<int>(text.size()));
 }
 
+bool NothingRan(const absl::Status& result) {
+  return !result.ok() && RunStateOf(result) == run_state::not_run;
+}
+
 // The stages of one completion on its traffic thread. Keeps itself alive
 // through the callbacks it waits for.
 class completion_flow : public std::enable_shared_from_this<completion_flow> {
@@ -161,19 +165,16 @@
     may_have_run_ = true;
     prefill_sent_ = true;
     prefill_started_ = MonotonicNow();
+    auto done = [self = shared_from_this(),
+                 ran_before](absl::StatusOr<prefill_result> result) {
+      self->call_ = 0;
+      if (NothingRan(result.status())) self->may_have_run_ = ran_before;
+      if (!self->over_) self->TakePrefill(std::move(result));
+    };
     call_ = StartPrefill(*context_.client, grant_.prefill.address,
                          MakePrefillCall(request_, writer_, grant_),
                          grant_.predicted_first_token + kPrefillSlack,
-                         [self = shared_from_this(),
-                          ran_before](absl::StatusOr<prefill_result> result) {
-                           self->call_ = 0;
-                           const bool refused =
-                               !result.ok() && RunStateOf(result.status()) ==
-                                                   run_state::not_run;
-                           if (refused) self->may_have_run_ = ran_before;
-                           if (!self->over_)
-                             self->TakePrefill(std::move(result));
-                         });
+                         std::move(done));
   }
 
   void TakePrefill(absl::StatusOr<prefill_result> result) {
--- a/tests/operator_session_test.cc
+++ b/tests/operator_session_test.cc
@@ -93,17 +93,22 @@
       401);
 }
 
-TEST(operator_session_test, RequestsOfAllDaemonsAreShown) {
-  fleet_options options = FourDaemons();
-  options.decode_options = {"--token-interval-ms=50"};
-  fleet fleet(options);
+test_request LongCompletion(const fleet& fleet, int tokens) {
   test_request request;
   request.method = "POST";
   request.port = fleet.daemons[3].caller;
   request.target = "/v1/completions";
   request.headers = fleet.Caller();
-  request.body = BodyText(fleet::Completion("A long summary.", 200));
-  event_stream stream(request);
+  request.timeout = absl::Seconds(40);
+  request.body = BodyText(fleet::Completion("A long summary.", tokens));
+  return request;
+}
+
+TEST(operator_session_test, RequestsOfAllDaemonsAreShown) {
+  fleet_options options = FourDaemons();
+  options.decode_options = {"--token-interval-ms=50"};
+  fleet fleet(options);
+  event_stream stream(LongCompletion(fleet, 200));
   ASSERT_TRUE(stream.WaitForEvents(1, absl::Seconds(5)));
   EXPECT_TRUE(Eventually(kInForceBound, [&] {
     const QJsonObject row = FirstRow(fleet.daemons[0], "show requests");
@@ -116,14 +121,7 @@
   fleet_options options = FourDaemons();
   options.decode_options = {"--token-interval-ms=50"};
   fleet fleet(options);
-  test_request request;
-  request.method = "POST";
-  request.port = fleet.daemons[3].caller;
-  request.target = "/v1/completions";
-  request.headers = fleet.Caller();
-  request.timeout = absl::Seconds(40);
-  request.body = BodyText(fleet::Completion("A long summary.", 600));
-  event_stream stream(request);
+  event_stream stream(LongCompletion(fleet, 600));
   ASSERT_TRUE(stream.WaitForEvents(1, absl::Seconds(5)));
   QString id;
   ASSERT_TRUE(Eventually(kInForceBound, [&] {
