--- a/tests/harness/fleet.cc
+++ b/tests/harness/fleet.cc
@@ -154,7 +154,7 @@
   return command;
 }
 
-int64_t fleet::Append(config_command command) {
+int64_t fleet::Append(const config_command& command) {
   const QJsonObject record{{"id", QString::fromStdString(command.id)},
                            {"data", EncodeCommand(command)}};
   const test_answer answer =
--- a/tests/harness/fleet.h
+++ b/tests/harness/fleet.h
@@ -79,7 +79,7 @@
   bool WaitReady(absl::Duration bound);
 
   /// Appends `command` to the log, as an operator's tool would.
-  int64_t Append(config_command command);
+  int64_t Append(const config_command& command);
 
   /// Returns the rows held by all engines together.
   std::vector<QJsonObject> HeldRequests() const;
--- a/tests/leaving_test.cc
+++ b/tests/leaving_test.cc
@@ -144,8 +144,10 @@
 TEST_P(leaving_test, GetsNoNewWorkAfterTheBoundAndFinishesWhatItHas) {
   ASSERT_TRUE(Eventually(kBound, [&] { return OfferWork() && Work() > 0; }));
   // Enough streams for some to be on either engine.
+  constexpr int kInFlight = 8;
   std::vector<std::unique_ptr<event_stream>> in_flight;
-  for (int i = 0; i < 8; ++i) {
+  in_flight.reserve(kInFlight);
+  for (int i = 0; i < kInFlight; ++i) {
     in_flight.push_back(std::make_unique<event_stream>(
         Streaming(fleet_, i % 2, fleet::Completion(kPrompt, kLongAnswer))));
   }
--- a/tests/planned_stop_test.cc
+++ b/tests/planned_stop_test.cc
@@ -75,6 +75,7 @@
     return;
   }
   std::vector<std::unique_ptr<event_stream>> streams;
+  streams.reserve(kStreams);
   for (int i = 0; i < kStreams; ++i) {
     streams.push_back(
         std::make_unique<event_stream>(Streaming(f, stopping, kTokens)));
