Sign the resume ids of a test with its own fleet's secret

Cause: fleets got a secret each while this test still signed with the old common one, so two of its cases were answered as another team's id and the third passed for the wrong reason. Change: the fleet tells its secret; the constant is gone.

--- a/tests/harness/fleet.h
+++ b/tests/harness/fleet.h
@@ -62,6 +62,9 @@
   std::vector<standin> services;
   std::vector<fleet_daemon> daemons;
 
+  /// The secret that the fleet's daemons share.
+  const std::string& PeerKey() const { return peer_key_; }
+
   /// Header fields of a caller of team `choir`.
   test_headers Caller(test_headers more = {}) const;
 
--- a/tests/whole_answer_test.cc
+++ b/tests/whole_answer_test.cc
@@ -13,7 +13,6 @@
 constexpr absl::Duration kBound = absl::Seconds(20);
 constexpr char kPrompt[] = "Explain the discrepancy in the choir's dues.";
 constexpr int kTokens = 60;
-constexpr char kPeerKey[] = "deployment-secret";
 // Longer than the lease of the harness and than the time in which the others
 // give a silent daemon up, shorter than what they keep for a resume.
 constexpr absl::Duration kPause = absl::Milliseconds(2500);
@@ -312,7 +311,7 @@
   fleet small(options);
   const refusal_case& c = GetParam();
   std::string id =
-      FormatResumeToken({c.request_id, c.engine, 3}, c.team, kPeerKey);
+      FormatResumeToken({c.request_id, c.engine, 3}, c.team, small.PeerKey());
   if (c.garbled) id = "garbled";
   const test_answer answer = Post(small.daemons[0].caller, "/v1/completions",
                                   fleet::Completion(kPrompt, kTokens),
