Format the stand-in platform

Cause: a merge left one list unformatted; the formatter's check fails on it. Change: clang-format over the tree.

--- a/src/metrics/metrics.cc
+++ b/src/metrics/metrics.cc
@@ -31,8 +31,7 @@
 constexpr metric_name kCpuSeconds{"process_cpu_seconds_total",
                                   "User and system CPU time in seconds"};
 constexpr metric_name kPeerBytes{
-    "anvil_peer_bytes_total",
-    "Bytes sent to and received from other daemons"};
+    "anvil_peer_bytes_total", "Bytes sent to and received from other daemons"};
 constexpr metric_name kResidentBytes{"process_resident_memory_bytes",
                                      "Resident memory in bytes"};
 
--- a/standins/platform/platform_server.cc
+++ b/standins/platform/platform_server.cc
@@ -68,8 +68,8 @@
   explicit impl(const platform_standin_settings& settings)
       : settings(settings), http(faults) {
     log.settings = settings.log;
-    faults.known = {"outage", "slow", "lose_answer_after_effect", "half_page",
-                    "freeze_vms", "late_answer"};
+    faults.known = {"outage",    "slow",       "lose_answer_after_effect",
+                    "half_page", "freeze_vms", "late_answer"};
   }
 
   platform_standin_settings settings;
