Ask engines without a fresh hint first

Cause: an engine that was never asked counted as having no free place, so one known to be free got all the work of a light load; leaving_test listed_decode failed in one of three full runs and one of three runs alone, since its leaver got no work in 10 s. Ruled out: the VM list (nothing was leaving yet). Change: an engine without a fresh hint is asked before any that has one.

--- a/src/placement/candidate_choice.cc
+++ b/src/placement/candidate_choice.cc
@@ -1,6 +1,7 @@
 #include "placement/candidate_choice.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace anvilridge {
 namespace {
@@ -8,11 +9,14 @@
 // A hint older than this says nothing.
 constexpr absl::Duration kHintLife = absl::Seconds(2);
 
-// Engines without a fresh hint come before those known to be busy.
+// An engine without a fresh hint comes first: else one that is known to be free
+// would get all the work of a light load.
 double Busyness(const upstream_config& engine, const engine_hints& hints,
                 absl::Time now) {
   const auto it = hints.find(engine.name);
-  if (it == hints.end() || now - it->second.at > kHintLife) return 0;
+  if (it == hints.end() || now - it->second.at > kHintLife) {
+    return -std::numeric_limits<double>::infinity();
+  }
   const double wait_ms = absl::ToDoubleMilliseconds(it->second.wait);
   return wait_ms - it->second.free_slots;
 }
