--- a/tests/config_in_force_test.cc
+++ b/tests/config_in_force_test.cc
@@ -228,7 +228,7 @@
     config_command change = Command(command_verb::change, object_kind::team,
                                     "choir", {{"weight", absl::StrCat(i)}});
     change.base_version = version;
-    version = fleet.Append(std::move(change));
+    version = fleet.Append(change);
     // The log is followed while it grows, as operators are no faster.
     if (i % 100 == 0) {
       ASSERT_TRUE(watch.Eventually([&] { return WeightEverywhere(fleet, i); }));
