Resume streams that break off in the load tool

Cause: a stream that a killed daemon cut counted as failed, though its caller comes back with Last-Event-ID and is served by another daemon; so the figures of a killed daemon missed what the product does. Ruled out: a fault of the daemons, whole_answer_test resumes through each of them.

Change: a completion whose stream ends without [DONE] goes on behind its last event through another daemon of the list, each once; resumes are counted. load_run gets its unit test over raw servers.

--- a/src/load/load_run.cc
+++ b/src/load/load_run.cc
@@ -18,12 +18,13 @@
 
 constexpr int kHttpOk = 200;
 constexpr int kHttpNoContent = 299;
+constexpr absl::string_view kCompletionsTarget = "/v1/completions";
 
 http_call CompletionCall(const load_run_options& options,
                          const planned_request& planned) {
   http_call call;
   call.method = "POST";
-  call.target = "/v1/completions";
+  call.target = std::string(kCompletionsTarget);
   call.body = JsonText({{"model", ToQString(options.profile.completions.model)},
                         {"prompt", ToQString(planned.prompt)},
                         {"max_tokens", planned.max_tokens},
@@ -32,6 +33,14 @@
   return call;
 }
 
+// Asks for the rest of a stream behind the last event that arrived.
+http_call ResumeCall(const std::string& last_event_id) {
+  http_call call;
+  call.target = std::string(kCompletionsTarget);
+  call.headers.emplace_back("last-event-id", last_event_id);
+  return call;
+}
+
 http_call ServiceCall(const load_run_options& options,
                       const planned_request& planned) {
   http_call call;
@@ -69,12 +78,37 @@
   int http_status = 0;
   std::string body;
   bool done_seen = false;
+  /// Id of the last token's event, to resume behind.
+  std::string last_event_id;
   std::vector<size_t> daemons_left;
   bool over = false;
 };
 
 using call_ptr = std::shared_ptr<load_call>;
 
+http_call NextCall(const load_run_options& options, const load_call& call) {
+  if (call.planned.kind != load_kind::completion) {
+    return ServiceCall(options, call.planned);
+  }
+  if (!call.last_event_id.empty()) return ResumeCall(call.last_event_id);
+  return CompletionCall(options, call.planned);
+}
+
+// A stream that broke off behind a token can go on through another daemon, as
+// a caller's client would do.
+bool CanResume(const load_call& call) {
+  return call.planned.kind == load_kind::completion && !call.done_seen &&
+         !call.last_event_id.empty() && !call.daemons_left.empty();
+}
+
+void PrepareResume(load_call& call) {
+  ++call.sample.resumes;
+  call.sample.error.clear();
+  call.parser = sse_parser();
+  call.http_status = 0;
+  call.body.clear();
+}
+
 }  // namespace
 
 struct load_run::impl {
@@ -122,9 +156,7 @@
   }
 
   void Send(const call_ptr& call) {
-    http_call http = call->planned.kind == load_kind::completion
-                         ? CompletionCall(options, call->planned)
-                         : ServiceCall(options, call->planned);
+    http_call http = NextCall(options, *call);
     http.address = options.daemons[call->daemons_left.back()];
     call->daemons_left.pop_back();
     http.headers.emplace_back("authorization",
@@ -155,12 +187,13 @@
       } else if (event.data == "[DONE]") {
         call->done_seen = true;
       } else if (!event.id.empty()) {
-        TakeToken(*call);
+        TakeToken(*call, event.id);
       }
     });
   }
 
-  static void TakeToken(load_call& call) {
+  static void TakeToken(load_call& call, const std::string& event_id) {
+    call.last_event_id = event_id;
     const absl::Time now = MonotonicNow();
     if (call.sample.tokens == 0) {
       call.sample.first_token = now - call.sent;
@@ -178,6 +211,10 @@
       ++call->sample.failed_connections;
       return Send(call);
     }
+    if (CanResume(*call)) {
+      PrepareResume(*call);
+      return Send(call);
+    }
     if (result.http_status == 0) return Fail(call, "connection");
     if (call->http_status < kHttpOk || call->http_status > kHttpNoContent) {
       call->sample.error = ProblemName(call->body, call->http_status);
--- a/src/load/load_run.h
+++ b/src/load/load_run.h
@@ -24,7 +24,8 @@
 
 /// Sends the requests of a plan when they are due, whatever became of those
 /// before, each to a random daemon as the balancer would; a connection that
-/// fails goes to another. Needs a Qt event loop.
+/// fails goes to another, and a stream that breaks off is resumed there. Needs
+/// a Qt event loop.
 class load_run {
  public:
   using callback = std::function<void(std::vector<request_sample>)>;
--- /dev/null
+++ b/src/load/load_run_test.cc
@@ -0,0 +1,86 @@
+#include "load/load_run.h"
+
+#include <optional>
+
+#include "absl/strings/match.h"
+#include "base/testing/run_loop.h"
+#include "gtest/gtest.h"
+#include "upstreams/testing/raw_server.h"
+
+namespace anvilridge {
+namespace {
+
+const char kFirstEvent[] = "id: one\ndata: {}\n\n";
+const char kRest[] = "id: two\ndata: {}\n\ndata: [DONE]\n\n";
+
+// What the daemons do to a stream.
+enum class trouble { none, closes_at_once, breaks_off, always_breaks_off };
+
+class load_run_test : public event_loop_test {
+ protected:
+  static void Stream(QTcpSocket& socket, absl::string_view events, bool end) {
+    raw_server::BeginChunked(socket);
+    raw_server::Chunk(socket, std::string(events));
+    if (end) raw_server::Chunk(socket, "");
+    if (!end) socket.disconnectFromHost();
+  }
+
+  request_sample RunOne(trouble kind) {
+    int served = 0;
+    const auto serve = [&served, kind](QTcpSocket& socket,
+                                       const raw_request& request) {
+      const bool first = served++ == 0;
+      const bool resumed =
+          absl::StrContains(request.head, "last-event-id: one");
+      if (kind == trouble::closes_at_once && first) return socket.close();
+      if (kind == trouble::always_breaks_off) {
+        return Stream(socket, kFirstEvent, false);
+      }
+      if (kind == trouble::breaks_off && first) {
+        return Stream(socket, kFirstEvent, false);
+      }
+      Stream(socket, resumed ? kRest : absl::StrCat(kFirstEvent, kRest), true);
+    };
+    raw_server one(serve);
+    raw_server two(serve);
+    load_run_options options;
+    options.daemons = {one.Address(), two.Address()};
+    options.key = "k";
+    http_client client;
+    load_run run(client, options);
+    planned_request planned;
+    planned.prompt = "p";
+    planned.max_tokens = 2;
+    std::optional<std::vector<request_sample>> samples;
+    run.Start({planned}, [&](auto all) { samples = std::move(all); });
+    EXPECT_TRUE(RunUntil([&] { return samples.has_value(); }));
+    return samples && samples->size() == 1 ? samples->front()
+                                           : request_sample{};
+  }
+};
+
+TEST_F(load_run_test, CountsWhatACallerSees) {
+  struct {
+    trouble kind;
+    load_result result;
+    int tokens;
+    int resumes;
+    int failed_connections;
+  } const cases[] = {
+      {trouble::none, load_result::whole, 2, 0, 0},
+      {trouble::closes_at_once, load_result::whole, 2, 0, 1},
+      {trouble::breaks_off, load_result::whole, 2, 1, 0},
+      {trouble::always_breaks_off, load_result::failed, 2, 1, 0},
+  };
+  for (const auto& row : cases) {
+    SCOPED_TRACE(static_cast<int>(row.kind));
+    const request_sample sample = RunOne(row.kind);
+    EXPECT_EQ(sample.result, row.result) << sample.error;
+    EXPECT_EQ(sample.tokens, row.tokens);
+    EXPECT_EQ(sample.resumes, row.resumes);
+    EXPECT_EQ(sample.failed_connections, row.failed_connections);
+  }
+}
+
+}  // namespace
+}  // namespace anvilridge
--- a/src/load/load_sample.h
+++ b/src/load/load_sample.h
@@ -34,6 +34,8 @@
   std::vector<absl::Duration> gaps;
   /// Connections that failed before one served it.
   int failed_connections = 0;
+  /// Times that its stream broke off and went on through another daemon.
+  int resumes = 0;
 };
 
 }  // namespace anvilridge
--- a/src/load/load_summary.cc
+++ b/src/load/load_summary.cc
@@ -29,6 +29,7 @@
 void Count(kind_summary& summary, const request_sample& sample, bool well) {
   ++summary.requests;
   summary.failed_connections += sample.failed_connections;
+  summary.resumes += sample.resumes;
   if (sample.result == load_result::whole) ++summary.whole;
   if (sample.result == load_result::refused) ++summary.refusals[sample.error];
   if (sample.result == load_result::failed) ++summary.failures[sample.error];
@@ -50,6 +51,7 @@
           {"whole", kind.whole},
           {"served_well", kind.served_well},
           {"failed_connections", kind.failed_connections},
+          {"resumes", kind.resumes},
           {"refusals", ToJson(kind.refusals)},
           {"failures", ToJson(kind.failures)},
           {"total_ms", ToJson(kind.total)}};
--- a/src/load/load_summary.h
+++ b/src/load/load_summary.h
@@ -34,6 +34,8 @@
   /// Whole and, for completions, within both targets.
   int served_well = 0;
   int failed_connections = 0;
+  /// Streams that broke off and went on through another daemon.
+  int resumes = 0;
   std::map<std::string, int> refusals;
   std::map<std::string, int> failures;
   percentiles total;
