Measure what a daemon adds to the first token

Cause: the target of 2 ms at p95 beyond the engine's own time had no figure; the load tool sees only the sum. Ruled out: the difference of two load runs, in which queues at the engines hide milliseconds.

Change: first_token_cost sends requests one after the other, in turn through one of four daemons and as the same three engine calls directly.

--- a/bench/capacity.sh
+++ b/bench/capacity.sh
@@ -1,11 +1,12 @@
 #!/usr/bin/env bash
 # Runs the measurements behind docs/CAPACITY.md and prints one JSON line each,
 # with the load average beside them: bench/capacity.sh [BUILD_FOLDER] [PART...]
-# Parts: config home peer claims limits membership idle entry (all by default).
+# Parts: config home peer claims limits membership idle entry first_token (all
+# by default).
 set -euo pipefail
 build=$(cd "${1:-build}" && pwd)
 shift || true
-parts=${*:-config home peer claims limits membership idle entry}
+parts=${*:-config home peer claims limits membership idle entry first_token}
 
 runs() {  # runs PROGRAM SIZES...
   local program=$1
@@ -41,6 +42,8 @@
     entry) runs entry_cost "10 200 1 10" "50 200 1 10" "100 200 1 10" \
       "200 200 1 10" "400 40 1 20" "100 1 1 10" "100 50 1 10" \
       "100 100 1 10" ;;
+    # REQUESTS PROMPT_BYTES
+    first_token) runs first_token_cost "400 2000" "400 8000" ;;
     *) echo "unknown part $part" >&2; exit 2 ;;
   esac
 done
