--- a/bench/capacity/first_token_cost.cc
+++ b/bench/capacity/first_token_cost.cc
@@ -5,6 +5,7 @@
 #include <QCoreApplication>
 #include <QEventLoop>
 #include <algorithm>
+#include <cmath>
 #include <memory>
 #include <string>
 #include <vector>
@@ -32,7 +33,7 @@
   std::sort(times.begin(), times.end());
   const auto last = static_cast<double>(times.size() - 1);
   return absl::ToDoubleMilliseconds(
-      times[static_cast<size_t>(share * last + 0.5)]);
+      times[static_cast<size_t>(std::lround(share * last))]);
 }
 
 /// Sends the requests and keeps the time to each first token.
