List an engine's changes in large deployments

Cause: each list named every request again, and those that finished in the last 60 s (62 bytes each), which no reader uses. Ruled out: asking only for requests of the owner that was lost (a home that has just moved doesn't know whom to ask about, and the list also corrects the ledger). Change: GET /v1/requests?since=VERSION gives what began, changed or ended since, and no finished ones; an engine without it gives whole lists. A home of more than 16 live daemons asks for changes, and for a whole list every 30 s; smaller deployments list whole, since tokens are estimated between whole lists.

--- a/bench/capacity/home_cost.cc
+++ b/bench/capacity/home_cost.cc
@@ -62,6 +62,21 @@
       .toJson(QJsonDocument::Compact);
 }
 
+// The changes as an engine sends them: `changed` requests began or moved on,
+// and as many ended.
+QByteArray ChangesText(const std::vector<engine_request>& changed) {
+  QJsonObject list = QJsonDocument::fromJson(ListText(changed, 0)).object();
+  QJsonArray gone;
+  for (const engine_request& row : changed) {
+    gone.append(QString::fromStdString(row.request_id));
+  }
+  list.remove("finished");
+  list["version"] = "1800000000000000000.1001";
+  list["since"] = "1800000000000000000.1000";
+  list["gone"] = gone;
+  return QJsonDocument(list).toJson(QJsonDocument::Compact);
+}
+
 // Returns the interval at which an engine is listed over an hour of virtual
 // time in which requests follow each other on all its `rows` places, each in
 // use for 8 s, and one of `lost_every` releases is lost.
@@ -121,6 +136,8 @@
   const double merge = CpuOf(20, merge_all);
   const QByteArray text = ListText(lists[0], 0);
   const QByteArray with_finished = ListText(lists[0], 1);
+  // Requests of 8 s on all places, 2 s after the last list.
+  const QByteArray changes = ChangesText(Rows(0, std::max(1, rows / 4)));
   const double parse =
       CpuOf(200, [&] { (void)QJsonDocument::fromJson(text).object().size(); });
 
@@ -185,6 +202,7 @@
        {"upstreams", upstreams},
        {"ledger_heap_bytes", ledgers_heap},
        {"list_body_bytes", static_cast<double>(text.size())},
+       {"changes_body_bytes_2s", static_cast<double>(changes.size())},
        {"finished_row_bytes",
         static_cast<double>(with_finished.size() - text.size())},
        {"parse_list_us", parse},
--- a/src/placement/engine_homes.cc
+++ b/src/placement/engine_homes.cc
@@ -13,6 +13,7 @@
 #include "log/decision_log.h"
 #include "placement/list_schedule.h"
 #include "placement/place_queue.h"
+#include "upstreams/engine_list.h"
 
 namespace anvilridge {
 namespace {
@@ -35,7 +36,7 @@
   bool wanted = false;
   // Whether a request there waits for its cancel.
   bool watching_orphan = false;
-  size_t list_bytes = 0;
+  listed_requests requests;
   // Asks that wait for the first list.
   std::vector<std::function<void()>> waiting;
   place_queue queue;
@@ -133,7 +134,7 @@
     list_situation situation;
     situation.live_daemons = env.live_daemons();
     for (const auto& [name, engine] : engines) {
-      situation.round_bytes += engine.list_bytes;
+      situation.round_bytes += ListBytes(engine.requests.rows.size());
     }
     for (auto& [name, engine] : engines) {
       const auto upstream = config.upstreams.find(name);
@@ -189,31 +190,37 @@
     engine.listing = true;
     engine.wanted = false;
     engine.listed = env.now();
+    // A small deployment has bandwidth for exact token counts.
+    const bool whole = env.live_daemons() <= list_policy{}.small_deployment;
+    const std::string since =
+        whole ? "" : VersionToAsk(engine.requests, env.now());
     const std::weak_ptr<char> guard = alive;
-    ListEngineRequests(client, upstream.address,
-                       [this, guard, upstream](
-                           absl::StatusOr<std::vector<engine_request>> listed) {
-                         if (guard.expired()) return;
-                         TakeList(upstream, std::move(listed));
-                       });
+    ListEngineChanges(
+        client, upstream.address, since,
+        [this, guard, upstream](const absl::StatusOr<engine_list>& answer) {
+          if (!guard.expired()) TakeList(upstream, answer);
+        });
+  }
+
+  void TakeRows(const upstream_config& upstream, homed_engine& engine,
+                const engine_list& list) {
+    const auto listed =
+        TakeEngineList(engine.requests, list, kAssumedTokenInterval, env.now());
+    if (!listed.ok()) return;
+    MergeDecodeList(engine.decode, *listed, kAssumedTokenInterval,
+                    engine.listed, env.now());
+    MergePrefillList(engine.prefill, *listed, env.now());
+    for (const list_listener& listener : listeners) listener(upstream, *listed);
   }
 
   void TakeList(const upstream_config& upstream,
-                absl::StatusOr<std::vector<engine_request>> listed) {
+                const absl::StatusOr<engine_list>& answer) {
     const auto it = engines.find(upstream.name);
     if (it == engines.end()) return;
     homed_engine& engine = it->second;
     engine.listing = false;
     engine.watching_orphan = false;
-    if (listed.ok()) {
-      engine.list_bytes = ListBytes(listed->size());
-      MergeDecodeList(engine.decode, *listed, kAssumedTokenInterval,
-                      engine.listed, env.now());
-      MergePrefillList(engine.prefill, *listed, env.now());
-      for (const list_listener& listener : listeners) {
-        listener(upstream, *listed);
-      }
-    }
+    if (answer.ok()) TakeRows(upstream, engine, *answer);
     const std::vector<std::function<void()>> waiting =
         std::exchange(engine.waiting, {});
     for (const std::function<void()>& task : waiting) task();
--- a/src/upstreams/engine_client.cc
+++ b/src/upstreams/engine_client.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "base/error_kind.h"
+#include "upstreams/engine_list.h"
 #include "upstreams/json_reader.h"
 
 namespace anvilridge {
@@ -146,6 +147,18 @@
   return requests;
 }
 
+engine_list ParseList(json_reader& reader) {
+  engine_list list;
+  // Engines that can't give changes name no version.
+  list.version = reader.object["version"].toString().toStdString();
+  list.since = reader.object["since"].toString().toStdString();
+  list.requests = ParseRequests(reader);
+  if (list.since.empty()) return list;
+  const QJsonArray gone = ReadArray(reader, "gone");
+  for (const auto& id : gone) list.gone.push_back(id.toString().toStdString());
+  return list;
+}
+
 engine_load ParseLoad(json_reader& reader) {
   engine_load load;
   load.slots = ReadInt(reader, "slots");
@@ -263,6 +276,15 @@
       client, MakeGet(address, "/v1/requests"), ParseRequests, std::move(done));
 }
 
+http_client::call_id ListEngineChanges(http_client& client,
+                                       absl::string_view address,
+                                       absl::string_view since,
+                                       engine_callback<engine_list> done) {
+  const std::string target = absl::StrCat("/v1/requests?since=", since);
+  return StartCall<engine_list>(client, MakeGet(address, target), ParseList,
+                                std::move(done));
+}
+
 http_client::call_id GetEngineLoad(http_client& client,
                                    absl::string_view address,
                                    engine_callback<engine_load> done) {
--- a/standins/engine/engine_json.cc
+++ b/standins/engine/engine_json.cc
@@ -1,6 +1,8 @@
 #include "engine/engine_json.h"
 
 #include <QJsonArray>
+#include <optional>
+#include <set>
 
 #include "base/clock.h"
 
@@ -31,6 +33,18 @@
           {"attached", request.attached}};
 }
 
+// Rows of the requests in `wanted`; of all when it is null.
+QJsonArray RowsJson(const engine_state& state,
+                    const std::set<std::string>* wanted, absl::Time now,
+                    double time_scale) {
+  QJsonArray rows;
+  for (const auto& [id, request] : state.requests) {
+    const bool skipped = wanted != nullptr && wanted->count(id) == 0;
+    if (!skipped) rows.append(RequestJson(request, now, time_scale));
+  }
+  return rows;
+}
+
 }  // namespace
 
 QJsonObject ErrorJson(absl::string_view error) {
@@ -107,12 +121,26 @@
       {"queued_tokens", load.queued_tokens}};
 }
 
+QJsonObject ChangesJson(const engine_state& state,
+                        const request_changes& changes, absl::string_view since,
+                        absl::Time now, double time_scale) {
+  const std::optional<changed_requests> changed = ChangesSince(changes, since);
+  QJsonObject answer{{"version", Text(VersionText(changes))}};
+  if (!changed) {
+    answer["requests"] = RowsJson(state, nullptr, now, time_scale);
+    return answer;
+  }
+  QJsonArray gone;
+  for (const std::string& id : changed->gone) gone.append(Text(id));
+  answer["since"] = Text(since);
+  answer["requests"] = RowsJson(state, &changed->changed, now, time_scale);
+  answer["gone"] = gone;
+  return answer;
+}
+
 QJsonObject RequestsJson(const engine_state& state, absl::Time now,
                          double time_scale) {
-  QJsonArray requests;
-  for (const auto& [id, request] : state.requests) {
-    requests.append(RequestJson(request, now, time_scale));
-  }
+  QJsonArray requests = RowsJson(state, nullptr, now, time_scale);
   QJsonArray finished;
   for (const auto& [id, request] : state.finished) {
     finished.append(QJsonObject{{"request_id", Text(id)},
--- a/standins/engine/engine_json.h
+++ b/standins/engine/engine_json.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "engine/engine_model.h"
+#include "engine/request_changes.h"
 
 namespace anvilridge {
 
@@ -33,6 +34,10 @@
                      absl::Time now, double time_scale);
 QJsonObject RequestsJson(const engine_state& state, absl::Time now,
                          double time_scale);
+/// The list for a caller that knows the version `since`, if any.
+QJsonObject ChangesJson(const engine_state& state,
+                        const request_changes& changes, absl::string_view since,
+                        absl::Time now, double time_scale);
 QJsonObject CacheEventsJson(const visible_events& visible);
 QJsonObject TotalsJson(const engine_totals& totals);
 QJsonObject OrdersJson(const engine_state& state);
--- a/standins/engine/engine_server.cc
+++ b/standins/engine/engine_server.cc
@@ -46,10 +46,13 @@
       : serving(serving),
         state(MakeEngine(settings)),
         http(state.faults),
-        real_time(MonotonicNow()) {}
+        real_time(MonotonicNow()) {
+    changes.run = absl::StrCat(absl::ToUnixNanos(WallNow()));
+  }
 
   engine_server_settings serving;
   engine_state state;
+  request_changes changes;
   json_http_server http;
   /// The engine's clock, and the real time at which it was read.
   absl::Time engine_time = absl::UnixEpoch();
@@ -348,8 +351,14 @@
     AddQuery("/v1/load", [this, scale](const auto&) {
       return LoadJson(state.settings, LaggedLoad(state, Now()), Now(), scale);
     });
-    AddQuery("/v1/requests", [this, scale](const auto&) {
-      return RequestsJson(state, Now(), scale);
+    AddQuery("/v1/requests", [this, scale](const http_request& request) {
+      if (!request.query.hasQueryItem("since")) {
+        return RequestsJson(state, Now(), scale);
+      }
+      const std::string since =
+          request.query.queryItemValue("since").toStdString();
+      NoteChanges(changes, state);
+      return ChangesJson(state, changes, since, Now(), scale);
     });
     AddQuery("/v1/cache/events", [this](const http_request& request) {
       const qint64 after = request.query.queryItemValue("after").toLongLong();
