Split the completion flow by duty

Change: completion_state is a plain struct of what is known of one completion, with a file each for an attempt, the decode stream, a stream's ownership and the end. A class per duty was ruled out: the four share all of the state, so each would have had a pointer to the others. The callbacks hold the shared state as before. The conversion to QString that two files of this slice repeated is base/qt_text.h now.

--- /dev/null
+++ b/src/requests/completion_attempt.cc
@@ -0,0 +1,175 @@
+#include "requests/completion_attempt.h"
+
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "base/clock.h"
+#include "base/error_kind.h"
+#include "base/event_loop.h"
+#include "base/qt_text.h"
+#include "log/decision_log.h"
+#include "requests/attempt_calls.h"
+#include "requests/completion_end.h"
+#include "requests/completion_stream.h"
+#include "upstreams/engine_client.h"
+
+namespace anvilridge {
+namespace {
+
+// Longest time past its prediction that a prefill may take.
+constexpr absl::Duration kPrefillSlack = absl::Seconds(3);
+constexpr absl::Duration kImportTimeout = absl::Seconds(2);
+// Pause before an import that found no free place is ordered again.
+constexpr absl::Duration kImportRetryPause = absl::Milliseconds(20);
+// Attempts over different engines before the request is given up.
+constexpr int kMaxAttempts = 3;
+
+void Import(const completion_ptr& flow);
+
+bool NothingRan(const absl::Status& result) {
+  return !result.ok() && RunStateOf(result) == run_state::not_run;
+}
+
+absl::Duration FirstTokenTarget(const completion_state& flow) {
+  const std::shared_ptr<const config_state> config = ServicesOf(flow).config();
+  const auto route = config->routes.find(flow.request.route);
+  if (route == config->routes.end()) return absl::Seconds(1);
+  return route->second.first_token_target;
+}
+
+// Gives up what was begun before a pause past the lease.
+void StartOver(const completion_ptr& flow) {
+  RetryElsewhere(
+      flow, MakeError(error_kind::lease_lost, "paused past the lease"), "");
+}
+
+// Engines that had no room come around again.
+void TakeDecodeFallback(completion_state& flow) {
+  if (flow.grant.decode_fallbacks.empty()) return;
+  flow.grant.decode_fallbacks.push_back(flow.grant.decode);
+  flow.grant.decode = flow.grant.decode_fallbacks.front();
+  flow.grant.decode_fallbacks.erase(flow.grant.decode_fallbacks.begin());
+}
+
+void TakeImport(const completion_ptr& flow, const absl::Status& result) {
+  if (LeaseLost(*flow)) return StartOver(flow);
+  if (result.ok()) return ReadDecodeStream(flow);
+  const bool refused = KindOf(result) == error_kind::upstream_refused;
+  const bool no_room = refused && (result.message() == "no_slot" ||
+                                   result.message() == "no_pieces");
+  if (no_room && MonotonicNow() + kImportRetryPause < flow->prefill_expires) {
+    TakeDecodeFallback(*flow);
+    RunAfter(flow->context.thread, kImportRetryPause, [flow] {
+      if (!flow->over) Import(flow);
+    });
+    return;
+  }
+  flow->outcome.decode_failed = !refused;
+  // An evicted result says nothing against either engine.
+  const bool evicted = refused && result.message() == "evicted";
+  RetryElsewhere(flow, result, evicted ? "" : flow->grant.decode.name);
+}
+
+void Import(const completion_ptr& flow) {
+  SetStage(*flow, "transfer");
+  flow->import_sent = true;
+  flow->call = StartImport(
+      *flow->context.client, flow->grant.decode.address,
+      MakeImportCall(flow->request, flow->writer, flow->grant, flow->prefill),
+      kImportTimeout, [flow](const absl::StatusOr<std::string>& result) {
+        flow->call = 0;
+        if (!flow->over) TakeImport(flow, result.status());
+      });
+}
+
+void TakePrefill(const completion_ptr& flow,
+                 absl::StatusOr<prefill_result> result) {
+  if (LeaseLost(*flow)) return StartOver(flow);
+  if (!result.ok()) {
+    flow->outcome.prefill_failed = true;
+    return RetryElsewhere(flow, result.status(), flow->grant.prefill.name);
+  }
+  flow->outcome.prefilled = true;
+  flow->outcome.prefill_tokens = result->prompt_tokens - result->cached_tokens;
+  flow->outcome.prefill_time = MonotonicNow() - flow->prefill_started;
+  flow->prefill = *std::move(result);
+  flow->prefill_expires = MonotonicNow() + flow->prefill.expires_in;
+  Import(flow);
+}
+
+void Prefill(const completion_ptr& flow) {
+  SetStage(*flow, "prefill");
+  const bool ran_before = flow->may_have_run;
+  flow->may_have_run = true;
+  flow->prefill_sent = true;
+  flow->prefill_started = MonotonicNow();
+  auto done = [flow, ran_before](absl::StatusOr<prefill_result> result) {
+    flow->call = 0;
+    if (NothingRan(result.status())) flow->may_have_run = ran_before;
+    if (!flow->over) TakePrefill(flow, std::move(result));
+  };
+  flow->call = StartPrefill(
+      *flow->context.client, flow->grant.prefill.address,
+      MakePrefillCall(flow->request, flow->writer, flow->grant),
+      flow->grant.predicted_first_token + kPrefillSlack, std::move(done));
+}
+
+void TakeGrant(const completion_ptr& flow, absl::StatusOr<place_grant> grant) {
+  if (flow->over) {
+    if (grant.ok()) {
+      flow->grant = *grant;
+      FinishPlacement(*flow);
+    }
+    return;
+  }
+  if (!grant.ok()) return FailCompletion(*flow, grant.status());
+  flow->grant = *std::move(grant);
+  flow->placed = true;
+  if (LeaseLost(*flow)) return StartOver(flow);
+  Prefill(flow);
+}
+
+}  // namespace
+
+void BeginAttempt(const completion_ptr& flow) {
+  if (flow->over) return;
+  if (!ServicesOf(*flow).may_act(ServicesOf(*flow).owner())) {
+    return RunAfter(flow->context.thread, kLeasePause,
+                    [flow] { BeginAttempt(flow); });
+  }
+  ++flow->attempts;
+  flow->engine_request_id =
+      absl::StrCat(flow->request.request_id, ".", flow->attempts);
+  SetStage(*flow, "placement");
+  place_request ask =
+      MakePlaceRequest(flow->request, flow->writer, flow->engine_request_id);
+  // A further attempt is late already; it gets the time of a first one.
+  const absl::Time begun = flow->attempts == 1 ? flow->started : MonotonicNow();
+  ask.first_token_due = begun + FirstTokenTarget(*flow);
+  ask.avoid = flow->avoid;
+  ServicesOf(*flow).place(ask, [flow](absl::StatusOr<place_grant> grant) {
+    TakeGrant(flow, std::move(grant));
+  });
+}
+
+void RetryElsewhere(const completion_ptr& flow, const absl::Status& why,
+                    absl::string_view engine) {
+  LogEvent(log_level::warn, "attempt_failed",
+           {{"request_id", QtText(flow->request.request_id)},
+            {"stage", QtText(flow->stage)},
+            {"upstream", QtText(engine)},
+            {"kind", QtText(AnswerFor(KindOf(why)).name)},
+            {"detail", QtText(why.message())}});
+  CancelAtEngines(*flow);
+  FinishPlacement(*flow);
+  if (!engine.empty()) flow->avoid.emplace_back(engine);
+  // Who resumes a stream knows neither its prompt nor its earlier text.
+  if (flow->attempts >= kMaxAttempts || flow->resumed) {
+    return FailCompletion(*flow, why);
+  }
+  BeginAttempt(flow);
+}
+
+}  // namespace anvilridge
--- /dev/null
+++ b/src/requests/completion_end.cc
@@ -0,0 +1,86 @@
+#include "requests/completion_end.h"
+
+#include "base/clock.h"
+#include "base/error_kind.h"
+#include "base/qt_text.h"
+#include "log/decision_log.h"
+
+namespace anvilridge {
+namespace {
+
+void CancelOwn(completion_state& flow, const placed_engine& engine) {
+  CancelAs(flow, flow.grant.owner, engine);
+}
+
+}  // namespace
+
+void CancelAs(completion_state& flow, const std::string& owner,
+              const placed_engine& engine) {
+  ServicesOf(flow).cancel(
+      {flow.engine_request_id, owner, engine.name, engine.address});
+}
+
+void CancelAtEngines(completion_state& flow) {
+  StopCall(flow);
+  if (flow.prefill_sent && !flow.outcome.decode_finished) {
+    CancelOwn(flow, flow.grant.prefill);
+  }
+  if (flow.import_sent && !flow.outcome.decode_finished && !flow.fenced) {
+    CancelOwn(flow, flow.grant.decode);
+  }
+  flow.prefill_sent = false;
+  flow.import_sent = false;
+}
+
+void StopCall(completion_state& flow) {
+  if (flow.stream) flow.stream->Detach();
+  flow.stream = nullptr;
+  if (flow.call != 0) flow.context.client->Cancel(flow.call);
+  flow.call = 0;
+}
+
+void FinishPlacement(completion_state& flow) {
+  if (flow.grant.decode.name.empty()) return;
+  flow.outcome.request_id = flow.engine_request_id;
+  flow.outcome.prefill = flow.grant.prefill;
+  flow.outcome.decode = flow.grant.decode;
+  ServicesOf(flow).finish(flow.outcome);
+  flow.outcome = place_outcome();
+  flow.placed = false;
+}
+
+void FailCompletion(completion_state& flow, const absl::Status& error) {
+  if (flow.over) return;
+  absl::Status shown = error;
+  // Once an engine was asked, it can't be said that nothing ran.
+  if (flow.may_have_run && RunStateOf(error) == run_state::not_run) {
+    shown = MakeError(KindOf(error), error.message(), run_state::unknown,
+                      RetryAfterOf(error));
+  }
+  FailAnswer(flow.writer, shown);
+  EndCompletion(flow, shown);
+}
+
+void FailFenced(completion_state& flow, const absl::Status& error) {
+  flow.fenced = true;
+  FailCompletion(flow, error);
+}
+
+void EndCompletion(completion_state& flow, const absl::Status& why) {
+  if (flow.over) return;
+  flow.over = true;
+  if (!flow.placed && flow.attempts > 0) {
+    ServicesOf(flow).abandon(flow.engine_request_id);
+  }
+  CancelAtEngines(flow);
+  if (flow.placed) FinishPlacement(flow);
+  if (flow.admitted) ServicesOf(flow).leave(flow.request.request_id);
+  LogEvent(log_level::info, "request_ended",
+           {{"request_id", QtText(flow.request.request_id)},
+            {"stage", QtText(flow.stage)},
+            {"tokens", flow.writer.next_index},
+            {"result", why.ok() ? "ok" : QtText(AnswerFor(KindOf(why)).name)},
+            {"ms", absl::ToDoubleMilliseconds(MonotonicNow() - flow.started)}});
+}
+
+}  // namespace anvilridge
--- a/src/requests/decode_stream.cc
+++ b/src/requests/decode_stream.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/str_cat.h"
 #include "base/error_kind.h"
 #include "base/event_loop.h"
+#include "base/qt_text.h"
 #include "log/decision_log.h"
 #include "upstreams/engine_client.h"
 
@@ -21,10 +22,6 @@
 constexpr int kStallWeight = 2;
 constexpr absl::Duration kFirstAttachPause = absl::Milliseconds(50);
 
-QString Text(absl::string_view text) {
-  return QString::fromUtf8(text.data(), static_cast<int>(text.size()));
-}
-
 // One message of an engine's decode stream.
 struct decode_message {
   enum class kinds { token, done, fenced, foreign, malformed };
@@ -39,7 +36,7 @@
   const QJsonObject object =
       QJsonDocument::fromJson(QByteArray::fromStdString(event.data)).object();
   const QJsonValue id = object["request_id"];
-  if (id.isString() && id.toString() != Text(request_id)) {
+  if (id.isString() && id.toString() != QtText(request_id)) {
     message.kind = decode_message::kinds::foreign;
   } else if (object["fenced"].toBool()) {
     message.kind = decode_message::kinds::fenced;
@@ -118,8 +115,8 @@
       break;
   }
   LogEvent(log_level::warn, "foreign_answer_dropped",
-           {{"request_id", Text(source_.request_id)},
-            {"upstream", Text(source_.engine.name)}});
+           {{"request_id", QtText(source_.request_id)},
+            {"upstream", QtText(source_.engine.name)}});
   if (message.kind == kinds::foreign) {
     Break(MakeError(error_kind::upstream_failed,
                     "the stream carries another request's answer"));
--- a/src/requests/service_flow.cc
+++ b/src/requests/service_flow.cc
@@ -11,6 +11,7 @@
 #include "absl/strings/str_cat.h"
 #include "base/clock.h"
 #include "base/error_kind.h"
+#include "base/qt_text.h"
 #include "claims/claim_holder.h"
 #include "log/decision_log.h"
 #include "requests/header_rules.h"
@@ -23,10 +24,6 @@
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 
-QString Text(absl::string_view text) {
-  return QString::fromUtf8(text.data(), static_cast<int>(text.size()));
-}
-
 std::string CallHash(const inbound_request& request) {
   QCryptographicHash hash(QCryptographicHash::Sha256);
   for (const std::string& part :
@@ -125,8 +122,8 @@
           run_state::ran));
     }
     LogEvent(log_level::info, "outcome_replayed",
-             {{"request_id", Text(request_.request_id)},
-              {"route", Text(request_.route.name)},
+             {{"request_id", QtText(request_.request_id)},
+              {"route", QtText(request_.route.name)},
               {"status", stored.http_status}});
     Answer(stored.http_status,
            {{"content-type", stored.content_type},
@@ -155,10 +152,10 @@
     }
     upstream_ = *chosen;
     LogEvent(log_level::info, "routing",
-             {{"request_id", Text(request_.request_id)},
-              {"route", Text(request_.route.name)},
+             {{"request_id", QtText(request_.request_id)},
+              {"route", QtText(request_.route.name)},
               {"considered", static_cast<int>(candidates.size())},
-              {"chosen", Text(upstream_.name)},
+              {"chosen", QtText(upstream_.name)},
               {"why", "fewer calls in progress of two sampled"},
               {"attempt", static_cast<int>(tried_.size()) + 1}});
     return true;
@@ -323,10 +320,10 @@
     EndClaim();
     if (admitted_) Services().leave(request_.request_id);
     LogEvent(log_level::info, "request_ended",
-             {{"request_id", Text(request_.request_id)},
-              {"route", Text(request_.route.name)},
-              {"upstream", Text(upstream_.name)},
-              {"result", Text(result_)},
+             {{"request_id", QtText(request_.request_id)},
+              {"route", QtText(request_.route.name)},
+              {"upstream", QtText(upstream_.name)},
+              {"result", QtText(result_)},
               {"ms", absl::ToDoubleMilliseconds(MonotonicNow() - started_)}});
   }
 
