--- a/src/placement/engine_homes.cc
+++ b/src/placement/engine_homes.cc
@@ -1,6 +1,7 @@
 #include "placement/engine_homes.h"
 
 #include <QTimer>
+#include <algorithm>
 #include <map>
 #include <utility>
 #include <vector>
@@ -12,6 +13,7 @@
 #include "log/decision_log.h"
 #include "placement/list_schedule.h"
 #include "placement/place_queue.h"
+#include "upstreams/engine_list.h"
 
 namespace anvilridge {
 namespace {
@@ -19,6 +21,7 @@
 // What a refusal names while the first list is on its way.
 constexpr absl::Duration kFirstListWait = absl::Milliseconds(500);
 constexpr absl::Duration kSweepInterval = absl::Milliseconds(100);
+constexpr absl::Duration kPromiseCheckInterval = absl::Seconds(1);
 // Interval between tokens that predictions assume before any is learned.
 constexpr absl::Duration kAssumedTokenInterval = absl::Milliseconds(25);
 
@@ -27,11 +30,13 @@
   prefill_ledger prefill;
   bool listing = false;
   absl::Time listed = absl::InfinitePast();
+  // When this daemon took the engine up.
+  absl::Time homed = absl::InfinitePast();
   // Set by `ListSoon`, until the next list.
   bool wanted = false;
-  // Whether a request there waits out the grace for its lost owner.
+  // Whether a request there waits for its cancel.
   bool watching_orphan = false;
-  size_t list_bytes = 0;
+  listed_requests requests;
   // Asks that wait for the first list.
   std::vector<std::function<void()>> waiting;
   place_queue queue;
@@ -64,7 +69,7 @@
   uint64_t swept_version = 0;
   // Whether engines are homed here, by the live daemons of `swept_version`.
   absl::flat_hash_map<std::string, bool> home_known;
-  absl::Time daemons_changed = absl::InfinitePast();
+  absl::Time promises_checked = absl::InfinitePast();
   // Outlived by callbacks that check it.
   std::shared_ptr<char> alive = std::make_shared<char>();
 
@@ -74,7 +79,9 @@
   }
 
   homed_engine& EngineNamed(const upstream_config& upstream) {
-    homed_engine& engine = engines[upstream.name];
+    const auto [it, added] = engines.try_emplace(upstream.name);
+    homed_engine& engine = it->second;
+    if (added) engine.homed = env.now();
     engine.decode.slots = upstream.slots;
     engine.decode.pieces = upstream.pieces;
     return engine;
@@ -87,16 +94,23 @@
     const std::shared_ptr<const config_state> config = env.config();
     if (!config) return;
     const uint64_t version = env.homes_version();
-    if (version != swept_version) {
-      daemons_changed = env.now();
-      home_known.clear();
-    }
+    if (version != swept_version) home_known.clear();
     if (config != swept_config || version != swept_version) FindHomed(*config);
     swept_config = config;
     swept_version = version;
+    CheckPromises();
     ListDue(*config);
   }
 
+  void CheckPromises() {
+    const absl::Time now = env.now();
+    if (now < promises_checked + kPromiseCheckInterval) return;
+    promises_checked = now;
+    for (auto& [name, engine] : engines) {
+      ExpirePromises(engine.decode, env.owner_is_live, now);
+    }
+  }
+
   // Forgets engines that are homed elsewhere now, and takes up new ones.
   void FindHomed(const config_state& config) {
     for (const auto& [name, upstream] : config.upstreams) {
@@ -119,9 +133,8 @@
   void ListDue(const config_state& config) {
     list_situation situation;
     situation.live_daemons = env.live_daemons();
-    situation.daemons_changed = daemons_changed;
     for (const auto& [name, engine] : engines) {
-      situation.round_bytes += engine.list_bytes;
+      situation.round_bytes += ListBytes(engine.requests.rows.size());
     }
     for (auto& [name, engine] : engines) {
       const auto upstream = config.upstreams.find(name);
@@ -129,7 +142,8 @@
       AnswerQueue(config, upstream->second, engine);
       if (engine.listing) continue;
       situation.watching_orphan = engine.watching_orphan;
-      situation.next_lapse = NextLapse(engine.decode);
+      situation.unsettled_since = std::max(env.daemon_lost(), engine.homed);
+      situation.overdue = NextOverdue({}, engine.decode);
       const absl::Time due = NextList({}, situation, engine.listed);
       if (engine.wanted || due <= env.now()) List(upstream->second);
     }
@@ -176,30 +190,37 @@
     engine.listing = true;
     engine.wanted = false;
     engine.listed = env.now();
+    // A small deployment has bandwidth for exact token counts.
+    const bool whole = env.live_daemons() <= list_policy{}.small_deployment;
+    const std::string since =
+        whole ? "" : VersionToAsk(engine.requests, env.now());
     const std::weak_ptr<char> guard = alive;
-    ListEngineRequests(client, upstream.address,
-                       [this, guard, upstream](
-                           absl::StatusOr<std::vector<engine_request>> listed) {
-                         if (guard.expired()) return;
-                         TakeList(upstream, std::move(listed));
-                       });
+    ListEngineChanges(
+        client, upstream.address, since,
+        [this, guard, upstream](const absl::StatusOr<engine_list>& answer) {
+          if (!guard.expired()) TakeList(upstream, answer);
+        });
+  }
+
+  void TakeRows(const upstream_config& upstream, homed_engine& engine,
+                const engine_list& list) {
+    const auto listed =
+        TakeEngineList(engine.requests, list, kAssumedTokenInterval, env.now());
+    if (!listed.ok()) return;
+    MergeDecodeList(engine.decode, *listed, kAssumedTokenInterval,
+                    engine.listed, env.now());
+    MergePrefillList(engine.prefill, *listed, env.now());
+    for (const list_listener& listener : listeners) listener(upstream, *listed);
   }
 
   void TakeList(const upstream_config& upstream,
-                absl::StatusOr<std::vector<engine_request>> listed) {
+                const absl::StatusOr<engine_list>& answer) {
     const auto it = engines.find(upstream.name);
     if (it == engines.end()) return;
     homed_engine& engine = it->second;
     engine.listing = false;
     engine.watching_orphan = false;
-    if (listed.ok()) {
-      engine.list_bytes = ListBytes(listed->size());
-      MergeDecodeList(engine.decode, *listed, kAssumedTokenInterval, env.now());
-      MergePrefillList(engine.prefill, *listed, env.now());
-      for (const list_listener& listener : listeners) {
-        listener(upstream, *listed);
-      }
-    }
+    if (answer.ok()) TakeRows(upstream, engine, *answer);
     const std::vector<std::function<void()>> waiting =
         std::exchange(engine.waiting, {});
     for (const std::function<void()>& task : waiting) task();
