Budget KV transfers by link and prefer the decode engine's domain

Cause: prefill engines were chosen without regard to failure domains, and nothing kept a link from being promised more than it sends before results are evicted. Counting at a home for each link was ruled out by its control bytes, counting by daemon because shares fall below one transfer at 370 daemons. The stand-in does not send a result that would be evicted before its turn, and engines in one program may share links.

--- a/bench/fleet.sh
+++ b/bench/fleet.sh
@@ -64,6 +64,27 @@
 \"base_version\":0,\"fields\":{$3}}}"
 }
 
+# Pieces per second that a stand-in engine exports to another failure domain.
+CROSS_DOMAIN_PIECES=2000
+# The links between all failure domains: each engine has its own uplink, so a
+# link carries as many times its rate as prefill engines send on it.
+link_records() {
+  local from to name senders
+  for from in "${DOMAINS[@]}"; do
+    senders=0
+    for name in "${ENGINES[@]}"; do
+      [[ $name == prefill-* && ${DOMAIN_OF[$name]} == "$from" ]] &&
+        senders=$((senders + 1))
+    done
+    [[ $senders == 0 ]] && continue
+    for to in "${DOMAINS[@]}"; do
+      [[ $from == "$to" ]] && continue
+      command_record link "$from-$to" "\"from\":\"$from\",\"to\":\"$to\",\
+\"pieces_per_second\":\"$((senders * CROSS_DOMAIN_PIECES))\""
+    done
+  done
+}
+
 configure() {
   local i name port hash objective
   hash=$(printf %s "$CALLER_KEY" | sha256sum | cut -d ' ' -f 1)
@@ -82,6 +103,7 @@
 \"slots\":\"$(profile_value fleet slots)\",\
 \"pieces\":\"$(profile_value fleet pieces)\""
   done
+  link_records
   command_record route drafts "\"model\":\"model\",\
 \"prefill_pool\":\"prefill\",\"decode_pool\":\"decode\",\
 \"objective\":\"$objective\",\
--- a/src/placement/engine_homes.cc
+++ b/src/placement/engine_homes.cc
@@ -10,6 +10,7 @@
 #include "base/error_kind.h"
 #include "base/event_loop.h"
 #include "log/decision_log.h"
+#include "placement/linked_prefill.h"
 #include "placement/list_schedule.h"
 #include "placement/place_queue.h"
 
@@ -25,6 +26,7 @@
 struct homed_engine {
   decode_ledger decode;
   prefill_ledger prefill;
+  link_ledger links;
   bool listing = false;
   absl::Time listed = absl::InfinitePast();
   // Set by `ListSoon`, until the next list.
@@ -296,7 +298,10 @@
   const absl::StatusOr<upstream_config> upstream = impl_->Find(message.engine);
   if (!upstream.ok()) return done(upstream.status());
   homed_engine& engine = impl_->EngineNamed(*upstream);
-  done(AskPrefill(engine.prefill, message.ask, impl_->env.now()));
+  const link_share share =
+      ShareOfLink(*impl_->env.config(), *upstream, message.ask.to_domain);
+  done(AskPrefillOverLink(engine.prefill, engine.links, message.ask, share,
+                          impl_->env.now()));
 }
 
 void engine_homes::Release(const release_message& message) {
@@ -307,6 +312,7 @@
   }
   ReleaseDecode(it->second.decode, message.request_id);
   ReleasePrefill(it->second.prefill, message.request_id);
+  ReleaseTransfer(it->second.links, message.request_id);
   LearnPrefillRate(it->second.prefill, message.prefill_tokens,
                    message.prefill_time);
   if (it->second.queue.asks.empty()) return;
--- a/src/placement/home_messages.cc
+++ b/src/placement/home_messages.cc
@@ -33,6 +33,8 @@
     return absl::Microseconds(Integer(key, kMaxMicroseconds));
   }
 
+  bool Has(const char* key) const { return map_.contains(QLatin1String(key)); }
+
   bool Flag(const char* key) {
     const QCborValue value = map_.value(QLatin1String(key));
     if (!value.isBool()) Fail(key);
@@ -79,12 +81,17 @@
           {QLatin1String("wait"), Microseconds(message.ask.may_wait)}};
 }
 
+// Fields about a link are left out where no link is used, to save bytes.
 QCborMap ToCbor(const prefill_ask_message& message) {
-  return {{QLatin1String("engine"), ToQt(message.engine)},
-          {QLatin1String("id"), ToQt(message.ask.request_id)},
-          {QLatin1String("owner"), ToQt(message.ask.owner)},
-          {QLatin1String("tokens"), message.ask.tokens},
-          {QLatin1String("wait"), Microseconds(message.ask.longest_wait)}};
+  QCborMap map{{QLatin1String("engine"), ToQt(message.engine)},
+               {QLatin1String("id"), ToQt(message.ask.request_id)},
+               {QLatin1String("owner"), ToQt(message.ask.owner)},
+               {QLatin1String("tokens"), message.ask.tokens},
+               {QLatin1String("wait"), Microseconds(message.ask.longest_wait)}};
+  if (message.ask.to_domain.empty()) return map;
+  map[QLatin1String("to")] = ToQt(message.ask.to_domain);
+  map[QLatin1String("pieces")] = message.ask.pieces;
+  return map;
 }
 
 QCborMap ToCbor(const release_message& message) {
@@ -103,9 +110,11 @@
 }
 
 QCborMap ToCbor(const prefill_answer& answer) {
-  return {{QLatin1String("granted"), answer.granted},
-          {QLatin1String("wait"), Microseconds(answer.wait)},
-          {QLatin1String("work"), Microseconds(answer.work)}};
+  QCborMap map{{QLatin1String("granted"), answer.granted},
+               {QLatin1String("wait"), Microseconds(answer.wait)},
+               {QLatin1String("work"), Microseconds(answer.work)}};
+  if (answer.link_full) map[QLatin1String("link_full")] = true;
+  return map;
 }
 
 absl::StatusOr<decode_ask_message> ParseDecodeAsk(const QCborMap& map) {
@@ -129,6 +138,9 @@
   message.ask.owner = fields.Text("owner");
   message.ask.tokens = fields.Count("tokens");
   message.ask.longest_wait = fields.Time("wait");
+  if (!fields.Has("to")) return fields.Finish(std::move(message));
+  message.ask.to_domain = fields.Text("to");
+  message.ask.pieces = fields.Count("pieces");
   return fields.Finish(std::move(message));
 }
 
@@ -159,6 +171,7 @@
   answer.granted = fields.Flag("granted");
   answer.wait = fields.Time("wait");
   answer.work = fields.Time("work");
+  if (fields.Has("link_full")) answer.link_full = fields.Flag("link_full");
   return fields.Finish(answer);
 }
 
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -18,6 +18,7 @@
 #include "placement/candidate_choice.h"
 #include "placement/home_calls.h"
 #include "placement/load_reports.h"
+#include "placement/prefill_choice.h"
 
 namespace anvilridge {
 namespace {
@@ -29,13 +30,10 @@
 // Share of the first-token target that is left for what takes longer than
 // predicted.
 constexpr double kWaitMarginShare = 0.15;
-constexpr size_t kPrefillAsksPerRound = 4;
 constexpr absl::Duration kShortestPause = absl::Milliseconds(5);
 constexpr absl::Duration kLongestPause = absl::Milliseconds(100);
 constexpr absl::Duration kShortestRetryAfter = absl::Seconds(1);
 // Assumed until homes have said better.
-constexpr double kAssumedPrefillTokensPerSecond = 8000;
-constexpr double kRateLearningShare = 0.1;
 constexpr absl::Duration kAssumedTransfer = absl::Milliseconds(20);
 constexpr absl::Duration kAssumedTokenInterval = absl::Milliseconds(25);
 
@@ -53,12 +51,13 @@
   const upstream_config* shortest_queue = nullptr;
   bool waited = false;
   int rounds = 0;
-  engine_list prefill_order;
+  // Usable prefill engines, and those of them to ask, best first.
+  engine_list prefill_engines;
+  std::vector<prefill_option> prefill_options;
   size_t prefill_next = 0;
   place_grant grant;
   // Shortest wait that a home named in this round.
   absl::Duration free_in = absl::InfiniteDuration();
-  absl::Duration prefill_estimate;
   QJsonArray considered;
   bool over = false;
 };
@@ -77,9 +76,7 @@
   QObject context;
   std::map<std::string, attempt_ptr, std::less<>> attempts;
   engine_hints decode_hints;
-  engine_hints prefill_hints;
-  // Rate that the homes' answers have shown.
-  double prefill_tokens_per_second = kAssumedPrefillTokensPerSecond;
+  prefill_knowledge prefills;
   // Placed requests whose prefill was to start at once: their time teaches the
   // engine's rate.
   std::set<std::string, std::less<>> unqueued;
@@ -104,11 +101,18 @@
 
   // An engine that failed the request before is asked again when no other is
   // left; the attempts are counted by who asks.
-  engine_list Order(absl::string_view pool, const attempt& a,
-                    const engine_hints& hints) {
+  engine_list Engines(absl::string_view pool, const attempt& a) const {
     engine_list candidates = Usable(pool, a, a.request.avoid);
     if (candidates.empty()) candidates = Usable(pool, a, {});
-    return AskingOrder(std::move(candidates), hints, env.now(), random);
+    return candidates;
+  }
+
+  // The decode engine's failure domain is empty while there is none yet.
+  std::vector<prefill_option> OptionsFor(const attempt& a) {
+    const prefill_need need{a.request.prompt_tokens,
+                            a.grant.decode.failure_domain};
+    return PrefillOptions(*a.config, a.prefill_engines, need, prefills,
+                          env.now(), random);
   }
 
   void StartRound(const attempt_ptr& a) {
@@ -121,16 +125,18 @@
       return Fail(a, MakeError(error_kind::unknown_route, a->request.route));
     }
     a->route = &route->second;
-    a->decode_order = Order(a->route->decode_pool, *a, decode_hints);
-    a->prefill_order = Order(a->route->prefill_pool, *a, prefill_hints);
+    a->decode_order = AskingOrder(Engines(a->route->decode_pool, *a),
+                                  decode_hints, env.now(), random);
+    a->grant.decode = placed_engine();
+    a->prefill_engines = Engines(a->route->prefill_pool, *a);
+    a->prefill_options = OptionsFor(*a);
     a->decode_next = 0;
-    a->prefill_next = 0;
     a->free_in = absl::InfiniteDuration();
     a->shortest_queue = nullptr;
     a->waited = false;
     a->considered = QJsonArray();
     ++a->rounds;
-    if (a->decode_order.empty() || a->prefill_order.empty()) {
+    if (a->decode_order.empty() || a->prefill_options.empty()) {
       return Fail(a, MakeError(error_kind::no_upstream,
                                absl::StrCat("no engine takes work for route ",
                                             a->request.route)));
@@ -147,8 +153,8 @@
         by_load ? LeastLoadedOrder(a->decode_order, loads, random)
                 : RoundRobinOrder(a->decode_order, baseline.decode_turn);
     const engine_list prefill =
-        by_load ? LeastLoadedOrder(a->prefill_order, loads, random)
-                : RoundRobinOrder(a->prefill_order, baseline.prefill_turn);
+        by_load ? LeastLoadedOrder(a->prefill_engines, loads, random)
+                : RoundRobinOrder(a->prefill_engines, baseline.prefill_turn);
     a->grant.decode = PlacedEngine(*decode.front());
     a->grant.prefill = PlacedEngine(*prefill.front());
     a->grant.decode_fallbacks.clear();
@@ -160,16 +166,9 @@
     End(a, a->grant);
   }
 
-  absl::Duration PrefillWork(const place_request& request) const {
-    return absl::Seconds(request.prompt_tokens / prefill_tokens_per_second);
-  }
-
-  absl::Duration PrefillEstimate(const attempt& a) const {
-    const absl::Duration work = PrefillWork(a.request);
-    const auto hint = prefill_hints.find(a.prefill_order.front()->name);
-    if (hint == prefill_hints.end()) return work;
-    const absl::Duration age = env.now() - hint->second.at;
-    return work + std::max(absl::ZeroDuration(), hint->second.wait - age);
+  static absl::Duration PrefillEstimate(const attempt& a) {
+    const prefill_option& best = a.prefill_options.front();
+    return best.wait + best.work;
   }
 
   void AskNextDecode(const attempt_ptr& a) {
@@ -239,6 +238,8 @@
       return AskNextDecode(a);
     }
     a->grant.decode = PlacedEngine(engine);
+    a->prefill_options = OptionsFor(*a);
+    a->prefill_next = 0;
     AskNextPrefill(a);
   }
 
@@ -247,68 +248,46 @@
   }
 
   void AskNextPrefill(const attempt_ptr& a) {
-    const size_t most = std::min(kPrefillAsksPerRound, a->prefill_order.size());
-    if (a->prefill_next >= most) {
+    if (a->prefill_next >= a->prefill_options.size()) {
       ReleaseAtHome(
           homes, {a->grant.decode.name, a->request.request_id, 0, {}, false});
       return EndRound(a, error_kind::latency_unattainable);
     }
-    const upstream_config& engine = *a->prefill_order[a->prefill_next++];
-    prefill_ask_message message;
-    message.engine = engine.name;
-    message.ask.request_id = a->request.request_id;
-    message.ask.owner = a->grant.owner;
-    message.ask.tokens = a->request.prompt_tokens;
-    const absl::Duration after =
-        PrefillWork(a->request) + kAssumedTransfer + kAssumedTokenInterval;
-    message.ask.longest_wait = std::max(
-        absl::ZeroDuration(), a->request.first_token_due - env.now() - after);
-    AskHome(homes, message,
-            [this, a, &engine](absl::StatusOr<prefill_answer> answer) {
-              TakePrefillAnswer(a, engine, std::move(answer));
+    const prefill_option option = a->prefill_options[a->prefill_next++];
+    AskHome(homes,
+            MakePrefillAsk(a->request, option, a->grant.owner,
+                           a->grant.decode.failure_domain,
+                           a->request.first_token_due - env.now()),
+            [this, a, option](absl::StatusOr<prefill_answer> answer) {
+              TakePrefillAnswer(a, option, std::move(answer));
             });
   }
 
-  void TakePrefillAnswer(const attempt_ptr& a, const upstream_config& engine,
+  void TakePrefillAnswer(const attempt_ptr& a, const prefill_option& option,
                          absl::StatusOr<prefill_answer> answer) {
     if (a->over) {
-      if (answer.ok() && answer->granted) FreeDecode(*a, engine);
+      if (answer.ok() && answer->granted) FreeDecode(*a, *option.engine);
       ReleaseAtHome(
           homes, {a->grant.decode.name, a->request.request_id, 0, {}, false});
       return;
     }
-    QJsonObject seen{{"prefill", QString::fromStdString(engine.name)}};
-    if (!answer.ok()) {
-      seen["answer"] =
-          QString::fromUtf8(AnswerFor(KindOf(answer.status())).name.data());
-      a->considered.append(seen);
-      return AskNextPrefill(a);
-    }
-    prefill_hints[engine.name] = {0, answer->wait, env.now()};
-    LearnRate(a->request.prompt_tokens, answer->work);
-    seen["wait_ms"] = absl::ToDoubleMilliseconds(answer->wait);
-    seen["granted"] = answer->granted;
-    a->considered.append(seen);
+    a->considered.append(ConsideredRow(option, answer));
+    if (!answer.ok()) return AskNextPrefill(a);
+    LearnPrefill(prefills, option, a->request.prompt_tokens, *answer,
+                 env.now());
     if (!answer->granted) {
       a->free_in = std::min(a->free_in, answer->wait);
       return AskNextPrefill(a);
     }
-    a->grant.prefill = PlacedEngine(engine);
+    a->grant.prefill = PlacedEngine(*option.engine);
     if (answer->wait == absl::ZeroDuration()) {
       unqueued.insert(a->request.request_id);
     }
     a->grant.predicted_first_token =
-        answer->wait + answer->work + kAssumedTransfer;
+        answer->wait + answer->work + option.transfer;
     Succeed(a);
   }
 
-  void LearnRate(int tokens, absl::Duration work) {
-    if (work <= absl::ZeroDuration()) return;
-    const double rate = tokens / absl::ToDoubleSeconds(work);
-    prefill_tokens_per_second +=
-        kRateLearningShare * (rate - prefill_tokens_per_second);
-  }
-
   // Looks again for a place that is predicted to come free in time, else gives
   // up.
   void EndRound(const attempt_ptr& a, error_kind kind) {
@@ -330,7 +309,7 @@
   }
 
   void Succeed(const attempt_ptr& a) {
-    LogDecision(*a, "placed", "first grant in asking order");
+    LogDecision(*a, "placed", "first grant by predicted first token");
     End(a, a->grant);
   }
 
--- /dev/null
+++ b/src/placement/prefill_choice.cc
@@ -0,0 +1,149 @@
+#include "placement/prefill_choice.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "base/error_kind.h"
+#include "placement/decode_ledger.h"
+
+namespace anvilridge {
+namespace {
+
+constexpr double kRateLearningShare = 0.1;
+constexpr absl::Duration kAssumedTokenInterval = absl::Milliseconds(25);
+// Rates of a transfer where the configuration names none.
+constexpr double kLocalPiecesPerSecond = 4000;
+constexpr double kCrossPiecesPerSecond = 2000;
+// Engines sampled of each kind.
+constexpr size_t kSampledInDomain = 2;
+constexpr size_t kSampledElsewhere = 2;
+
+using engine_list = std::vector<const upstream_config*>;
+
+bool IsIn(const upstream_config& engine, const std::string& domain) {
+  return !domain.empty() && engine.failure_domain == domain;
+}
+
+// A shuffled sample: engines of `domain`, then others.
+engine_list Sample(engine_list candidates, const std::string& domain,
+                   std::mt19937_64& random) {
+  std::shuffle(candidates.begin(), candidates.end(), random);
+  engine_list sample;
+  size_t in_domain = 0;
+  size_t elsewhere = 0;
+  for (const upstream_config* engine : candidates) {
+    const bool inside = IsIn(*engine, domain);
+    size_t& taken = inside ? in_domain : elsewhere;
+    if (taken >= (inside ? kSampledInDomain : kSampledElsewhere)) continue;
+    ++taken;
+    sample.push_back(engine);
+  }
+  return sample;
+}
+
+// The rate of a transfer that has the link to itself.
+double TransferRate(const config_state& config, const upstream_config& engine,
+                    const std::string& domain) {
+  if (domain.empty() || IsIn(engine, domain)) return kLocalPiecesPerSecond;
+  for (const auto& [name, link] : config.links) {
+    if (link.from_domain != engine.failure_domain) continue;
+    if (link.to_domain == domain) return link.pieces_per_second;
+  }
+  return kCrossPiecesPerSecond;
+}
+
+absl::Duration WaitAt(const prefill_knowledge& knowledge,
+                      const upstream_config& engine, absl::Time now) {
+  const auto hint = knowledge.hints.find(engine.name);
+  if (hint == knowledge.hints.end()) return absl::ZeroDuration();
+  const absl::Duration age = now - hint->second.at;
+  return std::max(absl::ZeroDuration(), hint->second.wait - age);
+}
+
+}  // namespace
+
+absl::Duration DeliversIn(const prefill_option& option) {
+  return option.wait + option.work + option.transfer;
+}
+
+std::vector<prefill_option> PrefillOptions(const config_state& config,
+                                           engine_list candidates,
+                                           const prefill_need& need,
+                                           const prefill_knowledge& knowledge,
+                                           absl::Time now,
+                                           std::mt19937_64& random) {
+  const std::string& domain = need.decode_domain;
+  std::vector<prefill_option> options;
+  for (const upstream_config* engine :
+       Sample(std::move(candidates), domain, random)) {
+    prefill_option option;
+    option.engine = engine;
+    if (!domain.empty() && !IsIn(*engine, domain)) {
+      option.link = absl::StrCat(engine->failure_domain, ">", domain);
+    }
+    option.wait = WaitAt(knowledge, *engine, now);
+    option.work =
+        absl::Seconds(need.prompt_tokens / knowledge.tokens_per_second);
+    option.transfer = absl::Seconds(PiecesFor(need.prompt_tokens) /
+                                    TransferRate(config, *engine, domain));
+    options.push_back(option);
+  }
+  std::stable_sort(options.begin(), options.end(),
+                   [](const auto& a, const auto& b) {
+                     return DeliversIn(a) < DeliversIn(b);
+                   });
+  return options;
+}
+
+prefill_ask_message MakePrefillAsk(const place_request& request,
+                                   const prefill_option& option,
+                                   const std::string& owner,
+                                   const std::string& decode_domain,
+                                   absl::Duration left) {
+  prefill_ask_message message;
+  message.engine = option.engine->name;
+  message.ask.request_id = request.request_id;
+  message.ask.owner = owner;
+  message.ask.tokens = request.prompt_tokens;
+  const absl::Duration after =
+      option.work + option.transfer + kAssumedTokenInterval;
+  message.ask.longest_wait = std::max(absl::ZeroDuration(), left - after);
+  if (option.link.empty()) return message;
+  message.ask.to_domain = decode_domain;
+  message.ask.pieces = PiecesFor(request.prompt_tokens);
+  return message;
+}
+
+QJsonObject ConsideredRow(const prefill_option& option,
+                          const absl::StatusOr<prefill_answer>& answer) {
+  QJsonObject row{{"prefill", QString::fromStdString(option.engine->name)}};
+  if (!option.link.empty()) {
+    row["link"] = QString::fromStdString(option.link);
+    row["transfer_ms"] = absl::ToDoubleMilliseconds(option.transfer);
+  }
+  if (!answer.ok()) {
+    row["answer"] =
+        QString::fromUtf8(AnswerFor(KindOf(answer.status())).name.data());
+    return row;
+  }
+  row["wait_ms"] = absl::ToDoubleMilliseconds(answer->wait);
+  row["granted"] = answer->granted;
+  if (answer->link_full) row["budget"] = "full";
+  return row;
+}
+
+void LearnPrefill(prefill_knowledge& knowledge, const prefill_option& option,
+                  int tokens, const prefill_answer& answer, absl::Time now) {
+  // A link's wait says nothing of the engine's queue.
+  if (!answer.link_full) {
+    const absl::Duration own =
+        answer.granted ? answer.work : absl::ZeroDuration();
+    knowledge.hints[option.engine->name] = {0, answer.wait + own, now};
+  }
+  if (answer.work <= absl::ZeroDuration()) return;
+  const double rate = tokens / absl::ToDoubleSeconds(answer.work);
+  knowledge.tokens_per_second +=
+      kRateLearningShare * (rate - knowledge.tokens_per_second);
+}
+
+}  // namespace anvilridge
--- a/src/placement/prefill_ledger.h
+++ b/src/placement/prefill_ledger.h
@@ -36,6 +36,10 @@
   int tokens = 0;
   /// The longest wait in the queue that still serves the request.
   absl::Duration longest_wait;
+  /// Failure domain that the result is to go to; empty for the engine's own.
+  std::string to_domain = {};
+  /// Pieces of that result; zero inside the failure domain.
+  int pieces = 0;
 };
 
 struct prefill_answer {
@@ -44,6 +48,9 @@
   absl::Duration wait;
   /// Predicted time of the prefill itself.
   absl::Duration work;
+  /// Whether the budget of the link has no room for the transfer; `wait` is
+  /// then the time until it has.
+  bool link_full = false;
 };
 
 /// Grants a place in the queue unless the wait would be longer than asked.
--- a/standins/engine/engine_model.cc
+++ b/standins/engine/engine_model.cc
@@ -267,8 +267,10 @@
   const bool local = domain.empty() || domain == settings.failure_domain;
   const double rate = local ? settings.transfer_pieces_per_second
                             : settings.cross_domain_pieces_per_second;
-  absl::Time& free_at = state.link_free_at[domain];
-  free_at = std::max(free_at, now) + absl::Seconds(request->pieces / rate);
+  absl::Time& free_at = (*state.link_free_at)[domain];
+  const absl::Time turn = std::max(free_at, now);
+  if (turn >= request->evicted_at) return nullptr;
+  free_at = turn + absl::Seconds(request->pieces / rate);
   request->phase = request_phase::transfer;
   const auto stall =
       TakeFault(state.faults, "stall_transfer",
--- a/standins/engine/engine_model.h
+++ b/standins/engine/engine_model.h
@@ -66,7 +66,8 @@
 
 /// Begins to send a result to `domain`; an event `exported` follows, unless a
 /// stalled transfer is abandoned. Returns the request, or null when the result
-/// was evicted, is unknown or is being sent already.
+/// was evicted, would be before its turn on the link, is unknown or is being
+/// sent already.
 const held_request* BeginExport(engine_state& state, absl::string_view handle,
                                 const std::string& domain, absl::Time now);
 
--- a/standins/engine/engine_state.h
+++ b/standins/engine/engine_state.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -157,6 +158,9 @@
   std::map<std::string, int> started;
 };
 
+/// When each link, named by its far domain, has sent what was begun.
+using link_times = std::map<std::string, absl::Time>;
+
 /// The whole state of one engine.
 struct engine_state {
   engine_settings settings;
@@ -173,8 +177,8 @@
   /// Requests of the decode step in progress, and when it ends.
   std::vector<std::string> batch;
   absl::Time batch_ends = absl::InfiniteFuture();
-  /// When each link, named by its far domain, has sent what was begun.
-  std::map<std::string, absl::Time> link_free_at;
+  /// Shared by the engines of one failure domain that run in one program.
+  std::shared_ptr<link_times> link_free_at = std::make_shared<link_times>();
   std::deque<load_sample> loads;
   load_sample frozen_load;
   bool load_is_frozen = false;
