Pair faults on calls that run at most once

Change: tests/at_most_once_pairs_test with 13 rows, each with services that check fencing numbers and that don't: a stop while the service is slow, between claim and send, in a log outage, of the key's home and of both; a stop with a kill of the home or another daemon; a freeze with a log outage; a lost append answer with a kill; the entry and the retrying daemon killed. The posting under test moves to tests/harness/posting, unchanged, which brings at_most_once_test from 417 lines to 323.

--- a/tests/at_most_once_test.cc
+++ b/tests/at_most_once_test.cc
@@ -6,101 +6,15 @@
 #include <tuple>
 #include <vector>
 
-#include "absl/strings/str_format.h"
 #include "absl/time/clock.h"
 #include "claims/claim_record.h"
 #include "gtest/gtest.h"
 #include "harness/eventually.h"
-#include "harness/fleet.h"
-#include "harness/ledger.h"
+#include "harness/posting.h"
 
 namespace anvilridge {
 namespace {
 
-constexpr absl::Duration kBound = absl::Seconds(10);
-
-// Longer than any answer of a daemon to a call of a service.
-constexpr absl::Duration kAnswerBound = absl::Seconds(20);
-
-// One call that may not be repeated, and the deployment that it meets.
-class posting {
- public:
-  explicit posting(bool fencing)
-      : deployment(Options(fencing)),
-        fencing(fencing),
-        key(fencing ? UuidKey(absl::Now()) : SecondsKey(absl::Now())) {}
-
-  test_answer Call(size_t daemon, int fee = 12) const {
-    return Send(Request(daemon, key, fee));
-  }
-
-  std::future<test_answer> Begin(size_t daemon) const {
-    return std::async(std::launch::async,
-                      [this, daemon] { return Call(daemon); });
-  }
-
-  test_request Request(size_t daemon, const std::string& call_key,
-                       int fee) const {
-    test_request request;
-    request.method = "POST";
-    request.port = deployment.daemons[daemon].caller;
-    request.target = kPostingPath;
-    request.headers = deployment.Caller(
-        {{"Idempotency-Key", call_key}, {"Content-Type", "application/json"}});
-    request.body = BodyText({{"fee", fee}});
-    request.timeout = kAnswerBound;
-    return request;
-  }
-
-  int Runs() const { return RunsOf(deployment, key); }
-
-  bool WaitForRun() const {
-    return Eventually(kBound, [this] { return Runs() == 1; });
-  }
-
-  bool WaitForClaim() const {
-    return Eventually(kBound, [this] { return ClaimAppends(deployment) > 0; });
-  }
-
-  fleet deployment;
-  // Whether the services check fencing numbers.
-  bool fencing;
-  std::string key;
-
- private:
-  static fleet_options Options(bool fencing) {
-    fleet_options options;
-    options.daemons = 3;
-    options.prefill_engines = 0;
-    options.decode_engines = 0;
-    options.services = 2;
-    options.services_check_fencing = fencing;
-    if (fencing) options.service_options = {"--checks-fencing"};
-    options.platform_options = {"--max-records=64"};
-    return options;
-  }
-};
-
-std::string Ran(const test_answer& answer) {
-  return answer.Json()["ran"].toString().toStdString();
-}
-
-bool Replayed(const test_answer& answer) {
-  return answer.Header("idempotency-replayed") == "true";
-}
-
-// What a call may be answered whose key was used before.
-void ExpectNoSecondRun(const test_answer& answer, int runs_before) {
-  if (answer.status == 201) {
-    EXPECT_TRUE(runs_before == 0 || Replayed(answer)) << answer.body;
-    return;
-  }
-  EXPECT_NE(Ran(answer), "") << answer.status << answer.error;
-  if (runs_before > 0) {
-    EXPECT_NE(Ran(answer), "not_run") << answer.body;
-  }
-}
-
 using trouble = void (*)(posting&);
 
 void ThroughThreeAtOnce(posting& call) {
@@ -335,15 +249,7 @@
   if (trouble.runs >= 0) {
     EXPECT_EQ(call.Runs(), trouble.runs);
   }
-  ClearLedgerFaults(call.deployment);
-  for (int round = 0; round < 2; ++round) {
-    for (size_t i = 0; i < call.deployment.daemons.size(); ++i) {
-      if (!call.deployment.daemons[i].process->Running()) continue;
-      const int before = call.Runs();
-      ExpectNoSecondRun(call.Call(i), before);
-      EXPECT_LE(call.Runs(), 1) << "through daemon " << i;
-    }
-  }
+  RetryThroughAll(call);
 }
 
 std::string CaseName(
