--- a/bench/fleet.sh
+++ b/bench/fleet.sh
@@ -140,6 +140,7 @@
 ${seeds:+seeds = $seeds}
 [placement]
 policy = $policy
+${PREFIX_AFFINITY:+prefix_affinity = $PREFIX_AFFINITY}
 INI
   start "$name" "$BUILD/anvilridged" --config "$FLEET_DIR/$name.ini"
 }
