Repeat a stalled transfer instead of its prefill

Ruled out: hedging every transfer, which doubles the load of the links.

While the result lives the decode engine lets go of the transfer and is asked once more; the prefill stays. A log line transfer_repeated tells of it.

--- a/src/requests/completion_attempt.cc
+++ b/src/requests/completion_attempt.cc
@@ -20,9 +20,10 @@
 
 // Longest time past its prediction that a prefill may take.
 constexpr absl::Duration kPrefillSlack = absl::Seconds(3);
-constexpr absl::Duration kImportTimeout = absl::Seconds(2);
 // Pause before an import that found no free place is ordered again.
 constexpr absl::Duration kImportRetryPause = absl::Milliseconds(20);
+// How long an engine may take to confirm the cancel of a stalled import.
+constexpr absl::Duration kCancelTimeout = absl::Milliseconds(200);
 // Attempts over different engines before the request is given up.
 constexpr int kMaxAttempts = 3;
 
@@ -53,9 +54,46 @@
   flow.grant.decode_fallbacks.erase(flow.grant.decode_fallbacks.begin());
 }
 
+// The result of a prefill outlives a transfer that is found stalled soon, so
+// the transfer alone is repeated, once.
+bool MayRepeatImport(const completion_state& flow, const absl::Status& result) {
+  return KindOf(result) == error_kind::upstream_stalled &&
+         !flow.import_repeated &&
+         MonotonicNow() + kCancelTimeout < flow.prefill_expires;
+}
+
+// The engine must have let go of the first transfer before it is asked again.
+void RepeatImport(const completion_ptr& flow) {
+  flow->import_repeated = true;
+  LogEvent(log_level::warn, "transfer_repeated",
+           {{"request_id", QtText(flow->engine_request_id)},
+            {"prefill", QtText(flow->grant.prefill.name)},
+            {"decode", QtText(flow->grant.decode.name)},
+            {"after_ms", absl::ToDoubleMilliseconds(MonotonicNow() -
+                                                    flow->import_started)}});
+  flow->call = CancelEngineRequest(
+      *flow->context.client, flow->grant.decode.address, flow->grant.request_id,
+      flow->grant.owner, [flow](const absl::StatusOr<bool>& cancelled) {
+        flow->call = 0;
+        if (flow->over) return;
+        if (!cancelled.ok()) {
+          return RetryElsewhere(flow, cancelled.status(),
+                                flow->grant.decode.name);
+        }
+        RunAfter(flow->context.thread, kImportRetryPause, [flow] {
+          if (!flow->over) Import(flow);
+        });
+      });
+}
+
 void TakeImport(const completion_ptr& flow, const absl::Status& result) {
   if (LeaseLost(*flow)) return StartOver(flow);
-  if (result.ok()) return ReadDecodeStream(flow);
+  if (result.ok()) {
+    LearnTransfer(flow->context.transfers, flow->prefill.pieces,
+                  MonotonicNow() - flow->import_started);
+    return ReadDecodeStream(flow);
+  }
+  if (MayRepeatImport(*flow, result)) return RepeatImport(flow);
   const bool refused = KindOf(result) == error_kind::upstream_refused;
   const bool no_room = refused && (result.message() == "no_slot" ||
                                    result.message() == "no_pieces");
@@ -75,10 +113,15 @@
 void Import(const completion_ptr& flow) {
   SetStage(*flow, "transfer");
   flow->import_sent = true;
+  flow->import_started = MonotonicNow();
+  const absl::Duration timeout =
+      flow->import_repeated
+          ? kLongestTransfer
+          : TransferTimeout(flow->context.transfers, flow->prefill.pieces);
   flow->call = StartImport(
       *flow->context.client, flow->grant.decode.address,
       MakeImportCall(flow->request, flow->writer, flow->grant, flow->prefill),
-      kImportTimeout, [flow](const absl::StatusOr<std::string>& result) {
+      timeout, [flow](const absl::StatusOr<std::string>& result) {
         flow->call = 0;
         if (!flow->over) TakeImport(flow, result.status());
       });
@@ -140,6 +183,7 @@
                     [flow] { BeginAttempt(flow); });
   }
   ++flow->attempts;
+  flow->import_repeated = false;
   flow->engine_request_id =
       absl::StrCat(flow->request.request_id, ".", flow->attempts);
   SetStage(*flow, "placement");
--- a/src/requests/completion_state.h
+++ b/src/requests/completion_state.h
@@ -38,6 +38,7 @@
   prefill_result prefill;
   absl::Time prefill_started;
   absl::Time prefill_expires;
+  absl::Time import_started;
   std::shared_ptr<decode_stream> stream;
   /// Engines that failed this request.
   std::vector<std::string> avoid;
@@ -54,6 +55,8 @@
   /// Whether the current attempt may hold memory at its engines.
   bool prefill_sent = false;
   bool import_sent = false;
+  /// Whether the attempt's transfer stalled before and was ordered again.
+  bool import_repeated = false;
   bool over = false;
 };
 
--- a/src/requests/flow_context.h
+++ b/src/requests/flow_context.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "requests/request_services.h"
+#include "requests/transfer_timing.h"
 #include "upstreams/http_client.h"
 
 namespace anvilridge {
@@ -24,6 +25,7 @@
   http_client* client = nullptr;
   const request_services* services = nullptr;
   retry_budget retries;
+  transfer_timing transfers;
   /// Calls in progress at each plain service from this thread.
   std::map<std::string, int, std::less<>> service_calls;
   std::mt19937_64 random{std::random_device{}()};
