--- a/tests/stalled_transfer_test.cc
+++ b/tests/stalled_transfer_test.cc
@@ -23,11 +23,11 @@
   }
 
   std::string Complete(int number) {
-    const auto events = CollectEvents(
-        fleet_.daemons[0].caller, "/v1/completions",
-        fleet::Completion(absl::StrCat("book ", number), kTokens), kTokens + 1,
-        absl::Seconds(20),
-        fleet_.Caller({{"Content-Type", "application/json"}}));
+    const auto events =
+        CollectEvents(fleet_.daemons[0].caller, "/v1/completions",
+                      fleet::Completion(absl::StrCat("book ", number), kTokens),
+                      kTokens + 1, absl::Seconds(20),
+                      fleet_.Caller({{"Content-Type", "application/json"}}));
     return StreamedText(events);
   }
 
