--- a/bench/run.sh
+++ b/bench/run.sh
@@ -8,7 +8,7 @@
 # Environment: LOADS (shares of decode capacity), POLICIES (run in turn for
 # each seed and load, in an order that rotates), SECONDS_MEASURED, WARM_UP,
 # OUT (folder of the JSON results), BUILD (build folder), KEEP_LOGS (folder
-# that receives the daemons' log of the last run), PREFIX_AFFINITY (yes or no;
+# that receives the daemons' log of the last run), PREFIX_AFFINITY (true or false;
 # left to the daemons, if absent).
 set -u
 cd "$(dirname "$0")/.."
