Weigh prefill work that a cached prefix saves four times

Change: saved work counts four times when options are ranked, since it also shortens the wait of what comes behind; the time promised is unchanged, and the home still refuses a wait that costs the first-token target.

--- a/src/placement/prefill_choice.cc
+++ b/src/placement/prefill_choice.cc
@@ -18,6 +18,10 @@
 constexpr size_t kSampledInDomain = 2;
 constexpr size_t kSampledElsewhere = 2;
 
+// Prefill work that a cached prefix saves also shortens the wait of what comes
+// behind it, so it counts more than once.
+constexpr int kSavedWorkWeight = 4;
+
 using engine_list = std::vector<const upstream_config*>;
 
 bool IsIn(const upstream_config& engine, const std::string& domain) {
@@ -83,6 +87,11 @@
   return std::max(absl::ZeroDuration(), hint->second.wait - age);
 }
 
+// The work of `option` has the saved part left out once already.
+absl::Duration Rank(const prefill_option& option) {
+  return DeliversIn(option) - (kSavedWorkWeight - 1) * option.saved;
+}
+
 }  // namespace
 
 absl::Duration DeliversIn(const prefill_option& option) {
@@ -113,14 +122,15 @@
     }
     option.work = absl::Seconds((need.prompt_tokens - option.cached_tokens) /
                                 knowledge.tokens_per_second);
+    option.saved =
+        absl::Seconds(option.cached_tokens / knowledge.tokens_per_second);
     option.transfer = absl::Seconds(PiecesFor(need.prompt_tokens) /
                                     TransferRate(config, *engine, domain));
     options.push_back(option);
   }
-  std::stable_sort(options.begin(), options.end(),
-                   [](const auto& a, const auto& b) {
-                     return DeliversIn(a) < DeliversIn(b);
-                   });
+  std::stable_sort(
+      options.begin(), options.end(),
+      [](const auto& a, const auto& b) { return Rank(a) < Rank(b); });
   return options;
 }
 
--- a/src/placement/prefill_choice.h
+++ b/src/placement/prefill_choice.h
@@ -45,6 +45,8 @@
   std::string link;
   /// Leading tokens of the prompt that the engine is believed to have cached.
   int cached_tokens = 0;
+  /// Time that they save.
+  absl::Duration saved;
   absl::Duration wait;
   absl::Duration work;
   absl::Duration transfer;
@@ -55,10 +57,9 @@
 
 /// Samples some of `candidates`, those in the decode engine's failure domain
 /// and others apart, adds those that may have the prompt's beginning cached,
-/// and orders them by the time that each would take. So the
-/// own failure domain is preferred unless its queue is longer by more than the
-/// shorter transfer saves. The cost does not grow with what is asked later,
-/// since only the sample is returned.
+/// and orders them by the time that each would take, in which saved prefill
+/// work counts more than once. So the own failure domain is preferred unless
+/// its queue is longer by more than the shorter transfer saves.
 std::vector<prefill_option> PrefillOptions(
     const config_state& config,
     const std::vector<const upstream_config*>& candidates,
