Shorten the calls between daemons

Cause: a request took four calls of 224 bytes: names of fields, the engine's and the caller's names, and the id as text in each, and a release of the prefill that told nothing most times (the queue is worked off by time). Ruled out: waiting longer than 10 ms for company (at the target a home gets one call in 5 s from each daemon, so that places would lie idle) and a hello with the caller's name (state of our own where the header compression keeps it already). Change: keys of messages to homes are numbers and ids bytes; text under the keys 0 to 3 (engine, owner) goes as header fields, which HPACK sends once a connection. Releases of 10 ms are one call. A prefill's lesson waits for the next message to the home and makes no call; a prefill without a lesson is not released at all. An ask sends waiting releases first, so that none overtakes the next round of its request. Readers take names too and answer as asked; a home that refuses numbers as malformed is asked again by names.

--- a/bench/capacity/home_cost.cc
+++ b/bench/capacity/home_cost.cc
@@ -148,19 +148,21 @@
   decode_ledger free_ledger = ledgers[0];
   free_ledger.slots = rows + 1;
   const double ask_release = CpuOf(1000, [&] {
-    const QByteArray body = QCborValue(ToCbor(ask)).toCbor();
+    const QByteArray body = QCborValue(ToCbor(ask, key_form::numbers)).toCbor();
     const auto parsed = ParseDecodeAsk(QCborValue::fromCbor(body).toMap());
     const decode_answer answer =
         AskDecode(free_ledger, parsed->ask, {}, kStart);
-    (void)QCborValue(ToCbor(answer)).toCbor();
+    (void)QCborValue(ToCbor(answer, key_form::numbers)).toCbor();
     ReleaseDecode(free_ledger, ask.ask.request_id);
   });
-  const qsizetype ask_bytes = QCborValue(ToCbor(ask)).toCbor().size();
+  const qsizetype ask_bytes =
+      QCborValue(ToCbor(ask, key_form::numbers)).toCbor().size();
   const qsizetype answer_bytes =
-      QCborValue(ToCbor(decode_answer{})).toCbor().size();
+      QCborValue(ToCbor(decode_answer{}, key_form::numbers)).toCbor().size();
   const release_message release{"engine-zagreb-a-1", ask.ask.request_id, 900,
                                 absl::Milliseconds(120)};
-  const qsizetype release_bytes = QCborValue(ToCbor(release)).toCbor().size();
+  const qsizetype release_bytes =
+      QCborValue(ToCbor(release, key_form::numbers)).toCbor().size();
 
   std::vector<std::string> names;
   names.reserve(daemons);
--- a/bench/capacity/peer_cost.cc
+++ b/bench/capacity/peer_cost.cc
@@ -28,7 +28,8 @@
           kAskDecodeMethod, [](const QCborMap& request, auto respond) {
             const auto message = ParseDecodeAsk(request);
             if (!message.ok()) return respond(message.status());
-            respond(ToCbor(decode_answer{true, 3, 900, absl::ZeroDuration()}));
+            respond(ToCbor(decode_answer{true, 3, 900, absl::ZeroDuration()},
+                           key_form::numbers));
           });
       if (!servers_.back()->Listen({"127.0.0.1", 0}).ok()) ++failed;
     }
@@ -53,7 +54,8 @@
                             "entry-zagreb-a-1:1800000000000000", 80,
                             absl::Milliseconds(300), absl::Seconds(8)}};
     client.Call(absl::StrCat("127.0.0.1:", server->Port()), kAskDecodeMethod,
-                ToCbor(ask), kTimeout, [this](const auto& answer) {
+                ToCbor(ask, key_form::numbers), kTimeout,
+                [this](const auto& answer) {
                   if (!answer.ok()) ++failed;
                   Next();
                 });
--- a/src/peer/peer_client.cc
+++ b/src/peer/peer_client.cc
@@ -70,9 +70,9 @@
 
   uint64_t Open(const std::string& address, const endpoint& peer);
   absl::Status Send(uint64_t call, const std::string& address,
-                    absl::string_view method, const QByteArray& body);
+                    const peer_request& request);
   absl::Status SendOn(uint64_t connection, uint64_t call,
-                      absl::string_view method, const QByteArray& body);
+                      const peer_request& request);
   void Finish(uint64_t connection, int32_t stream,
               const absl::StatusOr<QCborMap>& answer);
   void End(uint64_t call, const absl::StatusOr<QCborMap>& answer);
@@ -119,11 +119,9 @@
 }
 
 absl::Status peer_client::impl::SendOn(uint64_t connection, uint64_t call,
-                                       absl::string_view method,
-                                       const QByteArray& body) {
+                                       const peer_request& request) {
   client_connection& peer = *connections.at(connection);
-  const absl::StatusOr<int32_t> stream =
-      peer.session->SubmitCall(method, key, body);
+  const absl::StatusOr<int32_t> stream = peer.session->SubmitCall(request, key);
   if (!stream.ok()) return stream.status();
   if (peer.calls.empty()) peer.busy_since = MonotonicNow();
   peer.calls[*stream] = call;
@@ -133,12 +131,10 @@
 }
 
 absl::Status peer_client::impl::Send(uint64_t call, const std::string& address,
-                                     absl::string_view method,
-                                     const QByteArray& body) {
+                                     const peer_request& request) {
   const auto open = by_address.find(address);
   // A connection that is ending finishes its calls and takes no more.
-  if (open != by_address.end() &&
-      SendOn(open->second, call, method, body).ok()) {
+  if (open != by_address.end() && SendOn(open->second, call, request).ok()) {
     return absl::OkStatus();
   }
   const std::optional<endpoint> peer = ParseAddress(address);
@@ -147,7 +143,7 @@
                      run_state::not_run);
   }
   const uint64_t opened = Open(address, *peer);
-  return SendOn(opened, call, method, body);
+  return SendOn(opened, call, request);
 }
 
 void peer_client::impl::Finish(uint64_t connection, int32_t stream,
@@ -243,11 +239,11 @@
                        std::function<void(absl::StatusOr<QCborMap>)> done) {
   const uint64_t call = ++impl_->last_id;
   impl_->calls[call].done = std::move(done);
-  const QByteArray body = request.toCborValue().toCbor();
+  const peer_request encoded = EncodePeerRequest(method, request);
   const absl::Status sent =
-      body.size() > kMaxPeerBodyBytes
+      encoded.body.size() > kMaxPeerBodyBytes
           ? MakeError(error_kind::body_too_large, "the call is too long")
-          : impl_->Send(call, std::string(address), method, body);
+          : impl_->Send(call, std::string(address), encoded);
   if (sent.ok()) return impl_->deadlines.Set(call, MonotonicNow() + timeout);
   PostTo(&impl_->context,
          [self = impl_.get(), call, sent] { self->End(call, sent); });
--- a/src/peer/peer_client.h
+++ b/src/peer/peer_client.h
@@ -27,7 +27,9 @@
   /// `done` is called once, on this thread: with the peer's answer, its error,
   /// or `upstream_failed` / `upstream_stalled` when the peer can't be reached
   /// or `timeout` passes. Never called from inside `Call`. The run state of
-  /// those two is `not_run` only if no connection was made.
+  /// those two is `not_run` only if no connection was made. Text of `request`
+  /// under the keys 0 to 3 costs a byte or two when it repeats from call to
+  /// call (see `kRepeatedKeys`).
   void Call(absl::string_view address, absl::string_view method,
             const QCborMap& request, absl::Duration timeout,
             std::function<void(absl::StatusOr<QCborMap>)> done);
--- a/src/peer/peer_http2.cc
+++ b/src/peer/peer_http2.cc
@@ -21,11 +21,14 @@
 constexpr uint32_t kStreamWindowBytes = 1 << 20;
 constexpr int32_t kConnectionWindowBytes = 16 << 20;
 constexpr absl::string_view kKeyField = "anvil-key";
+constexpr std::array<absl::string_view, kRepeatedKeys> kRepeatedFields = {
+    "anvil-0", "anvil-1", "anvil-2", "anvil-3"};
 
 /// One stream: what has arrived of it and what is still to be sent.
 struct peer_stream {
   std::string method;
   std::string key;
+  std::array<std::string, kRepeatedKeys> repeated;
   int http_status = 0;
   QByteArray received;
   QByteArray outgoing;
@@ -60,6 +63,14 @@
   return count;
 }
 
+void TakeRepeated(peer_stream& stream, absl::string_view field,
+                  absl::string_view text) {
+  const auto found =
+      std::find(kRepeatedFields.begin(), kRepeatedFields.end(), field);
+  if (found == kRepeatedFields.end()) return;
+  stream.repeated[found - kRepeatedFields.begin()] = std::string(text);
+}
+
 bool EndsStream(const nghttp2_frame& frame) {
   return (frame.hd.flags & NGHTTP2_FLAG_END_STREAM) != 0;
 }
@@ -175,6 +186,8 @@
     (void)absl::SimpleAtoi(text, &stream->http_status);
   } else if (field == kKeyField) {
     stream->key = std::string(text);
+  } else {
+    TakeRepeated(*stream, field, text);
   }
   return 0;
 }
@@ -264,9 +277,10 @@
   // A call that was given up in the meantime is not run.
   if (stream == nullptr) return;
   // Moved out, since an answer given at once may end the stream.
-  const std::string method = std::move(stream->method);
-  const QByteArray body = std::move(stream->received);
-  events.on_call(id, method, body);
+  const peer_request request{std::move(stream->method),
+                             std::move(stream->repeated),
+                             std::move(stream->received)};
+  events.on_call(id, request);
 }
 
 void peer_http2::impl::EndStream(int32_t id, run_state ran) {
@@ -325,9 +339,8 @@
   return output;
 }
 
-absl::StatusOr<int32_t> peer_http2::SubmitCall(absl::string_view method,
-                                               absl::string_view key,
-                                               QByteArray body) {
+absl::StatusOr<int32_t> peer_http2::SubmitCall(const peer_request& request,
+                                               absl::string_view key) {
   const bool takes_calls =
       !impl_->closed &&
       nghttp2_session_check_request_allowed(impl_->session) != 0;
@@ -336,13 +349,17 @@
                      "the connection takes no more calls", run_state::not_run);
   }
   auto stream = std::make_unique<peer_stream>();
-  stream->outgoing = std::move(body);
-  const std::string path = absl::StrCat("/", method);
+  stream->outgoing = request.body;
+  const std::string path = absl::StrCat("/", request.method);
   // The same fields each time, so that header compression sends the key once.
-  const std::array<nghttp2_nv, 5> fields = {
+  std::vector<nghttp2_nv> fields = {
       MakeField(":method", "POST"), MakeField(":scheme", "http"),
       MakeField(":authority", "peer"), MakeField(":path", path),
       MakeField(kKeyField, key)};
+  for (size_t i = 0; i < request.repeated.size(); ++i) {
+    if (request.repeated[i].empty()) continue;
+    fields.push_back(MakeField(kRepeatedFields[i], request.repeated[i]));
+  }
   nghttp2_data_provider provider{};
   provider.source.ptr = stream.get();
   provider.read_callback = &ReadOutgoing;
--- a/src/peer/peer_http2.h
+++ b/src/peer/peer_http2.h
@@ -24,9 +24,7 @@
   /// The only event that is told inside nghttp2.
   std::function<bool(absl::string_view key)> authorize;
   /// Server: a call of `method` has arrived whole.
-  std::function<void(int32_t stream, const std::string& method,
-                     const QByteArray& body)>
-      on_call;
+  std::function<void(int32_t stream, const peer_request& request)> on_call;
   /// Client: a call was answered.
   std::function<void(int32_t stream, const peer_answer& answer)> on_answer;
   /// Client: the stream ended before it was answered; `ran` is `not_run` when
@@ -35,8 +33,9 @@
 };
 
 /// The HTTP/2 state of either side of a connection, from bytes to bytes. A call
-/// is `POST /METHOD` with the field `anvil-key` and a CBOR map as body; a call
-/// with a wrong key is answered 403 and ends the connection.
+/// is `POST /METHOD` with the field `anvil-key`, the fields `anvil-0` to
+/// `anvil-3` for text that repeats, and a CBOR map as body; a call with a wrong
+/// key is answered 403 and ends the connection.
 class peer_http2 {
  public:
   peer_http2(peer_side side, peer_http2_events events);
@@ -50,8 +49,8 @@
 
   /// Client: adds a call; returns its stream, or `upstream_failed` (not run)
   /// when the connection takes no more.
-  absl::StatusOr<int32_t> SubmitCall(absl::string_view method,
-                                     absl::string_view key, QByteArray body);
+  absl::StatusOr<int32_t> SubmitCall(const peer_request& request,
+                                     absl::string_view key);
 
   /// Server: answers a call; ignored if its stream has ended.
   void SubmitAnswer(int32_t stream, peer_answer answer);
--- a/src/peer/peer_message.cc
+++ b/src/peer/peer_message.cc
@@ -1,8 +1,10 @@
 #include "peer/peer_message.h"
 
 #include <QCborValue>
+#include <algorithm>
 #include <string>
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
 #include "base/error_kind.h"
 #include "base/run_state.h"
@@ -11,6 +13,15 @@
 namespace anvilridge {
 namespace {
 
+// Longer text would push others out of the compression's table.
+constexpr size_t kMaxRepeatedBytes = 256;
+
+bool FitsHeader(absl::string_view text) {
+  const auto fits = [](unsigned char c) { return absl::ascii_isgraph(c); };
+  return !text.empty() && text.size() <= kMaxRepeatedBytes &&
+         std::all_of(text.begin(), text.end(), fits);
+}
+
 run_state RunStateNamed(absl::string_view name) {
   for (const run_state state : {run_state::not_run, run_state::ran}) {
     if (RunStateName(state) == name) return state;
@@ -58,6 +69,31 @@
 
 }  // namespace
 
+peer_request EncodePeerRequest(absl::string_view method, const QCborMap& call) {
+  peer_request request;
+  request.method = std::string(method);
+  QCborMap body = call;
+  for (int key = 0; key < kRepeatedKeys; ++key) {
+    const QCborValue value = body.value(qint64{key});
+    const std::string text = value.toString().toStdString();
+    if (!value.isString() || !FitsHeader(text)) continue;
+    request.repeated[key] = text;
+    body.remove(qint64{key});
+  }
+  request.body = body.toCborValue().toCbor();
+  return request;
+}
+
+absl::StatusOr<QCborMap> DecodePeerRequest(const peer_request& request) {
+  absl::StatusOr<QCborMap> call = DecodePeerBody(request.body);
+  if (!call.ok()) return call;
+  for (int key = 0; key < kRepeatedKeys; ++key) {
+    const std::string& text = request.repeated[key];
+    if (!text.empty()) (*call)[qint64{key}] = CborText(text);
+  }
+  return call;
+}
+
 absl::StatusOr<QCborMap> DecodePeerBody(const QByteArray& body) {
   QCborParserError error;
   const QCborValue value = QCborValue::fromCbor(body, &error);
--- a/src/peer/peer_message.h
+++ b/src/peer/peer_message.h
@@ -3,9 +3,12 @@
 
 #include <QByteArray>
 #include <QCborMap>
+#include <array>
+#include <string>
 
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
+#include "absl/strings/string_view.h"
 
 namespace anvilridge {
 
@@ -20,6 +23,24 @@
   QByteArray body;
 };
 
+/// Text under the integer keys below this goes as a header field of its own,
+/// which the connection's header compression sends once: for values that repeat
+/// from call to call, as the caller's name does.
+constexpr int kRepeatedKeys = 4;
+
+/// A call as it goes over the wire.
+struct peer_request {
+  std::string method;
+  std::array<std::string, kRepeatedKeys> repeated;
+  QByteArray body;
+};
+
+/// Encodes a call; text that a header field can't hold stays in the body.
+peer_request EncodePeerRequest(absl::string_view method, const QCborMap& call);
+
+/// Decodes the fields of a call; `malformed_request` if the body is no map.
+absl::StatusOr<QCborMap> DecodePeerRequest(const peer_request& request);
+
 /// Encodes what a handler answered; an answer that is too long becomes an
 /// error.
 peer_answer EncodePeerAnswer(const absl::StatusOr<QCborMap>& answer);
--- a/src/peer/peer_server.cc
+++ b/src/peer/peer_server.cc
@@ -64,8 +64,7 @@
 
   void Accept();
   void Open(std::unique_ptr<QTcpSocket> socket);
-  void Dispatch(uint64_t id, int32_t stream, const std::string& method,
-                const QByteArray& body);
+  void Dispatch(uint64_t id, int32_t stream, const peer_request& request);
   void Drop(uint64_t id);
   void CloseIdle();
 };
@@ -84,9 +83,9 @@
   events.http2.authorize = [this](absl::string_view sent) {
     return ConstantTimeEqual(sent, key);
   };
-  events.http2.on_call = [this, id](int32_t stream, const std::string& method,
-                                    const QByteArray& body) {
-    Dispatch(id, stream, method, body);
+  events.http2.on_call = [this, id](int32_t stream,
+                                    const peer_request& request) {
+    Dispatch(id, stream, request);
   };
   events.on_broken = [this, id](const std::string&) { Drop(id); };
   connections[id] = {
@@ -96,18 +95,18 @@
 }
 
 void peer_server::impl::Dispatch(uint64_t id, int32_t stream,
-                                 const std::string& method,
-                                 const QByteArray& body) {
+                                 const peer_request& request) {
   const auto answer =
       std::make_shared<owed_answer>(connections.at(id).session, stream);
-  const absl::StatusOr<QCborMap> request = DecodePeerBody(body);
-  if (!request.ok()) return answer->Send(request.status());
-  const auto handler = handlers.find(method);
+  const absl::StatusOr<QCborMap> call = DecodePeerRequest(request);
+  if (!call.ok()) return answer->Send(call.status());
+  const auto handler = handlers.find(request.method);
   if (handler == handlers.end()) {
-    return answer->Send(MakeError(error_kind::not_found,
-                                  absl::StrCat("no peer method ", method)));
+    return answer->Send(
+        MakeError(error_kind::not_found,
+                  absl::StrCat("no peer method ", request.method)));
   }
-  handler->second(*request, [answer](const absl::StatusOr<QCborMap>& result) {
+  handler->second(*call, [answer](const absl::StatusOr<QCborMap>& result) {
     answer->Send(result);
   });
 }
--- a/src/peer/peer_session.cc
+++ b/src/peer/peer_session.cc
@@ -139,11 +139,10 @@
 
 peer_session::~peer_session() = default;
 
-absl::StatusOr<int32_t> peer_session::SubmitCall(absl::string_view method,
-                                                 absl::string_view key,
-                                                 QByteArray body) {
+absl::StatusOr<int32_t> peer_session::SubmitCall(const peer_request& request,
+                                                 absl::string_view key) {
   impl_->QueueFlush();
-  return impl_->http2.SubmitCall(method, key, std::move(body));
+  return impl_->http2.SubmitCall(request, key);
 }
 
 void peer_session::SubmitAnswer(int32_t stream, peer_answer answer) {
--- a/src/peer/peer_session.h
+++ b/src/peer/peer_session.h
@@ -32,8 +32,8 @@
   ~peer_session();
 
   /// These are the calls of `peer_http2`, with sending arranged.
-  absl::StatusOr<int32_t> SubmitCall(absl::string_view method,
-                                     absl::string_view key, QByteArray body);
+  absl::StatusOr<int32_t> SubmitCall(const peer_request& request,
+                                     absl::string_view key);
   void SubmitAnswer(int32_t stream, peer_answer answer);
   void Reset(int32_t stream);
   void Ping();
--- a/src/placement/engine_homes.cc
+++ b/src/placement/engine_homes.cc
@@ -277,30 +277,45 @@
                                          const peer_responder& respond) {
     const absl::StatusOr<decode_ask_message> message = ParseDecodeAsk(request);
     if (!message.ok()) return respond(message.status());
-    Ask(*message, [respond](absl::StatusOr<decode_answer> answer) {
+    const absl::Status carried = TakeCarried(request);
+    if (!carried.ok()) return respond(carried);
+    Ask(*message, [respond, form = FormOf(request)](
+                      absl::StatusOr<decode_answer> answer) {
       if (!answer.ok()) return respond(answer.status());
-      respond(ToCbor(*answer));
-    });
-  });
-  server.Handle(kAskPrefillMethod, [this](const QCborMap& request,
-                                          const peer_responder& respond) {
-    const absl::StatusOr<prefill_ask_message> message =
-        ParsePrefillAsk(request);
-    if (!message.ok()) return respond(message.status());
-    Ask(*message, [respond](absl::StatusOr<prefill_answer> answer) {
-      if (!answer.ok()) return respond(answer.status());
-      respond(ToCbor(*answer));
+      respond(ToCbor(*answer, form));
     });
   });
+  server.Handle(kAskPrefillMethod,
+                [this](const QCborMap& request, const peer_responder& respond) {
+                  const absl::StatusOr<prefill_ask_message> message =
+                      ParsePrefillAsk(request);
+                  if (!message.ok()) return respond(message.status());
+                  const absl::Status carried = TakeCarried(request);
+                  if (!carried.ok()) return respond(carried);
+                  Ask(*message, [respond, form = FormOf(request)](
+                                    absl::StatusOr<prefill_answer> answer) {
+                    if (!answer.ok()) return respond(answer.status());
+                    respond(ToCbor(*answer, form));
+                  });
+                });
   server.Handle(kReleaseMethod, [this](const QCborMap& request,
                                        const peer_responder& respond) {
     const absl::StatusOr<release_message> message = ParseRelease(request);
     if (!message.ok()) return respond(message.status());
+    const absl::Status carried = TakeCarried(request);
+    if (!carried.ok()) return respond(carried);
     Release(*message);
     respond(QCborMap());
   });
 }
 
+absl::Status engine_homes::TakeCarried(const QCborMap& request) {
+  const auto releases = ParseCarried(request);
+  if (!releases.ok()) return releases.status();
+  for (const release_message& release : *releases) Release(release);
+  return absl::OkStatus();
+}
+
 void engine_homes::Ask(const decode_ask_message& message,
                        decode_callback done) {
   const absl::StatusOr<upstream_config> upstream = impl_->Find(message.engine);
--- a/src/placement/engine_homes.h
+++ b/src/placement/engine_homes.h
@@ -75,6 +75,9 @@
   void OnList(list_listener listener);
 
  private:
+  /// Takes the releases that came with another message.
+  absl::Status TakeCarried(const QCborMap& request);
+
   struct impl;
   std::unique_ptr<impl> impl_;
 };
--- a/src/placement/home_messages.cc
+++ b/src/placement/home_messages.cc
@@ -1,164 +1,144 @@
 #include "placement/home_messages.h"
 
-#include <QString>
-#include <algorithm>
+#include <QCborArray>
+#include <utility>
 
-#include "absl/strings/str_cat.h"
 #include "base/error_kind.h"
 
 namespace anvilridge {
 namespace {
 
-constexpr int kMaxTokens = 10'000'000;
-constexpr int64_t kMaxMicroseconds = 3'600'000'000;
+using field = home_field;
 
-QString ToQt(const std::string& text) { return QString::fromStdString(text); }
+// Releases in one message; more would show a fault.
+constexpr qsizetype kMaxCarried = 1000;
 
-// Reads the fields of one message and remembers the first that is wrong.
-class field_reader {
- public:
-  explicit field_reader(const QCborMap& map) : map_(map) {}
-
-  std::string Text(const char* key) {
-    const QCborValue value = map_.value(QLatin1String(key));
-    if (!value.isString() || value.toString().isEmpty()) Fail(key);
-    return value.toString().toStdString();
-  }
-
-  int Count(const char* key) {
-    return static_cast<int>(Integer(key, kMaxTokens));
-  }
-
-  absl::Duration Time(const char* key) {
-    return absl::Microseconds(Integer(key, kMaxMicroseconds));
-  }
-
-  bool Flag(const char* key) {
-    const QCborValue value = map_.value(QLatin1String(key));
-    if (!value.isBool()) Fail(key);
-    return value.toBool();
-  }
-
-  template <typename T>
-  absl::StatusOr<T> Finish(T message) const {
-    if (wrong_.empty()) return message;
-    return MakeError(error_kind::malformed_request,
-                     absl::StrCat("peer message: field ", wrong_));
-  }
-
- private:
-  int64_t Integer(const char* key, int64_t most) {
-    const QCborValue value = map_.value(QLatin1String(key));
-    const int64_t number = value.toInteger(-1);
-    if (number < 0 || number > most) Fail(key);
-    return number;
-  }
-
-  void Fail(const char* key) {
-    if (wrong_.empty()) wrong_ = key;
-  }
-
-  const QCborMap& map_;
-  std::string wrong_;
-};
+}  // namespace
 
-qint64 Microseconds(absl::Duration duration) {
-  const int64_t count = absl::ToInt64Microseconds(duration);
-  return std::min(std::max<int64_t>(count, 0), kMaxMicroseconds);
+QCborMap ToCbor(const decode_ask_message& message, key_form form) {
+  return field_writer(form)
+      .Put(field::engine, message.engine)
+      .PutId(message.ask.request_id)
+      .Put(field::owner, message.ask.owner)
+      .Put(field::pieces, message.ask.pieces)
+      .Put(field::needed, message.ask.needed_in)
+      .Put(field::use, message.ask.expected_use)
+      .Put(field::wait, message.ask.may_wait)
+      .Take();
 }
 
-}  // namespace
+QCborMap ToCbor(const prefill_ask_message& message, key_form form) {
+  return field_writer(form)
+      .Put(field::engine, message.engine)
+      .PutId(message.ask.request_id)
+      .Put(field::owner, message.ask.owner)
+      .Put(field::tokens, message.ask.tokens)
+      .Put(field::wait, message.ask.longest_wait)
+      .Take();
+}
 
-QCborMap ToCbor(const decode_ask_message& message) {
-  return {{QLatin1String("engine"), ToQt(message.engine)},
-          {QLatin1String("id"), ToQt(message.ask.request_id)},
-          {QLatin1String("owner"), ToQt(message.ask.owner)},
-          {QLatin1String("pieces"), message.ask.pieces},
-          {QLatin1String("needed"), Microseconds(message.ask.needed_in)},
-          {QLatin1String("use"), Microseconds(message.ask.expected_use)},
-          {QLatin1String("wait"), Microseconds(message.ask.may_wait)}};
+QCborMap ToCbor(const release_message& message, key_form form) {
+  return field_writer(form)
+      .Put(field::engine, message.engine)
+      .PutId(message.request_id)
+      .Put(field::tokens, message.prefill_tokens)
+      .Put(field::time, message.prefill_time)
+      .Put(field::finished, message.finished)
+      .Take();
 }
 
-QCborMap ToCbor(const prefill_ask_message& message) {
-  return {{QLatin1String("engine"), ToQt(message.engine)},
-          {QLatin1String("id"), ToQt(message.ask.request_id)},
-          {QLatin1String("owner"), ToQt(message.ask.owner)},
-          {QLatin1String("tokens"), message.ask.tokens},
-          {QLatin1String("wait"), Microseconds(message.ask.longest_wait)}};
+QCborMap ToCbor(const decode_answer& answer, key_form form) {
+  return field_writer(form)
+      .Put(field::granted, answer.granted)
+      .Put(field::slots, answer.free_slots)
+      .Put(field::pieces, answer.free_pieces)
+      .Put(field::free_in, answer.free_in)
+      .Take();
 }
 
-QCborMap ToCbor(const release_message& message) {
-  return {{QLatin1String("engine"), ToQt(message.engine)},
-          {QLatin1String("id"), ToQt(message.request_id)},
-          {QLatin1String("tokens"), message.prefill_tokens},
-          {QLatin1String("time"), Microseconds(message.prefill_time)},
-          {QLatin1String("finished"), message.finished}};
+QCborMap ToCbor(const prefill_answer& answer, key_form form) {
+  return field_writer(form)
+      .Put(field::granted, answer.granted)
+      .Put(field::wait, answer.wait)
+      .Put(field::work, answer.work)
+      .Take();
 }
 
-QCborMap ToCbor(const decode_answer& answer) {
-  return {{QLatin1String("granted"), answer.granted},
-          {QLatin1String("slots"), answer.free_slots},
-          {QLatin1String("pieces"), answer.free_pieces},
-          {QLatin1String("free_in"), Microseconds(answer.free_in)}};
+void Carry(absl::Span<const release_message> releases, QCborMap& message) {
+  if (releases.empty()) return;
+  QCborArray array;
+  for (const release_message& release : releases) {
+    array.append(ToCbor(release, key_form::numbers));
+  }
+  message[static_cast<qint64>(field::releases)] = array;
 }
 
-QCborMap ToCbor(const prefill_answer& answer) {
-  return {{QLatin1String("granted"), answer.granted},
-          {QLatin1String("wait"), Microseconds(answer.wait)},
-          {QLatin1String("work"), Microseconds(answer.work)}};
+absl::StatusOr<std::vector<release_message>> ParseCarried(const QCborMap& map) {
+  const QCborArray array =
+      map.value(static_cast<qint64>(field::releases)).toArray();
+  if (array.size() > kMaxCarried) {
+    return MakeError(error_kind::malformed_request, "too many releases");
+  }
+  std::vector<release_message> releases;
+  for (const QCborValue entry : array) {
+    auto release = ParseRelease(entry.toMap());
+    if (!release.ok()) return release.status();
+    releases.push_back(*std::move(release));
+  }
+  return releases;
 }
 
 absl::StatusOr<decode_ask_message> ParseDecodeAsk(const QCborMap& map) {
   field_reader fields(map);
   decode_ask_message message;
-  message.engine = fields.Text("engine");
-  message.ask.request_id = fields.Text("id");
-  message.ask.owner = fields.Text("owner");
-  message.ask.pieces = fields.Count("pieces");
-  message.ask.needed_in = fields.Time("needed");
-  message.ask.expected_use = fields.Time("use");
-  message.ask.may_wait = fields.Time("wait");
+  message.engine = fields.Text(field::engine);
+  message.ask.request_id = fields.Id();
+  message.ask.owner = fields.Text(field::owner);
+  message.ask.pieces = fields.Count(field::pieces);
+  message.ask.needed_in = fields.Time(field::needed);
+  message.ask.expected_use = fields.Time(field::use);
+  message.ask.may_wait = fields.Time(field::wait);
   return fields.Finish(std::move(message));
 }
 
 absl::StatusOr<prefill_ask_message> ParsePrefillAsk(const QCborMap& map) {
   field_reader fields(map);
   prefill_ask_message message;
-  message.engine = fields.Text("engine");
-  message.ask.request_id = fields.Text("id");
-  message.ask.owner = fields.Text("owner");
-  message.ask.tokens = fields.Count("tokens");
-  message.ask.longest_wait = fields.Time("wait");
+  message.engine = fields.Text(field::engine);
+  message.ask.request_id = fields.Id();
+  message.ask.owner = fields.Text(field::owner);
+  message.ask.tokens = fields.Count(field::tokens);
+  message.ask.longest_wait = fields.Time(field::wait);
   return fields.Finish(std::move(message));
 }
 
 absl::StatusOr<release_message> ParseRelease(const QCborMap& map) {
   field_reader fields(map);
   release_message message;
-  message.engine = fields.Text("engine");
-  message.request_id = fields.Text("id");
-  message.prefill_tokens = fields.Count("tokens");
-  message.prefill_time = fields.Time("time");
-  message.finished = fields.Flag("finished");
+  message.engine = fields.Text(field::engine);
+  message.request_id = fields.Id();
+  message.prefill_tokens = fields.Count(field::tokens);
+  message.prefill_time = fields.Time(field::time);
+  message.finished = fields.Flag(field::finished);
   return fields.Finish(std::move(message));
 }
 
 absl::StatusOr<decode_answer> ParseDecodeAnswer(const QCborMap& map) {
   field_reader fields(map);
   decode_answer answer;
-  answer.granted = fields.Flag("granted");
-  answer.free_slots = fields.Count("slots");
-  answer.free_pieces = fields.Count("pieces");
-  answer.free_in = fields.Time("free_in");
+  answer.granted = fields.Flag(field::granted);
+  answer.free_slots = fields.Count(field::slots);
+  answer.free_pieces = fields.Count(field::pieces);
+  answer.free_in = fields.Time(field::free_in);
   return fields.Finish(answer);
 }
 
 absl::StatusOr<prefill_answer> ParsePrefillAnswer(const QCborMap& map) {
   field_reader fields(map);
   prefill_answer answer;
-  answer.granted = fields.Flag("granted");
-  answer.wait = fields.Time("wait");
-  answer.work = fields.Time("work");
+  answer.granted = fields.Flag(field::granted);
+  answer.wait = fields.Time(field::wait);
+  answer.work = fields.Time(field::work);
   return fields.Finish(answer);
 }
 
--- a/src/placement/home_messages.h
+++ b/src/placement/home_messages.h
@@ -3,9 +3,12 @@
 
 #include <QCborMap>
 #include <string>
+#include <vector>
 
 #include "absl/status/statusor.h"
+#include "absl/types/span.h"
 #include "placement/decode_ledger.h"
+#include "placement/home_fields.h"
 #include "placement/prefill_ledger.h"
 
 namespace anvilridge {
@@ -37,11 +40,18 @@
   bool finished = false;
 };
 
-QCborMap ToCbor(const decode_ask_message& message);
-QCborMap ToCbor(const prefill_ask_message& message);
-QCborMap ToCbor(const release_message& message);
-QCborMap ToCbor(const decode_answer& answer);
-QCborMap ToCbor(const prefill_answer& answer);
+QCborMap ToCbor(const decode_ask_message& message, key_form form);
+QCborMap ToCbor(const prefill_ask_message& message, key_form form);
+QCborMap ToCbor(const release_message& message, key_form form);
+QCborMap ToCbor(const decode_answer& answer, key_form form);
+QCborMap ToCbor(const prefill_answer& answer, key_form form);
+
+/// Puts `releases` into a message with numbers as keys that goes to the same
+/// daemon anyway.
+void Carry(absl::Span<const release_message> releases, QCborMap& message);
+
+/// Returns the releases that `map` carries; none of a daemon that carries none.
+absl::StatusOr<std::vector<release_message>> ParseCarried(const QCborMap& map);
 
 // Each returns `malformed_request` when a field is missing or out of range.
 absl::StatusOr<decode_ask_message> ParseDecodeAsk(const QCborMap& map);
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -88,7 +88,8 @@
   std::unique_ptr<load_reports> reports;
 
   impl(peer_client& peers, engine_homes& local, placer_environment environment)
-      : env(std::move(environment)), homes{&peers, &local, env.home_address} {
+      : env(std::move(environment)),
+        homes{&peers, &local, env.home_address, {}, {}} {
     if (env.policy != placement_policy::least_loaded) return;
     reports = std::make_unique<load_reports>(*env.client, env.config);
   }
@@ -387,14 +388,12 @@
 
 void placer::Finish(const place_outcome& outcome) {
   if (impl_->env.policy != placement_policy::homes) return;
-  release_message prefill{
-      outcome.prefill.name, outcome.request_id, 0, {}, false};
   const bool teaches = impl_->unqueued.erase(outcome.request_id) > 0;
-  if (outcome.prefilled && teaches) {
-    prefill.prefill_tokens = outcome.prefill_tokens;
-    prefill.prefill_time = outcome.prefill_time;
+  if (outcome.prefilled && teaches && !outcome.prefill.name.empty()) {
+    TeachHome(impl_->homes,
+              {outcome.prefill.name, outcome.request_id, outcome.prefill_tokens,
+               outcome.prefill_time, false});
   }
-  if (!prefill.engine.empty()) ReleaseAtHome(impl_->homes, prefill);
   if (outcome.decode.name.empty()) return;
   ReleaseAtHome(impl_->homes, {outcome.decode.name,
                                outcome.request_id,
