Wait for peers' sockets by epoll behind one descriptor

Cause: perf record of peer_cost 370 4000 (before): 24% sock_poll, 16% tcp_poll, 9% g_main_context_check, 5% fdget, 5% g_main_context_query, 3% do_sys_poll: the event loop polls each socket at each turn. Ruled out: fewer connections (each peer is home to engines asked every few seconds, so none is idle), and datagrams for asks (their loss and order would be ours to handle). Change: peer_socket is a non-blocking socket, and socket_poller waits for all of a client's or a server's by one epoll descriptor in the event loop. peer_cost now has one server and as many connections to it as PEERS, by loopback addresses, as 370 listening servers in the measuring process were polled too.

--- a/bench/capacity/peer_cost.cc
+++ b/bench/capacity/peer_cost.cc
@@ -1,11 +1,10 @@
 // Cost of placement's calls between daemons: peer_cost PEERS CALLS
-// One client and PEERS servers in one process, so that CPU is that of both ends
-// of a call; as many calls reach a daemon as leave it.
+// One client and one server with PEERS connections between them, as many as a
+// daemon has to and from its peers; CPU is that of both ends of a call, and as
+// many calls reach a daemon as leave it.
 #include <QCoreApplication>
 #include <QEventLoop>
-#include <memory>
 #include <string>
-#include <vector>
 
 #include "absl/strings/str_cat.h"
 #include "bench_meter.h"
@@ -21,18 +20,14 @@
 
 class caller {
  public:
-  explicit caller(int peers) {
-    for (int i = 0; i < peers; ++i) {
-      servers_.push_back(std::make_unique<peer_server>(kKey));
-      servers_.back()->Handle(
-          kAskDecodeMethod, [](const QCborMap& request, auto respond) {
-            const auto message = ParseDecodeAsk(request);
-            if (!message.ok()) return respond(message.status());
-            respond(ToCbor(decode_answer{true, 3, 900, absl::ZeroDuration()},
-                           key_form::numbers));
-          });
-      if (!servers_.back()->Listen({"127.0.0.1", 0}).ok()) ++failed;
-    }
+  explicit caller(int peers) : peers_(peers) {
+    server_.Handle(kAskDecodeMethod, [](const QCborMap& request, auto respond) {
+      const auto message = ParseDecodeAsk(request);
+      if (!message.ok()) return respond(message.status());
+      respond(ToCbor(decode_answer{true, 3, 900, absl::ZeroDuration()},
+                     key_form::numbers));
+    });
+    if (!server_.Listen({"0.0.0.0", 0}).ok()) ++failed;
   }
 
   // Makes one call after the other, to each peer in turn.
@@ -48,20 +43,23 @@
  private:
   void Next() {
     if (left_-- == 0) return loop_.quit();
-    const auto& server = servers_[static_cast<size_t>(left_) % servers_.size()];
+    // Each loopback address is another peer to the client.
+    const int peer = left_ % peers_;
+    const std::string address = absl::StrCat(
+        "127.0.", 1 + peer / 200, ".", 1 + peer % 200, ":", server_.Port());
     decode_ask_message ask{"engine-zagreb-a-1",
                            {absl::StrCat("0123456789abcdef01234567", left_),
                             "entry-zagreb-a-1:1800000000000000", 80,
                             absl::Milliseconds(300), absl::Seconds(8)}};
-    client.Call(absl::StrCat("127.0.0.1:", server->Port()), kAskDecodeMethod,
-                ToCbor(ask, key_form::numbers), kTimeout,
-                [this](const auto& answer) {
+    client.Call(address, kAskDecodeMethod, ToCbor(ask, key_form::numbers),
+                kTimeout, [this](const auto& answer) {
                   if (!answer.ok()) ++failed;
                   Next();
                 });
   }
 
-  std::vector<std::unique_ptr<peer_server>> servers_;
+  int peers_;
+  peer_server server_{kKey};
   QEventLoop loop_;
   int left_ = 0;
 };
--- a/src/peer/peer_client.cc
+++ b/src/peer/peer_client.cc
@@ -1,8 +1,6 @@
 #include "peer/peer_client.h"
 
 #include <QHostAddress>
-#include <QNetworkProxy>
-#include <QTcpSocket>
 #include <QTimer>
 #include <algorithm>
 #include <optional>
@@ -57,6 +55,8 @@
 struct peer_client::impl {
   std::string key;
   peer_timing timing;
+  /// Outlives the connections.
+  socket_poller poller;
   uint64_t last_id = 0;
   absl::flat_hash_map<uint64_t, pending_call> calls;
   absl::flat_hash_map<uint64_t, std::shared_ptr<client_connection>> connections;
@@ -85,9 +85,7 @@
 uint64_t peer_client::impl::Open(const std::string& address,
                                  const endpoint& peer) {
   const uint64_t id = ++last_id;
-  auto socket = std::make_unique<QTcpSocket>();
-  socket->setProxy(QNetworkProxy::NoProxy);
-  QTcpSocket* connecting = socket.get();
+  auto socket = std::make_unique<peer_socket>(poller, peer);
   const auto connection = std::make_shared<client_connection>();
   peer_session_events events;
   events.on_connected = [this, id] { connections.at(id)->connected = true; };
@@ -113,8 +111,6 @@
     if (found == connections.end() || found->second->connected) return;
     found->second->session->Close("no connection in time");
   });
-  connecting->connectToHost(QHostAddress(QString::fromStdString(peer.address)),
-                            peer.port);
   return id;
 }
 
--- a/src/peer/peer_server.cc
+++ b/src/peer/peer_server.cc
@@ -2,8 +2,8 @@
 
 #include <QHostAddress>
 #include <QTcpServer>
-#include <QTcpSocket>
 #include <QTimer>
+#include <functional>
 #include <utility>
 #include <vector>
 
@@ -15,6 +15,7 @@
 #include "base/ids.h"
 #include "peer/peer_message.h"
 #include "peer/peer_session.h"
+#include "peer/socket_poller.h"
 
 namespace anvilridge {
 namespace {
@@ -26,6 +27,18 @@
   absl::Time opened;
 };
 
+/// Hands descriptors on, where Qt would make sockets that its event loop has to
+/// look at one by one.
+class peer_listener : public QTcpServer {
+ public:
+  std::function<void(int descriptor)> on_accepted;
+
+ protected:
+  void incomingConnection(qintptr descriptor) override {
+    on_accepted(static_cast<int>(descriptor));
+  }
+};
+
 /// The answer owed to one call. A handler that drops it without answering
 /// leaves no caller waiting.
 class owed_answer {
@@ -56,28 +69,27 @@
   std::string key;
   peer_timing timing;
   absl::flat_hash_map<std::string, peer_handler> handlers;
-  QTcpServer listener;
+  /// Outlives the connections.
+  socket_poller poller;
+  peer_listener listener;
   uint64_t last_id = 0;
   absl::flat_hash_map<uint64_t, server_connection> connections;
   QObject context;
   std::unique_ptr<QTimer> check_timer;
 
-  void Accept();
-  void Open(std::unique_ptr<QTcpSocket> socket);
+  void Accept(int descriptor);
+  void Open(std::unique_ptr<peer_socket> socket);
   void Dispatch(uint64_t id, int32_t stream, const peer_request& request);
   void Drop(uint64_t id);
   void CloseIdle();
 };
 
-void peer_server::impl::Accept() {
-  while (QTcpSocket* accepted = listener.nextPendingConnection()) {
-    accepted->setParent(nullptr);
-    std::unique_ptr<QTcpSocket> socket(accepted);
-    if (connections.size() < kMaxConnections) Open(std::move(socket));
-  }
+void peer_server::impl::Accept(int descriptor) {
+  auto socket = std::make_unique<peer_socket>(poller, descriptor);
+  if (connections.size() < kMaxConnections) Open(std::move(socket));
 }
 
-void peer_server::impl::Open(std::unique_ptr<QTcpSocket> socket) {
+void peer_server::impl::Open(std::unique_ptr<peer_socket> socket) {
   const uint64_t id = ++last_id;
   peer_session_events events;
   events.http2.authorize = [this](absl::string_view sent) {
@@ -138,8 +150,9 @@
   impl_->key = std::move(peer_key);
   impl_->timing = timing;
   impl_->listener.setListenBacklogSize(kBacklog);
-  QObject::connect(&impl_->listener, &QTcpServer::newConnection,
-                   &impl_->context, [this] { impl_->Accept(); });
+  impl_->listener.on_accepted = [self = impl_.get()](int descriptor) {
+    self->Accept(descriptor);
+  };
   impl_->check_timer =
       RunEvery(timing.check_period, [this] { impl_->CloseIdle(); });
 }
--- a/src/peer/peer_session.cc
+++ b/src/peer/peer_session.cc
@@ -10,7 +10,7 @@
 namespace {
 
 /// Bytes handed to the socket that it has not sent yet.
-constexpr qint64 kMaxUnsentBytes = 1 << 20;
+constexpr qsizetype kMaxUnsentBytes = 1 << 20;
 /// How long a side that refused a key waits for the other to close, so that
 /// the refusal is read before the connection is reset.
 constexpr absl::Duration kLinger = absl::Seconds(1);
@@ -18,7 +18,7 @@
 }  // namespace
 
 struct peer_session::impl {
-  std::unique_ptr<QTcpSocket> socket;
+  std::unique_ptr<peer_socket> socket;
   std::function<void()> on_connected;
   std::function<void(const std::string& reason)> on_broken;
   peer_http2 http2;
@@ -30,61 +30,44 @@
   bool broken = false;
   QObject context;
 
-  impl(peer_side side, std::unique_ptr<QTcpSocket> socket,
+  impl(peer_side side, std::unique_ptr<peer_socket> socket,
        peer_session_events events);
-  ~impl();
 
-  void ConnectSignals();
-  void OnConnected();
-  void Receive();
+  void ListenToSocket();
+  void Receive(const QByteArray& bytes);
   void QueueFlush();
   void Flush();
   void CloseIfOver();
   void Close(const std::string& reason);
 };
 
-peer_session::impl::impl(peer_side side, std::unique_ptr<QTcpSocket> socket,
+peer_session::impl::impl(peer_side side, std::unique_ptr<peer_socket> socket,
                          peer_session_events events)
     : socket(std::move(socket)),
       on_connected(std::move(events.on_connected)),
       on_broken(std::move(events.on_broken)),
       http2(side, std::move(events.http2)) {
-  ConnectSignals();
-  if (side == peer_side::server) OnConnected();
+  ListenToSocket();
+  if (this->socket->Connected()) QueueFlush();
 }
 
-peer_session::impl::~impl() {
-  QObject::disconnect(socket.get(), nullptr, &context, nullptr);
-}
-
-void peer_session::impl::ConnectSignals() {
-  QTcpSocket* source = socket.get();
-  QObject::connect(source, &QTcpSocket::connected, &context, [this] {
-    OnConnected();
+void peer_session::impl::ListenToSocket() {
+  peer_socket_events told;
+  told.on_connected = [this] {
+    QueueFlush();
     if (on_connected) on_connected();
-  });
-  QObject::connect(source, &QTcpSocket::readyRead, &context,
-                   [this] { Receive(); });
-  QObject::connect(source, &QTcpSocket::bytesWritten, &context, [this] {
+  };
+  told.on_bytes = [this](const QByteArray& bytes) { Receive(bytes); };
+  told.on_sent = [this] {
     if (http2.WantsToSend() || http2.IsOver()) QueueFlush();
-  });
-  QObject::connect(source, &QTcpSocket::disconnected, &context,
-                   [this] { Close("the peer closed the connection"); });
-  QObject::connect(source, &QTcpSocket::errorOccurred, &context,
-                   [this] { Close(socket->errorString().toStdString()); });
-}
-
-void peer_session::impl::OnConnected() {
-  socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
-  socket->setSocketOption(QAbstractSocket::KeepAliveOption, 1);
-  QueueFlush();
+  };
+  told.on_gone = [this](const std::string& reason) { Close(reason); };
+  socket->Listen(std::move(told));
 }
 
-void peer_session::impl::Receive() {
+void peer_session::impl::Receive(const QByteArray& bytes) {
   if (broken) return;
-  const QByteArray bytes = socket->readAll();
   CountControlBytes(bytes.size());
-  if (bytes.isEmpty()) return;
   last_received = MonotonicNow();
   bytes_received += static_cast<uint64_t>(bytes.size());
   const absl::Status status = http2.Receive(bytes);
@@ -100,14 +83,13 @@
 
 void peer_session::impl::Flush() {
   flush_queued = false;
-  if (broken || socket->state() != QAbstractSocket::ConnectedState) return;
+  if (broken || !socket->Connected()) return;
   const QByteArray output =
-      http2.TakeOutput(kMaxUnsentBytes - socket->bytesToWrite());
+      http2.TakeOutput(kMaxUnsentBytes - socket->Unsent());
   if (!output.isEmpty()) {
     bytes_sent += static_cast<uint64_t>(output.size());
     CountControlBytes(output.size());
-    socket->write(output);
-    socket->flush();
+    socket->Write(output);
   }
   CloseIfOver();
 }
@@ -120,7 +102,7 @@
     return RunAfter(&context, kLinger,
                     [this] { Close("the key was refused"); });
   }
-  const bool over = http2.IsOver() && socket->bytesToWrite() == 0;
+  const bool over = http2.IsOver() && socket->Unsent() == 0;
   if (over) Close("the connection has ended");
 }
 
@@ -128,11 +110,11 @@
   if (broken) return;
   broken = true;
   http2.Close();
-  socket->disconnectFromHost();
+  socket->Close();
   if (on_broken) on_broken(reason);
 }
 
-peer_session::peer_session(peer_side side, std::unique_ptr<QTcpSocket> socket,
+peer_session::peer_session(peer_side side, std::unique_ptr<peer_socket> socket,
                            peer_session_events events)
     : impl_(
           std::make_unique<impl>(side, std::move(socket), std::move(events))) {}
--- a/src/peer/peer_session.h
+++ b/src/peer/peer_session.h
@@ -1,7 +1,6 @@
 #ifndef ANVILRIDGE_PEER_PEER_SESSION_H_
 #define ANVILRIDGE_PEER_PEER_SESSION_H_
 
-#include <QTcpSocket>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -9,6 +8,7 @@
 
 #include "absl/time/time.h"
 #include "peer/peer_http2.h"
+#include "peer/peer_socket.h"
 
 namespace anvilridge {
 
@@ -27,7 +27,7 @@
 /// must defer that to the event loop.
 class peer_session {
  public:
-  peer_session(peer_side side, std::unique_ptr<QTcpSocket> socket,
+  peer_session(peer_side side, std::unique_ptr<peer_socket> socket,
                peer_session_events events);
   ~peer_session();
 
--- a/src/peer/peer_test.cc
+++ b/src/peer/peer_test.cc
@@ -137,6 +137,20 @@
   ExpectServing();
 }
 
+// Many at once are more than the system takes in one write.
+TEST_F(peer_test, LongBodiesAtOnceArriveWhole) {
+  constexpr int kCalls = 20;
+  const QCborMap body = {
+      {QStringLiteral("b"), QByteArray(kMaxPeerBodyBytes - 100, 'x')}};
+  int whole = 0;
+  for (int i = 0; i < kCalls; ++i) {
+    client_.Call(address_, "echo", body, kTimeout, [&](const answer& got) {
+      if (got.ok() && *got == body) ++whole;
+    });
+  }
+  EXPECT_TRUE(RunUntil([&] { return whole == kCalls; }));
+}
+
 TEST_F(peer_test, LongAnswersAreErrorsThatRan) {
   std::optional<answer> result;
   client_.Call(address_, "hold", {}, kTimeout,
