Count control bytes in one place

Cause: the process counted its bytes once for all, and each client and the membership service their own beside it; the channel peers of anvil_control_bytes left out what other daemons' calls brought. Change: base/control_traffic counts by channel and direction, and both metrics read it. peer_client keeps its own count for tests and measurements. Conclusion: base, membership and peer tests pass; the metric counts both ways.

--- a/src/base/control_traffic.h
+++ b/src/base/control_traffic.h
@@ -5,11 +5,20 @@
 
 namespace anvilridge {
 
-/// Counts bytes that were sent to or received from other daemons. Safe on any
-/// thread.
-void CountControlBytes(int64_t bytes);
+/// How daemons talk: datagrams of membership, or calls over connections.
+enum class control_channel { membership, peers };
 
-/// Returns the bytes that this process has counted since its start.
+enum class traffic_direction { sent, received };
+
+/// Counts bytes that this process exchanged with other daemons, TCP, UDP and IP
+/// headings left out. Safe on any thread.
+void CountControlBytes(control_channel channel, traffic_direction direction,
+                       int64_t bytes);
+
+/// Returns the bytes counted since the start of the process.
+int64_t ControlBytes(control_channel channel, traffic_direction direction);
+
+/// Returns those of all channels, both ways.
 int64_t ControlBytes();
 
 }  // namespace anvilridge
--- a/src/daemon/control_metrics.cc
+++ b/src/daemon/control_metrics.cc
@@ -1,5 +1,6 @@
 #include "daemon/control_metrics.h"
 
+#include "base/control_traffic.h"
 #include "daemon/metric_names.h"
 
 namespace anvilridge {
@@ -10,16 +11,19 @@
   return set ? static_cast<double>(set->size()) : 0;
 }
 
-void SetControlBytes(const control_state& state, metrics_registry& to) {
-  const auto set = [&to](const char* channel, const char* direction,
-                         uint64_t bytes) {
-    to.Gauge(kControlBytes, {{"channel", channel}, {"direction", direction}})
-        .Set(static_cast<double>(bytes));
+void SetControlBytes(metrics_registry& to) {
+  using enum control_channel;
+  using enum traffic_direction;
+  const auto set = [&to](const char* channel_name, control_channel channel) {
+    for (const traffic_direction direction : {sent, received}) {
+      const char* name = direction == sent ? "sent" : "received";
+      const int64_t bytes = ControlBytes(channel, direction);
+      to.Gauge(kControlBytes, {{"channel", channel_name}, {"direction", name}})
+          .Set(static_cast<double>(bytes));
+    }
   };
-  set("membership", "sent", state.membership.BytesSent());
-  set("membership", "received", state.membership.BytesReceived());
-  set("peers", "sent", state.peers_out.BytesSent());
-  set("peers", "received", state.peers_out.BytesReceived());
+  set("membership", membership);
+  set("peers", peers);
 }
 
 }  // namespace
@@ -36,7 +40,7 @@
   to.Gauge(kUpstreamsEjected).Set(SizeOf(state.ejected));
   to.Gauge(kUpstreamsLeaving)
       .Set(SizeOf(state.leaving) + SizeOf(state.under_order));
-  SetControlBytes(state, to);
+  SetControlBytes(to);
 }
 
 }  // namespace anvilridge
--- a/src/membership/membership_service.cc
+++ b/src/membership/membership_service.cc
@@ -72,8 +72,8 @@
       const QHostAddress host(QString::fromStdString(to->address));
       const qint64 sent = socket->writeDatagram(bytes, host, to->port);
       if (sent <= 0) continue;
-      CountControlBytes(sent);
-      bytes_sent += static_cast<uint64_t>(sent);
+      CountControlBytes(control_channel::membership, traffic_direction::sent,
+                        sent);
     }
   }
 
@@ -114,8 +114,8 @@
     CheckLease();
     while (socket->hasPendingDatagrams()) {
       const QByteArray bytes = socket->receiveDatagram().data();
-      CountControlBytes(bytes.size());
-      bytes_received += static_cast<uint64_t>(bytes.size());
+      CountControlBytes(control_channel::membership,
+                        traffic_direction::received, bytes.size());
       const auto message = DecodeSwim(bytes, peer_key);
       if (!message) {
         ++rejected;
@@ -135,8 +135,6 @@
   std::unique_ptr<QTimer> timer;
   std::vector<std::function<void()>> change_listeners;
   std::vector<std::function<void(const owner_id&)>> expired_listeners;
-  uint64_t bytes_sent = 0;
-  uint64_t bytes_received = 0;
   uint64_t rejected = 0;
 };
 
@@ -231,12 +229,6 @@
   impl_->expired_listeners.push_back(std::move(listener));
 }
 
-uint64_t membership_service::BytesSent() const { return impl_->bytes_sent; }
-
-uint64_t membership_service::BytesReceived() const {
-  return impl_->bytes_received;
-}
-
 uint64_t membership_service::DatagramsRejected() const {
   return impl_->rejected;
 }
--- a/src/membership/membership_service.h
+++ b/src/membership/membership_service.h
@@ -103,9 +103,6 @@
   /// Called when this daemon found its incarnation expired and took a new one.
   void OnExpired(std::function<void(const owner_id& old_self)> listener);
 
-  uint64_t BytesSent() const;
-  uint64_t BytesReceived() const;
-
   /// Datagrams dropped as malformed or not authenticated by the peer key.
   uint64_t DatagramsRejected() const;
 
--- a/src/peer/peer_client.h
+++ b/src/peer/peer_client.h
@@ -34,7 +34,7 @@
             const QCborMap& request, absl::Duration timeout,
             std::function<void(absl::StatusOr<QCborMap>)> done);
 
-  /// Bytes sent and received since the start, for the control budget.
+  /// Bytes that this client alone has sent and received since its start.
   uint64_t BytesSent() const;
   uint64_t BytesReceived() const;
 
--- a/src/peer/peer_session.cc
+++ b/src/peer/peer_session.cc
@@ -67,7 +67,8 @@
 
 void peer_session::impl::Receive(const QByteArray& bytes) {
   if (broken) return;
-  CountControlBytes(bytes.size());
+  CountControlBytes(control_channel::peers, traffic_direction::received,
+                    bytes.size());
   last_received = MonotonicNow();
   bytes_received += static_cast<uint64_t>(bytes.size());
   const absl::Status status = http2.Receive(bytes);
@@ -88,7 +89,8 @@
       http2.TakeOutput(kMaxUnsentBytes - socket->Unsent());
   if (!output.isEmpty()) {
     bytes_sent += static_cast<uint64_t>(output.size());
-    CountControlBytes(output.size());
+    CountControlBytes(control_channel::peers, traffic_direction::sent,
+                      output.size());
     socket->Write(output);
   }
   CloseIfOver();
--- a/src/placement/home_fields.h
+++ b/src/placement/home_fields.h
@@ -5,7 +5,6 @@
 #include <QCborValue>
 #include <cstdint>
 #include <string>
-#include <utility>
 
 #include "absl/status/statusor.h"
 #include "absl/time/time.h"
@@ -49,7 +48,7 @@
   field_writer& Put(home_field field, absl::Duration time);
   /// A request id of hexadecimal digits is written as bytes.
   field_writer& PutId(const std::string& id);
-  QCborMap Take() { return std::move(map_); }
+  QCborMap Message() const { return map_; }
 
  private:
   key_form form_;
--- a/src/placement/home_messages.cc
+++ b/src/placement/home_messages.cc
@@ -24,7 +24,7 @@
       .Put(field::needed, message.ask.needed_in)
       .Put(field::use, message.ask.expected_use)
       .Put(field::wait, message.ask.may_wait)
-      .Take();
+      .Message();
 }
 
 QCborMap ToCbor(const prefill_ask_message& message, key_form form) {
@@ -34,7 +34,7 @@
       .Put(field::owner, message.ask.owner)
       .Put(field::tokens, message.ask.tokens)
       .Put(field::wait, message.ask.longest_wait)
-      .Take();
+      .Message();
 }
 
 QCborMap ToCbor(const release_message& message, key_form form) {
@@ -44,7 +44,7 @@
       .Put(field::tokens, message.prefill_tokens)
       .Put(field::time, message.prefill_time)
       .Put(field::finished, message.finished)
-      .Take();
+      .Message();
 }
 
 QCborMap ToCbor(const decode_answer& answer, key_form form) {
@@ -53,7 +53,7 @@
       .Put(field::slots, answer.free_slots)
       .Put(field::pieces, answer.free_pieces)
       .Put(field::free_in, answer.free_in)
-      .Take();
+      .Message();
 }
 
 QCborMap ToCbor(const prefill_answer& answer, key_form form) {
@@ -61,7 +61,7 @@
       .Put(field::granted, answer.granted)
       .Put(field::wait, answer.wait)
       .Put(field::work, answer.work)
-      .Take();
+      .Message();
 }
 
 void Carry(absl::Span<const release_message> releases, QCborMap& message) {
