--- a/src/peer/peer_session.h
+++ b/src/peer/peer_session.h
@@ -1,7 +1,6 @@
 #ifndef ANVILRIDGE_PEER_PEER_SESSION_H_
 #define ANVILRIDGE_PEER_PEER_SESSION_H_
 
-#include <QTcpSocket>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -9,6 +8,7 @@
 
 #include "absl/time/time.h"
 #include "peer/peer_http2.h"
+#include "peer/peer_socket.h"
 
 namespace anvilridge {
 
@@ -27,13 +27,13 @@
 /// must defer that to the event loop.
 class peer_session {
  public:
-  peer_session(peer_side side, std::unique_ptr<QTcpSocket> socket,
+  peer_session(peer_side side, std::unique_ptr<peer_socket> socket,
                peer_session_events events);
   ~peer_session();
 
   /// These are the calls of `peer_http2`, with sending arranged.
-  absl::StatusOr<int32_t> SubmitCall(absl::string_view method,
-                                     absl::string_view key, QByteArray body);
+  absl::StatusOr<int32_t> SubmitCall(const peer_request& request,
+                                     absl::string_view key);
   void SubmitAnswer(int32_t stream, peer_answer answer);
   void Reset(int32_t stream);
   void Ping();
--- a/src/placement/prefill_choice_test.cc
+++ b/src/placement/prefill_choice_test.cc
@@ -128,16 +128,20 @@
   request.prompt_tokens = 1600;
   SetWaitIn("a", absl::Seconds(5));
   const auto options = Options("a", 1600);
+  key_form form = key_form::numbers;
   const auto ask_of = [&](const prefill_option& option) {
     const prefill_ask_message message =
         MakePrefillAsk(request, option, "o:1", "a", absl::Seconds(1));
-    const auto parsed = ParsePrefillAsk(ToCbor(message));
+    const auto parsed = ParsePrefillAsk(ToCbor(message, form));
     EXPECT_TRUE(parsed.ok());
     return parsed->ask;
   };
-  EXPECT_EQ(ask_of(options.front()).to_domain, "a");
-  EXPECT_EQ(ask_of(options.front()).pieces, 100);
-  EXPECT_EQ(ask_of(options.back()).to_domain, "");
+  for (const key_form each : {key_form::numbers, key_form::names}) {
+    form = each;
+    EXPECT_EQ(ask_of(options.front()).to_domain, "a");
+    EXPECT_EQ(ask_of(options.front()).pieces, 100);
+    EXPECT_EQ(ask_of(options.back()).to_domain, "");
+  }
   // 1 s less 100 ms of work, 25 ms of transfer and 25 ms to the first token.
   EXPECT_EQ(ask_of(options.back()).longest_wait, absl::Milliseconds(850));
 }
