Count requests, tokens, placements, claims and waste

Cause: the metrics told the state of the control plane alone; goodput, waste, refusals and unknown claims were to be found in the log only. Change: requests/request_metrics.h is a plain struct of functions that the flows call; daemon/traffic_metrics fills it from the registry, and metric_names.h holds every name. A series has a route, pool, kind or outcome as label, never an upstream or a team: 4,900 engines would each bring 34 bucket lines. A stream looks its pool's histogram up once, so a token costs one observation and one reading of the clock. Counters by thread, summed at the scrape, were ruled out: the histogram's own lock is held for one bucket search. A configuration's age tells a log that is out from a daemon that lags behind another.

--- a/src/caller/caller_connection.cc
+++ b/src/caller/caller_connection.cc
@@ -160,15 +160,13 @@
       context_.counters->answering.load() >= context_.limits.max_requests;
   const auto exchange = StartAnswer(request);
   if (full) {
-    RespondProblem(*exchange,
-                   MakeError(error_kind::too_many_connections,
-                             "too many requests are in progress"),
-                   NewId());
+    AnswerRefusal(*exchange, MakeError(error_kind::too_many_connections,
+                                       "too many requests are in progress"));
     return;
   }
   auto parsed = feed_->Parse(request);
   if (!parsed.ok()) {
-    RespondProblem(*exchange, parsed.status(), NewId());
+    AnswerRefusal(*exchange, parsed.status());
     return;
   }
   context_.handler(*parsed, exchange);
@@ -177,7 +175,14 @@
 void caller_connection::Refuse(const absl::Status& error) {
   close_after_answer_ = true;
   const auto exchange = StartAnswer(scanned_request{});
-  RespondProblem(*exchange, error, NewId());
+  AnswerRefusal(*exchange, error);
+}
+
+void caller_connection::AnswerRefusal(inbound_exchange& exchange,
+                                      const absl::Status& error) {
+  const port_counters& counters = *context_.counters;
+  if (counters.on_refuse) counters.on_refuse(error);
+  RespondProblem(exchange, error, NewId());
 }
 
 void caller_connection::SetPhase(phase next) {
--- a/src/caller/caller_connection.h
+++ b/src/caller/caller_connection.h
@@ -26,6 +26,9 @@
   std::atomic<int> receiving{0};
   /// Answers begun or due, up to their last byte sent.
   std::atomic<int> answering{0};
+  /// Told of requests that were refused before their handler; set before the
+  /// first connection.
+  std::function<void(const absl::Status&)> on_refuse;
 };
 
 /// What the connections of one thread share.
@@ -68,6 +71,7 @@
   void Receive(absl::string_view bytes);
   void Dispatch();
   void Refuse(const absl::Status& error);
+  void AnswerRefusal(inbound_exchange& exchange, const absl::Status& error);
   std::shared_ptr<caller_exchange> StartAnswer(const scanned_request& request);
   void SetPhase(phase next);
   void SetTimer(absl::Duration delay);
--- a/src/caller/caller_port.cc
+++ b/src/caller/caller_port.cc
@@ -142,6 +142,14 @@
   }
 }
 
+void caller_port::OnRefuse(std::function<void(const absl::Status&)> listener) {
+  impl_->counters->on_refuse = std::move(listener);
+}
+
+int caller_port::Connections() const {
+  return impl_->counters->connections.load();
+}
+
 int caller_port::RequestsInProgress() const {
   return impl_->counters->answering.load() + impl_->counters->receiving.load();
 }
--- a/src/caller/caller_port.h
+++ b/src/caller/caller_port.h
@@ -72,11 +72,18 @@
   absl::Status Listen(
       const std::function<inbound_handler(size_t thread)>& handler_for);
 
+  /// Calls `listener`, on the traffic threads, with the error of each request
+  /// that is refused before its handler. To be called before listening.
+  void OnRefuse(std::function<void(const absl::Status&)> listener);
+
   uint16_t Port() const;
 
   /// Stops accepting; connections in use finish their answers and then close.
   void StopAccepting();
 
+  /// Connections open over all threads.
+  int Connections() const;
+
   /// Answers in progress over all threads.
   int RequestsInProgress() const;
 
--- a/src/config/config_service.cc
+++ b/src/config/config_service.cc
@@ -251,6 +251,11 @@
   return impl_->follower.in_force;
 }
 
+absl::Duration config_service::LogOutFor() const {
+  if (!LogOut()) return absl::ZeroDuration();
+  return MonotonicNow() - impl_->follower.log_out_since;
+}
+
 bool config_service::LogOut() const {
   return impl_->follower.log_out_since != absl::InfiniteFuture();
 }
--- a/src/config/config_service.h
+++ b/src/config/config_service.h
@@ -54,6 +54,9 @@
   /// Returns whether the log has not answered lately.
   bool LogOut() const;
 
+  /// Returns for how long the log has not answered; zero while it does.
+  absl::Duration LogOutFor() const;
+
   /// Calls `listener` with each state that comes into force.
   void OnChange(std::function<void(state_ptr)> listener);
 
--- a/src/daemon/control_metrics.cc
+++ b/src/daemon/control_metrics.cc
@@ -10,6 +10,11 @@
   return set ? static_cast<double>(set->size()) : 0;
 }
 
+// Raises a counter to what is counted elsewhere.
+void RaiseTo(prometheus::Counter& counter, uint64_t total) {
+  counter.Increment(static_cast<double>(total) - counter.Value());
+}
+
 void SetControlBytes(const control_state& state, metrics_registry& to) {
   const auto set = [&to](const char* channel, const char* direction,
                          uint64_t bytes) {
@@ -36,6 +41,8 @@
   to.Gauge(kUpstreamsEjected).Set(SizeOf(state.ejected));
   to.Gauge(kUpstreamsLeaving)
       .Set(SizeOf(state.leaving) + SizeOf(state.under_order));
+  to.Gauge(kConfigAge).Set(absl::ToDoubleSeconds(ConfigAge(state)));
+  RaiseTo(to.Counter(kOrphansCancelled), state.orphans_cancelled);
   SetControlBytes(state, to);
 }
 
--- a/src/daemon/control_plane.cc
+++ b/src/daemon/control_plane.cc
@@ -14,17 +14,21 @@
 struct control_plane::impl {
   control_state state;
   operator_port operators;
+  request_metrics metrics;
 
   impl(const daemon_settings& settings, std::string key,
-       const std::string& administrator_key)
-      : state(settings, std::move(key)), operators(state, administrator_key) {}
+       const std::string& administrator_key, request_metrics reports)
+      : state(settings, std::move(key)),
+        operators(state, administrator_key),
+        metrics(std::move(reports)) {}
 };
 
 control_plane::control_plane(const daemon_settings& settings,
                              std::string deployment_key,
-                             const std::string& administrator_key)
+                             const std::string& administrator_key,
+                             request_metrics metrics)
     : impl_(std::make_unique<impl>(settings, std::move(deployment_key),
-                                   administrator_key)) {}
+                                   administrator_key, std::move(metrics))) {}
 
 control_plane::~control_plane() = default;
 
@@ -46,7 +50,9 @@
 }
 
 request_services control_plane::ServicesFor(QObject* thread) {
-  return MakeRequestServices(impl_->state, thread);
+  request_services services = MakeRequestServices(impl_->state, thread);
+  services.metrics = impl_->metrics;
+  return services;
 }
 
 absl::Status control_plane::Ready() const {
--- a/src/daemon/control_plane.h
+++ b/src/daemon/control_plane.h
@@ -20,9 +20,10 @@
 class control_plane {
  public:
   /// `deployment_key` is the secret that the deployment's daemons share,
-  /// `administrator_key` the bootstrap key of operators, or "".
+  /// `administrator_key` the bootstrap key of operators, or "". `metrics` is
+  /// what the flows report to.
   control_plane(const daemon_settings& settings, std::string deployment_key,
-                const std::string& administrator_key);
+                const std::string& administrator_key, request_metrics metrics);
   ~control_plane();
 
   /// Binds the peer and operator ports and joins the other daemons.
--- a/src/daemon/control_state.cc
+++ b/src/daemon/control_state.cc
@@ -1,6 +1,7 @@
 #include "daemon/control_state.h"
 
 #include <QCborMap>
+#include <algorithm>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -154,6 +155,18 @@
   return running;
 }
 
+void NoteConfigOffsets(control_state& state) {
+  const auto config = state.config.InForce();
+  const int64_t in_force = config ? config->applied_offset : 0;
+  int64_t latest = in_force;
+  for (const member& daemon : state.membership.Members()) {
+    if (IsRunning(daemon.state)) {
+      latest = std::max<int64_t>(latest, daemon.config_offset);
+    }
+  }
+  NoteOffsets(state.age_by_peers, in_force, latest, MonotonicNow());
+}
+
 }  // namespace
 
 control_state::control_state(const daemon_settings& daemon, std::string key)
@@ -204,6 +217,7 @@
   load_timer = RunEvery(kLoadInterval, [this] {
     RunLoads(*this);
     CancelForOperators(*this);
+    NoteConfigOffsets(*this);
   });
 }
 
@@ -255,6 +269,11 @@
   });
 }
 
+absl::Duration ConfigAge(const control_state& state) {
+  return std::max(state.config.LogOutFor(),
+                  AgeOf(state.age_by_peers, MonotonicNow()));
+}
+
 void ReportUpstream(control_state& state, absl::string_view upstream, bool ok) {
   ReportCall(state.health, upstream, ok, MonotonicNow());
 }
--- a/src/daemon/control_state.h
+++ b/src/daemon/control_state.h
@@ -14,6 +14,7 @@
 #include "base/published.h"
 #include "claims/claim_service.h"
 #include "config/config_service.h"
+#include "daemon/config_age.h"
 #include "daemon/leaving_engines.h"
 #include "daemon/operator_cancels.h"
 #include "daemon/request_registry.h"
@@ -86,6 +87,9 @@
   QByteArray packed_snapshot;
   std::shared_ptr<const config_state> packed_of;
   bool stopping = false;
+  config_age age_by_peers;
+  /// Requests that this daemon, as their engines' home, found held for nobody.
+  uint64_t orphans_cancelled = 0;
 
   published<config_state> config_in_force;
   published<std::string> owner;
@@ -112,6 +116,9 @@
 /// this daemon is the home that promised their places.
 void CancelForOperators(control_state& state);
 
+/// Returns how long the configuration in force may have been out of date.
+absl::Duration ConfigAge(const control_state& state);
+
 /// Notes the result of a call to an upstream.
 void ReportUpstream(control_state& state, absl::string_view upstream, bool ok);
 
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -15,8 +15,10 @@
 #include "base/event_loop.h"
 #include "caller/caller_port.h"
 #include "daemon/control_plane.h"
+#include "daemon/metric_names.h"
 #include "daemon/ports_file.h"
 #include "daemon/stop_signal.h"
+#include "daemon/traffic_metrics.h"
 #include "daemon/traffic_thread.h"
 #include "log/decision_log.h"
 #include "metrics/health_port.h"
@@ -44,7 +46,8 @@
   running_daemon(const daemon_settings& settings, std::string deployment_key,
                  const std::string& administrator_key)
       : settings_(settings),
-        plane_(settings, std::move(deployment_key), administrator_key),
+        plane_(settings, std::move(deployment_key), administrator_key,
+               MakeRequestMetrics(metrics_)),
         health_(settings.metrics, &context_, HealthSources()) {}
 
   absl::Status Start() {
@@ -52,6 +55,10 @@
     StartTrafficThreads();
     caller_ = std::make_unique<caller_port>(settings_.caller, settings_.limits,
                                             ThreadContexts());
+    caller_->OnRefuse(
+        [refused = MakeRequestMetrics(metrics_)](const absl::Status& error) {
+          CountFailure(refused, "", error);
+        });
     absl::Status listening = caller_->Listen(
         [this](size_t thread) { return threads_[thread]->Handler(); });
     if (!listening.ok()) return listening;
@@ -101,6 +108,7 @@
     return {[this] { return plane_.Ready(); },
             [this] {
               plane_.UpdateMetrics(metrics_);
+              metrics_.Gauge(kConnections).Set(caller_->Connections());
               return metrics_.MetricsText();
             }};
   }
--- a/src/daemon/orphan_control.cc
+++ b/src/daemon/orphan_control.cc
@@ -60,6 +60,7 @@
             {"owner", QString::fromStdString(owner)},
             {"upstream", QString::fromStdString(engine.name)},
             {"why", why}});
+  ++state.orphans_cancelled;
   state.cancels.Cancel({request_id, owner, engine.name, engine.address});
 }
 
--- a/src/requests/caller_handler.cc
+++ b/src/requests/caller_handler.cc
@@ -143,7 +143,9 @@
         const absl::Status started =
             Dispatch(context, inbound, request_id, exchange);
         if (started.ok()) return;
-        RespondProblem(*exchange, Honest(inbound, started), request_id);
+        const absl::Status error = Honest(inbound, started);
+        CountFailure(context.services->metrics, "", error);
+        RespondProblem(*exchange, error, request_id);
       };
 }
 
--- a/src/requests/completion_attempt.cc
+++ b/src/requests/completion_attempt.cc
@@ -117,6 +117,8 @@
 }
 
 void TakeGrant(const completion_ptr& flow, absl::StatusOr<place_grant> grant) {
+  ServicesOf(*flow).metrics.placed(ResultName(grant.status()),
+                                   MonotonicNow() - flow->place_asked);
   if (flow->over) {
     if (grant.ok()) {
       flow->grant = *grant;
@@ -149,6 +151,8 @@
   const absl::Time begun = flow->attempts == 1 ? flow->started : MonotonicNow();
   ask.first_token_due = begun + FirstTokenTarget(*flow);
   ask.avoid = flow->avoid;
+  flow->place_asked = MonotonicNow();
+  flow->attempt_tokens = 0;
   ServicesOf(*flow).place(ask, [flow](absl::StatusOr<place_grant> grant) {
     TakeGrant(flow, std::move(grant));
   });
@@ -169,6 +173,7 @@
   if (flow->attempts >= kMaxAttempts || flow->resumed) {
     return FailCompletion(*flow, why);
   }
+  ServicesOf(*flow).metrics.retried(flow->request.route);
   BeginAttempt(flow);
 }
 
--- a/src/requests/completion_end.cc
+++ b/src/requests/completion_end.cc
@@ -12,6 +12,43 @@
   CancelAs(flow, flow.grant.owner, engine);
 }
 
+void CountPrefill(const completion_state& flow) {
+  if (!flow.outcome.prefilled) return;
+  const prefill_use use =
+      flow.attempt_tokens > 0 ? prefill_use::decoded : prefill_use::wasted;
+  ServicesOf(flow).metrics.prefilled(flow.outcome.prefill_tokens, use);
+}
+
+// A resumed answer's first token went to another connection.
+bool ServedInTarget(const completion_state& flow) {
+  if (flow.resumed || flow.last_token == absl::InfinitePast()) return false;
+  const std::shared_ptr<const config_state> config = ServicesOf(flow).config();
+  const auto route = config->routes.find(flow.request.route);
+  if (route == config->routes.end()) return false;
+  const absl::Duration first = flow.first_token - flow.started;
+  const absl::Duration rest = flow.last_token - flow.first_token;
+  const int intervals = flow.writer.next_index - 1;
+  return first <= route->second.first_token_target &&
+         rest <= intervals * route->second.token_target;
+}
+
+// Counts the end of a request and returns its result's name.
+absl::string_view CountEnd(const completion_state& flow,
+                           const absl::Status& why) {
+  const request_metrics& metrics = ServicesOf(flow).metrics;
+  if (!why.ok()) {
+    CountFailure(metrics, flow.request.route, why);
+    return ResultName(why);
+  }
+  const absl::string_view result =
+      flow.outcome.decode_finished ? kResultOk : kResultCallerLeft;
+  metrics.ended(flow.request.route, result);
+  if (ServedInTarget(flow) && flow.outcome.decode_finished) {
+    metrics.served_in_target(flow.request.route);
+  }
+  return result;
+}
+
 }  // namespace
 
 void CancelAs(completion_state& flow, const std::string& owner,
@@ -41,6 +78,7 @@
 
 void FinishPlacement(completion_state& flow) {
   if (flow.grant.decode.name.empty()) return;
+  CountPrefill(flow);
   flow.outcome.request_id = flow.engine_request_id;
   flow.outcome.prefill = flow.grant.prefill;
   flow.outcome.decode = flow.grant.decode;
@@ -69,6 +107,7 @@
 void EndCompletion(completion_state& flow, const absl::Status& why) {
   if (flow.over) return;
   flow.over = true;
+  const absl::string_view result = CountEnd(flow, why);
   if (!flow.placed && flow.attempts > 0) {
     ServicesOf(flow).abandon(flow.engine_request_id);
   }
@@ -79,7 +118,7 @@
            {{"request_id", QtText(flow.request.request_id)},
             {"stage", QtText(flow.stage)},
             {"tokens", flow.writer.next_index},
-            {"result", why.ok() ? "ok" : QtText(AnswerFor(KindOf(why)).name)},
+            {"result", QtText(result)},
             {"ms", absl::ToDoubleMilliseconds(MonotonicNow() - flow.started)}});
 }
 
--- a/src/requests/completion_state.h
+++ b/src/requests/completion_state.h
@@ -36,9 +36,19 @@
   place_grant grant;
   place_outcome outcome;
   prefill_result prefill;
+  /// When the current attempt asked for its place.
+  absl::Time place_asked;
   absl::Time prefill_started;
   absl::Time prefill_expires;
   std::shared_ptr<decode_stream> stream;
+  /// When the first token came, by this connection.
+  absl::Time first_token;
+  /// When the latest token came; in the past for ever before the first.
+  absl::Time last_token = absl::InfinitePast();
+  /// Tokens that the current attempt has brought.
+  int attempt_tokens = 0;
+  duration_observer first_tokens;
+  duration_observer token_intervals;
   /// Engines that failed this request.
   std::vector<std::string> avoid;
   /// The engine call in progress; 0 for none.
--- a/src/requests/completion_stream.cc
+++ b/src/requests/completion_stream.cc
@@ -4,6 +4,7 @@
 #include <string>
 #include <utility>
 
+#include "base/clock.h"
 #include "base/error_kind.h"
 #include "requests/completion_attempt.h"
 #include "requests/completion_end.h"
@@ -13,9 +14,33 @@
 namespace anvilridge {
 namespace {
 
+// Finds where the stream's times go, once for all of its attempts.
+void FindObservers(completion_state& flow) {
+  if (flow.token_intervals) return;
+  const request_services& services = ServicesOf(flow);
+  const std::shared_ptr<const config_state> config = services.config();
+  const auto route = config->routes.find(flow.request.route);
+  const std::string pool =
+      route == config->routes.end() ? "" : route->second.decode_pool;
+  flow.first_tokens = services.metrics.first_tokens(pool);
+  flow.token_intervals = services.metrics.token_intervals(pool);
+}
+
+void ObserveToken(completion_state& flow) {
+  const absl::Time now = MonotonicNow();
+  const bool first = flow.last_token == absl::InfinitePast();
+  // The first token of a resumed stream went to another connection.
+  if (first && !flow.resumed) flow.first_tokens(now - flow.started);
+  if (first) flow.first_token = now;
+  if (!first) flow.token_intervals(now - flow.last_token);
+  flow.last_token = now;
+  ++flow.attempt_tokens;
+}
+
 void TakeToken(const completion_ptr& flow, int index,
                const std::string& token) {
   if (LeaseLost(*flow)) return Readopt(flow);
+  ObserveToken(*flow);
   const resume_token place{flow->engine_request_id, flow->grant.decode.name,
                            index};
   const std::string event_id = FormatResumeToken(
@@ -55,6 +80,7 @@
 void ReadDecodeStream(const completion_ptr& flow) {
   SetStage(*flow, "decode");
   flow->outcome.decode_started = true;
+  FindObservers(*flow);
   decode_listener listener;
   listener.on_token = [flow](int index, const std::string& token) {
     TakeToken(flow, index, token);
--- a/src/requests/request_services.h
+++ b/src/requests/request_services.h
@@ -11,6 +11,7 @@
 #include "claims/claim_service.h"
 #include "config/config_state.h"
 #include "placement/place_request.h"
+#include "requests/request_metrics.h"
 
 namespace anvilridge {
 
@@ -74,6 +75,7 @@
   std::function<std::string()> owner;
   /// Shared secret of the deployment, for resume tokens.
   std::string deployment_key;
+  request_metrics metrics;
 };
 
 }  // namespace anvilridge
--- a/src/requests/service_flow.cc
+++ b/src/requests/service_flow.cc
@@ -21,6 +21,7 @@
 
 constexpr absl::Duration kServiceTimeout = absl::Seconds(10);
 constexpr int kMaxAttempts = 3;
+constexpr int kServerErrors = 500;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 
@@ -86,6 +87,7 @@
     if (over_ || !repeatable_) return;
     if (call_ != 0) context_.client->Cancel(call_);
     EndUpstreamCall();
+    Services().metrics.ended(request_.route.name, kResultCallerLeft);
     End();
   }
 
@@ -105,7 +107,10 @@
   }
 
   void TakeClaim(absl::StatusOr<claim_result> result) {
-    if (!result.ok()) return Fail(result.status());
+    if (!result.ok()) {
+      Services().metrics.claim_ended(ResultName(result.status()));
+      return Fail(result.status());
+    }
     if (const auto* stored = std::get_if<claim_outcome>(&*result)) {
       return Replay(*stored);
     }
@@ -114,6 +119,7 @@
   }
 
   void Replay(const claim_outcome& stored) {
+    Services().metrics.claim_ended(kClaimReplayed);
     if (!stored.body_kept) {
       return Fail(MakeError(
           error_kind::outcome_unknown,
@@ -231,7 +237,8 @@
 
   void TakeResult(const http_result& result) {
     const bool broken = !result.status.ok();
-    Services().report(upstream_.name, !broken && result.http_status < 500);
+    Services().report(upstream_.name,
+                      !broken && result.http_status < kServerErrors);
     if (broken) return TakeFailure(result.status);
     const bool busy =
         result.http_status == kBadGateway || result.http_status == kUnavailable;
@@ -258,6 +265,7 @@
         std::string(HeaderValue(result.headers, "content-type"));
     outcome.body = result.body;
     Services().settle(claim_->claim_id, outcome);
+    Services().metrics.claim_ended(kClaimSettled);
     concluded_ = true;
     return true;
   }
@@ -277,13 +285,18 @@
     if (!claim_ || concluded_) return;
     if (sent_) {
       Services().leave_unknown(claim_->claim_id);
+      Services().metrics.claim_ended(kClaimUnknown);
     } else {
       Services().release(claim_->claim_id);
+      Services().metrics.claim_ended(kClaimReleased);
     }
   }
 
   bool MayRetry() {
-    return tried_.size() < kMaxAttempts && TakeRetry(context_.retries);
+    if (tried_.size() >= kMaxAttempts) return false;
+    if (!TakeRetry(context_.retries)) return false;
+    Services().metrics.retried(request_.route.name);
+    return true;
   }
 
   void Answer(int status, http_headers headers, absl::string_view body) {
@@ -292,6 +305,9 @@
       exchange_->Respond(status, headers, body);
     }
     result_ = absl::StrCat(status);
+    Services().metrics.ended(request_.route.name, status < kServerErrors
+                                                      ? kResultOk
+                                                      : kResultUpstreamError);
     End();
   }
 
@@ -310,7 +326,8 @@
     if (over_) return;
     const absl::Status error = Honest(refused);
     if (!caller_left_) RespondProblem(*exchange_, error, request_.request_id);
-    result_ = std::string(AnswerFor(KindOf(error)).name);
+    result_ = std::string(ResultName(error));
+    CountFailure(Services().metrics, request_.route.name, error);
     End();
   }
 
