Refuse damaged records and messages by the field that is wrong

Change: each reader checks types and ranges. Claims records and datagrams give malformed_request with the field in place of nothing; swim_probe_test asks .ok() of it, as strict as before. Conclusion: a record that was damaged is passed over and counted, never taken for another one. Of the claims a damaged one leaves its key as if free, as before: the log is trusted to keep what it acknowledged.

--- a/src/claims/claim_index.cc
+++ b/src/claims/claim_index.cc
@@ -93,7 +93,7 @@
 void FoldRecord(claim_index& index, const log_record& record) {
   index.next = record.offset + 1;
   const auto decoded = DecodeClaimsRecord(record.data.toObject());
-  if (!decoded) {
+  if (!decoded.ok()) {
     ++index.malformed_records;
     return;
   }
--- a/src/claims/claim_partition.cc
+++ b/src/claims/claim_partition.cc
@@ -198,7 +198,7 @@
     if (!page.ok() || page->records.empty()) return std::nullopt;
     if (page->records[0].offset != offset) return std::nullopt;
     const auto record = DecodeClaimsRecord(page->records[0].data.toObject());
-    if (!record || !std::holds_alternative<outcome_record>(*record)) {
+    if (!record.ok() || !std::holds_alternative<outcome_record>(*record)) {
       return std::nullopt;
     }
     return std::get<outcome_record>(*record).outcome;
--- a/src/claims/claim_record.cc
+++ b/src/claims/claim_record.cc
@@ -6,10 +6,19 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
+#include "base/error_kind.h"
+#include "upstreams/json_reader.h"
 
 namespace anvilridge {
 namespace {
 
+// Far beyond any window that a claim is made with.
+constexpr absl::Duration kLongestWindow = absl::Hours(24);
+
+// HTTP statuses that have three digits.
+constexpr int kLowestStatus = 100;
+constexpr int kHighestStatus = 999;
+
 QString Text(absl::string_view text) {
   return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
 }
@@ -18,12 +27,20 @@
   return {text.data(), static_cast<qsizetype>(text.size())};
 }
 
-std::string String(const QJsonObject& json, const char* name) {
-  return json[QLatin1String(name)].toString().toStdString();
+absl::Status Malformed(absl::string_view problem) {
+  return MakeError(error_kind::malformed_request,
+                   absl::StrCat("claims record: ", problem));
 }
 
-absl::Duration Millis(const QJsonObject& json, const char* name) {
-  return absl::Milliseconds(json[QLatin1String(name)].toInteger());
+absl::Status CheckFields(const json_reader& fields) {
+  return fields.status.ok() ? absl::OkStatus() : Malformed(ProblemOf(fields));
+}
+
+absl::StatusOr<absl::Duration> ReadWindow(json_reader& fields,
+                                          const char* name) {
+  const absl::Duration window = absl::Milliseconds(ReadInteger(fields, name));
+  if (window <= kLongestWindow) return window;
+  return Malformed(absl::StrCat(name, " is too long"));
 }
 
 QJsonObject EncodeClaim(const claim_record& claim) {
@@ -52,32 +69,45 @@
           {"body_hash", Text(outcome.body_hash)}};
 }
 
-std::optional<claims_record> DecodeClaim(const QJsonObject& json) {
-  const auto holder = ParseOwner(String(json, "holder"));
-  if (!holder) return std::nullopt;
+absl::StatusOr<claims_record> DecodeClaim(json_reader& fields) {
   claim_record claim;
-  claim.claim_id = String(json, "claim_id");
-  claim.team = String(json, "team");
-  claim.key = String(json, "key");
-  claim.route = String(json, "route");
-  claim.body_hash = String(json, "body_hash");
+  claim.claim_id = ReadText(fields, "claim_id");
+  claim.team = ReadText(fields, "team");
+  claim.key = ReadText(fields, "key");
+  claim.route = ReadText(fields, "route");
+  claim.body_hash = ReadText(fields, "body_hash");
+  const auto holder = ParseOwner(ReadText(fields, "holder"));
+  const auto send_window = ReadWindow(fields, "send_window_ms");
+  const auto answer_window = ReadWindow(fields, "answer_window_ms");
+  if (auto read = CheckFields(fields); !read.ok()) return read;
+  if (!holder) return Malformed("holder is no owner");
+  if (claim.key.empty()) return Malformed("key is empty");
+  if (!send_window.ok()) return send_window.status();
+  if (!answer_window.ok()) return answer_window.status();
   claim.holder = *holder;
-  claim.send_window = Millis(json, "send_window_ms");
-  claim.answer_window = Millis(json, "answer_window_ms");
-  if (claim.key.empty()) return std::nullopt;
-  return claim;
+  claim.send_window = *send_window;
+  claim.answer_window = *answer_window;
+  return claims_record(claim);
 }
 
-outcome_record DecodeOutcome(const QJsonObject& json) {
+absl::StatusOr<claims_record> DecodeOutcome(json_reader& fields) {
   outcome_record record;
-  record.claim_id = String(json, "claim_id");
-  record.outcome.http_status = json["http_status"].toInt();
-  record.outcome.content_type = String(json, "content_type");
-  record.outcome.body =
-      QByteArray::fromBase64(json["body"].toString().toLatin1()).toStdString();
-  record.outcome.body_kept = json["body_kept"].toBool();
-  record.outcome.body_hash = String(json, "body_hash");
-  return record;
+  claim_outcome& outcome = record.outcome;
+  record.claim_id = ReadText(fields, "claim_id");
+  outcome.http_status = ReadInt(fields, "http_status");
+  outcome.content_type = ReadText(fields, "content_type");
+  outcome.body_kept = ReadBool(fields, "body_kept");
+  outcome.body_hash = ReadText(fields, "body_hash");
+  const QByteArray encoded = Bytes(ReadText(fields, "body"));
+  const QByteArray body = QByteArray::fromBase64(encoded);
+  if (auto read = CheckFields(fields); !read.ok()) return read;
+  if (body.toBase64() != encoded) return Malformed("body is not Base64");
+  outcome.body = body.toStdString();
+  if (outcome.http_status < kLowestStatus ||
+      outcome.http_status > kHighestStatus) {
+    return Malformed("http_status is out of range");
+  }
+  return claims_record(record);
 }
 
 }  // namespace
@@ -125,13 +155,16 @@
           {"claim_id", Text(std::get<release_record>(record).claim_id)}};
 }
 
-std::optional<claims_record> DecodeClaimsRecord(const QJsonObject& json) {
-  const std::string type = String(json, "type");
-  if (!IsSafeId(String(json, "claim_id"))) return std::nullopt;
-  if (type == "claim") return DecodeClaim(json);
-  if (type == "outcome") return DecodeOutcome(json);
-  if (type == "released") return release_record{String(json, "claim_id")};
-  return std::nullopt;
+absl::StatusOr<claims_record> DecodeClaimsRecord(const QJsonObject& json) {
+  json_reader fields{json, absl::OkStatus()};
+  const std::string type = ReadText(fields, "type");
+  const std::string claim_id = ReadText(fields, "claim_id");
+  if (auto read = CheckFields(fields); !read.ok()) return read;
+  if (!IsSafeId(claim_id)) return Malformed("claim_id is no id");
+  if (type == "claim") return DecodeClaim(fields);
+  if (type == "outcome") return DecodeOutcome(fields);
+  if (type == "released") return claims_record(release_record{claim_id});
+  return Malformed("type is unknown");
 }
 
 }  // namespace anvilridge
--- a/src/claims/claim_record.h
+++ b/src/claims/claim_record.h
@@ -3,10 +3,10 @@
 
 #include <QJsonObject>
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <variant>
 
+#include "absl/status/statusor.h"
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "base/ids.h"
@@ -77,8 +77,9 @@
 
 QJsonObject EncodeClaimsRecord(const claims_record& record);
 
-/// Decodes; nothing when malformed.
-std::optional<claims_record> DecodeClaimsRecord(const QJsonObject& json);
+/// Decodes; `malformed_request`, naming the field, when a field is missing, of
+/// another type or out of range.
+absl::StatusOr<claims_record> DecodeClaimsRecord(const QJsonObject& json);
 
 }  // namespace anvilridge
 
--- a/src/claims/claim_reply.cc
+++ b/src/claims/claim_reply.cc
@@ -95,7 +95,8 @@
   if (map.contains(QLatin1String("outcome"))) {
     const auto record = DecodeClaimsRecord(
         map[QLatin1String("outcome")].toMap().toJsonObject());
-    const bool good = record && std::holds_alternative<outcome_record>(*record);
+    const bool good =
+        record.ok() && std::holds_alternative<outcome_record>(*record);
     if (good) reply.outcome = std::get<outcome_record>(*record).outcome;
   }
   if (!reply.outcome && reply.fencing_number <= 0) {
@@ -118,7 +119,7 @@
   if (partition < 0 || partition >= kClaimPartitions) return std::nullopt;
   const auto record =
       DecodeClaimsRecord(map[QLatin1String("record")].toMap().toJsonObject());
-  if (!record) return std::nullopt;
+  if (!record.ok()) return std::nullopt;
   return peer_record{static_cast<int>(partition), *record};
 }
 
--- a/src/config/config_snapshot.cc
+++ b/src/config/config_snapshot.cc
@@ -10,6 +10,7 @@
 #include "config/check_references.h"
 #include "config/config_names.h"
 #include "config/object_fields.h"
+#include "upstreams/json_reader.h"
 
 namespace anvilridge {
 namespace {
@@ -27,14 +28,26 @@
 
 QJsonValue ToJson(int64_t number) { return static_cast<double>(number); }
 
-int64_t ToInteger(const QJsonValue& value) {
-  return static_cast<int64_t>(value.toDouble());
-}
-
 std::string ToText(const QJsonValue& value) {
   return value.toString().toStdString();
 }
 
+// Returns the first member that was found wrong, as a part of `of`.
+absl::Status Check(const json_reader& members, absl::string_view of) {
+  if (members.status.ok()) return absl::OkStatus();
+  return Invalid(absl::StrCat(of, ": ", ProblemOf(members)));
+}
+
+template <typename E>
+absl::Status ReadEnum(json_reader& members, const char* name, E& value) {
+  const auto named = EnumNamed<E>(ReadText(members, name));
+  if (!named) {
+    return Invalid(absl::StrCat(name, ": expected ", AlternativesOf<E>()));
+  }
+  value = *named;
+  return absl::OkStatus();
+}
+
 QJsonObject EncodeOrder(const upstream_order& order) {
   return {
       {"order", ToQt(NameOf(order.kind))},    {"model", ToQt(order.model)},
@@ -42,16 +55,18 @@
       {"role", ToQt(NameOf(order.role))},     {"fence", ToJson(order.fence)}};
 }
 
-absl::StatusOr<upstream_order> DecodeOrder(const QJsonObject& json) {
-  const auto kind = EnumNamed<order_kind>(ToText(json["order"]));
-  const auto role = EnumNamed<pool_role>(ToText(json["role"]));
-  if (!kind || !role) return Invalid("unknown order");
-  return upstream_order{*kind,
-                        ToText(json["model"]),
-                        ToText(json["version"]),
-                        ToText(json["adapter"]),
-                        *role,
-                        ToInteger(json["fence"])};
+absl::StatusOr<upstream_order> DecodeOrder(const QJsonValue& json) {
+  json_reader members = ReaderOf(json);
+  upstream_order order;
+  order.model = ReadText(members, "model");
+  order.model_version = ReadText(members, "version");
+  order.adapter = ReadText(members, "adapter");
+  order.fence = ReadInteger(members, "fence");
+  absl::Status check = Check(members, "order");
+  check.Update(ReadEnum(members, "order", order.kind));
+  check.Update(ReadEnum(members, "role", order.role));
+  if (!check.ok()) return check;
+  return order;
 }
 
 template <typename T>
@@ -64,13 +79,13 @@
 }
 
 template <typename T>
-absl::Status DecodeRest(const QJsonObject&, T&) {
+absl::Status DecodeRest(json_reader&, T&) {
   return absl::OkStatus();
 }
 
-absl::Status DecodeRest(const QJsonObject& json, upstream_config& upstream) {
-  for (const QJsonValue row : json["orders"].toArray()) {
-    auto order = DecodeOrder(row.toObject());
+absl::Status DecodeRest(json_reader& members, upstream_config& upstream) {
+  for (const QJsonValue row : ReadArray(members, "orders")) {
+    auto order = DecodeOrder(row);
     if (!order.ok()) return order.status();
     upstream.orders.push_back(*std::move(order));
   }
@@ -89,10 +104,14 @@
 }
 
 template <typename T>
-absl::Status DecodeObject(const QJsonObject& json, T& object) {
-  object.version = ToInteger(json["version"]);
-  if (object.version <= 0) return Invalid("an object has no version");
-  const QJsonObject fields = json["fields"].toObject();
+absl::Status DecodeObject(const QJsonValue& json, T& object) {
+  json_reader members = ReaderOf(json);
+  object.version = ReadInteger(members, "version");
+  const QJsonObject fields = ReadObject(members, "fields");
+  if (auto check = Check(members, object.name); !check.ok()) return check;
+  if (object.version == 0) {
+    return Invalid(absl::StrCat(object.name, ": version: expected one"));
+  }
   for (const auto& field : FieldsOf<T>()) {
     const QJsonValue value = fields[ToQt(field.name)];
     if (!value.isString() || !field.set(object, ToText(value))) {
@@ -100,7 +119,8 @@
                                   field.expected));
     }
   }
-  return DecodeRest(json, object);
+  if (auto rest = DecodeRest(members, object); !rest.ok()) return rest;
+  return Check(members, object.name);
 }
 
 constexpr object_kind kKinds[] = {object_kind::pool,  object_kind::upstream,
@@ -123,7 +143,7 @@
   for (auto row = json.begin(); row != json.end(); ++row) {
     typename Objects::mapped_type object;
     object.name = row.key().toStdString();
-    auto decoded = DecodeObject(row.value().toObject(), object);
+    auto decoded = DecodeObject(row.value(), object);
     if (!decoded.ok()) return decoded;
     objects.emplace(object.name, std::move(object));
   }
@@ -138,34 +158,58 @@
           {"command", EncodeCommand(entry.command)}};
 }
 
-// A command that was rejected for its form is in the history all the same.
-config_command DecodeAnyCommand(const QJsonObject& json) {
-  if (auto command = DecodeCommand(json); command.ok()) return *command;
+// A command that was rejected for its form, or that another version of the
+// daemon wrote, is in the history all the same.
+absl::StatusOr<config_command> DecodeOutline(const QJsonObject& json) {
+  json_reader members = ReaderOf(json);
   config_command command;
-  command.id = ToText(json["id"]);
-  command.author = ToText(json["author"]);
-  command.reason = ToText(json["reason"]);
-  command.name = ToText(json["name"]);
-  command.time = absl::FromUnixMillis(ToInteger(json["time_ms"]));
+  command.id = ReadText(members, "id");
+  command.author = ReadText(members, "author");
+  command.reason = ReadText(members, "reason");
+  command.name = ReadText(members, "name");
+  command.time = absl::FromUnixMillis(ReadInteger(members, "time_ms"));
+  if (auto check = Check(members, "command"); !check.ok()) return check;
   return command;
 }
 
-absl::StatusOr<history_entry> DecodeEntry(const QJsonObject& json) {
-  const auto outcome = EnumNamed<command_outcome>(ToText(json["outcome"]));
-  if (!outcome) return Invalid("unknown outcome");
+absl::StatusOr<history_entry> DecodeEntry(const QJsonValue& json) {
+  json_reader members = ReaderOf(json);
   history_entry entry;
-  entry.offset = ToInteger(json["offset"]);
-  entry.recorded = absl::FromUnixMillis(ToInteger(json["recorded_ms"]));
-  entry.outcome = *outcome;
-  entry.detail = ToText(json["detail"]);
-  entry.command = DecodeAnyCommand(json["command"].toObject());
+  entry.offset = ReadInteger(members, "offset");
+  entry.recorded = absl::FromUnixMillis(ReadInteger(members, "recorded_ms"));
+  entry.detail = ReadText(members, "detail");
+  const QJsonObject object = ReadObject(members, "command");
+  absl::Status check = Check(members, "history");
+  check.Update(ReadEnum(members, "outcome", entry.outcome));
+  if (!check.ok()) return check;
+  auto command = DecodeCommand(object);
+  if (!command.ok()) command = DecodeOutline(object);
+  if (!command.ok()) return command.status();
+  entry.command = *std::move(command);
   return entry;
 }
 
-absl::Status DecodeHistory(const QJsonValue& value, config_state& state) {
-  if (!value.isArray()) return Invalid("history: expected an array");
-  for (const QJsonValue row : value.toArray()) {
-    auto entry = DecodeEntry(row.toObject());
+absl::StatusOr<request_cancel> DecodeCancel(const QJsonValue& json) {
+  json_reader members = ReaderOf(json);
+  request_cancel cancel;
+  cancel.request_id = ReadText(members, "request");
+  cancel.offset = ReadInteger(members, "offset");
+  if (auto check = Check(members, "cancels"); !check.ok()) return check;
+  return cancel;
+}
+
+absl::Status DecodeCancels(const QJsonArray& rows, config_state& state) {
+  for (const QJsonValue row : rows) {
+    auto cancel = DecodeCancel(row);
+    if (!cancel.ok()) return cancel.status();
+    state.cancels.push_back(*std::move(cancel));
+  }
+  return absl::OkStatus();
+}
+
+absl::Status DecodeHistory(const QJsonArray& rows, config_state& state) {
+  for (const QJsonValue row : rows) {
+    auto entry = DecodeEntry(row);
     if (!entry.ok()) return entry.status();
     state.history.push_back(
         std::make_shared<const history_entry>(*std::move(entry)));
@@ -197,19 +241,19 @@
 
 absl::StatusOr<config_state> DecodeSnapshot(const QJsonObject& json) {
   if (json["format"].toInt() != kFormat) return Invalid("unknown format");
+  json_reader members = ReaderOf(json);
   config_state state;
-  state.applied_offset = ToInteger(json["applied_offset"]);
-  if (state.applied_offset < 0) return Invalid("negative offset");
-  absl::Status decoded;
+  state.applied_offset = ReadInteger(members, "applied_offset");
+  const QJsonArray cancels = ReadArray(members, "cancels");
+  const QJsonArray history = ReadArray(members, "history");
+  absl::Status decoded = Check(members, "state");
   for (const object_kind kind : kKinds) {
     WithObjects(state, kind, [&](auto& objects) {
       decoded.Update(DecodeObjects(json[ToQt(NameOf(kind))], objects));
     });
   }
-  for (const QJsonValue row : json["cancels"].toArray()) {
-    state.cancels.push_back({ToText(row["request"]), ToInteger(row["offset"])});
-  }
-  decoded.Update(DecodeHistory(json["history"], state));
+  decoded.Update(DecodeCancels(cancels, state));
+  decoded.Update(DecodeHistory(history, state));
   // Objects refer to each other, so they are checked once all are there.
   decoded.Update(CheckAllObjects(state));
   if (!decoded.ok()) return decoded;
--- a/src/membership/membership_service.cc
+++ b/src/membership/membership_service.cc
@@ -117,7 +117,7 @@
       CountControlBytes(bytes.size());
       bytes_received += static_cast<uint64_t>(bytes.size());
       const auto message = DecodeSwim(bytes, peer_key);
-      if (!message) {
+      if (!message.ok()) {
         ++rejected;
         continue;
       }
--- a/src/membership/swim_message.cc
+++ b/src/membership/swim_message.cc
@@ -5,6 +5,8 @@
 #include <QMessageAuthenticationCode>
 #include <limits>
 
+#include "absl/strings/str_cat.h"
+#include "base/error_kind.h"
 #include "base/ids.h"
 
 namespace anvilridge {
@@ -46,80 +48,105 @@
       static_cast<qint64>(absl::ToInt64Seconds(update.verdict_age))};
 }
 
-/// Reads the fields of an array in turn and remembers whether all fitted.
+absl::Status Malformed(absl::string_view problem) {
+  return MakeError(error_kind::malformed_request,
+                   absl::StrCat("datagram: ", problem));
+}
+
+/// Reads the fields of an array in turn and remembers the first that is wrong.
 class array_reader {
  public:
-  array_reader(const QCborArray& array, qsizetype fields)
-      : array_(array), good_(array.size() == fields) {}
+  array_reader(const QCborValue& value, qsizetype fields)
+      : array_(value.toArray()) {
+    if (array_.size() != fields) wrong_ = "number of fields";
+  }
 
-  int64_t Number(int64_t max) {
+  int64_t Number(const char* name, int64_t max) {
     const QCborValue value = Next();
-    const int64_t number = value.toInteger(-1);
-    good_ = good_ && number >= 0 && number <= max;
+    // A floating-point number would be cut, or be out of the type's range.
+    const int64_t number = value.isInteger() ? value.toInteger() : -1;
+    Check(name, number >= 0 && number <= max);
     return number;
   }
 
-  bool Flag() {
+  bool Flag(const char* name) {
     const QCborValue value = Next();
-    good_ = good_ && value.isBool();
+    Check(name, value.isBool());
     return value.toBool();
   }
 
-  std::string String(size_t max_bytes) {
-    std::string text = Next().toString().toStdString();
-    good_ = good_ && text.size() <= max_bytes;
+  std::string String(const char* name, size_t max_bytes) {
+    const QCborValue value = Next();
+    std::string text = value.toString().toStdString();
+    Check(name, value.isString() && text.size() <= max_bytes);
     return text;
   }
 
-  QCborArray Array() { return Next().toArray(); }
+  QCborArray Array(const char* name) {
+    const QCborValue value = Next();
+    Check(name, value.isArray());
+    return value.toArray();
+  }
+
+  QCborValue Any() { return Next(); }
 
-  bool Good() const { return good_; }
+  absl::Status Status() const {
+    return wrong_.empty() ? absl::OkStatus() : Malformed(wrong_);
+  }
 
  private:
   QCborValue Next() { return array_.at(next_++); }
 
+  void Check(const char* name, bool good) {
+    if (!good && wrong_.empty()) wrong_ = name;
+  }
+
   const QCborArray array_;
   qsizetype next_ = 0;
-  bool good_;
+  std::string wrong_;
 };
 
-std::optional<member_update> DecodeUpdate(const QCborArray& array) {
-  array_reader reader(array, kUpdateFields);
+absl::StatusOr<member_update> DecodeUpdate(const QCborValue& value) {
+  array_reader reader(value, kUpdateFields);
   member_update update;
-  update.id.daemon = reader.String(kMaxNameBytes);
-  update.id.incarnation =
-      static_cast<uint64_t>(reader.Number(std::numeric_limits<int64_t>::max()));
+  update.id.daemon = reader.String("daemon", kMaxNameBytes);
+  update.id.incarnation = static_cast<uint64_t>(
+      reader.Number("incarnation", std::numeric_limits<int64_t>::max()));
   update.refutation = static_cast<uint32_t>(
-      reader.Number(std::numeric_limits<uint32_t>::max()));
+      reader.Number("refutation", std::numeric_limits<uint32_t>::max()));
   update.state = static_cast<member_state>(
-      reader.Number(static_cast<int64_t>(member_state::left)));
-  update.leaving = reader.Flag();
-  update.peer_address = reader.String(kMaxAddressBytes);
-  update.failure_domain = reader.String(kMaxNameBytes);
-  update.config_offset = reader.Number(std::numeric_limits<int64_t>::max());
-  update.verdict_age =
-      absl::Seconds(reader.Number(std::numeric_limits<uint32_t>::max()));
-  if (!reader.Good() || !IsSafeId(update.id.daemon)) return std::nullopt;
+      reader.Number("state", static_cast<int64_t>(member_state::left)));
+  update.leaving = reader.Flag("leaving");
+  update.peer_address = reader.String("peer_address", kMaxAddressBytes);
+  update.failure_domain = reader.String("failure_domain", kMaxNameBytes);
+  update.config_offset =
+      reader.Number("config_offset", std::numeric_limits<int64_t>::max());
+  update.verdict_age = absl::Seconds(
+      reader.Number("verdict_age", std::numeric_limits<uint32_t>::max()));
+  if (!reader.Status().ok()) return reader.Status();
+  if (!IsSafeId(update.id.daemon)) return Malformed("daemon");
   return update;
 }
 
-std::optional<swim_message> DecodeBody(const QCborArray& array) {
-  array_reader reader(array, kMessageFields);
+absl::StatusOr<swim_message> DecodeBody(const QCborValue& value) {
+  array_reader reader(value, kMessageFields);
   swim_message message;
   message.kind = static_cast<swim_kind>(
-      reader.Number(static_cast<int64_t>(swim_kind::sync_reply)));
-  message.sequence =
-      static_cast<uint64_t>(reader.Number(std::numeric_limits<int64_t>::max()));
-  const auto sender = DecodeUpdate(reader.Array());
-  message.target_address = reader.String(kMaxAddressBytes);
-  message.cursor = reader.String(kMaxNameBytes);
-  for (const auto& item : reader.Array()) {
-    const auto update = DecodeUpdate(item.toArray());
-    if (!update) return std::nullopt;
-    message.updates.push_back(*update);
+      reader.Number("kind", static_cast<int64_t>(swim_kind::sync_reply)));
+  message.sequence = static_cast<uint64_t>(
+      reader.Number("sequence", std::numeric_limits<int64_t>::max()));
+  auto sender = DecodeUpdate(reader.Any());
+  message.target_address = reader.String("target_address", kMaxAddressBytes);
+  message.cursor = reader.String("cursor", kMaxNameBytes);
+  const QCborArray updates = reader.Array("updates");
+  if (!reader.Status().ok()) return reader.Status();
+  if (!sender.ok()) return sender.status();
+  message.sender = *std::move(sender);
+  for (const auto& item : updates) {
+    auto update = DecodeUpdate(item);
+    if (!update.ok()) return update.status();
+    message.updates.push_back(*std::move(update));
   }
-  if (!reader.Good() || !sender) return std::nullopt;
-  message.sender = *sender;
   return message;
 }
 
@@ -154,18 +181,18 @@
   return Mac(body, key) + body;
 }
 
-std::optional<swim_message> DecodeSwim(const QByteArray& datagram,
-                                       absl::string_view key) {
-  if (datagram.size() <= kMacBytes) return std::nullopt;
+absl::StatusOr<swim_message> DecodeSwim(const QByteArray& datagram,
+                                        absl::string_view key) {
+  if (datagram.size() <= kMacBytes) return Malformed("too short");
   const QByteArray body = datagram.mid(kMacBytes);
   if (!ConstantTimeEqual(View(datagram.left(kMacBytes)),
                          View(Mac(body, key)))) {
-    return std::nullopt;
+    return Malformed("not made with the deployment's key");
   }
   QCborParserError error;
   const QCborValue value = QCborValue::fromCbor(body, &error);
-  if (error.error != QCborError::NoError) return std::nullopt;
-  return DecodeBody(value.toArray());
+  if (error.error != QCborError::NoError) return Malformed("no CBOR");
+  return DecodeBody(value);
 }
 
 }  // namespace anvilridge
--- a/src/membership/swim_message.h
+++ b/src/membership/swim_message.h
@@ -3,10 +3,10 @@
 
 #include <QByteArray>
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <vector>
 
+#include "absl/status/statusor.h"
 #include "absl/strings/string_view.h"
 #include "membership/member_table.h"
 
@@ -45,11 +45,12 @@
 /// Encodes as CBOR with an HMAC-SHA256 of it in front.
 QByteArray EncodeSwim(const swim_message& message, absl::string_view key);
 
-/// Decodes; nothing when malformed or not made with `key`. A datagram that was
-/// recorded and sent again is harmless: updates only ever grow, and an ack
-/// counts only for the probe in progress.
-std::optional<swim_message> DecodeSwim(const QByteArray& datagram,
-                                       absl::string_view key);
+/// Decodes; `malformed_request`, naming what is wrong, when it is malformed or
+/// not made with `key`. A datagram that was recorded and sent again is
+/// harmless: updates only ever grow, and an ack counts only for the probe in
+/// progress.
+absl::StatusOr<swim_message> DecodeSwim(const QByteArray& datagram,
+                                        absl::string_view key);
 
 }  // namespace anvilridge
 
--- a/src/membership/swim_probe_test.cc
+++ b/src/membership/swim_probe_test.cc
@@ -258,17 +258,17 @@
   message.sequence = 9;
   message.updates.push_back(message.sender);
   const QByteArray good = EncodeSwim(message, kKey);
-  ASSERT_TRUE(DecodeSwim(good, kKey));
+  ASSERT_TRUE(DecodeSwim(good, kKey).ok());
   EXPECT_EQ(DecodeSwim(good, kKey)->updates[0].id, message.sender.id);
-  EXPECT_FALSE(DecodeSwim(good, "other key"));
+  EXPECT_FALSE(DecodeSwim(good, "other key").ok());
   for (int i = 0; i < good.size(); ++i) {
     QByteArray flipped = good;
     flipped[i] = static_cast<char>(flipped[i] ^ 1);
-    EXPECT_FALSE(DecodeSwim(flipped, kKey)) << "byte " << i;
-    EXPECT_FALSE(DecodeSwim(good.left(i), kKey)) << "cut at " << i;
+    EXPECT_FALSE(DecodeSwim(flipped, kKey).ok()) << "byte " << i;
+    EXPECT_FALSE(DecodeSwim(good.left(i), kKey).ok()) << "cut at " << i;
   }
   message.sender.id.daemon = "not a safe name";
-  EXPECT_FALSE(DecodeSwim(EncodeSwim(message, kKey), kKey));
+  EXPECT_FALSE(DecodeSwim(EncodeSwim(message, kKey), kKey).ok());
 }
 
 }  // namespace
--- a/src/placement/home_messages.cc
+++ b/src/placement/home_messages.cc
@@ -49,7 +49,8 @@
  private:
   int64_t Integer(const char* key, int64_t most) {
     const QCborValue value = map_.value(QLatin1String(key));
-    const int64_t number = value.toInteger(-1);
+    // A floating-point number would be cut, or be out of the type's range.
+    const int64_t number = value.isInteger() ? value.toInteger() : -1;
     if (number < 0 || number > most) Fail(key);
     return number;
   }
--- a/src/upstreams/json_reader.cc
+++ b/src/upstreams/json_reader.cc
@@ -5,6 +5,7 @@
 #include <limits>
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/strip.h"
 #include "base/error_kind.h"
 
 namespace anvilridge {
@@ -13,14 +14,16 @@
 /// Above this a JSON number is no exact integer for every reader.
 constexpr double kMaxExactInteger = 9007199254740992.0;
 
+constexpr absl::string_view kMalformed = "malformed answer: ";
+
 QJsonValue Find(const json_reader& reader, const char* name) {
   return reader.object.value(QLatin1String(name));
 }
 
 void Note(json_reader& reader, absl::string_view problem) {
   if (!reader.status.ok()) return;
-  reader.status = MakeError(error_kind::upstream_failed,
-                            absl::StrCat("malformed answer: ", problem));
+  reader.status =
+      MakeError(error_kind::upstream_failed, absl::StrCat(kMalformed, problem));
 }
 
 }  // namespace
@@ -32,7 +35,7 @@
   const QJsonDocument document = QJsonDocument::fromJson(bytes, &error);
   if (error.error != QJsonParseError::NoError || !document.isObject()) {
     return MakeError(error_kind::upstream_failed,
-                     "malformed answer: no JSON object");
+                     absl::StrCat(kMalformed, "no JSON object"));
   }
   return json_reader{document.object(), absl::OkStatus()};
 }
@@ -72,6 +75,16 @@
   return value.toArray();
 }
 
+QJsonObject ReadObject(json_reader& reader, const char* name) {
+  const QJsonValue value = Find(reader, name);
+  if (!value.isObject()) Note(reader, absl::StrCat(name, " is no object"));
+  return value.toObject();
+}
+
+absl::string_view ProblemOf(const json_reader& reader) {
+  return absl::StripPrefix(reader.status.message(), kMalformed);
+}
+
 json_reader ReaderOf(const QJsonValue& value) {
   json_reader reader{value.toObject(), absl::OkStatus()};
   if (!value.isObject()) Note(reader, "an element is no object");
--- a/src/upstreams/json_reader.h
+++ b/src/upstreams/json_reader.h
@@ -33,6 +33,10 @@
 bool ReadBool(json_reader& reader, const char* name);
 std::string ReadText(json_reader& reader, const char* name);
 QJsonArray ReadArray(json_reader& reader, const char* name);
+QJsonObject ReadObject(json_reader& reader, const char* name);
+
+/// Returns the first problem noted, naming the field; "" for none.
+absl::string_view ProblemOf(const json_reader& reader);
 
 /// Makes a reader of an element of an array; notes an error in it if `value`
 /// is no object.
