Lose cancels twice while the home dies

Change: five rows in held_for_nobody_test: the caller leaves, each engine loses the effect of its next two cancels, and the home is killed (prefill, transfer, decode), or the home and the entry daemon (prefill, decode). The second kind has two list intervals more, since the new home's cancels are lost as well.

--- a/tests/held_for_nobody_test.cc
+++ b/tests/held_for_nobody_test.cc
@@ -47,7 +47,9 @@
   caller_leaves_cancel_lost,
   entry_killed,
   entry_frozen,
-  entry_and_home_killed
+  entry_and_home_killed,
+  cancel_lost_home_killed,
+  cancel_lost_entry_and_home_killed
 };
 
 struct orphan_case {
@@ -169,15 +171,33 @@
     }
   }
 
+  // Has each engine lose the effect of its next two cancels.
+  void LoseCancels() {
+    for (const standin* engine : {&fleet_.prefill[0], &fleet_.decode[0]}) {
+      SetFault(engine->port, "lose_cancel", {{"count", 2}});
+    }
+  }
+
+  void KillHome() { fleet_.daemons[Home()].process->Kill(); }
+
   absl::Duration Lose() {
     child_process& entry = *fleet_.daemons[Entry()].process;
     switch (GetParam().what) {
       case loss::caller_leaves_cancel_lost:
-        for (const standin* engine : {&fleet_.prefill[0], &fleet_.decode[0]}) {
-          SetFault(engine->port, "lose_cancel", {{"count", 2}});
-        }
+        LoseCancels();
         victim_->Cut();
         return kLeftBound;
+      case loss::cancel_lost_home_killed:
+        LoseCancels();
+        victim_->Cut();
+        KillHome();
+        return kLeftBound;
+      case loss::cancel_lost_entry_and_home_killed:
+        LoseCancels();
+        victim_->Cut();
+        entry.Kill();
+        KillHome();
+        return kGoneBound + 2 * kListInterval;
       case loss::caller_leaves:
         victim_->Cut();
         return kLeftBound;
@@ -189,7 +209,7 @@
         return kGoneBound;
       case loss::entry_and_home_killed:
         entry.Kill();
-        fleet_.daemons[Home()].process->Kill();
+        KillHome();
         return kGoneBound;
     }
     return kGoneBound;
@@ -223,36 +243,46 @@
 
 INSTANTIATE_TEST_SUITE_P(
     cases, orphans_test,
-    testing::Values(orphan_case{"caller_leaves_in_queue", stage::place,
-                                loss::caller_leaves},
-                    orphan_case{"caller_leaves_in_prefill", stage::prefill,
-                                loss::caller_leaves},
-                    orphan_case{"caller_leaves_in_transfer", stage::transfer,
-                                loss::caller_leaves},
-                    orphan_case{"caller_leaves_in_decode", stage::decode,
-                                loss::caller_leaves},
-                    orphan_case{"cancel_lost_in_prefill", stage::prefill,
-                                loss::caller_leaves_cancel_lost},
-                    orphan_case{"cancel_lost_in_decode", stage::decode,
-                                loss::caller_leaves_cancel_lost},
-                    orphan_case{"entry_killed_in_queue", stage::place,
-                                loss::entry_killed},
-                    orphan_case{"entry_killed_in_prefill", stage::prefill,
-                                loss::entry_killed},
-                    orphan_case{"entry_killed_in_transfer", stage::transfer,
-                                loss::entry_killed},
-                    orphan_case{"entry_killed_in_decode", stage::decode,
-                                loss::entry_killed},
-                    orphan_case{"entry_frozen_in_prefill", stage::prefill,
-                                loss::entry_frozen},
-                    orphan_case{"entry_frozen_in_transfer", stage::transfer,
-                                loss::entry_frozen},
-                    orphan_case{"entry_frozen_in_decode", stage::decode,
-                                loss::entry_frozen},
-                    orphan_case{"entry_and_home_killed_in_prefill",
-                                stage::prefill, loss::entry_and_home_killed},
-                    orphan_case{"entry_and_home_killed_in_decode",
-                                stage::decode, loss::entry_and_home_killed}),
+    testing::Values(
+        orphan_case{"caller_leaves_in_queue", stage::place,
+                    loss::caller_leaves},
+        orphan_case{"caller_leaves_in_prefill", stage::prefill,
+                    loss::caller_leaves},
+        orphan_case{"caller_leaves_in_transfer", stage::transfer,
+                    loss::caller_leaves},
+        orphan_case{"caller_leaves_in_decode", stage::decode,
+                    loss::caller_leaves},
+        orphan_case{"cancel_lost_in_prefill", stage::prefill,
+                    loss::caller_leaves_cancel_lost},
+        orphan_case{"cancel_lost_in_decode", stage::decode,
+                    loss::caller_leaves_cancel_lost},
+        orphan_case{"cancel_lost_home_killed_in_prefill", stage::prefill,
+                    loss::cancel_lost_home_killed},
+        orphan_case{"cancel_lost_home_killed_in_transfer", stage::transfer,
+                    loss::cancel_lost_home_killed},
+        orphan_case{"cancel_lost_home_killed_in_decode", stage::decode,
+                    loss::cancel_lost_home_killed},
+        orphan_case{"cancel_lost_entry_and_home_killed_in_prefill",
+                    stage::prefill, loss::cancel_lost_entry_and_home_killed},
+        orphan_case{"cancel_lost_entry_and_home_killed_in_decode",
+                    stage::decode, loss::cancel_lost_entry_and_home_killed},
+        orphan_case{"entry_killed_in_queue", stage::place, loss::entry_killed},
+        orphan_case{"entry_killed_in_prefill", stage::prefill,
+                    loss::entry_killed},
+        orphan_case{"entry_killed_in_transfer", stage::transfer,
+                    loss::entry_killed},
+        orphan_case{"entry_killed_in_decode", stage::decode,
+                    loss::entry_killed},
+        orphan_case{"entry_frozen_in_prefill", stage::prefill,
+                    loss::entry_frozen},
+        orphan_case{"entry_frozen_in_transfer", stage::transfer,
+                    loss::entry_frozen},
+        orphan_case{"entry_frozen_in_decode", stage::decode,
+                    loss::entry_frozen},
+        orphan_case{"entry_and_home_killed_in_prefill", stage::prefill,
+                    loss::entry_and_home_killed},
+        orphan_case{"entry_and_home_killed_in_decode", stage::decode,
+                    loss::entry_and_home_killed}),
     [](const auto& tested) { return tested.param.name; });
 
 // A request at the engines in the name of a daemon that lives and knows
