Say unknown where a refused request may carry a key

Cause: the caller port answered not_run to connections past the cap, to malformed, large and slow requests and to requests past the cap, though an earlier attempt with the same idempotency key may have run. To a caller not_run is leave to send the call under a new key. Ruled out: the handler and the service flow, which already say unknown of keyed calls before their claim. Change: the port says not_run only of a request whose header fields it has read whole and which has no key, and unknown of the rest. The table of error kinds has unknown for headers_too_large, request_timeout and too_many_connections. One function, WithoutNotRun, stands for three copies of the same rule. Conclusion: not_run now holds for every attempt with a key. The cost is that a caller without a key that is turned away unread hears unknown.

--- a/src/base/error_kind.cc
+++ b/src/base/error_kind.cc
@@ -25,8 +25,8 @@
     error_answer{body_too_large, "body_too_large", 413, run_state::not_run,
                  kNever, "The body is larger than this route allows"},
     error_answer{headers_too_large, "headers_too_large", 431,
-                 run_state::not_run, kNever, "The header fields are too large"},
-    error_answer{request_timeout, "request_timeout", 408, run_state::not_run,
+                 run_state::unknown, kNever, "The header fields are too large"},
+    error_answer{request_timeout, "request_timeout", 408, run_state::unknown,
                  kNever, "The request did not arrive in time"},
     error_answer{method_not_allowed, "method_not_allowed", 405,
                  run_state::not_run, kNever, "The method is not allowed here"},
@@ -41,7 +41,7 @@
     error_answer{not_found, "not_found", 404, run_state::not_run, kNever,
                  "There is no such object"},
     error_answer{too_many_connections, "too_many_connections", 503,
-                 run_state::not_run, absl::Seconds(1),
+                 run_state::unknown, absl::Seconds(1),
                  "Too many connections are open"},
     error_answer{rate_limited, "rate_limited", 429, run_state::not_run,
                  absl::Seconds(1), "The team's request rate is used up"},
@@ -174,6 +174,15 @@
   return status;
 }
 
+absl::Status WithRunState(const absl::Status& error, run_state ran) {
+  return MakeError(KindOf(error), error.message(), ran, RetryAfterOf(error));
+}
+
+absl::Status WithoutNotRun(const absl::Status& error) {
+  if (RunStateOf(error) != run_state::not_run) return error;
+  return WithRunState(error, run_state::unknown);
+}
+
 error_kind KindOf(const absl::Status& status) { return PayloadOf(status).kind; }
 
 run_state RunStateOf(const absl::Status& status) {
--- a/src/base/error_kind.h
+++ b/src/base/error_kind.h
@@ -79,6 +79,13 @@
 absl::Status MakeError(error_kind kind, absl::string_view detail, run_state ran,
                        absl::Duration retry_after = absl::ZeroDuration());
 
+/// Returns `error` with the execution state `ran`, all else as it is.
+absl::Status WithRunState(const absl::Status& error, run_state ran);
+
+/// Returns `error` with `unknown` in place of `not_run`: for a refused attempt
+/// of a request that an earlier or another attempt may have run.
+absl::Status WithoutNotRun(const absl::Status& error);
+
 /// Returns the kind that `status` carries; `internal` when it carries none.
 error_kind KindOf(const absl::Status& status);
 
--- a/src/caller/caller_connection.cc
+++ b/src/caller/caller_connection.cc
@@ -32,6 +32,12 @@
   return bytes.find_first_not_of("\r\n") == absl::string_view::npos;
 }
 
+// An earlier attempt with the same key, here or at another daemon, may have run
+// although this one did not.
+run_state RunStateOfRefused(bool may_have_key) {
+  return may_have_key ? run_state::unknown : run_state::not_run;
+}
+
 absl::string_view View(const QByteArray& bytes) {
   return {bytes.constData(), static_cast<size_t>(bytes.size())};
 }
@@ -158,26 +164,29 @@
   if (pipelined || !request.keep_alive) close_after_answer_ = true;
   const bool full =
       context_.counters->answering.load() >= context_.limits.max_requests;
-  const auto exchange = StartAnswer(request);
+  const bool keyed = HasIdempotencyKey(request);
   if (full) {
-    RespondProblem(*exchange,
-                   MakeError(error_kind::too_many_connections,
-                             "too many requests are in progress"),
-                   NewId());
-    return;
+    return RefuseRequest(MakeError(error_kind::too_many_connections,
+                                   "too many requests are in progress"),
+                         request, keyed);
   }
   auto parsed = feed_->Parse(request);
-  if (!parsed.ok()) {
-    RespondProblem(*exchange, parsed.status(), NewId());
-    return;
-  }
-  context_.handler(*parsed, exchange);
+  if (!parsed.ok()) return RefuseRequest(parsed.status(), request, keyed);
+  context_.handler(*parsed, StartAnswer(request));
 }
 
 void caller_connection::Refuse(const absl::Status& error) {
   close_after_answer_ = true;
-  const auto exchange = StartAnswer(scanned_request{});
-  RespondProblem(*exchange, error, NewId());
+  RefuseRequest(error, scanned_request{}, scanner_.MayHaveKey());
+}
+
+void caller_connection::RefuseRequest(const absl::Status& error,
+                                      const scanned_request& request,
+                                      bool may_have_key) {
+  const auto exchange = StartAnswer(request);
+  const absl::Status refusal =
+      WithRunState(error, RunStateOfRefused(may_have_key));
+  RespondProblem(*exchange, refusal, NewId());
 }
 
 void caller_connection::SetPhase(phase next) {
--- a/src/caller/caller_connection.h
+++ b/src/caller/caller_connection.h
@@ -68,6 +68,8 @@
   void Receive(absl::string_view bytes);
   void Dispatch();
   void Refuse(const absl::Status& error);
+  void RefuseRequest(const absl::Status& error, const scanned_request& request,
+                     bool may_have_key);
   std::shared_ptr<caller_exchange> StartAnswer(const scanned_request& request);
   void SetPhase(phase next);
   void SetTimer(absl::Duration delay);
--- a/src/caller/request_scanner.cc
+++ b/src/caller/request_scanner.cc
@@ -90,6 +90,10 @@
 
 }  // namespace
 
+bool HasIdempotencyKey(const scanned_request& request) {
+  return CountFields(request.headers, "idempotency-key") > 0;
+}
+
 request_scanner::request_scanner(int64_t max_header_bytes,
                                  int64_t max_body_bytes)
     : max_header_bytes_(max_header_bytes), max_body_bytes_(max_body_bytes) {}
@@ -111,6 +115,7 @@
   part_ = part::head;
   framing_bytes_ = 0;
   expects_continue_ = false;
+  fields_read_ = false;
   return request;
 }
 
@@ -118,6 +123,10 @@
   return part_ != part::head || !pending_.empty();
 }
 
+bool request_scanner::MayHaveKey() const {
+  return !fields_read_ || HasIdempotencyKey(request_);
+}
+
 bool request_scanner::TakeExpectContinue() {
   const bool waits = part_ != part::head && part_ != part::done;
   return waits && std::exchange(expects_continue_, false);
@@ -165,6 +174,7 @@
   }
   absl::Status status = ParseHead(absl::string_view(pending_).substr(0, end));
   if (!status.ok()) return status;
+  fields_read_ = true;
   pending_.erase(0, head_bytes);
   return SelectFraming();
 }
--- a/src/caller/request_scanner.h
+++ b/src/caller/request_scanner.h
@@ -27,6 +27,9 @@
   bool keep_alive = true;
 };
 
+/// Returns whether the caller names its request by an idempotency key.
+bool HasIdempotencyKey(const scanned_request& request);
+
 /// What the bytes so far amount to.
 enum class scan_progress { partial, complete };
 
@@ -49,6 +52,10 @@
   /// Whether a part of a request has arrived.
   bool InRequest() const;
 
+  /// Whether the request may carry an idempotency key: one whose header fields
+  /// have not been read whole may.
+  bool MayHaveKey() const;
+
   /// Whether bytes beyond the complete request have arrived.
   bool HasExcess() const { return !pending_.empty(); }
 
@@ -78,6 +85,8 @@
   /// Bytes of chunk framing and trailer so far.
   size_t framing_bytes_ = 0;
   bool expects_continue_ = false;
+  /// Whether the header fields are all in `request_`.
+  bool fields_read_ = false;
   scanned_request request_;
 };
 
--- a/src/requests/caller_handler.cc
+++ b/src/requests/caller_handler.cc
@@ -129,9 +129,7 @@
 absl::Status Honest(const inbound_request& inbound, const absl::Status& error) {
   const bool keyed = !HeaderValue(inbound.headers, "idempotency-key").empty() &&
                      inbound.path != kCompletionsPath;
-  if (!keyed || RunStateOf(error) != run_state::not_run) return error;
-  return MakeError(KindOf(error), error.message(), run_state::unknown,
-                   RetryAfterOf(error));
+  return keyed ? WithoutNotRun(error) : error;
 }
 
 }  // namespace
--- a/src/requests/completion_flow.cc
+++ b/src/requests/completion_flow.cc
@@ -398,12 +398,8 @@
 
   void Fail(const absl::Status& error) {
     if (over_) return;
-    absl::Status shown = error;
     // Once an engine was asked, it can't be said that nothing ran.
-    if (may_have_run_ && RunStateOf(error) == run_state::not_run) {
-      shown = MakeError(KindOf(error), error.message(), run_state::unknown,
-                        RetryAfterOf(error));
-    }
+    const absl::Status shown = may_have_run_ ? WithoutNotRun(error) : error;
     FailAnswer(writer_, shown);
     End(shown);
   }
--- a/src/requests/service_flow.cc
+++ b/src/requests/service_flow.cc
@@ -303,10 +303,7 @@
   absl::Status Honest(const absl::Status& error) const {
     const bool keyed = !repeatable_ && !key_.empty();
     const bool other_attempts = keyed && !claim_asked_;
-    if (!other_attempts && !may_have_run_) return error;
-    if (RunStateOf(error) != run_state::not_run) return error;
-    return MakeError(KindOf(error), error.message(), run_state::unknown,
-                     RetryAfterOf(error));
+    return other_attempts || may_have_run_ ? WithoutNotRun(error) : error;
   }
 
   void Fail(const absl::Status& refused) {
