--- a/bench/capacity/membership_cost.cc
+++ b/bench/capacity/membership_cost.cc
@@ -92,7 +92,7 @@
       flight_.pop();
       const auto node = nodes_.find(next.to);
       const auto message = DecodeSwim(next.bytes, kKey);
-      if (node == nodes_.end() || !message) continue;
+      if (node == nodes_.end() || !message.ok()) continue;
       Take(SwimReceive(node->second, *message, next.arrives, random_));
     }
   }
--- a/src/membership/membership_service.cc
+++ b/src/membership/membership_service.cc
@@ -117,7 +117,7 @@
       CountControlBytes(control_channel::membership,
                         traffic_direction::received, bytes.size());
       const auto message = DecodeSwim(bytes, peer_key);
-      if (!message) {
+      if (!message.ok()) {
         ++rejected;
         continue;
       }
--- a/src/placement/home_fields.cc
+++ b/src/placement/home_fields.cc
@@ -96,7 +96,9 @@
 }
 
 int64_t field_reader::Integer(home_field field, int64_t most) {
-  const int64_t number = Value(field).toInteger(-1);
+  const QCborValue value = Value(field);
+  // A floating-point number would be cut, or be out of the type's range.
+  const int64_t number = value.isInteger() ? value.toInteger() : -1;
   if (number < 0 || number > most) Fail(field);
   return number;
 }
--- a/src/placement/home_messages.cc
+++ b/src/placement/home_messages.cc
@@ -114,7 +114,8 @@
   message.ask.owner = fields.Text(field::owner);
   message.ask.tokens = fields.Count(field::tokens);
   message.ask.longest_wait = fields.Time(field::wait);
-  if (!fields.Has(field::to)) return fields.Finish(std::move(message));
+  const bool linked = fields.Has(field::to) || fields.Has(field::pieces);
+  if (!linked) return fields.Finish(std::move(message));
   message.ask.to_domain = fields.Text(field::to);
   message.ask.pieces = fields.Count(field::pieces);
   return fields.Finish(std::move(message));
--- a/src/requests/completion_end.cc
+++ b/src/requests/completion_end.cc
@@ -89,12 +89,8 @@
 
 void FailCompletion(completion_state& flow, const absl::Status& error) {
   if (flow.over) return;
-  absl::Status shown = error;
   // Once an engine was asked, it can't be said that nothing ran.
-  if (flow.may_have_run && RunStateOf(error) == run_state::not_run) {
-    shown = MakeError(KindOf(error), error.message(), run_state::unknown,
-                      RetryAfterOf(error));
-  }
+  const absl::Status shown = flow.may_have_run ? WithoutNotRun(error) : error;
   FailAnswer(flow.writer, shown);
   EndCompletion(flow, shown);
 }
