--- a/src/placement/cache_watch.cc
+++ b/src/placement/cache_watch.cc
@@ -13,7 +13,7 @@
 
 constexpr absl::Duration kPollInterval = absl::Milliseconds(500);
 // Most live daemons among which each follows all engines. One engine's events
-// are some 15 KB/s, more than a daemon of a large deployment may spend on all
+// are some 20 KB/s, more than a daemon of a large deployment may spend on all
 // of its control traffic.
 constexpr int kSmallDeployment = 16;
 // Asks for nothing but the number of the last event.
