Answer callers of cancelled requests at once, and cancel service calls

Cause: a cancel reached the engines that hold a place only. A queued request, and a call at a service, went on as if nothing had been ordered. Change: the daemon that serves a request ends its flow when the command comes into force, and answers with the new kind cancelled: not_run while it only waited, unknown once an engine or a service was asked. A call under a claim is not given up: its caller is answered, and its answer is awaited for the rest of its time, so that a retry with the key learns of it. To drop the call and leave the key unknown was ruled out, since it tells the caller less and frees nothing for longer than 10 s. A grant that comes after the cancel is given back. The homes still cancel at their engines, for requests whose daemon does not. dry run says for each phase what becomes of the request and what its caller is told.

--- a/src/base/error_kind.cc
+++ b/src/base/error_kind.cc
@@ -84,6 +84,8 @@
                  absl::Seconds(1), "A request with this key is in progress"},
     error_answer{outcome_unknown, "outcome_unknown", 502, run_state::unknown,
                  kNever, "It can't be known whether the request ran"},
+    error_answer{cancelled, "cancelled", 409, run_state::unknown, kNever,
+                 "An operator cancelled the request"},
     error_answer{lease_lost, "lease_lost", 503, run_state::not_run,
                  absl::Seconds(1), "This daemon was paused past its lease"},
     error_answer{resume_fenced, "resume_fenced", 409, run_state::ran, kNever,
--- a/src/base/error_kind.h
+++ b/src/base/error_kind.h
@@ -43,6 +43,7 @@
   key_conflict,
   key_in_progress,
   outcome_unknown,
+  cancelled,
   lease_lost,
   resume_fenced,
   resume_gone,
--- a/src/daemon/control_state.cc
+++ b/src/daemon/control_state.cc
@@ -155,6 +155,14 @@
   return running;
 }
 
+// The flows that this daemon serves end at once; the engines' homes see to
+// those whose daemon does not.
+void EndCancelledHere(control_state& state) {
+  for (const auto& [id, until] : state.operator_cancelled.wanted) {
+    CancelHere(state.requests, id);
+  }
+}
+
 void NoteConfigOffsets(control_state& state) {
   const auto config = state.config.InForce();
   const int64_t in_force = config ? config->applied_offset : 0;
@@ -206,6 +214,7 @@
   config.OnChange([this](const config_service::state_ptr& in_force) {
     NoteRoleOrders(*this, in_force);
     TakeCancels(operator_cancelled, *in_force, MonotonicNow());
+    EndCancelledHere(*this);
     config_in_force.Set(in_force);
     membership.SetConfigOffset(in_force->applied_offset);
     PublishLeaving(*this);
--- a/src/daemon/thread_bridge.cc
+++ b/src/daemon/thread_bridge.cc
@@ -17,8 +17,13 @@
   };
 }
 
+std::function<void()> OnThread(QObject* thread, std::function<void()> done) {
+  return [thread, done = std::move(done)] { PostTo(thread, done); };
+}
+
 void Admit(control_state& state, const active_request& request,
-           const std::function<void(absl::Status)>& done) {
+           const std::function<void(absl::Status)>& done,
+           const std::function<void()>& cancelled) {
   if (state.stopping) {
     return done(
         MakeError(error_kind::shutting_down, "come back to another daemon"));
@@ -32,11 +37,13 @@
     return done(
         MakeError(error_kind::unknown_credential, "the team was removed"));
   }
-  state.admission.Enter(team->second,
-                        [&state, request, done](const absl::Status& entered) {
-                          if (entered.ok()) Note(state.requests, request);
-                          done(entered);
-                        });
+  state.admission.Enter(team->second, [&state, request, done,
+                                       cancelled](const absl::Status& entered) {
+    if (entered.ok()) {
+      Note(state.requests, request, cancelled);
+    }
+    done(entered);
+  });
 }
 
 void Leave(control_state& state, const std::string& request_id) {
@@ -57,10 +64,12 @@
 void AddAdmission(request_services& services, control_state& state,
                   QObject* thread) {
   services.admit = [&state, thread](const active_request& request,
-                                    std::function<void(absl::Status)> done) {
+                                    std::function<void(absl::Status)> done,
+                                    std::function<void()> cancelled) {
     PostTo(&state.context,
-           [&state, request, done = OnThread(thread, std::move(done))] {
-             Admit(state, request, done);
+           [&state, request, done = OnThread(thread, std::move(done)),
+            cancelled = OnThread(thread, std::move(cancelled))] {
+             Admit(state, request, done, cancelled);
            });
   };
   services.update = [&state](const active_request& request) {
--- a/src/operators/dry_run.cc
+++ b/src/operators/dry_run.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <map>
 
 #include "absl/strings/str_cat.h"
@@ -106,6 +107,32 @@
   }
 }
 
+std::string CancelEffect(const request_row& request) {
+  if (request.phase == "admission" || request.phase == "placement") {
+    return "waits for a place; its caller is told that it did not run, unless "
+           "an earlier attempt did";
+  }
+  if (request.phase == "service") {
+    return absl::StrCat("was sent to ", request.upstream,
+                        " and may have run; its caller is told `unknown`, and "
+                        "its key stays used");
+  }
+  return absl::StrCat("is in ", request.phase, " at ", request.upstream,
+                      " and is stopped there; its caller is told `unknown`");
+}
+
+void AddCancelled(result_table& table, const operator_view& view,
+                  const std::string& id) {
+  const auto found = std::find_if(
+      view.requests.begin(), view.requests.end(),
+      [&id](const request_row& request) { return request.id == id; });
+  if (found == view.requests.end()) {
+    return Add(table, "request", id,
+               "is in progress at no daemon that answers");
+  }
+  Add(table, "request", id, CancelEffect(*found));
+}
+
 }  // namespace
 
 result_table DryRun(const config_command& command, const operator_view& view) {
@@ -123,11 +150,7 @@
   } else if (command.object == object_kind::team) {
     AddTeam(table, view, command.name);
   } else if (command.object == object_kind::request) {
-    for (const request_row& request : view.requests) {
-      if (request.id == command.name) {
-        Add(table, "request", request.id, "is cancelled wherever it runs");
-      }
-    }
+    AddCancelled(table, view, command.name);
   }
   return table;
 }
--- a/src/requests/completion_flow.cc
+++ b/src/requests/completion_flow.cc
@@ -42,6 +42,13 @@
       });
 }
 
+// FailCompletion says `unknown` instead once an engine was asked.
+void CancelByOperator(completion_state& flow) {
+  FailCompletion(flow, MakeError(error_kind::cancelled,
+                                 "an operator cancelled this request",
+                                 run_state::not_run));
+}
+
 void Admit(const completion_ptr& flow, std::function<void()> next) {
   ServicesOf(*flow).admit(
       ActiveRequest(*flow, "admission"),
@@ -52,6 +59,9 @@
           return ServicesOf(*flow).leave(flow->request.request_id);
         }
         next();
+      },
+      [weak = std::weak_ptr<completion_state>(flow)] {
+        if (const completion_ptr held = weak.lock()) CancelByOperator(*held);
       });
 }
 
--- a/src/requests/request_services.h
+++ b/src/requests/request_services.h
@@ -44,7 +44,11 @@
   /// past its lease.
   std::function<bool(const std::string& owner)> may_act;
   /// Counts a request against its team's limits; fails when they are used up.
-  std::function<void(const active_request&, std::function<void(absl::Status)>)>
+  /// `cancelled` is called when an operator cancels the request, once at most
+  /// and not after `leave`, but for a call that is on its way already.
+  std::function<void(const active_request&,
+                     std::function<void(absl::Status)> done,
+                     std::function<void()> cancelled)>
       admit;
   /// Updates the stage and upstream of an admitted request.
   std::function<void(const active_request&)> update;
--- a/src/requests/service_flow.cc
+++ b/src/requests/service_flow.cc
@@ -4,7 +4,6 @@
 #include <QJsonObject>
 #include <algorithm>
 #include <optional>
-#include <random>
 #include <utility>
 #include <vector>
 
@@ -15,6 +14,7 @@
 #include "claims/claim_holder.h"
 #include "log/decision_log.h"
 #include "requests/header_rules.h"
+#include "requests/service_choice.h"
 
 namespace anvilridge {
 namespace {
@@ -58,13 +58,17 @@
     exchange_->OnClosed([weak = weak_from_this()] {
       if (const auto self = weak.lock()) self->CallerLeft();
     });
-    Services().admit(Active("admission"),
-                     [self = shared_from_this()](const absl::Status& admitted) {
-                       if (!admitted.ok()) return self->Fail(admitted);
-                       self->admitted_ = true;
-                       EarnRetries(self->context_.retries);
-                       self->Claim();
-                     });
+    Services().admit(
+        Active("admission"),
+        [self = shared_from_this()](const absl::Status& admitted) {
+          if (!admitted.ok()) return self->Fail(admitted);
+          self->admitted_ = true;
+          EarnRetries(self->context_.retries);
+          self->Claim();
+        },
+        [weak = weak_from_this()] {
+          if (const auto self = weak.lock()) self->TakeCancel();
+        });
   }
 
  private:
@@ -84,13 +88,32 @@
   // kept for a retry with the same key.
   void CallerLeft() {
     caller_left_ = true;
-    if (over_ || !repeatable_) return;
+    if (over_ || cancelled_ || !repeatable_) return;
     if (call_ != 0) context_.client->Cancel(call_);
     EndUpstreamCall();
     Services().metrics.ended(request_.route.name, kResultCallerLeft);
     End();
   }
 
+  // What was sent can't be called back: its caller is told so at once. The
+  // answer to a claimed call is awaited, so that a retry learns of it.
+  void TakeCancel() {
+    if (over_ || cancelled_) return;
+    cancelled_ = true;
+    // Before its claim is answered, an earlier call with the key may have run.
+    const bool key_unsure = !repeatable_ && !key_.empty() && !claim_;
+    const absl::Status error = Honest(MakeError(
+        error_kind::cancelled, "an operator cancelled this request",
+        sent_ || key_unsure ? run_state::unknown : run_state::not_run));
+    RefuseCaller(error);
+    if (claim_ && call_ != 0) {
+      return Services().update(Active("cancelled"));
+    }
+    if (call_ != 0) context_.client->Cancel(call_);
+    EndUpstreamCall();
+    End();
+  }
+
   void Claim() {
     if (repeatable_ || key_.empty()) return Send();
     claim_request ask;
@@ -107,6 +130,7 @@
   }
 
   void TakeClaim(absl::StatusOr<claim_result> result) {
+    if (over_) return GiveBack(std::move(result));
     if (!result.ok()) {
       Services().metrics.claim_ended(ResultName(result.status()));
       return Fail(result.status());
@@ -118,6 +142,15 @@
     Send();
   }
 
+  // The call was cancelled while its key was being claimed, and was not sent.
+  void GiveBack(absl::StatusOr<claim_result> result) {
+    if (!result.ok()) return;
+    const auto* grant = std::get_if<claim_grant>(&*result);
+    if (grant == nullptr) return;
+    Services().release(grant->claim_id);
+    Services().metrics.claim_ended(kClaimReleased);
+  }
+
   void Replay(const claim_outcome& stored) {
     Services().metrics.claim_ended(kClaimReplayed);
     if (!stored.body_kept) {
@@ -137,41 +170,14 @@
            stored.body);
   }
 
-  // Two choices at random, the one with fewer calls in progress.
-  bool ChooseUpstream() {
-    const std::shared_ptr<const config_state> config = Services().config();
-    std::vector<const upstream_config*> candidates;
-    for (const auto& [name, upstream] : config->upstreams) {
-      if (upstream.pool != request_.route.service_pool) continue;
-      if (upstream.draining || !Services().healthy(name)) continue;
-      if (std::find(tried_.begin(), tried_.end(), name) != tried_.end()) {
-        continue;
-      }
-      candidates.push_back(&upstream);
-    }
-    if (candidates.empty()) return false;
-    std::shuffle(candidates.begin(), candidates.end(), context_.random);
-    const upstream_config* chosen = candidates.front();
-    if (candidates.size() > 1 && context_.service_calls[candidates[1]->name] <
-                                     context_.service_calls[chosen->name]) {
-      chosen = candidates[1];
-    }
-    upstream_ = *chosen;
-    LogEvent(log_level::info, "routing",
-             {{"request_id", QtText(request_.request_id)},
-              {"route", QtText(request_.route.name)},
-              {"considered", static_cast<int>(candidates.size())},
-              {"chosen", QtText(upstream_.name)},
-              {"why", "fewer calls in progress of two sampled"},
-              {"attempt", static_cast<int>(tried_.size()) + 1}});
-    return true;
-  }
-
   void Send() {
-    if (!ChooseUpstream()) {
+    std::optional<upstream_config> chosen =
+        ChooseService(context_, request_.route, request_.request_id, tried_);
+    if (!chosen) {
       return Fail(MakeError(error_kind::no_upstream,
                             "no service takes calls of this route"));
     }
+    upstream_ = *std::move(chosen);
     if (const absl::Status allowed = CheckSend(); !allowed.ok()) {
       return Fail(allowed);
     }
@@ -194,8 +200,8 @@
   absl::Status CheckSend() const {
     const bool lease_valid = Services().may_act(owner_);
     if (claim_) {
-      return CheckBeforeSend(*claim_,
-                             {MonotonicNow(), lease_valid, !caller_left_});
+      return CheckBeforeSend(
+          *claim_, {MonotonicNow(), lease_valid, !caller_left_ && !cancelled_});
     }
     if (lease_valid) return absl::OkStatus();
     return MakeError(error_kind::lease_lost,
@@ -300,14 +306,16 @@
   }
 
   void Answer(int status, http_headers headers, absl::string_view body) {
-    if (!caller_left_) {
+    if (!caller_left_ && !cancelled_) {
       headers.emplace_back("x-request-id", request_.request_id);
       exchange_->Respond(status, headers, body);
     }
-    result_ = absl::StrCat(status);
-    Services().metrics.ended(request_.route.name, status < kServerErrors
-                                                      ? kResultOk
-                                                      : kResultUpstreamError);
+    if (!cancelled_) {
+      result_ = absl::StrCat(status);
+      Services().metrics.ended(request_.route.name, status < kServerErrors
+                                                        ? kResultOk
+                                                        : kResultUpstreamError);
+    }
     End();
   }
 
@@ -324,11 +332,14 @@
 
   void Fail(const absl::Status& refused) {
     if (over_) return;
-    const absl::Status error = Honest(refused);
+    if (!cancelled_) RefuseCaller(Honest(refused));
+    End();
+  }
+
+  void RefuseCaller(const absl::Status& error) {
     if (!caller_left_) RespondProblem(*exchange_, error, request_.request_id);
     result_ = std::string(ResultName(error));
     CountFailure(Services().metrics, request_.route.name, error);
-    End();
   }
 
   void End() {
@@ -368,6 +379,8 @@
   bool may_have_run_ = false;
   bool in_upstream_ = false;
   bool caller_left_ = false;
+  // Whether an operator has cancelled the request, and its caller was told.
+  bool cancelled_ = false;
   bool over_ = false;
 };
 
