Show the owners of orphans

Cause: the home's watch kept only since when a request had no owner, so the columns owner and pieces of show orphans were empty. Change: the watch keeps them with the time. AuthorizationOf, a copy of HeaderValue, is gone. Seen to fail first: CountsWasteOrphansAndRefusalsOfThePort waits for the lost daemon's name as owner and did not see it within 30 s before the change. Conclusion: an orphan's row names the daemon and incarnation that left it.

--- a/src/daemon/orphan_control.cc
+++ b/src/daemon/orphan_control.cc
@@ -111,7 +111,7 @@
   };
   const std::vector<engine_request> orphans = FindOrphans(
       state.orphans[engine.name], listed, is_live, {}, MonotonicNow());
-  if (!state.orphans[engine.name].since.empty()) {
+  if (!state.orphans[engine.name].watched.empty()) {
     state.homes.WatchOrphan(engine.name);
   }
   for (const engine_request& orphan : orphans) {
--- a/src/daemon/view_rows.cc
+++ b/src/daemon/view_rows.cc
@@ -146,11 +146,13 @@
   std::vector<orphan_row> rows;
   const absl::Time now = MonotonicNow();
   for (const auto& [engine, watch] : state.orphans) {
-    for (const auto& [id, since] : watch.since) {
+    for (const auto& [id, orphan] : watch.watched) {
       orphan_row row;
       row.request_id = id;
       row.upstream = engine;
-      row.age = now - since;
+      row.owner = orphan.owner;
+      row.pieces = orphan.pieces;
+      row.age = now - orphan.since;
       row.state =
           row.age < orphan_policy().resume_grace ? "grace" : "cancelling";
       rows.push_back(std::move(row));
--- a/src/operators/operator_api.cc
+++ b/src/operators/operator_api.cc
@@ -90,13 +90,6 @@
   return request;
 }
 
-absl::string_view AuthorizationOf(const http_headers& headers) {
-  for (const auto& [name, value] : headers) {
-    if (name == "authorization") return value;
-  }
-  return "";
-}
-
 // The author recorded is the key's name; people who share a key may add theirs.
 std::string AuthorOf(const principal& who, const command_request& request) {
   if (request.author.empty()) return who.name;
@@ -126,7 +119,7 @@
           *exchange, MakeError(error_kind::method_not_allowed,
                                command ? "expected POST" : "expected GET"));
     }
-    const auto who = Authenticate(AuthorizationOf(request.headers),
+    const auto who = Authenticate(HeaderValue(request.headers, "authorization"),
                                   config.get(), bootstrap_hash);
     if (!who.ok()) return RespondApiError(*exchange, who.status());
     if (auto check = CheckRole(*who, operator_role::read); !check.ok()) {
--- a/src/orphans/orphan_sweep.cc
+++ b/src/orphans/orphan_sweep.cc
@@ -26,16 +26,17 @@
                                         const orphan_policy& policy,
                                         absl::Time now) {
   std::vector<engine_request> orphans;
-  std::map<std::string, absl::Time, std::less<>> still;
+  std::map<std::string, watched_orphan, std::less<>> still;
   for (const engine_request& row : listed) {
     const auto grace = GraceFor(row, is_live, policy);
     if (!grace) continue;
-    const auto seen = watch.since.find(row.request_id);
-    const absl::Time since = seen == watch.since.end() ? now : seen->second;
-    still.emplace(row.request_id, since);
+    const auto seen = watch.watched.find(row.request_id);
+    const absl::Time since =
+        seen == watch.watched.end() ? now : seen->second.since;
+    still[row.request_id] = {since, row.owner, row.pieces};
     if (now - since >= *grace) orphans.push_back(row);
   }
-  watch.since = std::move(still);
+  watch.watched = std::move(still);
   return orphans;
 }
 
--- a/src/orphans/orphan_sweep.h
+++ b/src/orphans/orphan_sweep.h
@@ -15,9 +15,18 @@
 
 namespace anvilridge {
 
-/// When each request at an engine was first seen without a live owner.
+/// A request at an engine without a live owner.
+struct watched_orphan {
+  /// When it was first seen so.
+  absl::Time since;
+  /// The owner as the engine knows it, `daemon:incarnation`.
+  std::string owner;
+  int pieces = 0;
+};
+
+/// The requests at one engine without a live owner, by id.
 struct orphan_watch {
-  std::map<std::string, absl::Time, std::less<>> since;
+  std::map<std::string, watched_orphan, std::less<>> watched;
 };
 
 struct orphan_policy {
--- a/src/orphans/orphan_sweep_test.cc
+++ b/src/orphans/orphan_sweep_test.cc
@@ -35,6 +35,9 @@
   EXPECT_TRUE(FindOrphans(watch, listed, IsLive, {}, kStart).empty());
   const auto orphans = FindOrphans(watch, listed, IsLive, {}, kStart + c.after);
   EXPECT_EQ(!orphans.empty(), c.cancelled);
+  for (const auto& [id, orphan] : watch.watched) {
+    EXPECT_EQ(orphan.owner, c.owner) << id;
+  }
 }
 
 INSTANTIATE_TEST_SUITE_P(
--- a/tests/request_metrics_test.cc
+++ b/tests/request_metrics_test.cc
@@ -142,6 +142,11 @@
   const event_stream held(request);
   ASSERT_TRUE(Eventually(kBound, [&] { return !all.HeldRequests().empty(); }));
   all.daemons[1].process->Kill();
+  EXPECT_TRUE(Eventually(absl::Seconds(30), [&] {
+    const QJsonObject orphan = FirstRow(daemon, "show orphans");
+    return orphan["owner"].toString().startsWith(
+        QString::fromStdString(all.daemons[1].name + ":"));
+  }));
   EXPECT_TRUE(Eventually(absl::Seconds(30), [&] {
     return ValueOf(MetricsOf(daemon), "anvil_orphans_cancelled_total") > 0;
   }));
