Name the allowed methods in 405 answers

Cause: HTTP asks for Allow with status 405; the answers named methods in words. Change: the detail of method_not_allowed is the list of methods, and the header fields of a problem come from one function for callers, operators and monitors, which repeated them. Seen to fail first: health_port_test without the field. Conclusion: every port's 405 carries Allow.

--- a/src/metrics/health_port.cc
+++ b/src/metrics/health_port.cc
@@ -33,8 +33,7 @@
             inbound_exchange& exchange) {
   if (request.method != "GET" && request.method != "HEAD") {
     RespondProblem(exchange,
-                   MakeError(error_kind::method_not_allowed,
-                             "only GET and HEAD are allowed"),
+                   MakeError(error_kind::method_not_allowed, "GET, HEAD"),
                    NewId());
   } else if (request.path == "/healthz") {
     exchange.Respond(200, {{"content-type", "text/plain"}}, "ok\n");
--- a/src/metrics/health_port_test.cc
+++ b/src/metrics/health_port_test.cc
@@ -47,6 +47,7 @@
   expect("GET /metrics", "200", "text/plain; version=0.0.4");
   expect("GET /metrics", "200", "m 1\n");
   expect("POST /metrics", "405", "method_not_allowed");
+  expect("POST /metrics", "405", "\r\nallow: GET, HEAD\r\n");
   expect("GET /other", "404", "unknown_route");
 }
 
--- a/src/operators/api_answer.cc
+++ b/src/operators/api_answer.cc
@@ -5,6 +5,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "base/error_kind.h"
+#include "caller/problem_headers.h"
 #include "operators/result_table.h"
 
 namespace anvilridge {
@@ -44,14 +45,7 @@
   json.insert("status", answer.http_status);
   json.insert("detail", ToQt(error.message()));
   json.insert("ran", ToQt(RunStateName(RunStateOf(error))));
-  http_headers headers = {{"content-type", "application/problem+json"}};
-  const absl::Duration retry_after = RetryAfterOf(error);
-  if (retry_after > absl::ZeroDuration()) {
-    const int64_t seconds =
-        absl::ToInt64Seconds(absl::Ceil(retry_after, absl::Seconds(1)));
-    headers.emplace_back("retry-after", absl::StrCat(seconds));
-  }
-  Respond(exchange, answer.http_status, std::move(headers), json);
+  Respond(exchange, answer.http_status, ProblemHeaders(error), json);
 }
 
 void RespondParseError(inbound_exchange& exchange, const parse_error& error) {
--- a/src/operators/operator_api.cc
+++ b/src/operators/operator_api.cc
@@ -116,8 +116,8 @@
     }
     if (request.method != (command ? "POST" : "GET")) {
       return RespondApiError(
-          *exchange, MakeError(error_kind::method_not_allowed,
-                               command ? "expected POST" : "expected GET"));
+          *exchange,
+          MakeError(error_kind::method_not_allowed, command ? "POST" : "GET"));
     }
     const auto who = Authenticate(HeaderValue(request.headers, "authorization"),
                                   config.get(), bootstrap_hash);
--- a/src/requests/caller_handler.cc
+++ b/src/requests/caller_handler.cc
@@ -77,8 +77,7 @@
   const bool allowed =
       inbound.method == "POST" || (resumes && inbound.method == "GET");
   if (!allowed) {
-    return MakeError(error_kind::method_not_allowed,
-                     "POST, or GET with Last-Event-ID");
+    return MakeError(error_kind::method_not_allowed, "GET, POST");
   }
   if (resumes) {
     return Resume(context, config, std::move(request), event_id, exchange);
