Eject outliers by progress, keep half of a pool, return slowly

Cause: three failures in a row ejected an upstream, any number of a pool at once, and it came back at full share. Failures in flight when an ejection began doubled it each, so streams that broke together led to the longest ejection. An engine's own 504 `stalled` passed for a refusal and counted for nothing; bytes without a token kept a stream from being a stall. Ruled out: connection state and probes (docs/design-health.md).

Change: outlier_ejection replaces health_table: failures in a row or by share of a window, doubling times with jitter, at most half (rounded down) of a pool's upstreams that are neither draining nor leaving, worst first; return_share leaves returning upstreams out of picks for engines and services. Settings [health], log event upstream_health, column health of show upstreams. In parse_settings_test the lists of sections have one more, health; nothing was taken out.

Conclusion: an engine that errs or stalls is avoided after a few calls and is back within its ejection and return.

--- a/src/daemon/control_state.cc
+++ b/src/daemon/control_state.cc
@@ -10,6 +10,7 @@
 #include "claims/claim_wiring.h"
 #include "config/config_snapshot.h"
 #include "config/packed_snapshot.h"
+#include "daemon/health_control.h"
 #include "daemon/load_wiring.h"
 #include "daemon/orphan_control.h"
 #include "log/decision_log.h"
@@ -79,6 +80,7 @@
   env.healthy = [&state](absl::string_view engine) {
     return TakesWork(state, engine);
   };
+  env.health = [&state] { return state.standings.Get(); };
   env.now = MonotonicNow;
   env.policy = state.settings.placement.policy;
   env.client = &state.client;
@@ -197,10 +199,7 @@
     membership.SetConfigOffset(in_force->applied_offset);
     PublishLeaving(*this);
   });
-  health_timer = RunEvery(kHealthInterval, [this] {
-    ejected.Set(
-        std::make_shared<const name_set>(Ejected(health, MonotonicNow())));
-  });
+  health_timer = RunEvery(kHealthInterval, [this] { PublishHealth(*this); });
   load_timer = RunEvery(kLoadInterval, [this] {
     RunLoads(*this);
     CancelForOperators(*this);
@@ -255,8 +254,4 @@
   });
 }
 
-void ReportUpstream(control_state& state, absl::string_view upstream, bool ok) {
-  ReportCall(state.health, upstream, ok, MonotonicNow());
-}
-
 }  // namespace anvilridge
--- a/src/daemon/control_state.h
+++ b/src/daemon/control_state.h
@@ -28,8 +28,8 @@
 #include "placement/placer.h"
 #include "platform/log_client.h"
 #include "settings/daemon_settings.h"
-#include "upstreams/health_table.h"
 #include "upstreams/http_client.h"
+#include "upstreams/outlier_ejection.h"
 #include "upstreams/vm_watch.h"
 
 namespace anvilridge {
@@ -89,6 +89,7 @@
 
   published<config_state> config_in_force;
   published<std::string> owner;
+  published<health_view> standings;
   published<name_set> ejected;
   /// Upstreams whose VM is leaving.
   published<name_set> leaving;
@@ -112,9 +113,6 @@
 /// this daemon is the home that promised their places.
 void CancelForOperators(control_state& state);
 
-/// Notes the result of a call to an upstream.
-void ReportUpstream(control_state& state, absl::string_view upstream, bool ok);
-
 }  // namespace anvilridge
 
 #endif  // ANVILRIDGE_DAEMON_CONTROL_STATE_H_
--- a/src/daemon/operator_port.cc
+++ b/src/daemon/operator_port.cc
@@ -7,6 +7,7 @@
 #include "base/clock.h"
 #include "base/event_loop.h"
 #include "caller/caller_port.h"
+#include "daemon/health_control.h"
 #include "daemon/view_rows.h"
 #include "operators/authenticate.h"
 #include "operators/operator_api.h"
@@ -27,6 +28,14 @@
   }
 }
 
+void AddHealth(operator_view& view, const control_state& state) {
+  const auto standings = state.standings.Get();
+  if (!standings) return;
+  for (const auto& [name, standing] : *standings) {
+    view.health.push_back({name, HealthText(standing, MonotonicNow())});
+  }
+}
+
 operator_view LocalView(const control_state& state) {
   operator_view view;
   view.now = WallNow();
@@ -37,6 +46,7 @@
   AddConditions(view, state.ejected, "ejected");
   AddConditions(view, state.leaving, "leaving");
   AddConditions(view, state.under_order, "under_order");
+  AddHealth(view, state);
   AddRows(view, LocalRows(state));
   return view;
 }
--- a/src/daemon/thread_bridge.cc
+++ b/src/daemon/thread_bridge.cc
@@ -5,6 +5,7 @@
 #include "base/clock.h"
 #include "base/error_kind.h"
 #include "base/event_loop.h"
+#include "daemon/health_control.h"
 
 namespace anvilridge {
 namespace {
@@ -48,10 +49,19 @@
   state.places.Finish(outcome);
   const std::string& prefill = outcome.prefill.name;
   const std::string& decode = outcome.decode.name;
-  if (outcome.prefilled) ReportUpstream(state, prefill, true);
-  if (outcome.prefill_failed) ReportUpstream(state, prefill, false);
-  if (outcome.decode_finished) ReportUpstream(state, decode, true);
-  if (outcome.decode_failed) ReportUpstream(state, decode, false);
+  using r = call_result;
+  // A transfer that stalled may be either engine's fault.
+  if (outcome.transfer_stalled) ReportUpstream(state, prefill, r::stalled);
+  if (outcome.prefilled && !outcome.transfer_stalled) {
+    ReportUpstream(state, prefill, r::ok);
+  }
+  if (outcome.prefill_failed) {
+    ReportUpstream(state, prefill, outcome.stalled ? r::stalled : r::failed);
+  }
+  if (outcome.decode_finished) ReportUpstream(state, decode, r::ok);
+  if (outcome.decode_failed) {
+    ReportUpstream(state, decode, outcome.stalled ? r::stalled : r::failed);
+  }
 }
 
 void AddAdmission(request_services& services, control_state& state,
@@ -133,9 +143,10 @@
   services.healthy = [&state](absl::string_view upstream) {
     return TakesWork(state, upstream);
   };
-  services.report = [&state](absl::string_view upstream, bool ok) {
-    PostTo(&state.context, [&state, name = std::string(upstream), ok] {
-      ReportUpstream(state, name, ok);
+  services.health = [&state] { return state.standings.Get(); };
+  services.report = [&state](absl::string_view upstream, call_result result) {
+    PostTo(&state.context, [&state, name = std::string(upstream), result] {
+      ReportUpstream(state, name, result);
     });
   };
   services.deployment_key = state.deployment_key;
--- a/src/operators/operator_view.h
+++ b/src/operators/operator_view.h
@@ -78,6 +78,8 @@
   std::vector<orphan_row> orphans;
   std::vector<order_progress> orders;
   std::vector<upstream_condition> conditions;
+  /// Health of the upstreams that failed lately, as the daemon asked sees it.
+  std::vector<upstream_condition> health;
   /// Commands of this daemon that are not settled.
   std::vector<config_publisher> pending;
 };
--- a/src/operators/query_tables.cc
+++ b/src/operators/query_tables.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
+#include "absl/types/span.h"
 #include "config/config_names.h"
 #include "config/object_fields.h"
 #include "operators/past_form.h"
@@ -29,11 +30,13 @@
   return "";
 }
 
-std::string ConditionOf(const operator_view& view, absl::string_view upstream) {
-  for (const upstream_condition& condition : view.conditions) {
+std::string ConditionOf(absl::Span<const upstream_condition> conditions,
+                        absl::string_view upstream,
+                        absl::string_view otherwise) {
+  for (const upstream_condition& condition : conditions) {
     if (condition.upstream == upstream) return condition.state;
   }
-  return "serving";
+  return std::string(otherwise);
 }
 
 std::string ProgressOf(const operator_view& view, absl::string_view upstream,
@@ -51,7 +54,9 @@
 
 void AddRest(const operator_view& view, const upstream_config& upstream,
              std::vector<QJsonValue>& row) {
-  row.push_back(TextCell(ConditionOf(view, upstream.name)));
+  row.push_back(
+      TextCell(ConditionOf(view.conditions, upstream.name, "serving")));
+  row.push_back(TextCell(ConditionOf(view.health, upstream.name, "ok")));
 }
 
 template <object_kind Kind>
@@ -156,7 +161,8 @@
   using k = object_kind;
   return {
       ObjectTable<pool_config, k::pool>("pools", ""),
-      ObjectTable<upstream_config, k::upstream>("upstreams", "", {"state"}),
+      ObjectTable<upstream_config, k::upstream>("upstreams", "",
+                                                {"state", "health"}),
       ObjectTable<route_config, k::route>("routes", ""),
       ObjectTable<team_config, k::team>("teams", "name"),
       ObjectTable<key_config, k::key>("keys", "team"),
--- a/src/placement/place_request.h
+++ b/src/placement/place_request.h
@@ -63,6 +63,10 @@
   bool decode_finished = false;
   bool prefill_failed = false;
   bool decode_failed = false;
+  /// Whether what failed made no progress within its bound.
+  bool stalled = false;
+  /// Whether it was the transfer between the engines that stalled.
+  bool transfer_stalled = false;
 };
 
 }  // namespace anvilridge
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -18,6 +18,7 @@
 #include "placement/candidate_choice.h"
 #include "placement/home_calls.h"
 #include "placement/load_reports.h"
+#include "upstreams/return_share.h"
 
 namespace anvilridge {
 namespace {
@@ -108,6 +109,7 @@
                     const engine_hints& hints) {
     engine_list candidates = Usable(pool, a, a.request.avoid);
     if (candidates.empty()) candidates = Usable(pool, a, {});
+    candidates = ThinReturning(std::move(candidates), env.health(), random);
     return AskingOrder(std::move(candidates), hints, env.now(), random);
   }
 
--- a/src/placement/placer.h
+++ b/src/placement/placer.h
@@ -14,6 +14,7 @@
 #include "placement/place_request.h"
 #include "settings/daemon_settings.h"
 #include "upstreams/http_client.h"
+#include "upstreams/outlier_ejection.h"
 
 namespace anvilridge {
 
@@ -26,6 +27,8 @@
   std::function<std::string()> owner;
   /// Whether an engine may be given new work, by its health and its VM.
   std::function<bool(absl::string_view engine)> healthy;
+  /// Standing of the upstreams that failed lately; may return null.
+  std::function<std::shared_ptr<const health_view>()> health;
   std::function<absl::Time()> now;
   placement_policy policy = placement_policy::homes;
   /// Polls load reports for `placement_policy::least_loaded`.
--- a/src/requests/completion_flow.cc
+++ b/src/requests/completion_flow.cc
@@ -37,6 +37,15 @@
   return !result.ok() && RunStateOf(result) == run_state::not_run;
 }
 
+// An engine that gives up a transfer by itself says so in its refusal.
+bool IsStall(const absl::Status& result) {
+  if (result.ok()) return false;
+  const error_kind kind = KindOf(result);
+  return kind == error_kind::upstream_stalled ||
+         (kind == error_kind::upstream_refused &&
+          result.message() == "stalled");
+}
+
 // The stages of one completion on its traffic thread. Keeps itself alive
 // through the callbacks it waits for.
 class completion_flow : public std::enable_shared_from_this<completion_flow> {
@@ -181,6 +190,7 @@
     if (LeaseLost()) return StartOver();
     if (!result.ok()) {
       outcome_.prefill_failed = true;
+      outcome_.stalled = IsStall(result.status());
       return RetryElsewhere(result.status(), grant_.prefill.name);
     }
     outcome_.prefilled = true;
@@ -216,7 +226,9 @@
       });
       return;
     }
-    outcome_.decode_failed = !refused;
+    outcome_.stalled = IsStall(result);
+    outcome_.decode_failed = !refused || outcome_.stalled;
+    outcome_.transfer_stalled = outcome_.stalled;
     // An evicted result says nothing against either engine.
     const bool evicted = refused && result.message() == "evicted";
     RetryElsewhere(result, evicted ? "" : grant_.decode.name);
@@ -278,7 +290,8 @@
       return Fail(
           MakeError(error_kind::resume_gone, "the engine has let it go"));
     }
-    outcome_.decode_failed = !refused;
+    // The stream has reported its stalls as they came.
+    outcome_.decode_failed = !refused && !IsStall(ended);
     RetryElsewhere(ended, grant_.decode.name);
   }
 
--- a/src/requests/decode_stream.cc
+++ b/src/requests/decode_stream.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "base/clock.h"
 #include "base/error_kind.h"
 #include "base/event_loop.h"
 #include "log/decision_log.h"
@@ -76,6 +77,7 @@
 void decode_stream::Connect() {
   if (!listener_) return;
   progressed_ = false;
+  last_token_ = MonotonicNow();
   parser_ = sse_parser();
   call_ = StartDecode(
       *context_.client, source_.engine.address, source_.request_id,
@@ -99,7 +101,11 @@
       FeedSse(parser_, bytes, [this, call](const sse_event& event) {
         if (listener_ && call_ == call) TakeEvent(event);
       });
-  if (!fed.ok() && call_ == call) Break(fed);
+  if (call_ != call) return;
+  if (!fed.ok()) return Break(fed);
+  // Bytes alone, such as comments that keep a connection, are no progress.
+  if (MonotonicNow() - last_token_ < kDecodeStall) return;
+  Break(MakeError(error_kind::upstream_stalled, "the stream made no token"));
 }
 
 void decode_stream::TakeEvent(const sse_event& event) {
@@ -135,6 +141,7 @@
   }
   ++next_index_;
   progressed_ = true;
+  last_token_ = MonotonicNow();
   const std::shared_ptr<const decode_listener> listener = listener_;
   listener->on_token(index, token);
 }
@@ -159,6 +166,9 @@
   if (!listener_) return;
   if (progressed_) fruitless_ = 0;
   const bool stalled = KindOf(why) == error_kind::upstream_stalled;
+  if (stalled) {
+    context_.services->report(source_.engine.name, call_result::stalled);
+  }
   fruitless_ += stalled ? kStallWeight : 1;
   const bool refused = KindOf(why) == error_kind::upstream_refused;
   if (refused || fruitless_ > kMaxFruitless) return End(why);
--- a/src/requests/decode_stream.h
+++ b/src/requests/decode_stream.h
@@ -65,6 +65,7 @@
   // Attachments that brought no token, since the last one that did.
   int fruitless_ = 0;
   bool progressed_ = false;
+  absl::Time last_token_;
 };
 
 }  // namespace anvilridge
--- a/src/requests/request_services.h
+++ b/src/requests/request_services.h
@@ -11,6 +11,7 @@
 #include "claims/claim_service.h"
 #include "config/config_state.h"
 #include "placement/place_request.h"
+#include "upstreams/outlier_ejection.h"
 
 namespace anvilridge {
 
@@ -68,8 +69,10 @@
   std::function<void(const std::string& claim_id)> leave_unknown;
   /// Whether an upstream may be given new work, by its health and its VM.
   std::function<bool(absl::string_view upstream)> healthy;
-  /// Reports how a call to a plain service went.
-  std::function<void(absl::string_view upstream, bool ok)> report;
+  /// Standing of the upstreams that failed lately; may return null.
+  std::function<std::shared_ptr<const health_view>()> health;
+  /// Reports how a call to an upstream went.
+  std::function<void(absl::string_view upstream, call_result result)> report;
   /// Owner text of this daemon's current incarnation.
   std::function<std::string()> owner;
   /// Shared secret of the deployment, for resume tokens.
--- a/src/requests/service_flow.cc
+++ b/src/requests/service_flow.cc
@@ -14,6 +14,7 @@
 #include "claims/claim_holder.h"
 #include "log/decision_log.h"
 #include "requests/header_rules.h"
+#include "upstreams/return_share.h"
 
 namespace anvilridge {
 namespace {
@@ -43,6 +44,14 @@
          methods.end();
 }
 
+call_result HealthOf(const http_result& result) {
+  if (result.status.ok()) {
+    return result.http_status < 500 ? call_result::ok : call_result::failed;
+  }
+  const bool stalled = KindOf(result.status) == error_kind::upstream_stalled;
+  return stalled ? call_result::stalled : call_result::failed;
+}
+
 // One call of a plain service on its traffic thread.
 class service_flow : public std::enable_shared_from_this<service_flow> {
  public:
@@ -147,6 +156,8 @@
       candidates.push_back(&upstream);
     }
     if (candidates.empty()) return false;
+    candidates = ThinReturning(std::move(candidates), Services().health(),
+                               context_.random);
     std::shuffle(candidates.begin(), candidates.end(), context_.random);
     const upstream_config* chosen = candidates.front();
     if (candidates.size() > 1 && context_.service_calls[candidates[1]->name] <
@@ -234,7 +245,7 @@
 
   void TakeResult(const http_result& result) {
     const bool broken = !result.status.ok();
-    Services().report(upstream_.name, !broken && result.http_status < 500);
+    Services().report(upstream_.name, HealthOf(result));
     if (broken) return TakeFailure(result.status);
     const bool busy =
         result.http_status == kBadGateway || result.http_status == kUnavailable;
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -77,6 +77,18 @@
   placement_policy policy = placement_policy::homes;
 };
 
+/// `[health]`: when a failing upstream gets no new work, and how it comes back.
+struct health_settings {
+  int consecutive_failures = 3;
+  /// Share of the window's calls, in percent.
+  int failure_percent = 50;
+  int least_calls = 10;
+  absl::Duration window = absl::Seconds(10);
+  absl::Duration first_ejection = absl::Seconds(1);
+  absl::Duration longest_ejection = absl::Seconds(30);
+  absl::Duration return_over = absl::Seconds(5);
+};
+
 /// `[log]`: level and destination of the JSON log lines.
 struct log_settings {
   std::string level = "info";
@@ -95,6 +107,7 @@
   platform_settings platform;
   peer_settings peers;
   placement_settings placement;
+  health_settings health;
   log_settings log;
   /// `[bootstrap]`: file with an administrator's key, accepted on the operator
   /// port beside the keys of the configuration.
--- a/src/settings/parse_settings.cc
+++ b/src/settings/parse_settings.cc
@@ -191,6 +191,14 @@
                             SettingsDurationText(peers.probe_interval)));
 }
 
+void CheckEjections(settings_check& check) {
+  const health_settings& health = check.settings.health;
+  if (health.longest_ejection >= health.first_ejection) return;
+  AddFindingOn(check, "health", "longest_ejection",
+               absl::StrCat("allowed is at least first_ejection, which is ",
+                            SettingsDurationText(health.first_ejection)));
+}
+
 settings_check CheckText(absl::string_view text, absl::string_view file) {
   settings_check check;
   check.file = std::string(file);
@@ -203,6 +211,7 @@
   CheckTlsFiles(check, "operator", check.settings.operators);
   CheckPortsDiffer(check);
   CheckLease(check);
+  CheckEjections(check);
   return check;
 }
 
--- a/src/settings/parse_settings_test.cc
+++ b/src/settings/parse_settings_test.cc
@@ -78,6 +78,9 @@
       "[peers]\nseeds = 10.0.0.1:1, 10.0.0.2:2\nkey_file = s\n"
       "probe_interval = 2s\nlease = 11s\n"
       "[placement]\npolicy = round_robin\n"
+      "[health]\nconsecutive_failures = 4\nfailure_percent = 40\n"
+      "least_calls = 20\nwindow = 20s\nfirst_ejection = 2s\n"
+      "longest_ejection = 40s\nreturn_over = 6s\n"
       "[log]\nlevel = debug\ndestination = l\n"
       "[bootstrap]\nadministrator_key_file = a\n",
       "a.ini");
@@ -110,7 +113,7 @@
       {"[engines]\n",
        "a.ini:9: [engines]: unknown section; allowed are daemon, caller, "
        "operator, peer, metrics, limits, platform, peers, placement, "
-       "log, bootstrap"},
+       "health, log, bootstrap"},
       {"[limits]\n[limits]\n",
        "a.ini:10: [limits]: duplicate section; first in line 9"},
       {"[log]\ncolour = red\n",
@@ -143,6 +146,9 @@
       {"lease = 1s\n",
        "a.ini:9: [peers] lease = 1s: allowed is at least twice "
        "probe_interval, which is 1s"},
+      {"[health]\nfirst_ejection = 2s\nlongest_ejection = 1s\n",
+       "a.ini:11: [health] longest_ejection = 1s: allowed is at least "
+       "first_ejection, which is 2s"},
       {"seeds = 10.0.0.1:0\n",
        "a.ini:9: [peers] seeds = 10.0.0.1:0: allowed is a list of ip:port "
        "separated by commas"},
@@ -175,8 +181,8 @@
             "a.ini:5: [platform] log = 10.0.0.1: allowed is ip:port with a "
             "port from 1 to 65535\n"
             "a.ini:6: [unknown]: unknown section; allowed are daemon, caller, "
-            "operator, peer, metrics, limits, platform, peers, placement, log, "
-            "bootstrap\n");
+            "operator, peer, metrics, limits, platform, peers, placement, "
+            "health, log, bootstrap\n");
 }
 
 TEST(parse_settings_test, LoadChecksTheFilesNamed) {
--- a/src/settings/settings_table.cc
+++ b/src/settings/settings_table.cc
@@ -8,118 +8,12 @@
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
-#include "base/ids.h"
+#include "settings/settings_keys.h"
 #include "settings/settings_values.h"
 
 namespace anvilridge {
 namespace {
 
-/// Where a value goes in the settings.
-template <typename T>
-using field = std::function<T&(daemon_settings&)>;
-
-/// Section, key and description, common to all types.
-struct key_head {
-  std::string section;
-  std::string key;
-  std::string description;
-  bool required = false;
-};
-
-settings_key MakeKey(key_head head, std::string allowed) {
-  settings_key row;
-  row.section = std::move(head.section);
-  row.key = std::move(head.key);
-  row.description = std::move(head.description);
-  row.required = head.required;
-  row.allowed = std::move(allowed);
-  return row;
-}
-
-settings_key TextKey(key_head head, std::string allowed,
-                     const field<std::string>& at,
-                     const std::function<bool(absl::string_view)>& is_allowed) {
-  settings_key row = MakeKey(std::move(head), std::move(allowed));
-  row.set = [at, is_allowed](absl::string_view value, daemon_settings& s) {
-    at(s) = std::string(value);
-    return is_allowed(value);
-  };
-  row.show = [at](daemon_settings& s) { return at(s); };
-  return row;
-}
-
-settings_key NameKey(key_head head, const field<std::string>& at) {
-  return TextKey(std::move(head),
-                 "1 to 64 characters of letters, digits, '-', '_' and '.'", at,
-                 IsSafeId);
-}
-
-settings_key FileKey(key_head head, const field<std::string>& at) {
-  settings_key row =
-      TextKey(std::move(head), "the name of a readable file", at,
-              [](absl::string_view value) { return !value.empty(); });
-  row.names_file = true;
-  return row;
-}
-
-template <typename T>
-settings_key IntegerKey(key_head head, int64_t least, int64_t most,
-                        const field<T>& at) {
-  settings_key row = MakeKey(
-      std::move(head), absl::StrCat("an integer from ", least, " to ", most));
-  row.set = [=](absl::string_view value, daemon_settings& s) {
-    const auto number = ParseInteger(value);
-    if (!number || *number < least || *number > most) return false;
-    at(s) = static_cast<T>(*number);
-    return true;
-  };
-  row.show = [at](daemon_settings& s) { return absl::StrCat(at(s)); };
-  return row;
-}
-
-settings_key DurationKey(key_head head, absl::Duration least,
-                         absl::Duration most, const field<absl::Duration>& at) {
-  settings_key row = MakeKey(
-      std::move(head),
-      absl::StrCat("a duration from ", SettingsDurationText(least), " to ",
-                   SettingsDurationText(most), ", in ms, s, m or h"));
-  row.set = [=](absl::string_view value, daemon_settings& s) {
-    const auto duration = ParseSettingsDuration(value);
-    if (!duration || *duration < least || *duration > most) return false;
-    at(s) = *duration;
-    return true;
-  };
-  row.show = [at](daemon_settings& s) { return SettingsDurationText(at(s)); };
-  return row;
-}
-
-settings_key BooleanKey(key_head head, const field<bool>& at) {
-  settings_key row = MakeKey(std::move(head), "true or false");
-  row.set = [at](absl::string_view value, daemon_settings& s) {
-    const auto flag = ParseBoolean(value);
-    if (!flag) return false;
-    at(s) = *flag;
-    return true;
-  };
-  row.show = [at](daemon_settings& s) { return at(s) ? "true" : "false"; };
-  return row;
-}
-
-settings_key EndpointKey(key_head head, uint16_t least_port,
-                         const field<endpoint>& at) {
-  settings_key row = MakeKey(
-      std::move(head),
-      absl::StrCat("ip:port with a port from ", least_port, " to 65535"));
-  row.set = [=](absl::string_view value, daemon_settings& s) {
-    const auto parsed = ParseEndpoint(value);
-    if (!parsed || parsed->port < least_port) return false;
-    at(s) = *parsed;
-    return true;
-  };
-  row.show = [at](daemon_settings& s) { return EndpointText(at(s)); };
-  return row;
-}
-
 using key_rows = std::vector<settings_key>;
 
 void AddIdentity(key_rows& rows) {
@@ -313,6 +207,42 @@
   return row;
 }
 
+void AddHealth(key_rows& rows) {
+  rows.push_back(IntegerKey<int>(
+      {"health", "consecutive_failures",
+       "Failed or stalled calls in a row that eject an upstream."},
+      1, 1000, [](auto& s) -> auto& { return s.health.consecutive_failures; }));
+  rows.push_back(IntegerKey<int>(
+      {"health", "failure_percent",
+       "Share of failed or stalled calls within the window that ejects an "
+       "upstream, in percent."},
+      1, 100, [](auto& s) -> auto& { return s.health.failure_percent; }));
+  rows.push_back(IntegerKey<int>(
+      {"health", "least_calls",
+       "Calls within the window below which failure_percent says nothing."},
+      1, 100000, [](auto& s) -> auto& { return s.health.least_calls; }));
+  rows.push_back(DurationKey(
+      {"health", "window", "Over how long failure_percent is taken."},
+      absl::Milliseconds(100), absl::Hours(1),
+      [](auto& s) -> auto& { return s.health.window; }));
+  rows.push_back(DurationKey(
+      {"health", "first_ejection",
+       "How long the first ejection lasts; each further one lasts twice as "
+       "long."},
+      absl::Milliseconds(100), absl::Hours(1),
+      [](auto& s) -> auto& { return s.health.first_ejection; }));
+  rows.push_back(DurationKey(
+      {"health", "longest_ejection",
+       "Longest ejection; at least first_ejection."},
+      absl::Milliseconds(100), absl::Hours(24),
+      [](auto& s) -> auto& { return s.health.longest_ejection; }));
+  rows.push_back(DurationKey(
+      {"health", "return_over",
+       "How long the share of work of an upstream grows after an ejection."},
+      absl::Milliseconds(100), absl::Hours(1),
+      [](auto& s) -> auto& { return s.health.return_over; }));
+}
+
 void AddLogAndBootstrap(key_rows& rows) {
   rows.push_back(TextKey(
       {"log", "level", "Least level of the log lines written."},
@@ -342,6 +272,7 @@
   AddPlatform(rows);
   AddPeers(rows);
   rows.push_back(PolicyKey());
+  AddHealth(rows);
   AddLogAndBootstrap(rows);
   return rows;
 }
