Share decode places by weight and priority at the engine's home

Cause: asks waited first come first served, so a team that flooded went before all others; weight and priority of teams were in the configuration and nobody read them, engines were always told priority 5. Ruled out: partitions, deficit round robin, asks that age one by one (docs/design-fairness.md).

Change: fair_queue: start-time fair queueing over teams within each priority; a priority that has waited 50 ms for each step below the highest gets the next place. An ask learns its position by running the queue ahead and is refused at once when its turn comes too late. Asks carry their team (absent: as before); prefills and imports the team's priority. The log line place_queue names team, priority and wait.

Conclusion: shares and priorities hold at each engine; over a pool only as far as teams spread over its engines.

--- a/bench/capacity/home_cost.cc
+++ b/bench/capacity/home_cost.cc
@@ -2,6 +2,7 @@
 #include <QCborValue>
 #include <QJsonArray>
 #include <QJsonDocument>
+#include <utility>
 #include <vector>
 
 #include "absl/strings/str_cat.h"
@@ -12,6 +13,7 @@
 #include "placement/decode_ledger.h"
 #include "placement/home_messages.h"
 #include "placement/list_schedule.h"
+#include "placement/place_queue.h"
 
 namespace anvilridge {
 namespace {
@@ -87,10 +89,14 @@
   const double parse =
       CpuOf(200, [&] { (void)QJsonDocument::fromJson(text).object().size(); });
 
-  decode_ask_message ask{
-      "engine-zagreb-a-1",
-      {"0123456789abcdef0123456789abcdef", "entry-zagreb-a-1:1800000000000000",
-       80, absl::Milliseconds(300), absl::Seconds(8)}};
+  decode_ask_message ask{"engine-zagreb-a-1",
+                         {"0123456789abcdef0123456789abcdef",
+                          "entry-zagreb-a-1:1800000000000000",
+                          80,
+                          absl::Milliseconds(300),
+                          absl::Seconds(8),
+                          {},
+                          "team-with-a-name-17"}};
   decode_ledger free_ledger = ledgers[0];
   free_ledger.slots = rows + 1;
   const double ask_release = CpuOf(1000, [&] {
@@ -101,6 +107,18 @@
     (void)QCborValue(ToCbor(answer)).toCbor();
     ReleaseDecode(free_ledger, ask.ask.request_id);
   });
+  // One that learns its position behind a hundred others, of ten teams.
+  constexpr int kQueued = 100;
+  place_queue queue;
+  decode_ledger full_ledger = ledgers[0];
+  for (int i = 0; i < kQueued; ++i) {
+    queued_ask waiting{ask.ask, kStart, kStart + absl::Seconds(1)};
+    waiting.ask.request_id = absl::StrCat("request-", i);
+    waiting.ask.team = absl::StrCat("team-with-a-name-", i % 10);
+    AddAsk(queue.asks, std::move(waiting));
+  }
+  const double ask_behind = CpuOf(
+      100, [&] { (void)AskOrQueue(queue, full_ledger, ask.ask, {}, kStart); });
   const qsizetype ask_bytes = QCborValue(ToCbor(ask)).toCbor().size();
   const qsizetype answer_bytes =
       QCborValue(ToCbor(decode_answer{})).toCbor().size();
@@ -153,6 +171,7 @@
              {"parse_list_us", parse},
              {"merge_all_us", merge},
              {"ask_and_release_us", ask_release},
+             {"ask_behind_100_us", ask_behind},
              {"ask_body_bytes", static_cast<double>(ask_bytes)},
              {"answer_body_bytes", static_cast<double>(answer_bytes)},
              {"release_body_bytes", static_cast<double>(release_bytes)},
--- a/src/placement/decode_ledger.h
+++ b/src/placement/decode_ledger.h
@@ -61,6 +61,10 @@
   absl::Duration expected_use;
   /// How long the answer may be put off until a place comes free.
   absl::Duration may_wait = absl::ZeroDuration();
+  std::string team;
+  /// Of the team, which the home knows from the configuration.
+  double weight = 1;
+  int priority = 5;
 };
 
 struct decode_answer {
--- a/src/placement/decode_ledger_test.cc
+++ b/src/placement/decode_ledger_test.cc
@@ -16,7 +16,8 @@
 }
 
 decode_ask Ask(const std::string& id, int pieces = 10) {
-  return {id, "a:1", pieces, absl::Milliseconds(100), absl::Seconds(1)};
+  return {id, "a:1", pieces, absl::Milliseconds(100), absl::Seconds(1),
+          {}, "team"};
 }
 
 engine_request Row(const std::string& id, int generated) {
--- a/src/placement/engine_homes.cc
+++ b/src/placement/engine_homes.cc
@@ -49,6 +49,15 @@
   return policy;
 }
 
+// Adds what the configuration says of the ask's team.
+decode_ask WithShare(decode_ask ask, const config_state& config) {
+  const auto team = config.teams.find(ask.team);
+  if (team == config.teams.end()) return ask;
+  ask.weight = team->second.weight;
+  ask.priority = team->second.priority;
+  return ask;
+}
+
 }  // namespace
 
 struct engine_homes::impl {
@@ -168,6 +177,9 @@
     LogEvent(log_level::info, "place_queue",
              {{"request_id", QString::fromStdString(one.request_id)},
               {"upstream", QString::fromStdString(upstream.name)},
+              {"team", QString::fromStdString(one.team)},
+              {"priority", one.priority},
+              {"waited_ms", absl::ToDoubleMilliseconds(one.waited)},
               {"result", one.answer.granted ? "granted" : "waited too long"}});
   }
 
@@ -237,9 +249,11 @@
       answer.free_in = kFirstListWait;
       return done(answer);
     }
-    const promise_policy policy = PolicyFor(*env.config(), upstream.pool);
+    const std::shared_ptr<const config_state> config = env.config();
+    const promise_policy policy = PolicyFor(*config, upstream.pool);
     const auto now_or_later =
-        AskOrQueue(engine.queue, engine.decode, message.ask, policy, env.now());
+        AskOrQueue(engine.queue, engine.decode, WithShare(message.ask, *config),
+                   policy, env.now());
     if (now_or_later) return done(*now_or_later);
     engine.queued[message.ask.request_id] = std::move(done);
   }
--- a/src/placement/home_messages.cc
+++ b/src/placement/home_messages.cc
@@ -76,7 +76,8 @@
           {QLatin1String("pieces"), message.ask.pieces},
           {QLatin1String("needed"), Microseconds(message.ask.needed_in)},
           {QLatin1String("use"), Microseconds(message.ask.expected_use)},
-          {QLatin1String("wait"), Microseconds(message.ask.may_wait)}};
+          {QLatin1String("wait"), Microseconds(message.ask.may_wait)},
+          {QLatin1String("team"), ToQt(message.ask.team)}};
 }
 
 QCborMap ToCbor(const prefill_ask_message& message) {
@@ -118,6 +119,8 @@
   message.ask.needed_in = fields.Time("needed");
   message.ask.expected_use = fields.Time("use");
   message.ask.may_wait = fields.Time("wait");
+  // Absent from daemons of the version before.
+  message.ask.team = map.value(QLatin1String("team")).toString().toStdString();
   return fields.Finish(std::move(message));
 }
 
--- a/src/placement/place_queue.cc
+++ b/src/placement/place_queue.cc
@@ -1,11 +1,21 @@
 #include "placement/place_queue.h"
 
+#include <utility>
+
 namespace anvilridge {
 namespace {
 
-absl::Duration WaitOfNext(const place_queue& queue,
-                          const decode_ledger& ledger) {
-  return WaitForPlace(ledger, static_cast<int>(queue.asks.size()) + 1);
+absl::Duration WaitOf(const place_queue& queue, const decode_ledger& ledger,
+                      const queued_ask& waiting, absl::Time now) {
+  const absl::Duration interval = WaitForPlace(ledger, 1);
+  return WaitForPlace(ledger,
+                      CountAhead(queue.asks, waiting, interval, now) + 1);
+}
+
+queue_answer AnswerTo(const queued_ask& waiting, const decode_answer& answer,
+                      absl::Time now) {
+  return {waiting.ask.request_id, answer, waiting.ask.team,
+          waiting.ask.priority, now - waiting.queued_at};
 }
 
 }  // namespace
@@ -20,9 +30,10 @@
     answer = AskDecode(ledger, ask, policy, now);
     if (answer.granted) return answer;
   }
-  answer.free_in = WaitOfNext(queue, ledger);
+  queued_ask waiting{ask, now, now + ask.may_wait};
+  answer.free_in = WaitOf(queue, ledger, waiting, now);
   if (answer.free_in > ask.may_wait) return answer;
-  queue.asks.push_back({ask, now + ask.may_wait});
+  AddAsk(queue.asks, std::move(waiting));
   return std::nullopt;
 }
 
@@ -30,16 +41,15 @@
                                      const promise_policy& policy,
                                      absl::Time now) {
   std::vector<queue_answer> answered;
-  while (!queue.asks.empty()) {
-    const queued_ask& first = queue.asks.front();
-    const bool late = first.give_up_at <= now;
+  for (const queued_ask& late : TakeLate(queue.asks, now)) {
     decode_answer answer;
-    if (!late) answer = AskDecode(ledger, first.ask, policy, now);
-    if (!late && !answer.granted) break;
-    const std::string id = first.ask.request_id;
-    queue.asks.pop_front();
-    answer.free_in = WaitOfNext(queue, ledger);
-    answered.push_back({id, answer});
+    answer.free_in = WaitOf(queue, ledger, late, now);
+    answered.push_back(AnswerTo(late, answer, now));
+  }
+  while (const queued_ask* next = NextAsk(queue.asks, now)) {
+    const decode_answer answer = AskDecode(ledger, next->ask, policy, now);
+    if (!answer.granted) break;
+    answered.push_back(AnswerTo(TakeNext(queue.asks, now), answer, now));
   }
   return answered;
 }
--- a/src/placement/place_queue_test.cc
+++ b/src/placement/place_queue_test.cc
@@ -9,7 +9,8 @@
 const promise_policy kCautious;
 
 decode_ask Ask(const std::string& id, absl::Duration may_wait) {
-  return {id, "a:1", 10, absl::ZeroDuration(), absl::Seconds(1), may_wait};
+  return {id,       "a:1", 10, absl::ZeroDuration(), absl::Seconds(1),
+          may_wait, "team"};
 }
 
 struct full_engine {
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -205,6 +205,7 @@
     message.engine = engine.name;
     message.ask.request_id = a->request.request_id;
     message.ask.owner = a->grant.owner;
+    message.ask.team = a->request.team;
     message.ask.pieces =
         PiecesFor(a->request.prompt_tokens + a->request.max_tokens);
     message.ask.needed_in = PrefillEstimate(*a) + kAssumedTransfer;
--- a/src/requests/attempt_calls.cc
+++ b/src/requests/attempt_calls.cc
@@ -13,6 +13,7 @@
   ask.route = request.route;
   ask.prompt_tokens = EstimateTokens(request.body.prompt) + answer.next_index;
   ask.max_tokens = request.body.max_tokens - answer.next_index;
+  ask.priority = request.caller.priority;
   ask.prefix_hashes = PromptPrefixHashes(request.body.prompt);
   return ask;
 }
@@ -28,6 +29,7 @@
   call.max_tokens = request.body.max_tokens;
   call.generated = answer.text;
   call.generated_tokens = answer.next_index;
+  call.priority = request.caller.priority;
   return call;
 }
 
@@ -46,6 +48,7 @@
   call.max_tokens = request.body.max_tokens;
   call.generated = answer.text;
   call.generated_tokens = answer.next_index;
+  call.priority = request.caller.priority;
   return call;
 }
 
--- a/src/requests/caller_identity.cc
+++ b/src/requests/caller_identity.cc
@@ -22,12 +22,15 @@
   for (const auto& [name, key] : config.keys) {
     const bool same = ConstantTimeEqual(hash, key.sha256_hex);
     if (!same || key.team.empty()) continue;
-    identity = {key.team, name};
+    identity.team = key.team;
+    identity.key_name = name;
   }
-  if (identity.team.empty() || !config.teams.contains(identity.team)) {
+  const auto team = config.teams.find(identity.team);
+  if (team == config.teams.end()) {
     return MakeError(error_kind::unknown_credential,
                      "the key belongs to no team");
   }
+  identity.priority = team->second.priority;
   return identity;
 }
 
--- a/src/requests/caller_identity.h
+++ b/src/requests/caller_identity.h
@@ -14,6 +14,8 @@
 struct caller_identity {
   std::string team;
   std::string key_name;
+  /// Of the team; higher is served first.
+  int priority = 5;
 };
 
 /// Finds the team whose key the `Authorization: Bearer` field carries. Fails
