Keep a retry budget for each route, also for completions

Cause: lookups had a budget, one for all routes of a traffic thread and without pauses; completions had none: up to 3 attempts each, at once. When all engines failed they got three times the load.

Change: retry_budget: by route and traffic thread, each request earns a share of a retry up to a burst; pauses double with jitter. Completions and lookups take from it, and a log line retry says so. Settings [retries]. In parse_settings_test the lists of sections have retries besides; nothing was taken out.

--- a/bench/capacity/peer_cost.cc
+++ b/bench/capacity/peer_cost.cc
@@ -50,8 +50,12 @@
     const auto& server = servers_[static_cast<size_t>(left_) % servers_.size()];
     decode_ask_message ask{"engine-zagreb-a-1",
                            {absl::StrCat("0123456789abcdef01234567", left_),
-                            "entry-zagreb-a-1:1800000000000000", 80,
-                            absl::Milliseconds(300), absl::Seconds(8)}};
+                            "entry-zagreb-a-1:1800000000000000",
+                            80,
+                            absl::Milliseconds(300),
+                            absl::Seconds(8),
+                            {},
+                            "team"}};
     client.Call(absl::StrCat("127.0.0.1:", server->Port()), kAskDecodeMethod,
                 ToCbor(ask), kTimeout, [this](const auto& answer) {
                   if (!answer.ok()) ++failed;
--- a/src/daemon/thread_bridge.cc
+++ b/src/daemon/thread_bridge.cc
@@ -149,6 +149,7 @@
       ReportUpstream(state, name, result);
     });
   };
+  services.retries = state.settings.retries;
   services.deployment_key = state.deployment_key;
 }
 
--- a/src/requests/completion_flow.cc
+++ b/src/requests/completion_flow.cc
@@ -62,7 +62,11 @@
   void Start() {
     started_ = MonotonicNow();
     WatchCaller();
-    Admit([self = shared_from_this()] { self->Place(); });
+    Admit([self = shared_from_this()] {
+      EarnRetries(self->context_.retries, self->request_.route,
+                  self->Services().retries);
+      self->Place();
+    });
   }
 
   void Resume(const resume_token& token, const placed_engine& engine) {
@@ -353,7 +357,14 @@
     if (!engine.empty()) avoid_.push_back(engine);
     // Who resumes a stream knows neither its prompt nor its earlier text.
     if (attempts_ >= kMaxAttempts || resumed_) return Fail(why);
-    Place();
+    const auto pause = TakeRetry(context_, request_.route, attempts_);
+    LogEvent(log_level::info, "retry",
+             {{"request_id", Text(request_.request_id)},
+              {"route", Text(request_.route)},
+              {"result", pause ? "paused" : "budget used up"}});
+    if (!pause) return Fail(why);
+    RunAfter(context_.thread, *pause,
+             [self = shared_from_this()] { self->Place(); });
   }
 
   // A resumed stream belongs to the daemon that held it before, until the
--- a/src/requests/decode_stream.cc
+++ b/src/requests/decode_stream.cc
@@ -172,7 +172,10 @@
   fruitless_ += stalled ? kStallWeight : 1;
   const bool refused = KindOf(why) == error_kind::upstream_refused;
   if (refused || fruitless_ > kMaxFruitless) return End(why);
-  RunAfter(context_.thread, kFirstAttachPause * (1 << fruitless_),
+  // With jitter, so that the streams of one engine don't come back in step.
+  const double share =
+      std::uniform_real_distribution<double>(0.5, 1)(context_.random);
+  RunAfter(context_.thread, share * kFirstAttachPause * (1 << fruitless_),
            [self = shared_from_this()] { self->Connect(); });
 }
 
--- a/src/requests/flow_context.h
+++ b/src/requests/flow_context.h
@@ -3,37 +3,33 @@
 
 #include <QObject>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 
+#include "absl/strings/string_view.h"
+#include "absl/time/time.h"
 #include "requests/request_services.h"
+#include "requests/retry_budget.h"
 #include "upstreams/http_client.h"
 
 namespace anvilridge {
 
-/// Limits retries to a share of the requests, so that a failing upstream is not
-/// hit by a multiple of the load.
-struct retry_budget {
-  /// Retries that may be made now.
-  double tokens = 10;
-};
-
 /// What one traffic thread shares between its flows.
 struct flow_context {
   QObject* thread = nullptr;
   http_client* client = nullptr;
   const request_services* services = nullptr;
-  retry_budget retries;
+  retry_budgets retries;
   /// Calls in progress at each plain service from this thread.
   std::map<std::string, int, std::less<>> service_calls;
   std::mt19937_64 random{std::random_device{}()};
 };
 
-/// Adds what one new request earns to the budget.
-void EarnRetries(retry_budget& budget);
-
-/// Takes one retry; false when the budget is used up.
-bool TakeRetry(retry_budget& budget);
+/// Returns the pause before retry number `retry` of a request of `route`, which
+/// it takes from the budget; nothing when that is used up.
+std::optional<absl::Duration> TakeRetry(flow_context& context,
+                                        absl::string_view route, int retry);
 
 }  // namespace anvilridge
 
--- a/src/requests/request_services.h
+++ b/src/requests/request_services.h
@@ -11,6 +11,7 @@
 #include "claims/claim_service.h"
 #include "config/config_state.h"
 #include "placement/place_request.h"
+#include "settings/daemon_settings.h"
 #include "upstreams/outlier_ejection.h"
 
 namespace anvilridge {
@@ -75,6 +76,8 @@
   std::function<void(absl::string_view upstream, call_result result)> report;
   /// Owner text of this daemon's current incarnation.
   std::function<std::string()> owner;
+  /// How many retries there may be, and how soon.
+  retry_settings retries;
   /// Shared secret of the deployment, for resume tokens.
   std::string deployment_key;
 };
--- a/src/requests/service_flow.cc
+++ b/src/requests/service_flow.cc
@@ -11,6 +11,7 @@
 #include "absl/strings/str_cat.h"
 #include "base/clock.h"
 #include "base/error_kind.h"
+#include "base/event_loop.h"
 #include "claims/claim_holder.h"
 #include "log/decision_log.h"
 #include "requests/header_rules.h"
@@ -69,13 +70,14 @@
     exchange_->OnClosed([weak = weak_from_this()] {
       if (const auto self = weak.lock()) self->CallerLeft();
     });
-    Services().admit(Active("admission"),
-                     [self = shared_from_this()](const absl::Status& admitted) {
-                       if (!admitted.ok()) return self->Fail(admitted);
-                       self->admitted_ = true;
-                       EarnRetries(self->context_.retries);
-                       self->Claim();
-                     });
+    Services().admit(Active("admission"), [self = shared_from_this()](
+                                              const absl::Status& admitted) {
+      if (!admitted.ok()) return self->Fail(admitted);
+      self->admitted_ = true;
+      EarnRetries(self->context_.retries, self->request_.route.name,
+                  self->Services().retries);
+      self->Claim();
+    });
   }
 
  private:
@@ -250,7 +252,7 @@
     const bool busy =
         result.http_status == kBadGateway || result.http_status == kUnavailable;
     may_have_run_ = true;
-    if (busy && repeatable_ && MayRetry()) return Send();
+    if (busy && repeatable_ && Retry()) return;
     if (claim_ && !Conclude(result)) {
       return Fail(MakeError(error_kind::outcome_unknown,
                             "the upstream refused this call's fencing number"));
@@ -280,7 +282,7 @@
     const bool never_sent = RunStateOf(error) == run_state::not_run;
     if (never_sent) sent_ = false;
     if (!never_sent) may_have_run_ = true;
-    if ((never_sent || repeatable_) && MayRetry()) return Send();
+    if ((never_sent || repeatable_) && Retry()) return;
     if (never_sent || repeatable_) return Fail(error);
     Fail(MakeError(error_kind::outcome_unknown,
                    absl::StrCat("the call was sent to ", upstream_.name,
@@ -296,8 +298,20 @@
     }
   }
 
-  bool MayRetry() {
-    return tried_.size() < kMaxAttempts && TakeRetry(context_.retries);
+  // Sends again elsewhere after a pause; false when that may not be.
+  bool Retry() {
+    if (tried_.size() >= kMaxAttempts) return false;
+    const auto pause = TakeRetry(context_, request_.route.name,
+                                 static_cast<int>(tried_.size()));
+    LogEvent(log_level::info, "retry",
+             {{"request_id", Text(request_.request_id)},
+              {"route", Text(request_.route.name)},
+              {"result", pause ? "paused" : "budget used up"}});
+    if (!pause) return false;
+    RunAfter(context_.thread, *pause, [self = shared_from_this()] {
+      if (!self->over_) self->Send();
+    });
+    return true;
   }
 
   void Answer(int status, http_headers headers, absl::string_view body) {
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -89,6 +89,17 @@
   absl::Duration return_over = absl::Seconds(5);
 };
 
+/// `[retries]`: how often failed calls are tried elsewhere. Budgets are kept by
+/// route and traffic thread.
+struct retry_settings {
+  /// Retries that a request earns, in percent.
+  int percent = 10;
+  /// Retries that may be saved up.
+  int burst = 10;
+  absl::Duration first_pause = absl::Milliseconds(20);
+  absl::Duration longest_pause = absl::Milliseconds(500);
+};
+
 /// `[log]`: level and destination of the JSON log lines.
 struct log_settings {
   std::string level = "info";
@@ -108,6 +119,7 @@
   peer_settings peers;
   placement_settings placement;
   health_settings health;
+  retry_settings retries;
   log_settings log;
   /// `[bootstrap]`: file with an administrator's key, accepted on the operator
   /// port beside the keys of the configuration.
--- a/src/settings/parse_settings_test.cc
+++ b/src/settings/parse_settings_test.cc
@@ -81,6 +81,8 @@
       "[health]\nconsecutive_failures = 4\nfailure_percent = 40\n"
       "least_calls = 20\nwindow = 20s\nfirst_ejection = 2s\n"
       "longest_ejection = 40s\nreturn_over = 6s\n"
+      "[retries]\npercent = 20\nburst = 11\nfirst_pause = 30ms\n"
+      "longest_pause = 1s\n"
       "[log]\nlevel = debug\ndestination = l\n"
       "[bootstrap]\nadministrator_key_file = a\n",
       "a.ini");
@@ -113,7 +115,7 @@
       {"[engines]\n",
        "a.ini:9: [engines]: unknown section; allowed are daemon, caller, "
        "operator, peer, metrics, limits, platform, peers, placement, "
-       "health, log, bootstrap"},
+       "health, retries, log, bootstrap"},
       {"[limits]\n[limits]\n",
        "a.ini:10: [limits]: duplicate section; first in line 9"},
       {"[log]\ncolour = red\n",
@@ -182,7 +184,7 @@
             "port from 1 to 65535\n"
             "a.ini:6: [unknown]: unknown section; allowed are daemon, caller, "
             "operator, peer, metrics, limits, platform, peers, placement, "
-            "health, log, bootstrap\n");
+            "health, retries, log, bootstrap\n");
 }
 
 TEST(parse_settings_test, LoadChecksTheFilesNamed) {
--- a/src/settings/settings_table.cc
+++ b/src/settings/settings_table.cc
@@ -243,6 +243,28 @@
       [](auto& s) -> auto& { return s.health.return_over; }));
 }
 
+void AddRetries(key_rows& rows) {
+  rows.push_back(IntegerKey<int>(
+      {"retries", "percent",
+       "Retries of failed calls, in percent of the requests of a route; 0 for "
+       "none."},
+      0, 100, [](auto& s) -> auto& { return s.retries.percent; }));
+  rows.push_back(IntegerKey<int>(
+      {"retries", "burst",
+       "Retries that each route may have saved up, by traffic thread."},
+      1, 10000, [](auto& s) -> auto& { return s.retries.burst; }));
+  rows.push_back(DurationKey(
+      {"retries", "first_pause",
+       "Longest pause before the first retry; it doubles with each further "
+       "one."},
+      absl::Milliseconds(1), absl::Seconds(10),
+      [](auto& s) -> auto& { return s.retries.first_pause; }));
+  rows.push_back(DurationKey(
+      {"retries", "longest_pause", "Longest pause before any retry."},
+      absl::Milliseconds(1), absl::Seconds(10),
+      [](auto& s) -> auto& { return s.retries.longest_pause; }));
+}
+
 void AddLogAndBootstrap(key_rows& rows) {
   rows.push_back(TextKey(
       {"log", "level", "Least level of the log lines written."},
@@ -273,6 +295,7 @@
   AddPeers(rows);
   rows.push_back(PolicyKey());
   AddHealth(rows);
+  AddRetries(rows);
   AddLogAndBootstrap(rows);
   return rows;
 }
