--- a/bench/capacity/peer_cost.cc
+++ b/bench/capacity/peer_cost.cc
@@ -49,8 +49,12 @@
         "127.0.", 1 + peer / 200, ".", 1 + peer % 200, ":", server_.Port());
     decode_ask_message ask{"engine-zagreb-a-1",
                            {absl::StrCat("0123456789abcdef01234567", left_),
-                            "entry-zagreb-a-1:1800000000000000", 80,
-                            absl::Milliseconds(300), absl::Seconds(8)}};
+                            "entry-zagreb-a-1:1800000000000000",
+                            80,
+                            absl::Milliseconds(300),
+                            absl::Seconds(8),
+                            {},
+                            "team"}};
     client.Call(address, kAskDecodeMethod, ToCbor(ask, key_form::numbers),
                 kTimeout, [this](const auto& answer) {
                   if (!answer.ok()) ++failed;
--- a/src/placement/home_calls_test.cc
+++ b/src/placement/home_calls_test.cc
@@ -12,7 +12,8 @@
 
 const std::string kKey = "deployment-key";
 const release_message kRelease = {"engine-1", "r1", 0, {}, true};
-const decode_ask_message kAsk = {"engine-1", {"r1", "a:1", 10, {}, {}, {}}};
+const decode_ask_message kAsk = {"engine-1",
+                                 {"r1", "a:1", 10, {}, {}, {}, "team"}};
 
 // The home of all engines, which notes what it is told.
 class home_calls_test : public event_loop_test {
--- a/src/placement/home_fields.cc
+++ b/src/placement/home_fields.cc
@@ -14,10 +14,10 @@
 constexpr int kMaxTokens = 10'000'000;
 constexpr int64_t kMaxMicroseconds = 3'600'000'000;
 
-constexpr std::array<const char*, 17> kNames = {
-    "engine",  "owner",  "id",       "pieces",   "needed",   "use",
-    "wait",    "tokens", "time",     "finished", "granted",  "slots",
-    "free_in", "work",   "releases", "to",       "link_full"};
+constexpr std::array<const char*, 18> kNames = {
+    "engine",  "owner",  "id",       "pieces",   "needed",    "use",
+    "wait",    "tokens", "time",     "finished", "granted",   "slots",
+    "free_in", "work",   "releases", "to",       "link_full", "team"};
 
 QLatin1String NameOf(home_field field) {
   return QLatin1String(kNames.at(static_cast<size_t>(field)));
--- a/src/placement/home_fields.h
+++ b/src/placement/home_fields.h
@@ -31,6 +31,7 @@
   releases = 14,
   to = 15,
   link_full = 16,
+  team = 17,
 };
 
 /// How the keys of a message are written. Daemons of the first version know
--- a/src/placement/home_messages.cc
+++ b/src/placement/home_messages.cc
@@ -16,15 +16,16 @@
 }  // namespace
 
 QCborMap ToCbor(const decode_ask_message& message, key_form form) {
-  return field_writer(form)
-      .Put(field::engine, message.engine)
+  field_writer fields(form);
+  fields.Put(field::engine, message.engine)
       .PutId(message.ask.request_id)
       .Put(field::owner, message.ask.owner)
       .Put(field::pieces, message.ask.pieces)
       .Put(field::needed, message.ask.needed_in)
       .Put(field::use, message.ask.expected_use)
-      .Put(field::wait, message.ask.may_wait)
-      .Message();
+      .Put(field::wait, message.ask.may_wait);
+  if (!message.ask.team.empty()) fields.Put(field::team, message.ask.team);
+  return fields.Message();
 }
 
 // Fields about a link are left out where no link is used, to save bytes.
@@ -103,6 +104,8 @@
   message.ask.needed_in = fields.Time(field::needed);
   message.ask.expected_use = fields.Time(field::use);
   message.ask.may_wait = fields.Time(field::wait);
+  // Absent from daemons of the version before.
+  if (fields.Has(field::team)) message.ask.team = fields.Text(field::team);
   return fields.Finish(std::move(message));
 }
 
--- a/src/placement/home_messages_test.cc
+++ b/src/placement/home_messages_test.cc
@@ -29,7 +29,7 @@
 decode_ask_message DecodeAsk() {
   decode_ask_message message;
   message.engine = Word();
-  message.ask = {Word(), Word(), Count(), Time(), Time(), Time()};
+  message.ask = {Word(), Word(), Count(), Time(), Time(), Time(), Word()};
   return message;
 }
 
@@ -45,8 +45,12 @@
   return {Word(), Word(), Count(), Time(), *rc::gen::arbitrary<bool>()};
 }
 
-// Whether the id is text that would be written as bytes, which is no damage.
-bool HasPlainHexId(const QCborMap& message) {
+// Whether the id stands as the other form of keys writes it, bytes or the same
+// in hexadecimal digits, which is no damage.
+bool HasIdOfOtherForm(const QCborMap& message, key_form form) {
+  if (form == key_form::names) {
+    return message.value(QLatin1String("id")).isByteArray();
+  }
   const QCborValue id = message.value(static_cast<qint64>(home_field::id));
   const QByteArray text = id.toString().toUtf8();
   return id.isString() && QByteArray::fromHex(text).toHex() == text;
@@ -66,7 +70,8 @@
     const auto parsed = parse(damaged);
     RC_CLASSIFY(parsed.ok(), "still a message");
     if (parsed.ok()) {
-      RC_ASSERT(ToCbor(*parsed, form) == damaged || HasPlainHexId(damaged));
+      RC_ASSERT(ToCbor(*parsed, form) == damaged ||
+                HasIdOfOtherForm(damaged, form));
       return;
     }
     RC_ASSERT(KindOf(parsed.status()) == error_kind::malformed_request);
@@ -109,7 +114,7 @@
       const decode_ask_message ask = {
           "engine-1",
           {id, "a:1", 80, absl::Milliseconds(300), absl::Seconds(8),
-           absl::Milliseconds(7)}};
+           absl::Milliseconds(7), "choir"}};
       const QCborMap message = ToCbor(ask, form);
       EXPECT_EQ(FormOf(message), form);
       const auto read = ParseDecodeAsk(message);
@@ -119,6 +124,7 @@
       EXPECT_EQ(read->ask.owner, "a:1");
       EXPECT_EQ(read->ask.pieces, 80);
       EXPECT_EQ(read->ask.may_wait, absl::Milliseconds(7));
+      EXPECT_EQ(read->ask.team, "choir");
     }
     const auto answer = ParsePrefillAnswer(
         ToCbor(prefill_answer{true, {}, absl::Seconds(2)}, form));
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -20,6 +20,7 @@
 #include "placement/home_calls.h"
 #include "placement/load_reports.h"
 #include "placement/prefill_choice.h"
+#include "upstreams/return_share.h"
 
 namespace anvilridge {
 namespace {
@@ -111,10 +112,10 @@
 
   // An engine that failed the request before is asked again when no other is
   // left; the attempts are counted by who asks.
-  engine_list Engines(absl::string_view pool, const attempt& a) const {
+  engine_list Engines(absl::string_view pool, const attempt& a) {
     engine_list candidates = Usable(pool, a, a.request.avoid);
     if (candidates.empty()) candidates = Usable(pool, a, {});
-    return candidates;
+    return ThinReturning(std::move(candidates), env.health(), random);
   }
 
   // The decode engine's failure domain is empty while there is none yet.
@@ -213,6 +214,7 @@
     message.engine = engine.name;
     message.ask.request_id = a->request.request_id;
     message.ask.owner = a->grant.owner;
+    message.ask.team = a->request.team;
     message.ask.pieces =
         PiecesFor(a->request.prompt_tokens + a->request.max_tokens);
     message.ask.needed_in = PrefillEstimate(*a) + kAssumedTransfer;
--- a/src/requests/completion_attempt.cc
+++ b/src/requests/completion_attempt.cc
@@ -104,7 +104,9 @@
     });
     return;
   }
-  flow->outcome.decode_failed = !refused;
+  flow->outcome.stalled = IsStall(result);
+  flow->outcome.decode_failed = !refused || flow->outcome.stalled;
+  flow->outcome.transfer_stalled = flow->outcome.stalled;
   // An evicted result says nothing against either engine.
   const bool evicted = refused && result.message() == "evicted";
   RetryElsewhere(flow, result, evicted ? "" : flow->grant.decode.name);
@@ -132,6 +134,7 @@
   if (LeaseLost(*flow)) return StartOver(flow);
   if (!result.ok()) {
     flow->outcome.prefill_failed = true;
+    flow->outcome.stalled = IsStall(result.status());
     return RetryElsewhere(flow, result.status(), flow->grant.prefill.name);
   }
   flow->outcome.prefilled = true;
@@ -217,8 +220,15 @@
   if (flow->attempts >= kMaxAttempts || flow->resumed) {
     return FailCompletion(*flow, why);
   }
+  const auto pause =
+      TakeRetry(flow->context, flow->request.route, flow->attempts);
+  LogEvent(log_level::info, "retry",
+           {{"request_id", QtText(flow->request.request_id)},
+            {"route", QtText(flow->request.route)},
+            {"result", pause ? "paused" : "budget used up"}});
+  if (!pause) return FailCompletion(*flow, why);
   ServicesOf(*flow).metrics.retried(flow->request.route);
-  BeginAttempt(flow);
+  RunAfter(flow->context.thread, *pause, [flow] { BeginAttempt(flow); });
 }
 
 }  // namespace anvilridge
--- a/src/requests/completion_flow.cc
+++ b/src/requests/completion_flow.cc
@@ -68,7 +68,11 @@
 void StartFlow(const completion_ptr& flow) {
   flow->started = MonotonicNow();
   WatchCaller(flow);
-  Admit(flow, [flow] { BeginAttempt(flow); });
+  Admit(flow, [flow] {
+    EarnRetries(flow->context.retries, flow->request.route,
+                ServicesOf(*flow).retries);
+    BeginAttempt(flow);
+  });
 }
 
 void ResumeFlow(const completion_ptr& flow, const resume_token& token,
--- a/src/requests/completion_state.cc
+++ b/src/requests/completion_state.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "base/error_kind.h"
+
 namespace anvilridge {
 
 completion_state::completion_state(flow_context& on, completion_request asked,
@@ -33,6 +35,14 @@
   return !ServicesOf(flow).may_act(flow.grant.owner);
 }
 
+bool IsStall(const absl::Status& result) {
+  if (result.ok()) return false;
+  const error_kind kind = KindOf(result);
+  return kind == error_kind::upstream_stalled ||
+         (kind == error_kind::upstream_refused &&
+          result.message() == "stalled");
+}
+
 decode_source SourceOf(const completion_state& flow) {
   return {flow.engine_request_id, flow.grant.decode, flow.grant.owner};
 }
--- a/src/requests/completion_state.h
+++ b/src/requests/completion_state.h
@@ -83,6 +83,10 @@
 /// Whether the incarnation that the attempt belongs to may no longer act.
 bool LeaseLost(const completion_state& flow);
 
+/// Whether an engine made no progress; one that gives up a transfer by itself
+/// says so in its refusal.
+bool IsStall(const absl::Status& result);
+
 /// The request at the decode engine that it was placed on.
 decode_source SourceOf(const completion_state& flow);
 
--- a/src/requests/completion_stream.cc
+++ b/src/requests/completion_stream.cc
@@ -71,7 +71,8 @@
     return FailCompletion(
         *flow, MakeError(error_kind::resume_gone, "the engine has let it go"));
   }
-  flow->outcome.decode_failed = !refused;
+  // The stream has reported its stalls as they came.
+  flow->outcome.decode_failed = !refused && !IsStall(ended);
   RetryElsewhere(flow, ended, flow->grant.decode.name);
 }
 
--- a/src/requests/request_services.h
+++ b/src/requests/request_services.h
@@ -12,6 +12,8 @@
 #include "config/config_state.h"
 #include "placement/place_request.h"
 #include "requests/request_metrics.h"
+#include "settings/daemon_settings.h"
+#include "upstreams/outlier_ejection.h"
 
 namespace anvilridge {
 
@@ -73,10 +75,14 @@
   std::function<void(const std::string& claim_id)> leave_unknown;
   /// Whether an upstream may be given new work, by its health and its VM.
   std::function<bool(absl::string_view upstream)> healthy;
-  /// Reports how a call to a plain service went.
-  std::function<void(absl::string_view upstream, bool ok)> report;
+  /// Standing of the upstreams that failed lately; may return null.
+  std::function<std::shared_ptr<const health_view>()> health;
+  /// Reports how a call to an upstream went.
+  std::function<void(absl::string_view upstream, call_result result)> report;
   /// Owner text of this daemon's current incarnation.
   std::function<std::string()> owner;
+  /// How many retries there may be, and how soon.
+  retry_settings retries;
   /// Shared secret of the deployment, for resume tokens.
   std::string deployment_key;
   request_metrics metrics;
--- a/src/requests/service_choice.cc
+++ b/src/requests/service_choice.cc
@@ -2,10 +2,12 @@
 
 #include <algorithm>
 #include <memory>
+#include <utility>
 #include <vector>
 
 #include "base/qt_text.h"
 #include "log/decision_log.h"
+#include "upstreams/return_share.h"
 
 namespace anvilridge {
 namespace {
@@ -45,6 +47,8 @@
   const std::shared_ptr<const config_state> config = context.services->config();
   upstream_list candidates = Candidates(context, *config, route, tried);
   if (candidates.empty()) return std::nullopt;
+  candidates = ThinReturning(std::move(candidates), context.services->health(),
+                             context.random);
   const upstream_config& chosen = FewerCalls(context, candidates);
   LogEvent(log_level::info, "routing",
            {{"request_id", QtText(request_id)},
--- a/src/requests/service_flow.cc
+++ b/src/requests/service_flow.cc
@@ -10,6 +10,7 @@
 #include "absl/strings/str_cat.h"
 #include "base/clock.h"
 #include "base/error_kind.h"
+#include "base/event_loop.h"
 #include "base/qt_text.h"
 #include "claims/claim_holder.h"
 #include "log/decision_log.h"
@@ -41,6 +42,15 @@
          methods.end();
 }
 
+call_result HealthOf(const http_result& result) {
+  if (result.status.ok()) {
+    return result.http_status < kServerErrors ? call_result::ok
+                                              : call_result::failed;
+  }
+  const bool stalled = KindOf(result.status) == error_kind::upstream_stalled;
+  return stalled ? call_result::stalled : call_result::failed;
+}
+
 // One call of a plain service on its traffic thread.
 class service_flow : public std::enable_shared_from_this<service_flow> {
  public:
@@ -63,7 +73,8 @@
         [self = shared_from_this()](const absl::Status& admitted) {
           if (!admitted.ok()) return self->Fail(admitted);
           self->admitted_ = true;
-          EarnRetries(self->context_.retries);
+          EarnRetries(self->context_.retries, self->request_.route.name,
+                      self->Services().retries);
           self->Claim();
         },
         [weak = weak_from_this()] {
@@ -243,13 +254,12 @@
 
   void TakeResult(const http_result& result) {
     const bool broken = !result.status.ok();
-    Services().report(upstream_.name,
-                      !broken && result.http_status < kServerErrors);
+    Services().report(upstream_.name, HealthOf(result));
     if (broken) return TakeFailure(result.status);
     const bool busy =
         result.http_status == kBadGateway || result.http_status == kUnavailable;
     may_have_run_ = true;
-    if (busy && repeatable_ && MayRetry()) return Send();
+    if (busy && repeatable_ && Retry()) return;
     if (claim_ && !Conclude(result)) {
       return Fail(MakeError(error_kind::outcome_unknown,
                             "the upstream refused this call's fencing number"));
@@ -280,7 +290,7 @@
     const bool never_sent = RunStateOf(error) == run_state::not_run;
     if (never_sent) sent_ = false;
     if (!never_sent) may_have_run_ = true;
-    if ((never_sent || repeatable_) && MayRetry()) return Send();
+    if ((never_sent || repeatable_) && Retry()) return;
     if (never_sent || repeatable_) return Fail(error);
     Fail(MakeError(error_kind::outcome_unknown,
                    absl::StrCat("the call was sent to ", upstream_.name,
@@ -298,10 +308,20 @@
     }
   }
 
-  bool MayRetry() {
+  // Sends again elsewhere after a pause; false when that may not be.
+  bool Retry() {
     if (tried_.size() >= kMaxAttempts) return false;
-    if (!TakeRetry(context_.retries)) return false;
+    const auto pause = TakeRetry(context_, request_.route.name,
+                                 static_cast<int>(tried_.size()));
+    LogEvent(log_level::info, "retry",
+             {{"request_id", QtText(request_.request_id)},
+              {"route", QtText(request_.route.name)},
+              {"result", pause ? "paused" : "budget used up"}});
+    if (!pause) return false;
     Services().metrics.retried(request_.route.name);
+    RunAfter(context_.thread, *pause, [self = shared_from_this()] {
+      if (!self->over_) self->Send();
+    });
     return true;
   }
 
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -79,6 +79,29 @@
   bool prefix_affinity = true;
 };
 
+/// `[health]`: when a failing upstream gets no new work, and how it comes back.
+struct health_settings {
+  int consecutive_failures = 3;
+  /// Share of the window's calls, in percent.
+  int failure_percent = 50;
+  int least_calls = 10;
+  absl::Duration window = absl::Seconds(10);
+  absl::Duration first_ejection = absl::Seconds(1);
+  absl::Duration longest_ejection = absl::Seconds(30);
+  absl::Duration return_over = absl::Seconds(5);
+};
+
+/// `[retries]`: how often failed calls are tried elsewhere. Budgets are kept by
+/// route and traffic thread.
+struct retry_settings {
+  /// Retries that a request earns, in percent.
+  int percent = 10;
+  /// Retries that may be saved up.
+  int burst = 10;
+  absl::Duration first_pause = absl::Milliseconds(20);
+  absl::Duration longest_pause = absl::Milliseconds(500);
+};
+
 /// `[log]`: level and destination of the JSON log lines.
 struct log_settings {
   std::string level = "info";
@@ -97,6 +120,8 @@
   platform_settings platform;
   peer_settings peers;
   placement_settings placement;
+  health_settings health;
+  retry_settings retries;
   log_settings log;
   /// `[bootstrap]`: file with an administrator's key, accepted on the operator
   /// port beside the keys of the configuration.
