Read at most eight claims partitions from the log at once

Cause: a daemon alone at its start takes up all 64 partitions and opened 64 connections to the log at once. Seen by a trace of connect calls. Ruled out: lost wake-ups of the event loop, and a longer queue in the stand-in, which would leave the burst to the platform.

Change: base/call_gate lets a bounded number of calls run and keeps the others in order; reads of partitions go through one. vm_list_unreachable says why.

--- a/src/claims/claim_wiring.cc
+++ b/src/claims/claim_wiring.cc
@@ -1,12 +1,21 @@
 #include "claims/claim_wiring.h"
 
+#include <memory>
 #include <utility>
 
+#include "base/call_gate.h"
 #include "base/clock.h"
 #include "base/event_loop.h"
 #include "claims/claim_service.h"
 
 namespace anvilridge {
+namespace {
+
+// Partitions read from the log at once. Each read has a connection, and a
+// daemon that has taken up many partitions must not flood the log with them.
+constexpr int kReadsAtOnce = 8;
+
+}  // namespace
 
 claim_io MakeClaimIo(log_client& log, peer_client& peers,
                      membership_service& membership, QObject* context) {
@@ -15,9 +24,17 @@
                      const std::vector<log_append>& records, auto done) {
     log.Append(stream, records, std::move(done));
   };
-  io.read = [&log](const std::string& stream, int64_t from, int limit,
-                   auto done) {
-    log.Read(stream, from, limit, absl::ZeroDuration(), std::move(done));
+  const auto reads = std::make_shared<call_gate>(kReadsAtOnce);
+  io.read = [&log, reads](const std::string& stream, int64_t from, int limit,
+                          auto done) {
+    reads->Run(
+        [&log, stream, from, limit, done](const call_gate::release& release) {
+          log.Read(stream, from, limit, absl::ZeroDuration(),
+                   [done, release](absl::StatusOr<log_page> page) {
+                     release();
+                     done(std::move(page));
+                   });
+        });
   };
   io.call = [&peers](const std::string& address, const std::string& method,
                      const QCborMap& request, absl::Duration timeout,
--- a/src/upstreams/vm_watch.cc
+++ b/src/upstreams/vm_watch.cc
@@ -9,6 +9,7 @@
 #include "absl/strings/str_cat.h"
 #include "base/clock.h"
 #include "base/event_loop.h"
+#include "base/qt_text.h"
 #include "log/decision_log.h"
 
 namespace anvilridge {
@@ -108,7 +109,8 @@
     if (list.ok() != reachable) {
       reachable = list.ok();
       LogEvent(reachable ? log_level::info : log_level::warn,
-               reachable ? "vm_list_back" : "vm_list_unreachable", {});
+               reachable ? "vm_list_back" : "vm_list_unreachable",
+               {{"detail", QtText(list.status().message())}});
     }
     if (list.ok()) {
       view.entries = *std::move(list);
--- a/tests/operator_session_test.cc
+++ b/tests/operator_session_test.cc
@@ -146,7 +146,7 @@
     text = Get(daemon.metrics, "/metrics").body;
     return text.find("\nanvil_live_daemons 2\n") != std::string::npos;
   })) << text;
-  EXPECT_THAT(text, HasSubstr("\nanvil_log_out 0\n"));
+  EXPECT_THAT(text, HasSubstr("\nanvil_log_out 0\n")) << daemon.process->Err();
   EXPECT_THAT(text, Not(HasSubstr("\nanvil_config_offset 0\n")));
   for (const char* name :
        {"anvil_config_offset ", "anvil_cancels_pending ",
