--- a/src/config/config_faults_test.cc
+++ b/src/config/config_faults_test.cc
@@ -287,6 +287,25 @@
   state.applied_offset = 350;
   OnPeerSnapshot(follower, state);
   EXPECT_TRUE(SnapshotDue(follower, half + absl::Seconds(10), 0, 1));
+  NoteSnapshot(follower, 350, half);
+  EXPECT_FALSE(SnapshotDue(follower, half, 0, 1));
+}
+
+TEST(config_faults_test, SnapshotIsDueAtOnceWhenRecordsBehindTheLastExpired) {
+  config_follower follower;
+  config_state state;
+  state.applied_offset = 150;
+  OnPeerSnapshot(follower, state);
+  const absl::Time now = absl::FromUnixSeconds(1'800'000'000);
+  NoteSnapshot(follower, 100, now);
+  follower.oldest_record = 101;
+  EXPECT_FALSE(SnapshotDue(follower, now, 0, 10));
+  follower.oldest_record = 102;
+  EXPECT_TRUE(SnapshotDue(follower, now, 0.09, 10));
+  EXPECT_FALSE(SnapshotDue(follower, now, 0.1, 10));
+  EXPECT_TRUE(SnapshotDue(follower, now, 0.99, 1));
+  NoteSnapshot(follower, 150, now);
+  EXPECT_FALSE(SnapshotDue(follower, now, 0, 10));
 }
 
 // Whatever the order of faults, no daemon goes back, what was accepted stays
--- a/src/config/config_follower.cc
+++ b/src/config/config_follower.cc
@@ -123,6 +123,7 @@
                absl::Time now) {
   if (!page.ok()) return OnLogError(follower, now);
   OnLogAnswer(follower);
+  follower.oldest_record = page->oldest;
   if (page->oldest > ReadOffset(follower) + 1) return OnGap(follower, now);
   follower.stranded = false;
   if (!follower.reading) {
@@ -182,6 +183,10 @@
                  size_t live_daemons) {
   const int64_t offset = OffsetInForce(follower);
   if (!follower.in_force || offset == 0) return false;
+  // Records behind the newest snapshot have expired, so none can start from the
+  // log alone: one daemon or so writes at each check.
+  const bool gap = follower.oldest_record > follower.snapshot_offset + 1;
+  if (gap) return jitter * static_cast<double>(live_daemons) < 1;
   const follow_limits& limits = follower.limits;
   const bool many =
       offset - follower.snapshot_offset >= limits.snapshot_records;
--- a/src/config/config_follower.h
+++ b/src/config/config_follower.h
@@ -79,6 +79,8 @@
   /// recorded it.
   int64_t snapshot_offset = 0;
   absl::Time snapshot_time = absl::InfinitePast();
+  /// Oldest record that the log was last seen to keep.
+  int64_t oldest_record = 1;
   /// Since when the log has not answered; infinite future while it does.
   absl::Time log_out_since = absl::InfiniteFuture();
   /// Since when a peer has been ahead; infinite future while none is.
--- a/tests/config_in_force_test.cc
+++ b/tests/config_in_force_test.cc
@@ -248,8 +248,9 @@
   // Without any peer: from the log alone.
   for (fleet_daemon& daemon : fleet.daemons) daemon.process->Kill();
   fleet.RestartDaemon(3);
-  EXPECT_TRUE(
-      watch.Eventually([&] { return WeightEverywhere(fleet, kChanges); }));
+  EXPECT_TRUE(watch.Eventually([&] {
+    return WeightEverywhere(fleet, kChanges);
+  })) << fleet.daemons[3].process->Err();
 }
 
 TEST(config_in_force_test, NewDaemonStartsInAnOutageFromItsPeers) {
