--- a/src/placement/engine_homes.cc
+++ b/src/placement/engine_homes.cc
@@ -34,8 +34,6 @@
   absl::Time listed = absl::InfinitePast();
   // When this daemon took the engine up.
   absl::Time homed = absl::InfinitePast();
-  // Set by `ListSoon`, until the next list.
-  bool wanted = false;
   // Whether a request there waits for its cancel.
   bool watching_orphan = false;
   listed_requests requests;
@@ -156,7 +154,7 @@
       situation.unsettled_since = std::max(env.daemon_lost(), engine.homed);
       situation.overdue = NextOverdue({}, engine.decode);
       const absl::Time due = NextList({}, situation, engine.listed);
-      if (engine.wanted || due <= env.now()) List(upstream->second);
+      if (due <= env.now()) List(upstream->second);
     }
   }
 
@@ -202,7 +200,6 @@
   void List(const upstream_config& upstream) {
     homed_engine& engine = EngineNamed(upstream);
     engine.listing = true;
-    engine.wanted = false;
     engine.listed = env.now();
     // A small deployment has bandwidth for exact token counts.
     const bool whole = env.live_daemons() <= list_policy{}.small_deployment;
@@ -371,11 +368,6 @@
   impl_->AnswerQueue(*impl_->env.config(), *upstream, it->second);
 }
 
-void engine_homes::ListSoon(absl::string_view engine) {
-  const auto it = impl_->engines.find(engine);
-  if (it != impl_->engines.end()) it->second.wanted = true;
-}
-
 void engine_homes::WatchOrphan(absl::string_view engine) {
   const auto it = impl_->engines.find(engine);
   if (it != impl_->engines.end()) it->second.watching_orphan = true;
--- a/src/placement/engine_homes.h
+++ b/src/placement/engine_homes.h
@@ -57,9 +57,6 @@
   void Ask(const prefill_ask_message& message, const prefill_callback& done);
   void Release(const release_message& message);
 
-  /// Fetches the list of `engine` soon, whether or not it is due.
-  void ListSoon(absl::string_view engine);
-
   /// Says that a request at `engine` waits for its cancel, because its owner is
   /// lost or has forgotten it, so that the engine is listed again soon. Holds
   /// until the next list.
