Count a lost prefill where its result is; check the lease before each import

Read on the way: the two pauses before an import were the same lines twice, and neither asked for the lease after the pause.

Change: an import counts as prefilled once its transfer has ended. One function waits, checks the lease and imports.

Conclusion: a stalled transfer costs no prefill.

--- a/src/requests/completion_attempt.cc
+++ b/src/requests/completion_attempt.cc
@@ -54,6 +54,14 @@
   flow.grant.decode_fallbacks.erase(flow.grant.decode_fallbacks.begin());
 }
 
+void ImportAfterPause(const completion_ptr& flow) {
+  RunAfter(flow->context.thread, kImportRetryPause, [flow] {
+    if (flow->over) return;
+    if (LeaseLost(*flow)) return StartOver(flow);
+    Import(flow);
+  });
+}
+
 // The result of a prefill outlives a transfer that is found stalled soon, so
 // the transfer alone is repeated, once.
 bool MayRepeatImport(const completion_state& flow, const absl::Status& result) {
@@ -80,9 +88,7 @@
           return RetryElsewhere(flow, cancelled.status(),
                                 flow->grant.decode.name);
         }
-        RunAfter(flow->context.thread, kImportRetryPause, [flow] {
-          if (!flow->over) Import(flow);
-        });
+        ImportAfterPause(flow);
       });
 }
 
@@ -99,10 +105,7 @@
                                    result.message() == "no_pieces");
   if (no_room && MonotonicNow() + kImportRetryPause < flow->prefill_expires) {
     TakeDecodeFallback(*flow);
-    RunAfter(flow->context.thread, kImportRetryPause, [flow] {
-      if (!flow->over) Import(flow);
-    });
-    return;
+    return ImportAfterPause(flow);
   }
   flow->outcome.stalled = IsStall(result);
   flow->outcome.decode_failed = !refused || flow->outcome.stalled;
--- a/standins/engine/engine_model.cc
+++ b/standins/engine/engine_model.cc
@@ -234,7 +234,6 @@
   held_request request = MakeRequest(state, terms, now);
   request.phase = request_phase::transfer;
   request.prompt_tokens = prompt_tokens;
-  request.prefilled_tokens = terms.prompt_tokens;
   request.generated = terms.generated_tokens;
   request.pieces = terms.pieces;
   request.promised_pieces = promised;
@@ -248,6 +247,8 @@
   held_request* request = Find(state, request_id);
   if (request == nullptr) return;
   request->phase = request_phase::ready;
+  // Until then the result is at the prefill engine, which counts its loss.
+  request->prefilled_tokens = request->prompt_tokens + request->generated;
   RecordLoad(state, now);
 }
 
--- a/standins/engine/engine_model_test.cc
+++ b/standins/engine/engine_model_test.cc
@@ -108,6 +108,26 @@
   EXPECT_EQ(state.totals.exported_tokens, 80);
 }
 
+// An abandoned transfer loses nothing: the result is sent again or evicted.
+TEST(engine_prefill_test, ResultIsCountedAsLostOnceAndWhereItIs) {
+  engine_state prefill = MakeEngine(TestSettings("prefill"));
+  engine_state decode = MakeEngine(TestSettings("decode"));
+  StartPrefill(prefill, Terms("a", 80), kStart);
+  const absl::Time now = kStart + absl::Milliseconds(10);
+  Advance(prefill, now);
+  const std::string handle = prefill.requests.at("a").kv_handle;
+  ASSERT_NE(BeginExport(prefill, handle, "", now), nullptr);
+  ASSERT_EQ(BeginImport(decode, Terms("a", 80), now), engine_refusal::none);
+  EXPECT_TRUE(CancelRequest(decode, "a", "entry:1", now));
+  AbandonExport(prefill, handle, now);
+  EXPECT_EQ(decode.totals.cancelled_tokens, 0);
+  ASSERT_NE(BeginExport(prefill, handle, "", now), nullptr);
+  ASSERT_EQ(BeginImport(decode, Terms("a", 80), now), engine_refusal::none);
+  FinishImport(decode, "a", now);
+  EXPECT_TRUE(CancelRequest(decode, "a", "entry:1", now));
+  EXPECT_EQ(decode.totals.cancelled_tokens, 80);
+}
+
 TEST(engine_prefill_test, WaitsForMemoryAndRefusesWhatNeverFits) {
   engine_state state = MakeEngine(TestSettings("prefill"));
   StartPrefill(state, Terms("a", 1000), kStart);
