Let streams that can't be on time wait behind the others; order stages by the workload

Cause: refused streams came back as new ones and took the room of those that could be on time. Their age can't be told from their time limit: it varies between first attempts (tried, removed). Now a stream that can't be on time waits behind the others while its caller does, and is refused at once when it won't begin by then; prefill engines become decode engines as prompts and lengths ask for, ordered by the daemon that holds the first partition.

--- a/src/daemon/health_control.h
+++ b/src/daemon/health_control.h
@@ -6,7 +6,7 @@
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "daemon/control_state.h"
-#include "upstreams/outlier_ejection.h"
+#include "upstreams/pool_health.h"
 
 namespace anvilridge {
 
--- a/src/dispatch/decode_admission.cc
+++ b/src/dispatch/decode_admission.cc
@@ -83,12 +83,6 @@
                double memory) {
   const absl::Time now = MonotonicNow();
   while (!list.empty()) {
-    if (list.front().give_up <= now) {
-      const auto done = std::move(list.front().done);
-      list.pop_front();
-      done(NoRoom(state, absl::ZeroDuration()));
-      continue;
-    }
     const auto promise = PromiseEngines(state, list.front(), {}, memory);
     // Who came first is served first: others may not fill the room that a
     // large request waits for.
@@ -99,6 +93,20 @@
   }
 }
 
+// Moves streams that can't be on time any more behind those that can, and
+// refuses those that can't be served any more.
+void Demote(dispatch_state& state) {
+  const absl::Time now = MonotonicNow();
+  while (!state.waiting.empty() && state.waiting.front().start_by <= now) {
+    state.late.splice(state.late.end(), state.waiting, state.waiting.begin());
+  }
+  while (!state.late.empty() && state.late.front().give_up <= now) {
+    const auto done = std::move(state.late.front().done);
+    state.late.pop_front();
+    done(NoRoom(state, absl::ZeroDuration()));
+  }
+}
+
 }  // namespace
 
 std::optional<engine_promise> PromiseEngines(
@@ -118,8 +126,8 @@
   return promise;
 }
 
-absl::Duration ForecastWait(dispatch_state& state,
-                            const waiting_stream& stream) {
+absl::Duration ForecastWait(dispatch_state& state, const waiting_stream& stream,
+                            size_t ahead) {
   const absl::Time now = MonotonicNow();
   std::vector<decode_candidate> engines =
       Candidates(state, stream.service, {}, kPromisedMemory, now).decodes;
@@ -136,8 +144,6 @@
   }
   // Each one ahead takes the room that opens first; they are taken to be of
   // this one's size.
-  const size_t ahead = state.waiting.size() +
-                       static_cast<size_t>(PeersWaiting(state.ledger, now));
   for (size_t i = 0; i < ahead; ++i) {
     const size_t first = static_cast<size_t>(
         std::min_element(waits.begin(), waits.end()) - waits.begin());
@@ -153,21 +159,22 @@
 
 void AwaitEngines(dispatch_state& state, waiting_stream stream) {
   const absl::Time now = MonotonicNow();
-  const bool late = stream.start_by <= now;
-  std::list<waiting_stream>& list = late ? state.late : state.waiting;
-  const bool first = list.empty() && (!late || state.waiting.empty());
-  const double memory = late ? kLateMemory : kPromisedMemory;
-  if (first) {
-    if (const auto promise = PromiseEngines(state, stream, {}, memory)) {
+  if (state.waiting.empty()) {
+    if (const auto promise = PromiseEngines(state, stream, {})) {
       return Admit(state, std::move(stream), *promise, now);
     }
   }
-  const absl::Duration wait = ForecastWait(state, stream);
-  if (now + wait > (late ? stream.give_up : stream.start_by)) {
-    return stream.done(NoRoom(state, wait));
+  const size_t ahead = state.waiting.size() +
+                       static_cast<size_t>(PeersWaiting(state.ledger, now));
+  if (now + ForecastWait(state, stream, ahead) <= stream.start_by) {
+    state.waiting.push_back(std::move(stream));
+    if (state.on_ledger_change) state.on_ledger_change();
+    return;
   }
-  list.push_back(std::move(stream));
-  if (state.on_ledger_change) state.on_ledger_change();
+  const absl::Duration wait =
+      ForecastWait(state, stream, ahead + state.late.size());
+  if (now + wait > stream.give_up) return stream.done(NoRoom(state, wait));
+  state.late.push_back(std::move(stream));
 }
 
 void LeaveQueue(dispatch_state& state, absl::string_view request_id) {
@@ -179,6 +186,7 @@
 }
 
 void AdmitWaiting(dispatch_state& state) {
+  Demote(state);
   AdmitList(state, state.waiting, kPromisedMemory);
   if (!state.waiting.empty()) return;
   if (PeersWaiting(state.ledger, MonotonicNow()) > 0) return;
--- a/src/dispatch/decode_admission.h
+++ b/src/dispatch/decode_admission.h
@@ -15,7 +15,8 @@
 inline constexpr double kLateMemory = 0.85;
 
 /// Queues a stream for decode memory. Admits it at once if there is room and
-/// nobody waits, and refuses it at once if room isn't expected in time. Its
+/// nobody waits; lets it wait behind the others if it can't be on time; refuses
+/// it at once if it is not expected to begin before its caller gives up. Its
 /// callback may be called from here.
 void AwaitEngines(dispatch_state& state, waiting_stream stream);
 
@@ -32,10 +33,10 @@
     dispatch_state& state, const waiting_stream& stream,
     const std::vector<std::string>& tried, double memory = kPromisedMemory);
 
-/// Returns how long `stream` is expected to wait behind those that wait here
-/// and at the other daemons; infinite when no engine can ever take it.
-absl::Duration ForecastWait(dispatch_state& state,
-                            const waiting_stream& stream);
+/// Returns how long `stream` is expected to wait when `ahead` others are before
+/// it; infinite when no engine can ever take it.
+absl::Duration ForecastWait(dispatch_state& state, const waiting_stream& stream,
+                            size_t ahead);
 
 }  // namespace anvilridge
 
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -14,7 +14,6 @@
 #include "absl/status/status.h"
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
-#include "dispatch/caller_age.h"
 #include "dispatch/dispatch_metrics.h"
 #include "dispatch/dispatch_settings.h"
 #include "dispatch/engine_ledger.h"
@@ -63,12 +62,11 @@
   absl::Time standing_until = absl::InfinitePast();
   /// Calls in progress at plain services, by upstream id.
   std::map<std::string, int, std::less<>> calls;
-  /// Streams that can still be on time, and those that can't any more, each in
-  /// the order in which they came.
+  /// Streams that may still begin on time, and those that can't any more, each
+  /// in the order in which they came.
   std::list<waiting_stream> waiting;
   std::list<waiting_stream> late;
-  /// By route and by service.
-  std::map<std::string, usual_patience, std::less<>> patience;
+  /// By service.
   std::map<std::string, length_statistics, std::less<>> lengths;
   std::map<std::string, stream_workload, std::less<>> workloads;
   /// Daemons that share the budget, this one included.
--- a/src/dispatch/stage_plan.h
+++ b/src/dispatch/stage_plan.h
@@ -23,7 +23,7 @@
   int slots = 0;
 };
 
-/// Notes a whole answer; older ones count less.
+/// Notes a stream that is asked for; older ones count less.
 void LearnWorkload(stream_workload& workload, double prompt, double output);
 
 /// Returns the part of the engines that should read prompts, so that both
--- a/src/dispatch/stream_flow.cc
+++ b/src/dispatch/stream_flow.cc
@@ -61,11 +61,10 @@
   void Start() {
     NoteRequest(state_.budget, service_.name, request_.received);
     const absl::Time now = MonotonicNow();
-    age_ = LearnAge(state_.patience[route_.name],
-                    request_.deadline - request_.received, now);
     length_ = ExpectLength(state_.lengths[service_.name],
                            static_cast<double>(request_.output_estimate),
                            static_cast<double>(request_.max_output_tokens));
+    NoteDemand();
     const auto self = shared_from_this();
     exchange_->OnClosed([self] { self->CallerLeft(); });
     RunAfter(state_.context, FinalAnswerTime(request_, route_) - now,
@@ -95,13 +94,10 @@
     waiting.service = service_.name;
     waiting.prompt = static_cast<double>(request_.prompt_tokens);
     waiting.output = ExpectedRemaining(0);
-    const absl::Time first = request_.received - age_;
-    waiting.start_by = first + route_.latency_target * kWaitShare;
+    waiting.start_by = request_.received + route_.latency_target * kWaitShare;
     waiting.give_up =
-        waiting.start_by > request_.received
-            ? waiting.start_by
-            : std::min(request_.received + route_.latency_target * kLateTargets,
-                       LatestStart(waiting.output));
+        std::min(request_.received + route_.latency_target * kLateTargets,
+                 LatestStart(waiting.output));
     return waiting;
   }
 
@@ -130,7 +126,6 @@
               {"prefill", QtText(promise->prefill ? promise->prefill->id : "")},
               {"prompt", static_cast<double>(request_.prompt_tokens)},
               {"output", ExpectedRemaining(0)},
-              {"age_ms", Ms(age_)},
               {"waited_ms", Ms(waited)}});
     if (promise->prefill) {
       SendPrefill(*promise->prefill);
@@ -485,20 +480,24 @@
     Ended("request_answered", kOk);
   }
 
-  // A whole answer tells what this service is asked for.
+  // What the service is asked for counts whether it can be served or not.
+  void NoteDemand() {
+    stream_workload& workload = state_.workloads[service_.name];
+    LearnWorkload(workload, static_cast<double>(request_.prompt_tokens),
+                  ExpectedRemaining(0));
+    workload.prefill_tokens_per_ms = state_.ledger.prefill_tokens_per_ms;
+    workload.decode_tokens_per_ms = state_.ledger.tokens_per_ms;
+    workload.kv_tokens = static_cast<double>(service_.engine.kv_tokens);
+    workload.slots = service_.engine.slots;
+  }
+
+  // A whole answer tells how long answers are.
   void Learn() {
     const double tokens =
         static_cast<double>(service_.engine.tokens_per_event) * events_;
     if (tokens <= 0 || !request_.resume_after.empty()) return;
     LearnLength(state_.lengths[service_.name],
                 static_cast<double>(request_.output_estimate), tokens);
-    LearnWorkload(state_.workloads[service_.name],
-                  static_cast<double>(request_.prompt_tokens), tokens);
-    stream_workload& workload = state_.workloads[service_.name];
-    workload.prefill_tokens_per_ms = state_.ledger.prefill_tokens_per_ms;
-    workload.decode_tokens_per_ms = state_.ledger.tokens_per_ms;
-    workload.kv_tokens = static_cast<double>(service_.engine.kv_tokens);
-    workload.slots = service_.engine.slots;
   }
 
   void Deliver(const http_result& result) {
@@ -577,8 +576,7 @@
   const fleet_service& service_;
   std::shared_ptr<inbound_exchange> exchange_;
 
-  // How long ago the caller asked first, and what its answer may be.
-  absl::Duration age_;
+  // What its answer may be.
   length_distribution length_;
   channel_client::call_id call_ = 0;
   std::optional<fleet_upstream> prefill_;
--- a/src/fleet_daemon/fleet_daemon.cc
+++ b/src/fleet_daemon/fleet_daemon.cc
@@ -11,10 +11,12 @@
 #include "base/error_kind.h"
 #include "base/event_loop.h"
 #include "base/event_thread.h"
+#include "base/published.h"
 #include "base/qt_text.h"
 #include "caller/caller_port.h"
 #include "daemon/stop_signal.h"
 #include "dispatch/dispatcher.h"
+#include "fleet_daemon/stage_steering_service.h"
 #include "log/decision_log.h"
 #include "metrics/health_port.h"
 #include "metrics/metrics.h"
@@ -31,6 +33,8 @@
 // has said that it isn't ready: two of its questions, a second apart, and one
 // more for their way.
 constexpr absl::Duration kLeaveRotation = absl::Seconds(3);
+// How often the workload is sampled for the control thread.
+constexpr absl::Duration kWorkloadInterval = absl::Milliseconds(500);
 // Left of the grace when the last answers are cut.
 constexpr absl::Duration kStopMargin = absl::Milliseconds(300);
 
@@ -52,6 +56,7 @@
                     if (sharing_) sharing_->SetPeers(members);
                   });
                 }),
+        steering_(SteeringSources(), platform.speaker),
         caller_(settings.caller, settings.limits, {traffic_.Context()}),
         readiness_(settings.readiness, &context_, Sources(),
                    ReadinessPaths(settings)),
@@ -90,6 +95,14 @@
     if (!started.ok()) return started;
     control_.Start();
     member_.Start();
+    steering_.Start();
+    workload_timer_ = RunEvery(kWorkloadInterval, [this] {
+      PostTo(traffic_.Context(), [this] {
+        if (!dispatcher_) return;
+        workload_.Set(
+            std::make_shared<const workload_sample>(dispatcher_->Workload()));
+      });
+    });
     LogEvent(log_level::info, "started",
              {{"caller_port", caller_.Port()},
               {"readiness_port", readiness_.Port()},
@@ -120,6 +133,14 @@
     return paths;
   }
 
+  steering_sources SteeringSources() {
+    steering_sources sources;
+    sources.view = [this] { return control_.View(); };
+    sources.right = [this](absl::Time now) { return member_.OrderRight(now); };
+    sources.workload = [this] { return workload_.Get(); };
+    return sources;
+  }
+
   void MakeSharing() {
     share_handler handler;
     handler.own_share = [this] { return dispatcher_->OwnShare(); };
@@ -172,6 +193,10 @@
   const fleet_sources sources_;
   fleet_control control_;
   group_member member_;
+  // Measured on the traffic thread now and then.
+  published<workload_sample> workload_;
+  std::unique_ptr<QTimer> workload_timer_;
+  stage_steering_service steering_;
   caller_port caller_;
   health_port readiness_;
   health_port metrics_port_;
