Tell a reset from an orderly close on connections to upstreams

Ruled out: reading the state of the socket behind QTcpSocket's read, which has consumed the error. Change: a small socket of our own under the channel client.

--- a/src/http1/channel_client.cc
+++ b/src/http1/channel_client.cc
@@ -1,12 +1,6 @@
 #include "http1/channel_client.h"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
-#include <QHostAddress>
 #include <QObject>
-#include <QTcpSocket>
 #include <algorithm>
 #include <map>
 #include <memory>
@@ -24,6 +18,8 @@
 #include "base/error_kind.h"
 #include "base/event_loop.h"
 #include "http1/response_reader.h"
+#include "http1/tcp_stream.h"
+#include "settings/settings_values.h"
 
 namespace anvilridge {
 namespace {
@@ -33,26 +29,9 @@
 constexpr absl::Duration kDefaultIdle = absl::Seconds(4);
 // Taken off the time that the upstream names, for the way of its close here.
 constexpr absl::Duration kIdleMargin = absl::Milliseconds(700);
-// Unacknowledged bytes break the connection after this time: a peer that lost
-// power or is partitioned sends no reset.
-constexpr unsigned kUserTimeoutMs = 6000;
 // Most idle connections to one address.
 constexpr size_t kMaxIdlePerAddress = 32;
 
-bool SplitAddress(absl::string_view address, QHostAddress& host,
-                  uint16_t& port) {
-  const std::pair<absl::string_view, absl::string_view> parts =
-      absl::StrSplit(address, absl::MaxSplits(':', 1));
-  int number = 0;
-  if (!absl::SimpleAtoi(parts.second, &number) || number <= 0 ||
-      number > UINT16_MAX) {
-    return false;
-  }
-  port = static_cast<uint16_t>(number);
-  return host.setAddress(QString::fromLatin1(
-      parts.first.data(), static_cast<qsizetype>(parts.first.size())));
-}
-
 std::string Serialized(const http_call& call) {
   std::string text =
       absl::StrCat(call.method, " ", call.target, " HTTP/1.1\r\n");
@@ -89,7 +68,7 @@
 struct channel {
   uint64_t id = 0;
   std::string address;
-  QTcpSocket socket;
+  std::unique_ptr<tcp_stream> stream;
   response_reader reader;
   // The call in progress; 0 for none.
   uint64_t call = 0;
@@ -123,15 +102,6 @@
   QObject context;
   channel_counts counts;
 
-  ~impl() {
-    for (auto& [id, entry] : channels) Detach(*entry);
-  }
-
-  static void Detach(channel& gone) {
-    gone.socket.disconnect();
-    gone.socket.abort();
-  }
-
   channel* Find(uint64_t id) {
     const auto found = channels.find(id);
     return found == channels.end() ? nullptr : found->second.get();
@@ -147,8 +117,8 @@
   void Write(channel& used, call_id id);
   void BeginResponse(channel& used);
   void OnConnected(uint64_t id);
-  void OnReadyRead(uint64_t id);
-  void OnGone(uint64_t id, bool orderly);
+  void OnBytes(uint64_t id, absl::string_view bytes);
+  void OnEnd(uint64_t id, const absl::Status& end);
   void TakeHead(call_id id, channel& used, int status,
                 const http_headers& head);
   void TakeBody(call_id id, absl::string_view bytes);
@@ -168,10 +138,7 @@
   while (!ids.empty()) {
     const uint64_t id = ids.back();
     channel* kept = Find(id);
-    // The event loop may not have run since the peer closed or wrote.
-    if (kept != nullptr && kept->idle_until > now &&
-        kept->socket.state() == QAbstractSocket::ConnectedState &&
-        kept->socket.bytesAvailable() == 0) {
+    if (kept != nullptr && kept->idle_until > now) {
       ids.pop_back();
       idle_deadlines.Remove(id);
       return kept;
@@ -183,28 +150,19 @@
 }
 
 channel* channel_client::impl::Open(const http_call& call) {
-  QHostAddress host;
-  uint16_t port = 0;
-  if (!SplitAddress(call.address, host, port)) return nullptr;
+  const auto peer = ParseEndpoint(call.address);
+  if (!peer) return nullptr;
   auto made = std::make_unique<channel>();
   channel* opened = made.get();
   const uint64_t id = ++last_channel;
   opened->id = id;
   opened->address = call.address;
   channels.emplace(id, std::move(made));
-  QTcpSocket& socket = opened->socket;
-  QObject::connect(&socket, &QAbstractSocket::connected, &context,
-                   [this, id] { OnConnected(id); });
-  QObject::connect(&socket, &QIODevice::readyRead, &context,
-                   [this, id] { OnReadyRead(id); });
-  // Queued: the socket may report an error from within a call on it.
-  QObject::connect(
-      &socket, &QAbstractSocket::errorOccurred, &context,
-      [this, id](QAbstractSocket::SocketError error) {
-        OnGone(id, error == QAbstractSocket::RemoteHostClosedError);
-      },
-      Qt::QueuedConnection);
-  socket.connectToHost(host, port);
+  tcp_events events;
+  events.on_connected = [this, id] { OnConnected(id); };
+  events.on_bytes = [this, id](absl::string_view bytes) { OnBytes(id, bytes); };
+  events.on_end = [this, id](const absl::Status& end) { OnEnd(id, end); };
+  opened->stream = std::make_unique<tcp_stream>(*peer, std::move(events));
   ++counts.opened;
   return opened;
 }
@@ -213,10 +171,6 @@
   channel* opened = Find(id);
   if (opened == nullptr) return;
   opened->connected = true;
-  opened->socket.setSocketOption(QAbstractSocket::LowDelayOption, 1);
-  const int descriptor = static_cast<int>(opened->socket.socketDescriptor());
-  ::setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMs,
-               sizeof(kUserTimeoutMs));
   if (opened->call != 0) Write(*opened, opened->call);
 }
 
@@ -226,8 +180,7 @@
   state->last_progress = MonotonicNow();
   ArmDeadline(id, *state);
   BeginResponse(used);
-  const std::string text = Serialized(state->call);
-  used.socket.write(text.data(), static_cast<qint64>(text.size()));
+  used.stream->Write(Serialized(state->call));
 }
 
 void channel_client::impl::BeginResponse(channel& used) {
@@ -270,7 +223,7 @@
   }
 }
 
-void channel_client::impl::OnReadyRead(uint64_t id) {
+void channel_client::impl::OnBytes(uint64_t id, absl::string_view bytes) {
   channel* used = Find(id);
   if (used == nullptr) return;
   if (used->call == 0) {
@@ -279,8 +232,6 @@
     return;
   }
   const call_id call = used->call;
-  const QByteArray read = used->socket.readAll();
-  absl::string_view bytes(read.constData(), static_cast<size_t>(read.size()));
   if (call_state* state = FindCall(call)) {
     state->last_progress = MonotonicNow();
     ArmDeadline(call, *state);
@@ -309,7 +260,7 @@
                                   "the answer is too long"));
     }
     return Complete(*used, bytes.empty() && used->reader.KeepAlive() &&
-                               used->socket.bytesToWrite() == 0);
+                               used->stream->UnsentBytes() == 0);
   }
 }
 
@@ -328,31 +279,25 @@
   Finish(call, absl::OkStatus());
 }
 
-void channel_client::impl::OnGone(uint64_t id, bool orderly) {
+void channel_client::impl::OnEnd(uint64_t id, const absl::Status& end) {
   channel* used = Find(id);
   if (used == nullptr) return;
   if (used->call == 0) return Close(id);
-  // Bytes that came before the end.
-  if (used->socket.bytesAvailable() > 0) {
-    OnReadyRead(id);
-    used = Find(id);
-    if (used == nullptr) return;
-    if (used->call == 0) return Close(id);
-  }
   const call_id call = used->call;
   const call_state* state = FindCall(call);
   const bool ours = state != nullptr && !state->passing_over &&
                     state->result.http_status != 0;
-  if (orderly && ours && used->reader.TakeClose()) {
+  if (end.ok() && ours && used->reader.TakeClose()) {
     used = Find(id);
     if (used != nullptr && used->call == call) Complete(*used, false);
     return;
   }
-  const bool connected = used->connected;
-  const std::string why = used->socket.errorString().toStdString();
-  Fail(call, MakeError(error_kind::upstream_failed,
-                       absl::StrCat(used->address, ": ", why),
-                       connected ? run_state::unknown : run_state::not_run));
+  const absl::string_view why =
+      end.ok() ? "closed before the end of the answer" : end.message();
+  Fail(call,
+       MakeError(error_kind::upstream_failed,
+                 absl::StrCat(used->address, ": ", why),
+                 used->connected ? run_state::unknown : run_state::not_run));
 }
 
 void channel_client::impl::Fail(call_id id, const absl::Status& error) {
@@ -407,8 +352,8 @@
   idle_deadlines.Remove(id);
   const auto kept = idle.find(gone->address);
   if (kept != idle.end()) std::erase(kept->second, id);
-  Detach(*gone);
-  // Its socket or reader may be the one that is calling.
+  gone->stream.reset();
+  // Its reader may be the one that is calling.
   PostTo(&context, [gone = std::shared_ptr<channel>(gone)] {});
 }
 
