Give engines no work while they refuse or change their stage

Change: refusals pause an upstream, doubling; ordered engines are told to all daemons; lack of prefill engines is borne longer.

--- a/src/dispatch/call_flow.cc
+++ b/src/dispatch/call_flow.cc
@@ -114,8 +114,7 @@
                const auto flow = weak.lock();
                if (!flow || flow->ended_ || flow->sends_ != sends) return;
                if (flow->in_progress_.empty()) return;
-               ReportSend(flow->state_, flow->in_progress_.back().upstream,
-                          call_result::stalled);
+               ReportStall(flow->state_, flow->in_progress_.back().upstream);
                if (flow->TakeBudget("slow")) flow->Send();
              });
   }
@@ -154,11 +153,7 @@
   void Report(const send_in_progress& send, send_fate fate,
               const http_result& result) {
     state_.metrics->CountSend(service_.name, SendFateName(fate));
-    call_result health = call_result::ok;
-    if (fate == send_fate::unknown || fate == send_fate::unsent) {
-      health = call_result::failed;
-    }
-    ReportSend(state_, send.upstream, health);
+    ReportSend(state_, send.upstream, fate);
     if (fate == send_fate::answered && result.http_status < kFirstServerError) {
       return;
     }
@@ -234,7 +229,7 @@
     if (ended_) return;
     const bool sent = !in_progress_.empty() || may_have_run_;
     for (const send_in_progress& send : in_progress_) {
-      ReportSend(state_, send.upstream, call_result::stalled);
+      ReportStall(state_, send.upstream);
     }
     Refuse(sent ? MakeError(error_kind::upstream_stalled,
                             "no answer within the time limit",
--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -38,7 +38,11 @@
   state.standing_until = now + kStandingLife;
 }
 
-bool MayTakeWork(dispatch_state& state, const fleet_upstream& upstream) {
+bool MayTakeWork(dispatch_state& state, const fleet_upstream& upstream,
+                 absl::Time now) {
+  if (IsAbsent(state.absences, EngineKey(upstream.id), upstream.stage, now)) {
+    return false;
+  }
   const auto standing = state.standing.find(upstream.id);
   if (standing == state.standing.end()) return true;
   if (standing->second.phase == health_phase::ejected) return false;
@@ -46,6 +50,24 @@
   return absl::Uniform(state.random, 0.0, 1.0) < standing->second.share;
 }
 
+void ReportResult(dispatch_state& state, const fleet_upstream& upstream,
+                  call_result result) {
+  const absl::Time now = MonotonicNow();
+  upstream_health& health = state.health.upstreams[upstream.id];
+  const int ejections = health.ejections;
+  ReportCall(state.health, upstream.id, result, state.settings.health, now,
+             absl::Uniform(state.random, 0.0, 1.0));
+  if (health.ejections <= ejections) return;
+  state.standing_until = absl::InfinitePast();
+  LogEvent(log_level::warn, "upstream_ejected",
+           {{"upstream", QtText(upstream.id)},
+            {"service", QtText(upstream.service)},
+            {"address", QtText(upstream.address)},
+            {"why", QtText(health.why)},
+            {"for_ms", static_cast<double>(absl::ToInt64Milliseconds(
+                           health.ejected_until - now))}});
+}
+
 }  // namespace
 
 std::vector<const fleet_upstream*> UsableUpstreams(
@@ -63,27 +85,26 @@
     if (std::find(tried.begin(), tried.end(), upstream.id) != tried.end()) {
       continue;
     }
-    (MayTakeWork(state, upstream) ? usable : doubtful).push_back(&upstream);
+    (MayTakeWork(state, upstream, now) ? usable : doubtful)
+        .push_back(&upstream);
   }
   return usable.empty() ? doubtful : usable;
 }
 
+void ReportStall(dispatch_state& state, const fleet_upstream& upstream) {
+  ReportResult(state, upstream, call_result::stalled);
+}
+
 void ReportSend(dispatch_state& state, const fleet_upstream& upstream,
-                call_result result) {
-  const absl::Time now = MonotonicNow();
-  upstream_health& health = state.health.upstreams[upstream.id];
-  const int ejections = health.ejections;
-  ReportCall(state.health, upstream.id, result, state.settings.health, now,
-             absl::Uniform(state.random, 0.0, 1.0));
-  if (health.ejections <= ejections) return;
-  state.standing_until = absl::InfinitePast();
-  LogEvent(log_level::warn, "upstream_ejected",
-           {{"upstream", QtText(upstream.id)},
-            {"service", QtText(upstream.service)},
-            {"address", QtText(upstream.address)},
-            {"why", QtText(health.why)},
-            {"for_ms", static_cast<double>(absl::ToInt64Milliseconds(
-                           health.ejected_until - now))}});
+                send_fate fate) {
+  const uint32_t key = EngineKey(upstream.id);
+  if (fate == send_fate::refused) {
+    NoteRefusal(state.absences, key, MonotonicNow());
+  } else if (fate == send_fate::answered) {
+    NoteAccepted(state.absences, key);
+  }
+  const bool failed = fate == send_fate::unknown || fate == send_fate::unsent;
+  ReportResult(state, upstream, failed ? call_result::failed : call_result::ok);
 }
 
 absl::Time FinalAnswerTime(const fleet_request& request,
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -22,6 +22,7 @@
 #include "dispatch/send_budget.h"
 #include "dispatch/send_outcome.h"
 #include "dispatch/stage_plan.h"
+#include "dispatch/upstream_absence.h"
 #include "fleet/fleet_view.h"
 #include "http1/channel_client.h"
 #include "upstreams/outlier_ejection.h"
@@ -59,6 +60,7 @@
   send_budget budget;
   health_table health;
   health_view standing;
+  absence_table absences;
   absl::Time standing_until = absl::InfinitePast();
   /// Calls in progress at plain services, by upstream id.
   std::map<std::string, int, std::less<>> calls;
@@ -89,7 +91,10 @@
 
 /// Notes how a send to an upstream went.
 void ReportSend(dispatch_state& state, const fleet_upstream& upstream,
-                call_result result);
+                send_fate fate);
+
+/// Notes that an upstream has been silent for too long.
+void ReportStall(dispatch_state& state, const fleet_upstream& upstream);
 
 /// Returns how long the caller and its route still wait at `now`.
 absl::Duration TimeLeft(const fleet_request& request, const fleet_route& route,
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -18,12 +18,18 @@
 // How often streams that wait are looked at without a cause: memory becomes
 // free as forecast, not only when a run of this daemon ends.
 constexpr absl::Duration kAdmitInterval = absl::Milliseconds(20);
+// How long the others are told that an engine is back in its stage after all:
+// some messages, since each of them may be lost.
+constexpr absl::Duration kOrderEcho = absl::Seconds(2);
 
 }  // namespace
 
 struct dispatcher::impl {
   dispatch_state state;
   std::unique_ptr<QTimer> admit_timer;
+  // Engines that this daemon ordered out of their stage, and until when they
+  // may be registered with it.
+  std::map<uint32_t, absl::Time> ordered;
 };
 
 dispatcher::dispatcher(dispatch_settings settings, fleet_speaker speaker,
@@ -98,11 +104,33 @@
 
 load_share dispatcher::OwnShare() const {
   load_share share = anvilridge::OwnShare(impl_->state.ledger, MonotonicNow());
+  const absl::Time now = MonotonicNow();
+  for (const auto& [key, until] : impl_->ordered) {
+    const auto absence = impl_->state.absences.find(key);
+    if (absence == impl_->state.absences.end()) continue;
+    if (until + kOrderEcho <= now) continue;
+    share.leavers[key] = {absence->second.leaving,
+                          std::max(absl::ZeroDuration(), until - now)};
+  }
   share.waiting = static_cast<int>(impl_->state.waiting.size());
   return share;
 }
 
+void dispatcher::NoteStageOrder(const fleet_upstream& engine,
+                                absl::Duration longest) {
+  const uint32_t key = EngineKey(engine.id);
+  const absl::Time until = MonotonicNow() + longest;
+  NoteLeavingStage(impl_->state.absences, key, engine.stage, until);
+  impl_->ordered[key] = until;
+  if (impl_->state.on_ledger_change) impl_->state.on_ledger_change();
+}
+
 void dispatcher::SetPeerShare(absl::string_view peer, load_share share) {
+  const absl::Time now = MonotonicNow();
+  for (const auto& [key, leaver] : share.leavers) {
+    NoteLeavingStage(impl_->state.absences, key, leaver.stage,
+                     now + leaver.left);
+  }
   impl_->state.ledger.peers[std::string(peer)] = {std::move(share),
                                                   MonotonicNow()};
 }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -41,6 +41,8 @@
   /// What this daemon has under way, for the others.
   load_share OwnShare() const;
   workload_sample Workload() const;
+  /// Notes that an engine was ordered out of its stage, for up to `longest`.
+  void NoteStageOrder(const fleet_upstream& engine, absl::Duration longest);
   void SetPeerShare(absl::string_view peer, load_share share);
   /// Daemons that share the budget, this one included.
   void SetDaemons(int daemons);
--- a/src/dispatch/engine_ledger.h
+++ b/src/dispatch/engine_ledger.h
@@ -9,6 +9,7 @@
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "dispatch/decode_memory.h"
+#include "fleet/fleet_upstream.h"
 
 namespace anvilridge {
 
@@ -25,6 +26,13 @@
   std::map<uint32_t, engine_share> engines;
   /// Streams that wait for decode memory and can still be on time.
   int waiting = 0;
+  /// Engines that it ordered out of a stage, with that stage, and for how long
+  /// they may still be registered with it.
+  struct stage_leaver {
+    engine_stage stage = engine_stage::none;
+    absl::Duration left;
+  };
+  std::map<uint32_t, stage_leaver> leavers;
 };
 
 /// What another daemon said last.
--- a/src/dispatch/stage_plan.cc
+++ b/src/dispatch/stage_plan.cc
@@ -16,8 +16,11 @@
 // Prefill engines beyond the balance: a prompt that waits delays its stream at
 // once, while decode engines can read prompts themselves, only slower.
 constexpr double kPrefillReserve = 1.1;
-// A change is worth it when it moves the balance by this many engines.
-constexpr double kLeastOffset = 0.6;
+// A change is worth it when the balance lies this many engines away. Fewer
+// prefill engines than the balance are borne longer: decode engines can read
+// prompts, and one that changes is away for seconds.
+constexpr double kLeastSurplus = 0.6;
+constexpr double kLeastLack = 1.0;
 // How long a want must last; longer when prefill is to grow or the last change
 // is recent, so that a short burst of one kind does not turn engines about.
 constexpr absl::Duration kSteadyFor = absl::Milliseconds(800);
@@ -83,7 +86,7 @@
   if (usable < 2) return std::nullopt;
   const double balance = PrefillShare(workload) * usable;
   int wanted = prefill;
-  if (std::abs(balance - prefill) >= kLeastOffset) {
+  if (prefill - balance >= kLeastSurplus || balance - prefill >= kLeastLack) {
     wanted = std::clamp(static_cast<int>(std::lround(balance)), 1, usable - 1);
   }
   if (wanted != steering.wanted_prefill) {
--- a/src/dispatch/stream_flow.cc
+++ b/src/dispatch/stream_flow.cc
@@ -173,7 +173,7 @@
     absl::StatusOr<fleet_prefill> prefill = absl::UnavailableError("no answer");
     const send_fate fate = FateOfPrefill(result, facts, prefill);
     state_.metrics->CountSend(service_.name, SendFateName(fate));
-    ReportSend(state_, *prefill_, HealthOf(fate));
+    ReportSend(state_, *prefill_, fate);
     const absl::Duration took = MonotonicNow() - prefill_began_;
     if (prefill.ok()) {
       LearnPrefillSpeed(state_.ledger,
@@ -212,12 +212,6 @@
     return FateOf(result, facts);
   }
 
-  static call_result HealthOf(send_fate fate) {
-    return fate == send_fate::unknown || fate == send_fate::unsent
-               ? call_result::failed
-               : call_result::ok;
-  }
-
   void ReleaseHandle() {
     if (handle_.empty()) return;
     http_call call = state_.speaker.write_release(*prefill_, handle_);
@@ -363,7 +357,7 @@
               {"events", events_},
               {"silent_ms", Ms(MonotonicNow() - last_event_)}});
     for (const fleet_upstream* upstream : Registered(tried_.back())) {
-      ReportSend(state_, *upstream, call_result::stalled);
+      ReportStall(state_, *upstream);
     }
     state_.client.Cancel(call_);
     call_ = 0;
@@ -392,7 +386,7 @@
       fate = send_fate::unknown;
     }
     state_.metrics->CountSend(service_.name, SendFateName(fate));
-    ReportSend(state_, decode_, HealthOf(fate));
+    ReportSend(state_, decode_, fate);
     if (whole) return Complete();
     LogEvent(log_level::warn, "decode_failed",
              {{"request", QtText(request_.id)},
--- /dev/null
+++ b/src/dispatch/upstream_absence.h
@@ -0,0 +1,43 @@
+#ifndef ANVILRIDGE_DISPATCH_UPSTREAM_ABSENCE_H_
+#define ANVILRIDGE_DISPATCH_UPSTREAM_ABSENCE_H_
+
+#include <cstdint>
+#include <map>
+
+#include "absl/time/time.h"
+#include "fleet/fleet_upstream.h"
+
+namespace anvilridge {
+
+/// Why an upstream gets no work for a while although it is registered and well.
+struct upstream_absence {
+  /// Refusals without an accepted request between them.
+  int refusals = 0;
+  absl::Time refused_until = absl::InfinitePast();
+  /// The stage that it is leaving, and until when it may still be registered
+  /// with it; `none` when it isn't changing its stage.
+  engine_stage leaving = engine_stage::none;
+  absl::Time leaving_until = absl::InfinitePast();
+};
+
+/// By the key of an upstream's id.
+using absence_table = std::map<uint32_t, upstream_absence>;
+
+/// Notes that an upstream refused a request that it didn't run. It gets no work
+/// for a time that doubles with each refusal in a row.
+void NoteRefusal(absence_table& table, uint32_t upstream, absl::Time now);
+
+/// Notes that an upstream took a request.
+void NoteAccepted(absence_table& table, uint32_t upstream);
+
+/// Notes that an engine was ordered out of `stage`.
+void NoteLeavingStage(absence_table& table, uint32_t upstream,
+                      engine_stage stage, absl::Time until);
+
+/// Whether an upstream that is registered with `stage` takes no work at `now`.
+bool IsAbsent(const absence_table& table, uint32_t upstream, engine_stage stage,
+              absl::Time now);
+
+}  // namespace anvilridge
+
+#endif  // ANVILRIDGE_DISPATCH_UPSTREAM_ABSENCE_H_
--- a/src/fleet_daemon/fleet_daemon.cc
+++ b/src/fleet_daemon/fleet_daemon.cc
@@ -138,6 +138,12 @@
     sources.view = [this] { return control_.View(); };
     sources.right = [this](absl::Time now) { return member_.OrderRight(now); };
     sources.workload = [this] { return workload_.Get(); };
+    sources.on_order = [this](const fleet_upstream& engine,
+                              absl::Duration longest) {
+      PostTo(traffic_.Context(), [this, engine, longest] {
+        if (dispatcher_) dispatcher_->NoteStageOrder(engine, longest);
+      });
+    };
     return sources;
   }
 
--- a/src/fleet_daemon/stage_steering_service.cc
+++ b/src/fleet_daemon/stage_steering_service.cc
@@ -147,6 +147,7 @@
             {"stage", static_cast<int>(change.stage)},
             {"fencing_token", static_cast<double>(order.fencing_token)},
             {"order_count", static_cast<double>(report.order_count)}});
+  sources.on_order(change.engine, kLostOrderLife);
   in_progress = true;
   http_handler handler;
   handler.on_done = [this, change, switch_time](const http_result& result) {
@@ -169,8 +170,10 @@
   const absl::Duration life =
       accepted ? switch_time + kSwitchMargin : switch_time;
   ordered[change.engine.id].until = MonotonicNow() + life;
+  if (accepted) return;
   // A refused order has changed nothing.
-  if (!accepted) ordered[change.engine.id].stage = change.engine.stage;
+  ordered[change.engine.id].stage = change.engine.stage;
+  sources.on_order(change.engine, absl::ZeroDuration());
 }
 
 stage_steering_service::stage_steering_service(steering_sources sources,
--- a/src/fleet_daemon/stage_steering_service.h
+++ b/src/fleet_daemon/stage_steering_service.h
@@ -18,6 +18,9 @@
   /// The right to order, if this daemon has it now.
   std::function<std::optional<order_right>(absl::Time now)> right;
   std::function<std::shared_ptr<const workload_sample>()> workload;
+  /// Told of an engine that was ordered out of its stage, and for how long it
+  /// may still be registered with it.
+  std::function<void(const fleet_upstream&, absl::Duration longest)> on_order;
 };
 
 /// Turns engines between prefill and decode as the workload asks for, while
--- a/src/sharing/share_message.cc
+++ b/src/sharing/share_message.cc
@@ -10,7 +10,7 @@
 namespace {
 
 // First byte of a message: its form and version.
-constexpr quint8 kForm = 0xA2;
+constexpr quint8 kForm = 0xA3;
 // Most runs of one engine in a message; an engine has a few dozen slots.
 constexpr size_t kMostRuns = 255;
 // Most engines, so that a message fits into one datagram.
@@ -31,6 +31,15 @@
   stream << kForm << static_cast<quint64>(message.incarnation)
          << message.sequence << message.leaving
          << static_cast<quint16>(std::clamp(message.share.waiting, 0, 65535));
+  stream << static_cast<quint8>(
+      std::min(message.share.leavers.size(), kMostRuns));
+  size_t leavers = 0;
+  for (const auto& [key, leaver] : message.share.leavers) {
+    if (leavers++ == kMostRuns) break;
+    stream << key << static_cast<quint8>(leaver.stage)
+           << static_cast<quint16>(std::clamp<int64_t>(
+                  absl::ToInt64Milliseconds(leaver.left), 0, 65535));
+  }
   const size_t engines = std::min(message.share.engines.size(), kMostEngines);
   stream << static_cast<quint16>(engines);
   size_t written = 0;
@@ -53,11 +62,24 @@
   quint8 form = 0;
   quint64 incarnation = 0;
   quint16 waiting = 0;
+  quint8 leavers = 0;
   quint16 engines = 0;
   share_message message;
   stream >> form >> incarnation >> message.sequence >> message.leaving >>
-      waiting >> engines;
+      waiting >> leavers;
   message.share.waiting = waiting;
+  for (quint8 i = 0; i < leavers && stream.status() == QDataStream::Ok; ++i) {
+    quint32 key = 0;
+    quint8 stage = 0;
+    quint16 left_ms = 0;
+    stream >> key >> stage >> left_ms;
+    message.share.leavers[key] = {
+        stage == static_cast<quint8>(engine_stage::prefill)
+            ? engine_stage::prefill
+            : engine_stage::decode,
+        absl::Milliseconds(left_ms)};
+  }
+  stream >> engines;
   message.incarnation = incarnation;
   for (quint16 i = 0; i < engines && stream.status() == QDataStream::Ok; ++i) {
     quint32 key = 0;
