--- a/src/dispatch/decode_admission.cc
+++ b/src/dispatch/decode_admission.cc
@@ -18,6 +18,10 @@
 // Callers keep to longer returns only up to a third of what is left to them.
 constexpr absl::Duration kLatestReturn = absl::Milliseconds(4500);
 
+// A prompt that would wait longer is read by its decode engine: that takes
+// twice as long as its prefill, and the engine's other streams pause.
+constexpr absl::Duration kLongestPrefillWait = absl::Milliseconds(250);
+
 const engine_traits* TraitsOf(const dispatch_state& state,
                               absl::string_view service) {
   if (!state.view || !state.view->config) return nullptr;
@@ -63,17 +67,37 @@
   return candidates;
 }
 
+absl::Duration PrefillTime(const dispatch_state& state, double tokens) {
+  return absl::Milliseconds(tokens / state.ledger.prefill_tokens_per_ms);
+}
+
+// Returns an engine with room for `run` that reads no prompt at present, so
+// that its other streams pause for one prompt only.
+std::optional<fleet_upstream> DecodeWithoutPrefill(
+    const dispatch_state& state, const engine_candidates& engines,
+    const decode_run& run) {
+  const absl::Time now = MonotonicNow();
+  std::vector<decode_candidate> idle;
+  for (const decode_candidate& engine : engines.decodes) {
+    if (PrefillBacklog(state.ledger, engine.upstream->id, now) > 0) continue;
+    idle.push_back(engine);
+  }
+  const auto chosen = ChooseDecode(idle, run);
+  if (!chosen) return std::nullopt;
+  return *idle[*chosen].upstream;
+}
+
 // Takes `stream` out of its list and promises `promise` to it.
 void Admit(dispatch_state& state, waiting_stream stream,
            const engine_promise& promise, absl::Time now) {
-  const double prefill_ms =
+  const absl::Duration prefill =
       promise.prefill
-          ? (stream.prompt +
-             PrefillBacklog(state.ledger, promise.prefill->id, now)) /
-                state.ledger.prefill_tokens_per_ms
-          : 0;
+          ? PrefillTime(
+                state, stream.prompt + PrefillBacklog(state.ledger,
+                                                      promise.prefill->id, now))
+          : absl::ZeroDuration();
   PromiseRun(state.ledger, stream.request_id, promise.decode.id, stream.prompt,
-             stream.output, now + absl::Milliseconds(prefill_ms));
+             stream.output, now + prefill);
   if (state.on_ledger_change) state.on_ledger_change();
   stream.done(promise);
 }
@@ -115,17 +139,35 @@
   const absl::Time now = MonotonicNow();
   const engine_candidates engines =
       Candidates(state, stream.service, tried, memory, now);
-  const auto decode =
-      ChooseDecode(engines.decodes, {stream.prompt, stream.output, now});
+  const decode_run run{stream.prompt, stream.output, now};
+  const auto decode = ChooseDecode(engines.decodes, run);
   if (!decode) return std::nullopt;
   engine_promise promise;
   promise.decode = *engines.decodes[*decode].upstream;
   const auto prefill = ChoosePrefill(engines.prefills, stream.prompt,
                                      promise.decode.failure_domain);
-  if (prefill) promise.prefill = *engines.prefills[*prefill].upstream;
+  if (!prefill) return promise;
+  if (PrefillTime(state, engines.prefills[*prefill].backlog) >
+      kLongestPrefillWait) {
+    if (const auto alone = DecodeWithoutPrefill(state, engines, run)) {
+      promise.decode = *alone;
+      return promise;
+    }
+  }
+  promise.prefill = *engines.prefills[*prefill].upstream;
   return promise;
 }
 
+std::optional<fleet_upstream> PromisePrefill(
+    dispatch_state& state, absl::string_view service, double tokens,
+    absl::string_view decode_domain, const std::vector<std::string>& tried) {
+  const engine_candidates engines =
+      Candidates(state, service, tried, kPromisedMemory, MonotonicNow());
+  const auto prefill = ChoosePrefill(engines.prefills, tokens, decode_domain);
+  if (!prefill) return std::nullopt;
+  return *engines.prefills[*prefill].upstream;
+}
+
 absl::Duration ForecastWait(dispatch_state& state, const waiting_stream& stream,
                             size_t ahead) {
   const absl::Time now = MonotonicNow();
--- a/src/dispatch/decode_admission.h
+++ b/src/dispatch/decode_admission.h
@@ -33,6 +33,12 @@
     dispatch_state& state, const waiting_stream& stream,
     const std::vector<std::string>& tried, double memory = kPromisedMemory);
 
+/// Picks the engine that reads a prompt of `tokens` first, other than those in
+/// `tried`; nothing when there is none.
+std::optional<fleet_upstream> PromisePrefill(
+    dispatch_state& state, absl::string_view service, double tokens,
+    absl::string_view decode_domain, const std::vector<std::string>& tried);
+
 /// Returns how long `stream` is expected to wait when `ahead` others are before
 /// it; infinite when no engine can ever take it.
 absl::Duration ForecastWait(dispatch_state& state, const waiting_stream& stream,
--- a/src/dispatch/stream_flow.cc
+++ b/src/dispatch/stream_flow.cc
@@ -37,6 +37,8 @@
 constexpr double kLateTargets = 3;
 // A handle that was given this part of its life ago is not sent any more.
 constexpr double kHandleLifeShare = 0.8;
+// Time of a prompt at a decode engine, in that at a prefill engine.
+constexpr double kDecodePrefillCost = 2;
 constexpr int kOk = 200;
 constexpr int kFirstServerError = 500;
 
@@ -175,6 +177,7 @@
     state_.metrics->CountSend(service_.name, SendFateName(fate));
     ReportSend(state_, *prefill_, fate);
     const absl::Duration took = MonotonicNow() - prefill_began_;
+    prefill_ms_ = Ms(took);
     if (prefill.ok()) {
       LearnPrefillSpeed(state_.ledger,
                         static_cast<double>(prefill->tokens) + prefill_backlog_,
@@ -192,17 +195,30 @@
               {"why", QtText(result.status.message())},
               {"ms", Ms(took)}});
     // A refused prefill counts as a send; one that may have been accepted was
-    // the first and doesn't.
+    // the first and doesn't, but the next one would.
     if (fate == send_fate::refused) {
       ++sends_;
-      if (!TakeBudget("prefill_refused") || sends_ >= route_.attempts) {
+      if (sends_ >= route_.attempts || !TakeBudget("prefill_refused")) {
         return Refuse(MakeError(error_kind::upstream_refused,
                                 "the prefill engine has no room"));
       }
     }
+    if (fate != send_fate::unknown && SendOtherPrefill()) return;
+    // The decode engine reads the prompt itself, which slows down its others.
     SendDecode();
   }
 
+  // Sends to a prefill engine that was not tried yet; false without one.
+  bool SendOtherPrefill() {
+    tried_prefill_.push_back(prefill_->id);
+    const auto other = PromisePrefill(
+        state_, service_.name, static_cast<double>(request_.prompt_tokens),
+        decode_.failure_domain, tried_prefill_);
+    if (!other) return false;
+    SendPrefill(*other);
+    return true;
+  }
+
   send_fate FateOfPrefill(const http_result& result, const answer_facts& facts,
                           absl::StatusOr<fleet_prefill>& prefill) const {
     if (result.status.ok() && result.http_status == kOk) {
@@ -243,6 +259,10 @@
       handle_.clear();
     } else {
       ReleaseHandle();
+      BeginPrefill(
+          state_.ledger, request_.id, decode_.id,
+          kDecodePrefillCost * static_cast<double>(request_.prompt_tokens));
+      Changed();
     }
     http_call call = state_.speaker.write_send(request_, order);
     call.connect_timeout = kConnectTimeout;
@@ -310,15 +330,20 @@
     begun_ = true;
     state_.metrics->CountFirstEvent(route_.name, now - request_.received);
     first_event_ms_ = Ms(now - request_.received);
+    decode_first_ms_ = Ms(now - began_);
     exchange_->Begin(kOk, head_);
   }
 
   void NoteTokens(absl::Time now) {
     const double tokens = service_.engine.tokens_per_event;
+    if (generated_here_ == 0) EndPrefill(state_.ledger, request_.id);
     if (generated_here_ > 0) {
       LearnDecodeSpeed(state_.ledger, tokens, now - last_event_);
     }
-    longest_gap_ = std::max(longest_gap_, now - last_event_);
+    if (now - last_event_ > longest_gap_) {
+      longest_gap_ = now - last_event_;
+      longest_gap_end_ = now - request_.received;
+    }
     last_event_ = now;
     ++generated_here_;
     ++events_;
@@ -376,6 +401,7 @@
 
   void DecodeEnded(http_result result) {
     call_ = 0;
+    EndPrefill(state_.ledger, request_.id);
     if (ended_) return;
     const answer_facts facts =
         state_.speaker.read_answer(result.http_status, result.headers);
@@ -537,7 +563,10 @@
               {"sends", sends_},
               {"events", events_},
               {"first_event_ms", first_event_ms_},
+              {"prefill_ms", prefill_ms_},
+              {"decode_first_ms", decode_first_ms_},
               {"longest_gap_ms", Ms(longest_gap_)},
+              {"gap_end_ms", Ms(longest_gap_end_)},
               {"config", static_cast<double>(config_->version)},
               {"ms", Ms(took)}});
     End();
@@ -579,6 +608,7 @@
   std::string handle_;
   absl::Time handle_until_;
 
+  std::vector<std::string> tried_prefill_;
   fleet_upstream decode_;
   std::vector<std::string> tried_;
   int sends_ = 0;
@@ -601,7 +631,10 @@
   std::string resume_after_;
   int events_ = 0;
   double first_event_ms_ = 0;
+  double prefill_ms_ = 0;
+  double decode_first_ms_ = 0;
   absl::Duration longest_gap_;
+  absl::Duration longest_gap_end_;
 };
 
 }  // namespace
