--- a/programs/anvilridge_fleet.cc
+++ b/programs/anvilridge_fleet.cc
@@ -92,5 +92,6 @@
   if (check) return 0;
   std::unique_ptr<anvilridge::platform::store_client> store;
   return anvilridge::RunFleetDaemon(std::get<fleet_settings>(loaded),
-                                    MakePlatform(store));
+                                    MakePlatform(store),
+                                    [file] { return Load(file); });
 }
--- a/src/base/error_kind_test.cc
+++ b/src/base/error_kind_test.cc
@@ -40,7 +40,7 @@
 }
 
 TEST(error_kind_test, OperatorsPageHasEveryKindAndSaysWhatToDo) {
-  std::ifstream file(ANVIL_SOURCE_DIR "/docs/OPERATING.md");
+  std::ifstream file(ANVIL_SOURCE_DIR "/docs/OPERATIONS.md");
   const std::string page((std::istreambuf_iterator<char>(file)), {});
   for (int i = 0; i <= static_cast<int>(error_kind::internal); ++i) {
     const error_answer& answer = AnswerFor(static_cast<error_kind>(i));
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -3,6 +3,7 @@
 #include <QCoreApplication>
 #include <QTimer>
 #include <algorithm>
+#include <csignal>
 #include <cstdio>
 #include <memory>
 #include <string>
@@ -13,11 +14,11 @@
 #include "absl/strings/str_cat.h"
 #include "base/clock.h"
 #include "base/event_loop.h"
+#include "base/signal_watch.h"
 #include "caller/caller_port.h"
 #include "daemon/control_plane.h"
 #include "daemon/metric_names.h"
 #include "daemon/ports_file.h"
-#include "daemon/stop_signal.h"
 #include "daemon/traffic_metrics.h"
 #include "daemon/traffic_thread.h"
 #include "log/decision_log.h"
@@ -169,7 +170,7 @@
   if (absl::Status started = daemon.Start(); !started.ok()) {
     return Complain(started);
   }
-  const stop_signal stop([&daemon] { daemon.Stop(); });
+  const signal_watch stop({SIGTERM, SIGINT}, [&daemon] { daemon.Stop(); });
   QCoreApplication::exec();
   return kExitOk;
 }
--- a/src/daemon/metric_names.h
+++ b/src/daemon/metric_names.h
@@ -5,7 +5,7 @@
 
 namespace anvilridge {
 
-// Every metric of the daemon beside those of the process; docs/OPERATING.md
+// Every metric of the daemon beside those of the process; docs/OPERATIONS.md
 // says what to do about them.
 
 inline constexpr metric_name kLogOut{
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -48,6 +48,10 @@
 
 dispatcher::~dispatcher() = default;
 
+void dispatcher::SetSettings(dispatch_settings settings) {
+  impl_->state.settings = std::move(settings);
+}
+
 void dispatcher::SetView(std::shared_ptr<const fleet_view> view) {
   dispatch_state& state = impl_->state;
   state.view = std::move(view);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -30,6 +30,9 @@
              dispatch_metrics& metrics, QObject* context);
   ~dispatcher();
 
+  /// Takes other settings from now on.
+  void SetSettings(dispatch_settings settings);
+
   void SetView(std::shared_ptr<const fleet_view> view);
 
   void Handle(const inbound_request& request,
--- a/src/fleet_daemon/fleet_daemon.cc
+++ b/src/fleet_daemon/fleet_daemon.cc
@@ -2,19 +2,23 @@
 
 #include <QCoreApplication>
 #include <QJsonObject>
+#include <csignal>
 #include <cstdio>
 #include <memory>
 #include <string>
 #include <utility>
+#include <variant>
+#include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "base/clock.h"
 #include "base/error_kind.h"
 #include "base/event_loop.h"
 #include "base/event_thread.h"
 #include "base/published.h"
 #include "base/qt_text.h"
+#include "base/signal_watch.h"
 #include "caller/caller_port.h"
-#include "daemon/stop_signal.h"
 #include "dispatch/dispatcher.h"
 #include "fleet_daemon/stage_steering_service.h"
 #include "log/decision_log.h"
@@ -33,6 +37,8 @@
 // has said that it isn't ready: two of its questions, a second apart, and one
 // more for their way.
 constexpr absl::Duration kLeaveRotation = absl::Seconds(3);
+// How often the settings file is looked at: it may change without a signal.
+constexpr absl::Duration kSettingsInterval = absl::Seconds(2);
 // How often the workload is sampled for the control thread.
 constexpr absl::Duration kWorkloadInterval = absl::Milliseconds(500);
 // Left of the grace when the last answers are cut.
@@ -62,12 +68,8 @@
                    ReadinessPaths(settings)),
         metrics_port_(settings.metrics, &context_, Sources()) {
     RunAndWait(traffic_.Context(), [this, &platform] {
-      dispatch_settings dispatch;
-      dispatch.failure_domain = settings_.failure_domain;
-      dispatch.budget = settings_.budget;
-      dispatch.health = settings_.health;
       dispatcher_ =
-          std::make_unique<dispatcher>(std::move(dispatch), platform.speaker,
+          std::make_unique<dispatcher>(DispatchSettings(), platform.speaker,
                                        request_metrics_, traffic_.Context());
       MakeSharing();
     });
@@ -111,6 +113,35 @@
     return absl::OkStatus();
   }
 
+  // Takes over what can change without a restart; the old settings hold when
+  // the new ones can't be used.
+  void Reload(const settings_loader& load) {
+    const auto loaded = load();
+    if (const auto* errors =
+            std::get_if<std::vector<settings_error>>(&loaded)) {
+      for (const settings_error& error : *errors) {
+        LogEvent(log_level::error, "settings_not_reloaded",
+                 {{"why", QtText(SettingsErrorText(error))}});
+      }
+      return;
+    }
+    const auto& changed = std::get<fleet_settings>(loaded);
+    const bool needs_restart =
+        EndpointText(changed.caller.listen) !=
+            EndpointText(settings_.caller.listen) ||
+        EndpointText(changed.store) != EndpointText(settings_.store);
+    settings_.budget = changed.budget;
+    settings_.stop_grace = changed.stop_grace;
+    LogEvent(needs_restart ? log_level::warn : log_level::info,
+             "settings_reloaded",
+             {{"budget_ratio", settings_.budget.ratio},
+              {"budget_slack", settings_.budget.slack},
+              {"needs_restart", needs_restart}});
+    PostTo(traffic_.Context(), [this, dispatch = DispatchSettings()] {
+      if (dispatcher_) dispatcher_->SetSettings(dispatch);
+    });
+  }
+
   // Leaves the balancer's rotation, finishes the requests in progress, then
   // ends the event loop.
   void Stop() {
@@ -127,6 +158,14 @@
   }
 
  private:
+  dispatch_settings DispatchSettings() const {
+    dispatch_settings dispatch;
+    dispatch.failure_domain = settings_.failure_domain;
+    dispatch.budget = settings_.budget;
+    dispatch.health = settings_.health;
+    return dispatch;
+  }
+
   static health_paths ReadinessPaths(const fleet_settings& settings) {
     health_paths paths;
     paths.ready = settings.readiness_path;
@@ -188,7 +227,7 @@
     QCoreApplication::quit();
   }
 
-  const fleet_settings settings_;
+  fleet_settings settings_;
   QObject context_;
   metrics_registry metrics_;
   dispatch_metrics request_metrics_;
@@ -210,6 +249,20 @@
   absl::Time stop_began_;
 };
 
+// What of the settings may change without a restart, as one text.
+std::string TextOf(
+    const std::variant<fleet_settings, std::vector<settings_error>>& loaded) {
+  if (const auto* errors = std::get_if<std::vector<settings_error>>(&loaded)) {
+    return errors->empty() ? "" : SettingsErrorText(errors->front());
+  }
+  const auto& settings = std::get<fleet_settings>(loaded);
+  return absl::StrCat(settings.budget.ratio, " ", settings.budget.slack, " ",
+                      absl::FormatDuration(settings.budget.window), " ",
+                      absl::FormatDuration(settings.stop_grace), " ",
+                      EndpointText(settings.caller.listen), " ",
+                      EndpointText(settings.store));
+}
+
 int Complain(const absl::Status& status) {
   std::fprintf(stderr, "anvilridge_fleet: %s\n",
                std::string(status.message()).c_str());
@@ -219,7 +272,8 @@
 }  // namespace
 
 int RunFleetDaemon(const fleet_settings& settings,
-                   const fleet_platform& platform) {
+                   const fleet_platform& platform,
+                   const settings_loader& load) {
   int count = 1;
   char name[] = "anvilridge_fleet";
   char* arguments[] = {name, nullptr};
@@ -229,10 +283,18 @@
     return Complain(opened);
   }
   running_fleet_daemon daemon(settings, platform);
+  // Before the daemon is ready: a signal must not end it by default.
+  const signal_watch reload({SIGHUP}, [&] { daemon.Reload(load); });
+  const signal_watch stop({SIGTERM, SIGINT}, [&daemon] { daemon.Stop(); });
   if (absl::Status started = daemon.Start(); !started.ok()) {
     return Complain(started);
   }
-  const stop_signal stop([&daemon] { daemon.Stop(); });
+  const auto watch = RunEvery(kSettingsInterval, [&, last = load()]() mutable {
+    auto now = load();
+    if (TextOf(now) == TextOf(last)) return;
+    last = std::move(now);
+    daemon.Reload(load);
+  });
   QCoreApplication::exec();
   return kExitOk;
 }
--- a/src/fleet_daemon/fleet_daemon.h
+++ b/src/fleet_daemon/fleet_daemon.h
@@ -2,6 +2,8 @@
 #define ANVILRIDGE_FLEET_DAEMON_FLEET_DAEMON_H_
 
 #include <functional>
+#include <variant>
+#include <vector>
 
 #include "dispatch/fleet_speaker.h"
 #include "fleet_daemon/fleet_control.h"
@@ -16,11 +18,17 @@
   std::function<fleet_sources(const fleet_settings&)> open_sources;
 };
 
+/// Reads the settings again; returns the findings when they can't be used.
+using settings_loader =
+    std::function<std::variant<fleet_settings, std::vector<settings_error>>()>;
+
 /// Runs a daemon that serves a fleet until SIGTERM or SIGINT, on this thread as
-/// the control thread. Writes what keeps it from starting to stderr. Returns
-/// the exit code: 0 after a planned stop, 1 when it can't start.
+/// the control thread. Reads the settings again at SIGHUP and when they change;
+/// budgets and the grace of a stop follow, other changes need a restart. Writes
+/// what keeps it from starting to stderr. Returns the exit code: 0 after a
+/// planned stop, 1 when it can't start.
 int RunFleetDaemon(const fleet_settings& settings,
-                   const fleet_platform& platform);
+                   const fleet_platform& platform, const settings_loader& load);
 
 }  // namespace anvilridge
 
--- /dev/null
+++ b/tests/harness/platform_scene.cc
@@ -0,0 +1,285 @@
+#include "harness/platform_scene.h"
+
+#include <QCoreApplication>
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <QtEndian>
+#include <utility>
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/str_split.h"
+#include "base/testing/run_loop.h"
+#include "harness/eventually.h"
+#include "harness/temp_folder.h"
+#include "harness/test_http.h"
+
+namespace anvilridge {
+namespace {
+
+template <typename T>
+std::string BigEndian(T number) {
+  std::string bytes(sizeof(T), '\0');
+  qToBigEndian(number, bytes.data());
+  return bytes;
+}
+
+std::string QueryValue(const std::string& target, const std::string& name) {
+  const size_t at = target.find(name + "=");
+  if (at == std::string::npos) return "";
+  const std::string rest = target.substr(at + name.size() + 1);
+  return rest.substr(0, rest.find('&'));
+}
+
+struct stored_record {
+  std::string key;
+  std::string value;
+};
+
+std::string EntryOf(const std::string& service, const std::string& address,
+                    const std::string& stage) {
+  return absl::StrCat(R"({"Service":")", service, R"(","Addr":")", address,
+                      R"(","Zone":"z","Slots":4,"State":"ready","Stage":")",
+                      stage, R"(","Seq":0})");
+}
+
+constexpr absl::Duration kBound = absl::Seconds(10);
+
+constexpr char kConfig[] =
+    R"({"Version":1,"Routes":[)"
+    R"({"Name":"draft","Host":"a.example","PathPrefix":"/draft/",)"
+    R"("Kind":"stream","TimeoutMs":5000,"LatencyTargetMs":900,"Attempts":2,)"
+    R"("CanResume":true,"GapTargetMs":300,"Service":"model"},)"
+    R"({"Name":"post","Host":"a.example","PathPrefix":"/post/",)"
+    R"("Kind":"unsafe","TimeoutMs":2000,"LatencyTargetMs":150,)"
+    R"("Attempts":2,"Service":"ledger"},)"
+    R"({"Name":"read","Host":"a.example","PathPrefix":"/read/",)"
+    R"("Kind":"safe","TimeoutMs":2000,"LatencyTargetMs":150,)"
+    R"("Attempts":2,"Service":"ledger"}],)"
+    R"("Services":[{"Name":"model","MaxConns":9,"Engine":{"Slots":4,)"
+    R"("KvCapacity":100000,"KvTokenBytes":16,"LinkMbps":1000,)"
+    R"("HandleTtlS":5,"StageSwitchS":6,"Stride":10}},)"
+    R"({"Name":"ledger","MaxConns":9}]})";
+
+}  // namespace
+
+struct platform_scene::impl {
+  std::mutex mutex;
+  // Guarded by `mutex`.
+  std::map<std::string, std::vector<stored_record>> topics;
+  raw_server::handler on_service;
+  raw_server::handler on_decode;
+  // Live on the thread.
+  std::unique_ptr<raw_server> store;
+  std::unique_ptr<raw_server> service;
+  std::unique_ptr<raw_server> prefill;
+  std::unique_ptr<raw_server> decode;
+  temp_folder folder;
+  event_thread thread{"scene"};
+
+  void AnswerStore(QTcpSocket& socket, const raw_request& request, bool up);
+  std::string ReadAnswer(const raw_request& request);
+  std::string ListAnswer(const raw_request& request);
+  std::vector<raw_request> RequestsOf(const std::unique_ptr<raw_server>& of);
+};
+
+std::string platform_scene::impl::ReadAnswer(const raw_request& request) {
+  const std::lock_guard lock(mutex);
+  const auto& records = topics[QueryValue(request.target, "Topic")];
+  const size_t from = std::stoul(QueryValue(request.target, "From"));
+  std::string body = BigEndian<quint64>(records.size()) + BigEndian<quint64>(0);
+  for (size_t i = from; i < records.size(); ++i) {
+    const std::string content =
+        std::string(1, static_cast<char>(records[i].key.size())) +
+        records[i].key + records[i].value;
+    body += BigEndian(static_cast<quint32>(content.size())) + content;
+  }
+  return body;
+}
+
+std::string platform_scene::impl::ListAnswer(const raw_request& request) {
+  const std::lock_guard lock(mutex);
+  const auto& records = topics[QueryValue(request.target, "Topic")];
+  QJsonArray items;
+  for (size_t i = 0; i < records.size(); ++i) {
+    QJsonObject item;
+    item["Key"] = QString::fromStdString(records[i].key);
+    item["Value"] = QString::fromLatin1(
+        QByteArray::fromStdString(records[i].value).toBase64());
+    item["Offset"] = static_cast<int>(i);
+    items.append(item);
+  }
+  QJsonObject page;
+  page["items"] = items;
+  page["HasMore"] = false;
+  page["End"] = static_cast<int>(records.size());
+  return QJsonDocument(page).toJson().toStdString();
+}
+
+void platform_scene::impl::AnswerStore(QTcpSocket& socket,
+                                       const raw_request& request, bool up) {
+  if (!up) return raw_server::Answer(socket, 503, "");
+  if (absl::StartsWith(request.target, "/api/log-read")) {
+    // Long reads are answered soon: the daemon asks again.
+    QTcpSocket* to = &socket;
+    const raw_request asked = request;
+    QTimer::singleShot(20, to, [this, to, asked] {
+      raw_server::Answer(*to, 200, ReadAnswer(asked));
+    });
+  } else if (absl::StartsWith(request.target, "/api/log-newest")) {
+    raw_server::Answer(socket, 200, ListAnswer(request));
+  } else if (absl::StartsWith(request.target, "/api/log-join")) {
+    raw_server::Answer(socket, 200,
+                       R"({"Generation":1,"parts":[["daemons-0",0,0]]})");
+  } else {
+    raw_server::Answer(socket, 200, R"({"parts":[]})");
+  }
+}
+
+std::vector<raw_request> platform_scene::impl::RequestsOf(
+    const std::unique_ptr<raw_server>& of) {
+  std::vector<raw_request> requests;
+  RunAndWait(thread.Context(), [&] { requests = of->Requests(); });
+  return requests;
+}
+
+std::string platform_scene::Field(const raw_request& request,
+                                  absl::string_view name) {
+  for (absl::string_view line : absl::StrSplit(request.head, "\r\n")) {
+    const std::pair<absl::string_view, absl::string_view> parts =
+        absl::StrSplit(line, absl::MaxSplits(": ", 1));
+    if (absl::EqualsIgnoreCase(parts.first, name)) {
+      return std::string(parts.second);
+    }
+  }
+  return "";
+}
+
+std::string platform_scene::Head(const raw_request& request, int status) {
+  return absl::StrCat("HTTP/1.1 ", status,
+                      " X\r\nRequest-Id: ", Field(request, "request-id"),
+                      "\r\nResponse-Seal: s1\r\n");
+}
+
+void platform_scene::Events(QTcpSocket& socket, int from, int to) {
+  for (int i = from; i <= to; ++i) {
+    raw_server::Chunk(socket, absl::StrCat("id: ", i, "\ndata: t", i, "\n\n"));
+  }
+}
+
+platform_scene::platform_scene() {
+  EnsureTestApplication();
+  impl_ = std::make_unique<impl>();
+  impl_->on_service = [](QTcpSocket& socket, const raw_request& request) {
+    const std::string text =
+        absl::StrCat(Head(request, 200), "Content-Length: 4\r\n\r\ndone");
+    socket.write(text.data(), static_cast<qint64>(text.size()));
+  };
+  impl_->on_decode = [](QTcpSocket& socket, const raw_request& request) {
+    const std::string head =
+        Head(request, 200) + "Transfer-Encoding: chunked\r\n\r\n";
+    socket.write(head.data(), static_cast<qint64>(head.size()));
+    Events(socket, 1, 3);
+    socket.write("0\r\n\r\n");
+  };
+  RunAndWait(impl_->thread.Context(), [this] {
+    impl* self = impl_.get();
+    self->store = std::make_unique<raw_server>(
+        [this, self](QTcpSocket& socket, const raw_request& request) {
+          self->AnswerStore(socket, request, store_up);
+        });
+    self->service = std::make_unique<raw_server>(
+        [self](QTcpSocket& socket, const raw_request& request) {
+          self->on_service(socket, request);
+        });
+    self->decode = std::make_unique<raw_server>(
+        [self](QTcpSocket& socket, const raw_request& request) {
+          self->on_decode(socket, request);
+        });
+    self->prefill = std::make_unique<raw_server>(
+        [](QTcpSocket& socket, const raw_request& request) {
+          const std::string body = request.method == "DELETE"
+                                       ? "{}"
+                                       : R"({"Handle":"h1","Tokens":100})";
+          const std::string text = absl::StrCat(
+              "HTTP/1.1 200 OK\r\nRequest-Id: ", Field(request, "request-id"),
+              "\r\nContent-Length: ", body.size(), "\r\n\r\n", body);
+          socket.write(text.data(), static_cast<qint64>(text.size()));
+        });
+  });
+  Put("keyed.servers", "p1",
+      EntryOf("model", impl_->prefill->Address(), "prefill"));
+  Put("keyed.servers", "d1",
+      EntryOf("model", impl_->decode->Address(), "decode"));
+  Put("keyed.servers", "l1", EntryOf("ledger", impl_->service->Address(), ""));
+  Put("keyed.op", "config", kConfig);
+}
+
+platform_scene::~platform_scene() {
+  daemon_.reset();
+  RunAndWait(impl_->thread.Context(), [this] {
+    impl_->store.reset();
+    impl_->service.reset();
+    impl_->prefill.reset();
+    impl_->decode.reset();
+  });
+}
+
+void platform_scene::Put(const std::string& topic, const std::string& key,
+                         const std::string& value) {
+  const std::lock_guard lock(impl_->mutex);
+  impl_->topics[topic].push_back({key, value});
+}
+
+std::string platform_scene::DecodeAddress() const {
+  return impl_->decode->Address();
+}
+
+void platform_scene::OnService(raw_server::handler handler) {
+  RunAndWait(impl_->thread.Context(),
+             [&] { impl_->on_service = std::move(handler); });
+}
+
+void platform_scene::OnDecode(raw_server::handler handler) {
+  RunAndWait(impl_->thread.Context(),
+             [&] { impl_->on_decode = std::move(handler); });
+}
+
+std::vector<raw_request> platform_scene::AtService() {
+  return impl_->RequestsOf(impl_->service);
+}
+std::vector<raw_request> platform_scene::AtPrefill() {
+  return impl_->RequestsOf(impl_->prefill);
+}
+std::vector<raw_request> platform_scene::AtDecode() {
+  return impl_->RequestsOf(impl_->decode);
+}
+
+bool platform_scene::Start() {
+  const std::string file = impl_->folder.Write(
+      "fleet.ini",
+      absl::StrCat("[daemon]\nname = entry-1\nfailure_domain = z\n"
+                   "[caller]\nlisten = 127.0.0.1:0\n"
+                   "[readiness]\nlisten = 127.0.0.1:0\n"
+                   "[metrics]\nlisten = 127.0.0.1:0\n"
+                   "[sharing]\nlisten = 127.0.0.1:0\n"
+                   "[budget]\nslack = 50\n"
+                   "[store]\naddress = ",
+                   impl_->store->Address(), "\n[log]\ndestination = stdout\n"));
+  daemon_ = std::make_unique<child_process>(
+      "anvilridge_fleet", std::vector<std::string>{"--config", file});
+  return Eventually(kBound, [this] {
+    for (absl::string_view line : absl::StrSplit(daemon_->Out(), '\n')) {
+      const QJsonObject event =
+          QJsonDocument::fromJson(
+              QByteArray(line.data(), static_cast<qsizetype>(line.size())))
+              .object();
+      if (event["event"] != "started") continue;
+      caller_port_ = static_cast<uint16_t>(event["caller_port"].toInt());
+      ready_port_ = static_cast<uint16_t>(event["readiness_port"].toInt());
+    }
+    return ready_port_ != 0 && Get(ready_port_, "/readyz").status == 200;
+  });
+}
+
+}  // namespace anvilridge
--- /dev/null
+++ b/tests/platform_path_test.cc
@@ -0,0 +1,185 @@
+// The whole path on the users' platform, over a real daemon process.
+#include <signal.h>
+#include <sys/socket.h>
+
+#include <thread>
+
+#include "gtest/gtest.h"
+#include "harness/eventually.h"
+#include "harness/platform_scene.h"
+#include "harness/test_http.h"
+
+namespace anvilridge {
+namespace {
+
+void Reset(QTcpSocket& socket) {
+  socket.flush();
+  const linger at_once{.l_onoff = 1, .l_linger = 0};
+  ::setsockopt(static_cast<int>(socket.socketDescriptor()), SOL_SOCKET,
+               SO_LINGER, &at_once, sizeof(at_once));
+  socket.abort();
+}
+
+// Within which a daemon on this machine must act.
+constexpr absl::Duration kBound = absl::Seconds(10);
+
+class platform_path_test : public testing::Test {
+ protected:
+  void SetUp() override { ASSERT_TRUE(scene_.Start()); }
+
+  test_answer Ask(const std::string& method, const std::string& target,
+                  test_headers headers = {}) {
+    test_request request;
+    request.method = method;
+    request.port = scene_.CallerPort();
+    request.target = target;
+    request.headers = {{"Host", "a.example"}, {"Request-Id", "q1"}};
+    for (auto& header : headers) request.headers.push_back(header);
+    if (method == "POST") request.body = "fee";
+    return Send(request);
+  }
+  test_answer Draft() {
+    return Ask("POST", "/draft/1",
+               {{"Token-Count", "100,400"}, {"Deadline-Ms", "4000"}});
+  }
+
+  platform_scene scene_;
+};
+
+TEST_F(platform_path_test, ACallGoesOnByteForByte) {
+  const test_answer answer =
+      Ask("POST", "/post/1?a=b", {{"Deadline-Ms", "900"}, {"Stage", "forged"}});
+  EXPECT_EQ(answer.status, 200);
+  EXPECT_EQ(answer.body, "done");
+  EXPECT_EQ(answer.Header("response-seal"), "s1");
+  const auto seen = scene_.AtService();
+  ASSERT_EQ(seen.size(), 1u);
+  EXPECT_EQ(seen[0].target, "/post/1?a=b");
+  EXPECT_EQ(seen[0].body, "fee");
+  EXPECT_EQ(platform_scene::Field(seen[0], "expect-instance"), "l1");
+  EXPECT_EQ(platform_scene::Field(seen[0], "stage"), "");
+  EXPECT_LE(std::stoi(platform_scene::Field(seen[0], "deadline-ms")), 900);
+}
+
+TEST_F(platform_path_test, AStreamTakesItsPrefillAlong) {
+  const test_answer answer = Draft();
+  EXPECT_EQ(answer.status, 200);
+  EXPECT_EQ(answer.body,
+            "id: 1\ndata: t1\n\nid: 2\ndata: t2\n\nid: 3\ndata: t3\n\n");
+  const auto prefill = scene_.AtPrefill();
+  const auto decode = scene_.AtDecode();
+  ASSERT_EQ(prefill.size(), 1u);
+  ASSERT_EQ(decode.size(), 1u);
+  EXPECT_EQ(platform_scene::Field(prefill[0], "stage"), "prefill");
+  EXPECT_NE(platform_scene::Field(decode[0], "kv-source").find("/h1"),
+            std::string::npos);
+}
+
+// The engine breaks off within its third event; another one goes on behind the
+// second, and the caller sees one stream without a hole.
+TEST_F(platform_path_test, ABrokenStreamGoesOnElsewhere) {
+  scene_.OnDecode([](QTcpSocket& socket, const raw_request& request) {
+    const std::string head = platform_scene::Head(request, 200) +
+                             "Transfer-Encoding: chunked\r\n\r\n";
+    socket.write(head.data(), static_cast<qint64>(head.size()));
+    if (platform_scene::Field(request, "last-event-id").empty()) {
+      platform_scene::Events(socket, 1, 2);
+      raw_server::Chunk(socket, "id: 3\nda");
+      return Reset(socket);
+    }
+    platform_scene::Events(socket, 3, 4);
+    socket.write("0\r\n\r\n");
+  });
+  // A second decode engine at the same address.
+  scene_.Put("keyed.servers", "d2",
+             absl::StrCat(R"({"Service":"model","Addr":")",
+                          scene_.DecodeAddress(), R"(","Zone":"z","Slots":4,)",
+                          R"("State":"ready","Stage":"decode","Seq":0})"));
+  ASSERT_TRUE(Eventually(kBound, [&] {
+    return scene_.Daemon().Out().find(R"("upstream":"d2")") !=
+           std::string::npos;
+  }));
+  const test_answer answer = Draft();
+  EXPECT_EQ(answer.body,
+            "id: 1\ndata: t1\n\nid: 2\ndata: t2\n\nid: 3\ndata: t3\n\n"
+            "id: 4\ndata: t4\n\n");
+  ASSERT_EQ(scene_.AtDecode().size(), 2u);
+  EXPECT_EQ(platform_scene::Field(scene_.AtDecode()[1], "last-event-id"), "2");
+}
+
+TEST_F(platform_path_test, APostingIsNotSentAgainWhenItsAnswerIsLost) {
+  scene_.OnService(
+      [](QTcpSocket& socket, const raw_request&) { Reset(socket); });
+  EXPECT_EQ(Ask("POST", "/post/1").status, 502);
+  EXPECT_EQ(scene_.AtService().size(), 1u);
+}
+
+TEST_F(platform_path_test, ARefusalOfTheUpstreamIsTrueForTheCaller) {
+  scene_.OnService([](QTcpSocket& socket, const raw_request&) {
+    socket.write(
+        "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+  });
+  const test_answer answer = Ask("POST", "/post/1");
+  EXPECT_EQ(answer.status, 503);
+  EXPECT_FALSE(answer.Header("retry-after").empty());
+}
+
+TEST_F(platform_path_test, UnknownPathsAndBadFieldsAreTold) {
+  EXPECT_EQ(Ask("GET", "/nowhere/").status, 404);
+  EXPECT_EQ(Ask("POST", "/draft/1", {{"Token-Count", "many"}}).status, 400);
+  EXPECT_EQ(Ask("GET", "/read/1").status, 200);
+}
+
+TEST_F(platform_path_test, ANewConfigurationIsInForceAndTheStoreMayGo) {
+  scene_.store_up = false;
+  ASSERT_TRUE(Eventually(kBound, [&] {
+    return scene_.Daemon().Out().find("store_lost") != std::string::npos;
+  }));
+  EXPECT_EQ(Ask("GET", "/read/1").status, 200);
+  scene_.Put("keyed.op", "config",
+             R"({"Version":5,"Routes":[{"Name":"new","Host":"a.example",)"
+             R"("PathPrefix":"/new/","Kind":"safe","Service":"ledger"}],)"
+             R"("Services":[{"Name":"ledger"}]})");
+  scene_.store_up = true;
+  EXPECT_TRUE(
+      Eventually(kBound, [&] { return Ask("GET", "/new/1").status == 200; }));
+  EXPECT_EQ(Ask("GET", "/read/1").status, 404);
+}
+
+// The default effect of SIGHUP would end the daemon.
+TEST_F(platform_path_test, AHangupReloadsTheSettings) {
+  scene_.Daemon().Signal(SIGHUP);
+  EXPECT_TRUE(Eventually(kBound, [&] {
+    return scene_.Daemon().Out().find("settings_reloaded") != std::string::npos;
+  }));
+  EXPECT_EQ(Ask("GET", "/read/1").status, 200);
+}
+
+// What the caller was promised before the stop is kept: its stream ends whole.
+TEST_F(platform_path_test, APlannedStopCutsNothing) {
+  scene_.OnDecode([](QTcpSocket& socket, const raw_request& request) {
+    const std::string head = platform_scene::Head(request, 200) +
+                             "Transfer-Encoding: chunked\r\n\r\n";
+    socket.write(head.data(), static_cast<qint64>(head.size()));
+    platform_scene::Events(socket, 1, 1);
+    QTcpSocket* to = &socket;
+    QTimer::singleShot(1000, to, [to] {
+      platform_scene::Events(*to, 2, 2);
+      to->write("0\r\n\r\n");
+    });
+  });
+  test_answer answer;
+  std::thread caller([&] { answer = Draft(); });
+  EXPECT_TRUE(
+      Eventually(kBound, [&] { return scene_.AtDecode().size() == 1; }));
+  scene_.Daemon().Signal(SIGTERM);
+  EXPECT_TRUE(Eventually(kBound, [&] {
+    return Get(scene_.ReadyPort(), "/readyz").status == 503;
+  }));
+  caller.join();
+  EXPECT_EQ(answer.body, "id: 1\ndata: t1\n\nid: 2\ndata: t2\n\n");
+  EXPECT_EQ(scene_.Daemon().WaitForExit(absl::Seconds(8)), 0);
+}
+
+}  // namespace
+}  // namespace anvilridge
--- a/tests/request_metrics_test.cc
+++ b/tests/request_metrics_test.cc
@@ -154,7 +154,7 @@
 
 TEST(request_metrics_test, EveryMetricHasItsLineInThePage) {
   const fleet all;
-  std::ifstream file(ANVIL_SOURCE_DIR "/docs/OPERATING.md");
+  std::ifstream file(ANVIL_SOURCE_DIR "/docs/OPERATIONS.md");
   std::stringstream page;
   page << file.rdbuf();
   int found = 0;
