--- a/src/dispatch/call_flow.cc
+++ b/src/dispatch/call_flow.cc
@@ -76,8 +76,8 @@
     send_in_progress send{0, *best, now};
     const auto self = shared_from_this();
     http_handler handler;
-    handler.on_done = [self, id = best->id](http_result result) {
-      self->SendEnded(id, std::move(result));
+    handler.on_done = [self, id = best->id](const http_result& result) {
+      self->SendEnded(id, result);
     };
     send.call = state_.client.Start(std::move(call), std::move(handler));
     in_progress_.push_back(std::move(send));
@@ -128,7 +128,7 @@
     return true;
   }
 
-  void SendEnded(const std::string& upstream_id, http_result result) {
+  void SendEnded(const std::string& upstream_id, const http_result& result) {
     const auto found = std::find_if(
         in_progress_.begin(), in_progress_.end(),
         [&](const auto& send) { return send.upstream.id == upstream_id; });
@@ -147,7 +147,7 @@
       if (fate == send_fate::unknown) may_have_run_ = true;
       return;
     }
-    Follow(fate, std::move(result));
+    Follow(fate, result);
   }
 
   void Report(const send_in_progress& send, send_fate fate,
@@ -167,7 +167,7 @@
                          MonotonicNow() - send.began))}});
   }
 
-  void Follow(send_fate fate, http_result result) {
+  void Follow(send_fate fate, const http_result& result) {
     if (fate == send_fate::unsent) --sends_;
     send_allowance allowance;
     allowance.rule = route_.rule;
--- a/src/dispatch/decode_admission.cc
+++ b/src/dispatch/decode_admission.cc
@@ -90,7 +90,7 @@
 }
 
 // Takes `stream` out of its list and promises `promise` to it.
-void Admit(dispatch_state& state, waiting_stream stream,
+void Admit(dispatch_state& state, const waiting_stream& stream,
            const engine_promise& promise, absl::Time now) {
   const absl::Duration prefill =
       promise.prefill
@@ -112,9 +112,9 @@
     // Who came first is served first: others may not fill the room that a
     // large request waits for.
     if (!promise) return;
-    waiting_stream stream = std::move(list.front());
+    const waiting_stream stream = std::move(list.front());
     list.pop_front();
-    Admit(state, std::move(stream), *promise, now);
+    Admit(state, stream, *promise, now);
   }
 }
 
@@ -189,6 +189,7 @@
   const double speed = state.ledger.tokens_per_ms;
   const decode_run run{stream.prompt, stream.output, now};
   std::vector<absl::Duration> waits;
+  waits.reserve(engines.size());
   const auto forecast = [&](const decode_candidate& engine) {
     return ForecastRoom(engine.runs, run, engine.capacity, engine.slots, speed)
         .wait;
@@ -216,7 +217,7 @@
   if (state.waiting.empty()) {
     if (const auto promise =
             PromiseEngines(state, stream, {}, kPromisedMemory, now)) {
-      return Admit(state, std::move(stream), *promise, now);
+      return Admit(state, stream, *promise, now);
     }
   }
   const size_t ahead = state.waiting.size() +
--- a/src/dispatch/decode_memory_test.cc
+++ b/src/dispatch/decode_memory_test.cc
@@ -57,6 +57,7 @@
   const auto sizes = *rc::gen::container<std::vector<std::pair<int, int>>>(
       rc::gen::pair(rc::gen::inRange(0, 5000), rc::gen::inRange(0, 5000)));
   std::vector<decode_run> runs;
+  runs.reserve(sizes.size());
   for (const auto& [context, remaining] : sizes) {
     runs.push_back(MakeRun(context, remaining));
   }
--- a/src/dispatch/event_splitter_test.cc
+++ b/src/dispatch/event_splitter_test.cc
@@ -2,6 +2,7 @@
 
 #include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "gtest/gtest.h"
 #include "rapidcheck.h"
 #include "rapidcheck/gtest.h"
@@ -51,7 +52,7 @@
   for (int i = 0; i < count; ++i) {
     const bool crlf = *rc::gen::arbitrary<bool>();
     const std::string end = crlf ? "\r\n" : "\n";
-    text += "id: " + std::to_string(i) + end + "data: x" + end + end;
+    absl::StrAppend(&text, "id: ", i, end, "data: x", end, end);
   }
   event_splitter whole;
   const auto expected = Split(whole, text);
--- a/src/dispatch/stream_flow.cc
+++ b/src/dispatch/stream_flow.cc
@@ -160,13 +160,13 @@
     Changed();
     const auto self = shared_from_this();
     http_handler handler;
-    handler.on_done = [self](http_result result) {
-      self->PrefillEnded(std::move(result));
+    handler.on_done = [self](const http_result& result) {
+      self->PrefillEnded(result);
     };
     call_ = state_.client.Start(std::move(call), std::move(handler));
   }
 
-  void PrefillEnded(http_result result) {
+  void PrefillEnded(const http_result& result) {
     call_ = 0;
     EndPrefill(state_.ledger, request_.id);
     if (ended_) return;
@@ -282,8 +282,8 @@
     handler.on_data = [self](absl::string_view bytes) {
       self->TakeBytes(bytes);
     };
-    handler.on_done = [self](http_result result) {
-      self->DecodeEnded(std::move(result));
+    handler.on_done = [self](const http_result& result) {
+      self->DecodeEnded(result);
     };
     call_ = state_.client.Start(std::move(call), std::move(handler));
     WatchProgress();
@@ -399,7 +399,7 @@
     return found;
   }
 
-  void DecodeEnded(http_result result) {
+  void DecodeEnded(const http_result& result) {
     call_ = 0;
     EndPrefill(state_.ledger, request_.id);
     if (ended_) return;
@@ -423,7 +423,7 @@
               {"events", events_},
               {"ms", Ms(MonotonicNow() - began_)}});
     if (fate == send_fate::unsent) --sends_;
-    Follow(fate, std::move(result));
+    Follow(fate, result);
   }
 
   // Whether a send to another engine is allowed, but for the budget.
@@ -432,7 +432,7 @@
            (!begun_ || last_id_.has_value());
   }
 
-  void Follow(send_fate fate, http_result result) {
+  void Follow(send_fate fate, const http_result& result) {
     const bool ran = fate == send_fate::unknown || fate == send_fate::answered;
     if (fate == send_fate::unsent && !begun_ && !ran_) {
       // Nothing arrived: neither the attempts nor the budget are touched.
--- a/tests/harness/platform_scene.cc
+++ b/tests/harness/platform_scene.cc
@@ -4,6 +4,7 @@
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
+#include <QTimer>
 #include <QtEndian>
 #include <utility>
 
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -2,6 +2,7 @@
 #include <signal.h>
 #include <sys/socket.h>
 
+#include <QTimer>
 #include <thread>
 
 #include "gtest/gtest.h"
