Refuse streams that come too late in a stop to end

Ruled out: engines breaking off (their runs end by our close). Change: streams are taken in the first third of the grace only, then refused as not run. Test: platform_path_test.AStreamThatComesLateInAStopIsRefused.

--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -75,8 +75,8 @@
   std::map<std::string, stream_workload, std::less<>> workloads;
   /// Daemons that share the budget, this one included.
   int daemons = 4;
-  /// Whether a planned stop has begun.
-  bool stopping = false;
+  /// From when on streams are refused because the daemon stops.
+  absl::Time last_stream = absl::InfiniteFuture();
   absl::BitGen random;
   dispatch_metrics* metrics = nullptr;
   /// Lives on the traffic thread.
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -18,6 +18,11 @@
 // How often streams that wait are looked at without a cause: memory becomes
 // free as forecast, not only when a run of this daemon ends.
 constexpr absl::Duration kAdmitInterval = absl::Milliseconds(20);
+// Part of a stop's grace in which streams are still taken: the rest is for the
+// longest of them to end.
+constexpr double kStreamsInStop = 1.0 / 3;
+// When refused callers may come back: at once, to another daemon.
+constexpr absl::Duration kStopComeBack = absl::Milliseconds(50);
 // How long the others are told that an engine is back in its stage after all:
 // some messages, since each of them may be lost.
 constexpr absl::Duration kOrderEcho = absl::Seconds(2);
@@ -98,13 +103,21 @@
                                    "the route leads to no known service"));
   }
   if (route->streams && service->generates) {
+    if (MonotonicNow() >= state.last_stream) {
+      return RefuseRequest(
+          state, *exchange, *request, route->name,
+          MakeError(error_kind::shutting_down, "this daemon is stopping",
+                    run_state::not_run, kStopComeBack));
+    }
     StartStream(state, *request, config, *route, *service, exchange);
   } else {
     StartCall(state, *request, config, *route, *service, exchange);
   }
 }
 
-void dispatcher::BeginStop() { impl_->state.stopping = true; }
+void dispatcher::BeginStop(absl::Duration grace) {
+  impl_->state.last_stream = MonotonicNow() + grace * kStreamsInStop;
+}
 
 load_share dispatcher::OwnShare() const {
   load_share share = anvilridge::OwnShare(impl_->state.ledger, MonotonicNow());
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -38,8 +38,9 @@
   void Handle(const inbound_request& request,
               const std::shared_ptr<inbound_exchange>& exchange);
 
-  /// From now on refuses streams that can't end before the daemon does.
-  void BeginStop();
+  /// Tells that the daemon ends within `grace`: streams that come too late to
+  /// end before it are refused.
+  void BeginStop(absl::Duration grace);
 
   /// What this daemon has under way, for the others.
   load_share OwnShare() const;
--- a/src/dispatch/stage_plan_test.cc
+++ b/src/dispatch/stage_plan_test.cc
@@ -43,7 +43,7 @@
       const std::vector<fleet_upstream>& engines, absl::Duration time) {
     for (const absl::Time end = now_ + time; now_ < end;
          now_ += absl::Milliseconds(250)) {
-      if (const auto change = Plan(engines)) return change;
+      if (auto change = Plan(engines)) return change;
     }
     return std::nullopt;
   }
--- a/src/dispatch/stream_flow.cc
+++ b/src/dispatch/stream_flow.cc
@@ -40,7 +40,6 @@
 // Time of a prompt at a decode engine, in that at a prefill engine.
 constexpr double kDecodePrefillCost = 2;
 constexpr int kOk = 200;
-constexpr int kFirstServerError = 500;
 
 double Ms(absl::Duration duration) {
   return static_cast<double>(absl::ToInt64Milliseconds(duration));
--- a/src/fleet_daemon/fleet_daemon.cc
+++ b/src/fleet_daemon/fleet_daemon.cc
@@ -150,8 +150,8 @@
     LogEvent(log_level::info, "stop_began",
              {{"requests", caller_.RequestsInProgress()}});
     caller_.BeginDrain();
-    PostTo(traffic_.Context(), [this] {
-      if (dispatcher_) dispatcher_->BeginStop();
+    PostTo(traffic_.Context(), [this, grace = settings_.stop_grace] {
+      if (dispatcher_) dispatcher_->BeginStop(grace);
     });
     member_.Leave();
     stop_timer_ = RunEvery(kStopPollInterval, [this] { TryExit(); });
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -156,6 +156,27 @@
   EXPECT_EQ(Ask("GET", "/read/1").status, 200);
 }
 
+// A stream that begins late in a stop would be cut; a call would not.
+TEST_F(platform_path_test, AStreamThatComesLateInAStopIsRefused) {
+  test_answer slow;
+  scene_.OnService([](QTcpSocket& socket, const raw_request& request) {
+    QTcpSocket* to = &socket;
+    const std::string text =
+        platform_scene::Head(request, 200) + "Content-Length: 4\r\n\r\ndone";
+    QTimer::singleShot(1500, to, [to, text] {
+      to->write(text.data(), static_cast<qint64>(text.size()));
+    });
+  });
+  scene_.Daemon().Signal(SIGTERM);
+  std::thread caller([&] {
+    for (int i = 0; i < 3; ++i) slow = Ask("POST", "/post/1");
+  });
+  EXPECT_TRUE(Eventually(kBound, [&] { return Draft().status == 503; }));
+  EXPECT_EQ(scene_.AtPrefill().size(), scene_.AtDecode().size());
+  caller.join();
+  EXPECT_EQ(slow.status, 200);
+}
+
 // What the caller was promised before the stop is kept: its stream ends whole.
 TEST_F(platform_path_test, APlannedStopCutsNothing) {
   scene_.OnDecode([](QTcpSocket& socket, const raw_request& request) {
