--- a/tests/harness/platform_scene.cc
+++ b/tests/harness/platform_scene.cc
@@ -123,8 +123,7 @@
   if (absl::StartsWith(request.target, "/api/log-read")) {
     // Long reads are answered soon: the daemon asks again.
     QTcpSocket* to = &socket;
-    const raw_request asked = request;
-    QTimer::singleShot(20, to, [this, to, asked] {
+    QTimer::singleShot(20, to, [this, to, asked = request] {
       raw_server::Answer(*to, 200, ReadAnswer(asked));
     });
   } else if (absl::StartsWith(request.target, "/api/log-newest")) {
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -29,13 +29,13 @@
   void SetUp() override { ASSERT_TRUE(scene_.Start()); }
 
   test_answer Ask(const std::string& method, const std::string& target,
-                  test_headers headers = {}) {
+                  const test_headers& headers = {}) {
     test_request request;
     request.method = method;
     request.port = scene_.CallerPort();
     request.target = target;
     request.headers = {{"Host", "a.example"}, {"Request-Id", "q1"}};
-    for (auto& header : headers) request.headers.push_back(header);
+    for (const auto& header : headers) request.headers.push_back(header);
     if (method == "POST") request.body = "fee";
     return Send(request);
   }
