Keep one copy of what both flows and both tests wrote

The budgeted send, the connect time and the reset of a test's socket stood twice; four figures in the flows had no name.

--- a/src/dispatch/call_flow.cc
+++ b/src/dispatch/call_flow.cc
@@ -14,12 +14,15 @@
 namespace anvilridge {
 namespace {
 
-// A connection takes a round trip; a lost opening packet comes again only
-// after a second, so another upstream is quicker.
-constexpr absl::Duration kConnectTimeout = absl::Milliseconds(250);
 // A repeatable call without an answer is sent to a second upstream after this
 // multiple of its latency target.
 constexpr double kSecondSendTargets = 1.2;
+// Calls that a near upstream may have more than one in another domain: the way
+// there takes a part of a call's time.
+constexpr double kFarCalls = 0.5;
+// Part of an upstream's slots within which daemons choose at random, so that
+// they don't choose alike.
+constexpr double kLoadJitter = 0.1;
 // When callers may come back after a refusal: a queue of calls is worked off
 // within this time.
 constexpr absl::Duration kComeBack = absl::Milliseconds(150);
@@ -69,7 +72,7 @@
     order.upstream = *best;
     order.time_left = TimeLeft(request_, route_, now);
     http_call call = state_.speaker.write_send(request_, order);
-    call.connect_timeout = kConnectTimeout;
+    call.connect_timeout = kUpstreamConnectTimeout;
     tried_.push_back(best->id);
     ++sends_;
     ++state_.calls[best->id];
@@ -96,9 +99,9 @@
       double load = calls == state_.calls.end() ? 0 : calls->second;
       load = (load + 1) / std::max(1, upstream->slots);
       if (upstream->failure_domain != state_.settings.failure_domain) {
-        load += 0.5 / std::max(1, upstream->slots);
+        load += kFarCalls / std::max(1, upstream->slots);
       }
-      load += absl::Uniform(state_.random, 0.0, 0.1);
+      load += absl::Uniform(state_.random, 0.0, kLoadJitter);
       if (best == nullptr || load < best_load) {
         best = upstream;
         best_load = load;
@@ -120,12 +123,7 @@
   }
 
   bool TakeBudget(absl::string_view reason) {
-    if (!TakeExtraSend(state_.budget, service_.name, state_.settings.budget,
-                       state_.daemons, MonotonicNow())) {
-      return false;
-    }
-    state_.metrics->CountExtraSend(service_.name, reason);
-    return true;
+    return TakeBudgetedSend(state_, service_.name, request_.id, reason);
   }
 
   void SendEnded(const std::string& upstream_id, const http_result& result) {
--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -106,6 +106,18 @@
   ReportResult(state, upstream, failed ? call_result::failed : call_result::ok);
 }
 
+bool TakeBudgetedSend(dispatch_state& state, absl::string_view service,
+                      absl::string_view request_id, absl::string_view reason) {
+  if (!TakeExtraSend(state.budget, service, state.settings.budget,
+                     state.daemons, MonotonicNow())) {
+    LogEvent(log_level::warn, "send_budget_used_up",
+             {{"request", QtText(request_id)}, {"service", QtText(service)}});
+    return false;
+  }
+  state.metrics->CountExtraSend(service, reason);
+  return true;
+}
+
 absl::Time FinalAnswerTime(const fleet_request& request,
                            const fleet_route& route) {
   return std::min(request.deadline - kAnswerMargin,
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -98,6 +98,16 @@
 /// Notes that an upstream has been silent for too long.
 void ReportStall(dispatch_state& state, const fleet_upstream& upstream);
 
+/// Time for a connection to an upstream: it takes a round trip, and a lost
+/// opening packet comes again only after a second, so another one is quicker.
+inline constexpr absl::Duration kUpstreamConnectTimeout =
+    absl::Milliseconds(250);
+
+/// Takes one further send of a request from the budget, and counts or logs it.
+/// @return false when the budget is used up.
+bool TakeBudgetedSend(dispatch_state& state, absl::string_view service,
+                      absl::string_view request_id, absl::string_view reason);
+
 /// Returns how long the caller and its route still wait at `now`.
 absl::Duration TimeLeft(const fleet_request& request, const fleet_route& route,
                         absl::Time now);
--- a/src/dispatch/stream_flow.cc
+++ b/src/dispatch/stream_flow.cc
@@ -17,9 +17,6 @@
 namespace anvilridge {
 namespace {
 
-// A connection takes a round trip; a lost opening packet comes again only
-// after a second, so another engine is quicker.
-constexpr absl::Duration kConnectTimeout = absl::Milliseconds(250);
 // Part of the latency target in which a stream may wait for memory; the rest
 // is for the prefill, the transfer and the first event.
 constexpr double kWaitShare = 0.6;
@@ -30,6 +27,10 @@
 // Resumable streams go on elsewhere after a pause of this many gap targets;
 // callers give up after eight.
 constexpr double kStallGaps = 5;
+// Least such pause, where a route names no gap target: several events' time.
+constexpr absl::Duration kLeastEventPatience = absl::Milliseconds(500);
+// Time for the answer when a handle is freed; the engine drops it by itself.
+constexpr absl::Duration kReleaseTime = absl::Seconds(1);
 // Time for a first event once the memory is there.
 constexpr double kFirstEventTargets = 1.3;
 // How long a stream that is late already may wait: callers give up waiting for
@@ -147,7 +148,7 @@
     order.time_left = TimeLeft(request_, route_, now);
     order.resume_after = resume_after_;
     http_call call = state_.speaker.write_send(request_, order);
-    call.connect_timeout = kConnectTimeout;
+    call.connect_timeout = kUpstreamConnectTimeout;
     const double backlog = PrefillBacklog(state_.ledger, engine.id, now);
     const double tokens = static_cast<double>(request_.prompt_tokens);
     call.timeout =
@@ -231,8 +232,8 @@
     if (handle_.empty()) return;
     http_call call = state_.speaker.write_release(*prefill_, handle_);
     handle_.clear();
-    call.connect_timeout = kConnectTimeout;
-    call.timeout = absl::Seconds(1);
+    call.connect_timeout = kUpstreamConnectTimeout;
+    call.timeout = kReleaseTime;
     http_handler handler;
     handler.on_done = [id = request_.id](const http_result& result) {
       if (result.status.ok()) return;
@@ -264,7 +265,7 @@
       Changed();
     }
     http_call call = state_.speaker.write_send(request_, order);
-    call.connect_timeout = kConnectTimeout;
+    call.connect_timeout = kUpstreamConnectTimeout;
     tried_.push_back(decode_.id);
     ++sends_;
     began_ = now;
@@ -366,9 +367,9 @@
   }
 
   absl::Duration Patience() const {
-    return generated_here_ == 0 ? route_.latency_target * kFirstEventTargets
-                                : std::max(route_.gap_target * kStallGaps,
-                                           absl::Milliseconds(500));
+    return generated_here_ == 0
+               ? route_.latency_target * kFirstEventTargets
+               : std::max(route_.gap_target * kStallGaps, kLeastEventPatience);
   }
 
   void CheckProgress() {
@@ -480,15 +481,7 @@
   }
 
   bool TakeBudget(absl::string_view reason) {
-    if (!TakeExtraSend(state_.budget, service_.name, state_.settings.budget,
-                       state_.daemons, MonotonicNow())) {
-      LogEvent(log_level::warn, "send_budget_used_up",
-               {{"request", QtText(request_.id)},
-                {"service", QtText(service_.name)}});
-      return false;
-    }
-    state_.metrics->CountExtraSend(service_.name, reason);
-    return true;
+    return TakeBudgetedSend(state_, service_.name, request_.id, reason);
   }
 
   // ---- the end
--- a/src/http1/channel_client_test.cc
+++ b/src/http1/channel_client_test.cc
@@ -1,7 +1,5 @@
 #include "http1/channel_client.h"
 
-#include <sys/socket.h>
-
 #include <optional>
 
 #include "base/error_kind.h"
@@ -12,14 +10,6 @@
 namespace anvilridge {
 namespace {
 
-void Reset(QTcpSocket& socket) {
-  socket.flush();
-  const linger at_once{.l_onoff = 1, .l_linger = 0};
-  ::setsockopt(static_cast<int>(socket.socketDescriptor()), SOL_SOCKET,
-               SO_LINGER, &at_once, sizeof(at_once));
-  socket.abort();
-}
-
 std::string Answer(absl::string_view id, absl::string_view body) {
   return absl::StrCat("HTTP/1.1 200 OK\r\nX-Id: ", id,
                       "\r\nContent-Length: ", body.size(), "\r\n\r\n", body);
@@ -58,7 +48,7 @@
   int requests = 0;
   raw_server server([&](QTcpSocket& socket, const raw_request&) {
     if (++requests == 1) return raw_server::Answer(socket, 200, "done");
-    Reset(socket);
+    raw_server::Reset(socket);
   });
   EXPECT_TRUE(Run(server).status.ok());
   const http_result broken = Run(server);
@@ -107,7 +97,7 @@
 TEST_F(channel_client_test, AResetDoesNotEndAnAnswerWithoutLength) {
   raw_server server([&](QTcpSocket& socket, const raw_request&) {
     socket.write("HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nabc");
-    Reset(socket);
+    raw_server::Reset(socket);
   });
   EXPECT_FALSE(Run(server).status.ok());
 }
--- a/src/upstreams/testing/raw_server.h
+++ b/src/upstreams/testing/raw_server.h
@@ -1,6 +1,8 @@
 #ifndef ANVILRIDGE_UPSTREAMS_TESTING_RAW_SERVER_H_
 #define ANVILRIDGE_UPSTREAMS_TESTING_RAW_SERVER_H_
 
+#include <sys/socket.h>
+
 #include <QHostAddress>
 #include <QTcpServer>
 #include <QTcpSocket>
@@ -75,6 +77,14 @@
         absl::StrCat(absl::Hex(bytes.size()), "\r\n", bytes, "\r\n");
     socket.write(text.data(), static_cast<qint64>(text.size()));
   }
+  /// Breaks the connection by a reset, behind what was written.
+  static void Reset(QTcpSocket& socket) {
+    socket.flush();
+    const linger at_once{.l_onoff = 1, .l_linger = 0};
+    ::setsockopt(static_cast<int>(socket.socketDescriptor()), SOL_SOCKET,
+                 SO_LINGER, &at_once, sizeof(at_once));
+    socket.abort();
+  }
   static void BeginChunked(QTcpSocket& socket) {
     socket.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
   }
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -1,6 +1,5 @@
 // The whole path on the users' platform, over a real daemon process.
 #include <signal.h>
-#include <sys/socket.h>
 
 #include <QTimer>
 #include <thread>
@@ -13,14 +12,6 @@
 namespace anvilridge {
 namespace {
 
-void Reset(QTcpSocket& socket) {
-  socket.flush();
-  const linger at_once{.l_onoff = 1, .l_linger = 0};
-  ::setsockopt(static_cast<int>(socket.socketDescriptor()), SOL_SOCKET,
-               SO_LINGER, &at_once, sizeof(at_once));
-  socket.abort();
-}
-
 // Within which a daemon on this machine must act.
 constexpr absl::Duration kBound = absl::Seconds(10);
 
@@ -86,7 +77,7 @@
     if (platform_scene::Field(request, "last-event-id").empty()) {
       platform_scene::Events(socket, 1, 2);
       raw_server::Chunk(socket, "id: 3\nda");
-      return Reset(socket);
+      return raw_server::Reset(socket);
     }
     platform_scene::Events(socket, 3, 4);
     socket.write("0\r\n\r\n");
@@ -109,8 +100,9 @@
 }
 
 TEST_F(platform_path_test, APostingIsNotSentAgainWhenItsAnswerIsLost) {
-  scene_.OnService(
-      [](QTcpSocket& socket, const raw_request&) { Reset(socket); });
+  scene_.OnService([](QTcpSocket& socket, const raw_request&) {
+    raw_server::Reset(socket);
+  });
   EXPECT_EQ(Ask("POST", "/post/1").status, 502);
   EXPECT_EQ(scene_.AtService().size(), 1u);
 }
