--- a/src/dispatch/stream_flow.cc
+++ b/src/dispatch/stream_flow.cc
@@ -12,6 +12,7 @@
 #include "base/qt_text.h"
 #include "dispatch/decode_admission.h"
 #include "dispatch/event_splitter.h"
+#include "dispatch/stream_record.h"
 #include "log/decision_log.h"
 
 namespace anvilridge {
@@ -177,7 +178,7 @@
     state_.metrics->CountSend(service_.name, SendFateName(fate));
     ReportSend(state_, *prefill_, fate);
     const absl::Duration took = MonotonicNow() - prefill_began_;
-    prefill_ms_ = Ms(took);
+    record_.prefill = took;
     if (prefill.ok()) {
       LearnPrefillSpeed(state_.ledger,
                         static_cast<double>(prefill->tokens) + prefill_backlog_,
@@ -329,8 +330,8 @@
   void Begin(absl::Time now) {
     begun_ = true;
     state_.metrics->CountFirstEvent(route_.name, now - request_.received);
-    first_event_ms_ = Ms(now - request_.received);
-    decode_first_ms_ = Ms(now - began_);
+    record_.first_event = now - request_.received;
+    record_.decode_first = now - began_;
     exchange_->Begin(kOk, head_);
   }
 
@@ -340,14 +341,14 @@
     if (generated_here_ > 0) {
       LearnDecodeSpeed(state_.ledger, tokens, now - last_event_);
     }
-    if (now - last_event_ > longest_gap_) {
-      longest_gap_ = now - last_event_;
-      longest_gap_end_ = now - request_.received;
+    if (now - last_event_ > record_.longest_gap) {
+      record_.longest_gap = now - last_event_;
+      record_.longest_gap_end = now - request_.received;
     }
     last_event_ = now;
     ++generated_here_;
-    ++events_;
-    const double generated = tokens * events_;
+    ++record_.events;
+    const double generated = tokens * record_.events;
     AdvanceRun(state_.ledger, request_.id,
                static_cast<double>(request_.prompt_tokens) + generated,
                ExpectedRemaining(generated), now);
@@ -379,7 +380,7 @@
     LogEvent(log_level::warn, "stream_stalled",
              {{"request", QtText(request_.id)},
               {"upstream", QtText(tried_.back())},
-              {"events", events_},
+              {"events", record_.events},
               {"silent_ms", Ms(MonotonicNow() - last_event_)}});
     for (const fleet_upstream* upstream : Registered(tried_.back())) {
       ReportStall(state_, *upstream);
@@ -420,7 +421,7 @@
               {"fate", QtText(SendFateName(fate))},
               {"status", result.http_status},
               {"why", QtText(result.status.message())},
-              {"events", events_},
+              {"events", record_.events},
               {"ms", Ms(MonotonicNow() - began_)}});
     if (fate == send_fate::unsent) --sends_;
     Follow(fate, result);
@@ -467,7 +468,7 @@
   bool FindOther() {
     waiting_stream waiting = Waiting();
     const double generated =
-        static_cast<double>(service_.engine.tokens_per_event) * events_;
+        static_cast<double>(service_.engine.tokens_per_event) * record_.events;
     waiting.prompt += generated;
     waiting.output = ExpectedRemaining(generated);
     const auto promise = PromiseEngines(state_, waiting, tried_,
@@ -507,7 +508,7 @@
   // A whole answer tells how long answers are.
   void Learn() {
     const double tokens =
-        static_cast<double>(service_.engine.tokens_per_event) * events_;
+        static_cast<double>(service_.engine.tokens_per_event) * record_.events;
     if (tokens <= 0 || !request_.resume_after.empty()) return;
     LearnLength(state_.lengths[service_.name],
                 static_cast<double>(request_.output_estimate), tokens);
@@ -548,20 +549,19 @@
   void Ended(absl::string_view event, int http_status) {
     const absl::Duration took = MonotonicNow() - request_.received;
     state_.metrics->CountRequest(route_.name, http_status, took);
-    LogEvent(log_level::info, event,
-             {{"request", QtText(request_.id)},
-              {"route", QtText(route_.name)},
-              {"upstream", QtText(tried_.empty() ? "" : tried_.back())},
-              {"status", http_status},
-              {"sends", sends_},
-              {"events", events_},
-              {"first_event_ms", first_event_ms_},
-              {"prefill_ms", prefill_ms_},
-              {"decode_first_ms", decode_first_ms_},
-              {"longest_gap_ms", Ms(longest_gap_)},
-              {"gap_end_ms", Ms(longest_gap_end_)},
-              {"config", static_cast<double>(config_->version)},
-              {"ms", Ms(took)}});
+    QJsonObject fields{
+        {"request", QtText(request_.id)},
+        {"route", QtText(route_.name)},
+        {"upstream", QtText(tried_.empty() ? "" : tried_.back())},
+        {"status", http_status},
+        {"sends", sends_},
+        {"config", static_cast<double>(config_->version)},
+        {"ms", Ms(took)}};
+    const QJsonObject record = LogFields(record_);
+    for (auto field = record.begin(); field != record.end(); ++field) {
+      fields[field.key()] = field.value();
+    }
+    LogEvent(log_level::info, event, fields);
     End();
   }
 
@@ -622,12 +622,7 @@
   bool ended_ = false;
   std::optional<int64_t> last_id_;
   std::string resume_after_;
-  int events_ = 0;
-  double first_event_ms_ = 0;
-  double prefill_ms_ = 0;
-  double decode_first_ms_ = 0;
-  absl::Duration longest_gap_;
-  absl::Duration longest_gap_end_;
+  stream_record record_;
 };
 
 }  // namespace
