--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,8 @@
 test: packages build
 	cd $(BUILD) && ctest -j $(JOBS) --output-on-failure
 
-demo: packages build
+demo: packages $(BUILD)/build.ninja
+	cmake --build $(BUILD) -j $(JOBS) --target demo_programs
 	bash examples/demo.sh $(BUILD)
 
 format:
