Let daemons take turns at scarce decode memory

Change: when few engines have room or others wait, a daemon takes room in a slice of time of its own, in an order that all find alike (admission_turn.h). Idle prefill engines are chosen by lot. Late streams are told to the others.

--- a/src/dispatch/burst_test.cc
+++ b/src/dispatch/burst_test.cc
@@ -71,6 +71,28 @@
   EXPECT_GE(result.on_time, 0.75 * 20 * model.Capacity());
 }
 
+// Burst met by many daemons, which all see the same memory become free.
+TEST_F(burst_test, ManyDaemonsOverrunNoEngineInABurst) {
+  burst_model model(4 * kEngines, 29);
+  const double calm = 0.67 * model.Capacity();
+  const burst_result result = model.Play({{absl::Seconds(8), calm},
+                                          {absl::Seconds(4), 2 * calm},
+                                          {absl::Seconds(10), calm}});
+  const double excess = 4 * (2 * calm - model.Capacity());
+  EXPECT_GE(result.on_time, kBurstShare * (result.arrived - excess));
+  EXPECT_LE(result.overrun_steps, (1 - kTargetShare) * result.engine_steps);
+}
+
+// Overload met by many daemons: none of them is left out.
+TEST_F(burst_test, ManyDaemonsShareAnOverload) {
+  burst_model model(4 * kEngines, 29);
+  const burst_result result =
+      model.Play({{absl::Seconds(20), 1.5 * model.Capacity()}});
+  EXPECT_GE(result.on_time, 0.75 * 20 * model.Capacity());
+  EXPECT_LE(result.overrun_steps, (1 - kTargetShare) * result.engine_steps);
+  EXPECT_GE(result.least_served_daemon, 0.5);
+}
+
 TEST_F(burst_test, WithoutEnginesAllAreRefusedAtOnce) {
   burst_model model(0);
   const burst_result result = model.Play({{absl::Seconds(2), 10}});
--- a/src/dispatch/decode_admission.cc
+++ b/src/dispatch/decode_admission.cc
@@ -21,6 +21,8 @@
 // for more to wait: more of them are helped than held up in vain.
 constexpr double kLateOutcomeWeight = 0.1;
 constexpr double kLeastLateSuccess = 0.5;
+// Engines with room up to which two daemons are likely to choose the same one.
+constexpr size_t kScarceEngines = 4;
 // A prompt that would wait longer is read by its decode engine: that takes
 // twice as long as its prefill, and the engine's other streams pause.
 constexpr absl::Duration kLongestPrefillWait = absl::Milliseconds(250);
@@ -56,7 +58,8 @@
        UsableUpstreams(state, service, tried, now)) {
     if (upstream->stage == engine_stage::prefill) {
       candidates.prefills.push_back(
-          {upstream, PrefillBacklog(state.ledger, upstream->id, now)});
+          {upstream, PrefillBacklog(state.ledger, upstream->id, now),
+           absl::Uniform(state.random, 0.0, 1.0)});
       continue;
     }
     decode_candidate candidate;
@@ -104,11 +107,71 @@
   stream.done(promise);
 }
 
+// Takes out the engines with room that other daemons may take first: when few
+// have room, all daemons see the same ones, and at the same moment.
+void LeaveToOthers(dispatch_state& state, engine_candidates& engines,
+                   const decode_run& run, const room_contender& own,
+                   absl::Span<const room_contender> others, absl::Time now) {
+  if (state.ledger.peers.empty()) return;
+  std::erase_if(engines.decodes, [&](const decode_candidate& engine) {
+    if (HasRoom(engine, run)) return false;
+    state.sightings.erase(EngineKey(engine.upstream->id));
+    return true;
+  });
+  if (others.empty() && engines.decodes.size() > kScarceEngines) return;
+  std::erase_if(engines.decodes, [&](const decode_candidate& engine) {
+    const uint32_t key = EngineKey(engine.upstream->id);
+    const size_t runs = engine.runs.size();
+    return !MayTakeRoom(state.sightings, key, runs,
+                        TurnRank(key, runs, own, others), others.size() + 1,
+                        now);
+  });
+}
+
+// Picks engines among `engines` for `stream`; nothing when there is no room.
+std::optional<engine_promise> PromiseAmong(const dispatch_state& state,
+                                           const engine_candidates& engines,
+                                           const waiting_stream& stream,
+                                           absl::Time now) {
+  const decode_run run{stream.prompt, stream.output, now};
+  const auto decode = ChooseDecode(engines.decodes, run);
+  if (!decode) return std::nullopt;
+  engine_promise promise;
+  promise.decode = *engines.decodes[*decode].upstream;
+  const auto prefill = ChoosePrefill(engines.prefills, stream.prompt,
+                                     promise.decode.failure_domain);
+  if (!prefill) return promise;
+  if (PrefillTime(state, engines.prefills[*prefill].backlog) >
+      kLongestPrefillWait) {
+    if (const auto alone = DecodeWithoutPrefill(state, engines, run, now)) {
+      promise.decode = *alone;
+      return promise;
+    }
+  }
+  promise.prefill = *engines.prefills[*prefill].upstream;
+  return promise;
+}
+
+// Picks engines for a stream that waits, with `waiting` of its kind here, in
+// turn with the other daemons that have such.
+std::optional<engine_promise> PromiseInTurn(dispatch_state& state,
+                                            const waiting_stream& stream,
+                                            size_t waiting, bool late,
+                                            double memory, absl::Time now) {
+  engine_candidates engines =
+      Candidates(state, stream.service, {}, memory, now);
+  LeaveToOthers(state, engines, {stream.prompt, stream.output, now},
+                {state.name, static_cast<int>(waiting)},
+                Contenders(state.ledger, late, now), now);
+  return PromiseAmong(state, engines, stream, now);
+}
+
 // Admits the first ones of `list` while there is room in `memory`.
 void AdmitList(dispatch_state& state, std::list<waiting_stream>& list,
-               double memory, absl::Time now) {
+               bool late, double memory, absl::Time now) {
   while (!list.empty()) {
-    const auto promise = PromiseEngines(state, list.front(), {}, memory, now);
+    const auto promise =
+        PromiseInTurn(state, list.front(), list.size(), late, memory, now);
     // Who came first is served first: others may not fill the room that a
     // large request waits for.
     if (!promise) return;
@@ -149,25 +212,32 @@
 std::optional<engine_promise> PromiseEngines(
     dispatch_state& state, const waiting_stream& stream,
     const std::vector<std::string>& tried, double memory, absl::Time now) {
-  const engine_candidates engines =
-      Candidates(state, stream.service, tried, memory, now);
-  const decode_run run{stream.prompt, stream.output, now};
-  const auto decode = ChooseDecode(engines.decodes, run);
-  if (!decode) return std::nullopt;
-  engine_promise promise;
-  promise.decode = *engines.decodes[*decode].upstream;
-  const auto prefill = ChoosePrefill(engines.prefills, stream.prompt,
-                                     promise.decode.failure_domain);
-  if (!prefill) return promise;
-  if (PrefillTime(state, engines.prefills[*prefill].backlog) >
-      kLongestPrefillWait) {
-    if (const auto alone = DecodeWithoutPrefill(state, engines, run, now)) {
-      promise.decode = *alone;
-      return promise;
-    }
+  return PromiseAmong(state,
+                      Candidates(state, stream.service, tried, memory, now),
+                      stream, now);
+}
+
+std::optional<fleet_upstream> ReviewPromise(dispatch_state& state,
+                                            const waiting_stream& stream,
+                                            const fleet_upstream& decode,
+                                            absl::Time now) {
+  const engine_traits* traits = TraitsOf(state, stream.service);
+  if (traits == nullptr) return std::nullopt;
+  const std::vector<decode_run> runs = RunsAt(state.ledger, decode.id, now);
+  if (PeakTokens(runs) <= static_cast<double>(traits->kv_tokens) &&
+      static_cast<int>(runs.size()) <= std::min(traits->slots, decode.slots)) {
+    return std::nullopt;
   }
-  promise.prefill = *engines.prefills[*prefill].upstream;
-  return promise;
+  const engine_candidates engines =
+      Candidates(state, stream.service, {decode.id}, kPromisedMemory, now);
+  const auto other =
+      ChooseDecode(engines.decodes, {stream.prompt, stream.output, now});
+  if (!other) return std::nullopt;
+  const fleet_upstream& engine = *engines.decodes[*other].upstream;
+  PromiseRun(state.ledger, stream.request_id, engine.id, stream.prompt,
+             stream.output, now);
+  if (state.on_ledger_change) state.on_ledger_change();
+  return engine;
 }
 
 std::optional<fleet_upstream> PromisePrefill(
@@ -216,7 +286,7 @@
                   absl::Time now) {
   if (state.waiting.empty()) {
     if (const auto promise =
-            PromiseEngines(state, stream, {}, kPromisedMemory, now)) {
+            PromiseInTurn(state, stream, 1, false, kPromisedMemory, now)) {
       return Admit(state, stream, *promise, now);
     }
   }
@@ -233,6 +303,7 @@
     return stream.done(NoRoom(state, wait));
   }
   state.late.push_back(std::move(stream));
+  if (state.on_ledger_change) state.on_ledger_change();
 }
 
 void LeaveQueue(dispatch_state& state, absl::string_view request_id) {
@@ -245,11 +316,11 @@
 
 void AdmitWaiting(dispatch_state& state, absl::Time now) {
   Demote(state, now);
-  AdmitList(state, state.waiting, kPromisedMemory, now);
+  AdmitList(state, state.waiting, false, kPromisedMemory, now);
   if (!state.waiting.empty()) return;
   if (PeersWaiting(state.ledger, now) > 0) return;
   const size_t waited = state.late.size();
-  AdmitList(state, state.late, kLateMemory, now);
+  AdmitList(state, state.late, true, kLateMemory, now);
   for (size_t i = state.late.size(); i < waited; ++i) {
     NoteLateOutcome(state, true);
   }
--- a/src/dispatch/decode_admission.h
+++ b/src/dispatch/decode_admission.h
@@ -33,6 +33,15 @@
     dispatch_state& state, const waiting_stream& stream,
     const std::vector<std::string>& tried, double memory, absl::Time now);
 
+/// Looks again at `decode`, promised to `stream`, once its prompt has been
+/// read: other daemons may have promised the same memory at the same moment.
+/// Moves the promise to an engine with room if `decode` would run out of
+/// memory, and returns that engine; nothing when `decode` is to be used.
+std::optional<fleet_upstream> ReviewPromise(dispatch_state& state,
+                                            const waiting_stream& stream,
+                                            const fleet_upstream& decode,
+                                            absl::Time now);
+
 /// Picks the engine that reads a prompt of `tokens` first, other than those in
 /// `tried`; nothing when there is none.
 std::optional<fleet_upstream> PromisePrefill(
--- a/src/dispatch/dispatch_settings.h
+++ b/src/dispatch/dispatch_settings.h
@@ -11,7 +11,8 @@
 
 /// What decides where requests go and how long they wait.
 struct dispatch_settings {
-  /// Of this daemon.
+  /// Name and failure domain of this daemon, as the others know it.
+  std::string daemon;
   std::string failure_domain;
   send_budget_limits budget;
   health_settings health;
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -14,6 +14,7 @@
 #include "absl/status/status.h"
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
+#include "dispatch/admission_turn.h"
 #include "dispatch/dispatch_metrics.h"
 #include "dispatch/dispatch_settings.h"
 #include "dispatch/engine_ledger.h"
@@ -53,6 +54,8 @@
 /// Everything that the flows of one traffic thread share.
 struct dispatch_state {
   dispatch_settings settings;
+  /// By which the other daemons know this one.
+  std::string name;
   fleet_speaker speaker;
   std::shared_ptr<const fleet_view> view;
   channel_client client;
@@ -68,6 +71,8 @@
   /// in the order in which they came.
   std::list<waiting_stream> waiting;
   std::list<waiting_stream> late;
+  /// Room at engines that other daemons may take first.
+  room_sightings sightings;
   /// Part of the late ones that began in time, lately.
   double late_success = 1;
   /// By service.
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -40,6 +40,7 @@
 dispatcher::dispatcher(dispatch_settings settings, fleet_speaker speaker,
                        dispatch_metrics& metrics, QObject* context)
     : impl_(std::make_unique<impl>()) {
+  impl_->state.name = settings.daemon;
   impl_->state.settings = std::move(settings);
   impl_->state.speaker = std::move(speaker);
   impl_->state.metrics = &metrics;
@@ -130,6 +131,7 @@
                           std::max(absl::ZeroDuration(), until - now)};
   }
   share.waiting = static_cast<int>(impl_->state.waiting.size());
+  share.late = static_cast<int>(impl_->state.late.size());
   return share;
 }
 
--- a/src/dispatch/engine_choice.h
+++ b/src/dispatch/engine_choice.h
@@ -27,8 +27,14 @@
   const fleet_upstream* upstream = nullptr;
   /// Prompt tokens that wait there.
   double backlog = 0;
+  /// Drawn from 0 to 1 for this choice: decides between engines that are about
+  /// as busy, so that daemons don't choose alike.
+  double draw = 0;
 };
 
+/// Whether `run` fits at `engine` now.
+bool HasRoom(const decode_candidate& engine, const decode_run& run);
+
 /// Returns the candidate with the largest part of its memory free once `run`
 /// has been added, among those where it fits now; nothing when it fits nowhere.
 /// A near one is taken unless another is clearly emptier.
--- a/src/dispatch/engine_ledger.cc
+++ b/src/dispatch/engine_ledger.cc
@@ -119,6 +119,18 @@
   return waiting;
 }
 
+std::vector<room_contender> Contenders(const engine_ledger& ledger, bool late,
+                                       absl::Time now) {
+  std::vector<room_contender> contenders;
+  for (const auto& [peer, share] : ledger.peers) {
+    const int streams = late ? share.share.late : share.share.waiting;
+    if (IsFresh(share, now) && streams > 0) {
+      contenders.push_back({peer, streams});
+    }
+  }
+  return contenders;
+}
+
 load_share OwnShare(const engine_ledger& ledger, absl::Time now) {
   load_share share;
   for (const auto& [id, own] : ledger.runs) {
--- a/src/dispatch/engine_ledger.h
+++ b/src/dispatch/engine_ledger.h
@@ -8,6 +8,7 @@
 
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
+#include "dispatch/admission_turn.h"
 #include "dispatch/decode_memory.h"
 #include "fleet/fleet_upstream.h"
 
@@ -26,6 +27,8 @@
   std::map<uint32_t, engine_share> engines;
   /// Streams that wait for decode memory and can still be on time.
   int waiting = 0;
+  /// Streams that wait behind those since they can't be on time any more.
+  int late = 0;
   /// Engines that it ordered out of a stage, with that stage, and for how long
   /// they may still be registered with it.
   struct stage_leaver {
@@ -99,6 +102,11 @@
 /// Returns how many streams wait at the other daemons.
 int PeersWaiting(const engine_ledger& ledger, absl::Time now);
 
+/// Returns the other daemons with streams that wait and can still be on time,
+/// or with `late` ones.
+std::vector<room_contender> Contenders(const engine_ledger& ledger, bool late,
+                                       absl::Time now);
+
 /// Returns what this daemon has under way, for the others.
 load_share OwnShare(const engine_ledger& ledger, absl::Time now);
 
--- a/src/dispatch/testing/burst_model.h
+++ b/src/dispatch/testing/burst_model.h
@@ -35,6 +35,9 @@
   int engine_steps = 0;
   /// Late ones begun while another could still be on time.
   int late_before_on_time = 0;
+  /// Share of streams on time at the daemon with the smallest, as a part of
+  /// that of all.
+  double least_served_daemon = 1;
   std::vector<absl::Duration> returns;
 };
 
@@ -45,37 +48,47 @@
   static constexpr double kPrompt = 5200;
   static constexpr double kOutput = 4700;
   static constexpr double kTokensPerMs = 1.4;
+  static constexpr int kSlots = 48;
   static constexpr double kKvTokens = 75000;
   static constexpr absl::Duration kTarget = absl::Milliseconds(900);
+  /// Time in which a prompt is read, before its decode engine is needed.
+  static constexpr absl::Duration kPrefill = absl::Milliseconds(90);
   static constexpr absl::Duration kStep = absl::Milliseconds(10);
 
-  explicit burst_model(int engines, unsigned seed = 1) : random_(seed) {
+  /// How late a daemon hears of what another one has promised.
+  static constexpr absl::Duration kShareDelay = kStep;
+
+  explicit burst_model(int engines, int daemons = 1, unsigned seed = 1)
+      : random_(seed) {
     auto config = std::make_shared<fleet_config>();
     fleet_service& service = config->services["model"];
     service.name = "model";
     service.generates = true;
     service.engine.kv_tokens = static_cast<int64_t>(kKvTokens);
-    service.engine.slots = 48;
+    service.engine.slots = kSlots;
     auto view = std::make_shared<fleet_view>();
     view->config = config;
     for (int i = 0; i < engines; ++i) {
       fleet_upstream engine;
       engine.id = "decode-" + std::to_string(i);
       engine.service = "model";
-      engine.slots = 48;
+      engine.slots = kSlots;
       engine.stage = engine_stage::decode;
       view->upstreams["model"].push_back(engine);
     }
-    state_.view = view;
-    state_.ledger.tokens_per_ms = kTokensPerMs;
+    engines_ = engines;
+    for (int i = 0; i < daemons; ++i) {
+      daemons_.push_back(std::make_unique<dispatch_state>());
+      daemons_.back()->view = view;
+      daemons_.back()->name = "daemon-" + std::to_string(i);
+      daemons_.back()->ledger.tokens_per_ms = kTokensPerMs;
+    }
   }
 
   /// Streams that the engines can carry in a second when their memory is full.
   double Capacity() const {
-    const double engines =
-        static_cast<double>(state_.view->upstreams.at("model").size());
     const double seconds = kOutput / kTokensPerMs / 1000;
-    return engines * kKvTokens / (kPrompt + kOutput / 2) / seconds;
+    return engines_ * kKvTokens / (kPrompt + kOutput / 2) / seconds;
   }
 
   burst_result Play(const std::vector<arrival_part>& pattern) {
@@ -89,11 +102,20 @@
       }
     }
     for (int i = 0; i < 2000; ++i) Step();
+    for (const auto& [daemon, arrived] : arrived_) {
+      result_.least_served_daemon =
+          std::min(result_.least_served_daemon,
+                   1.0 * on_time_[daemon] / arrived * result_.arrived /
+                       std::max(1, result_.on_time));
+    }
     return result_;
   }
 
  private:
   struct stream {
+    // Its request until its prompt has been read.
+    std::optional<waiting_stream> reading;
+    dispatch_state* daemon = nullptr;
     std::string engine;
     absl::Time began;
     double prompt = 0;
@@ -111,11 +133,15 @@
     ++result_.arrived;
     const std::string id = std::to_string(result_.arrived);
     stream made;
+    made.daemon = daemons_[std::uniform_int_distribution<size_t>(
+                               0, daemons_.size() - 1)(random_)]
+                      .get();
     made.prompt = Draw(kPrompt, 0.4);
     made.length = Draw(kOutput, 0.4);
     const double estimate = made.length * Draw(1, 0.4);
     made.expected = ExpectLength(lengths_, estimate, 9500);
     LearnLength(lengths_, estimate, made.length);
+    ++arrived_[made.daemon];
     waiting_stream waiting;
     waiting.request_id = id;
     waiting.service = "model";
@@ -124,18 +150,30 @@
     waiting.start_by = now_ + 0.6 * kTarget;
     waiting.give_up = now_ + 3 * kTarget;
     const absl::Time arrived = now_;
+    made.reading = waiting;
     waiting.done = [this, id, made,
                     arrived](absl::StatusOr<engine_promise> promise) {
       if (!promise.ok()) return Refused(promise.status(), arrived);
       const bool on_time = now_ <= arrived + 0.6 * kTarget;
       ++(on_time ? result_.on_time : result_.late);
-      if (!on_time && !state_.waiting.empty()) ++result_.late_before_on_time;
+      if (on_time) ++on_time_[made.daemon];
+      if (!on_time && !made.daemon->waiting.empty())
+        ++result_.late_before_on_time;
       stream begun = made;
       begun.engine = promise->decode.id;
-      begun.began = now_;
+      begun.began = now_ + kPrefill;
       running_[id] = begun;
     };
-    AwaitEngines(state_, std::move(waiting), now_);
+    AwaitEngines(*made.daemon, std::move(waiting), now_);
+  }
+
+  void BeginDecode(stream& run) {
+    fleet_upstream engine;
+    engine.id = run.engine;
+    engine.slots = kSlots;
+    const auto other = ReviewPromise(*run.daemon, *run.reading, engine, now_);
+    if (other) run.engine = other->id;
+    run.reading.reset();
   }
 
   void Refused(const absl::Status& why, absl::Time arrived) {
@@ -148,16 +186,21 @@
     now_ += kStep;
     std::map<std::string, double> held;
     for (auto next = running_.begin(); next != running_.end();) {
-      const auto& [id, run] = *next;
+      auto& [id, run] = *next;
+      if (now_ < run.began) {
+        ++next;
+        continue;
+      }
+      if (run.reading) BeginDecode(run);
       const double generated =
           absl::ToDoubleMilliseconds(now_ - run.began) * kTokensPerMs;
       if (generated >= run.length) {
-        EndRun(state_.ledger, id);
+        EndRun(run.daemon->ledger, id);
         next = running_.erase(next);
         continue;
       }
       held[run.engine] += run.prompt + generated;
-      AdvanceRun(state_.ledger, id, run.prompt + generated,
+      AdvanceRun(run.daemon->ledger, id, run.prompt + generated,
                  ExpectRemaining(run.expected, generated, 9500), now_);
       ++next;
     }
@@ -165,12 +208,34 @@
       ++result_.engine_steps;
       if (tokens > kKvTokens) ++result_.overrun_steps;
     }
-    AdmitWaiting(state_, now_);
+    Share();
+    for (const auto& daemon : daemons_) AdmitWaiting(*daemon, now_);
+  }
+
+  // Tells all daemons what the others had under way a step ago.
+  void Share() {
+    for (const auto& to : daemons_) {
+      for (const auto& [name, share] : told_) {
+        if (name != to->name) to->ledger.peers[name] = {share, now_};
+      }
+    }
+    told_.clear();
+    if (daemons_.size() < 2) return;
+    for (const auto& daemon : daemons_) {
+      load_share& share = told_[daemon->name];
+      share = OwnShare(daemon->ledger, now_);
+      share.waiting = static_cast<int>(daemon->waiting.size());
+      share.late = static_cast<int>(daemon->late.size());
+    }
   }
 
   absl::Time now_ = absl::FromUnixSeconds(1000);
   std::mt19937 random_;
-  dispatch_state state_;
+  int engines_ = 0;
+  std::vector<std::unique_ptr<dispatch_state>> daemons_;
+  std::map<std::string, load_share> told_;
+  std::map<const dispatch_state*, int> arrived_;
+  std::map<const dispatch_state*, int> on_time_;
   length_statistics lengths_;
   std::map<std::string, stream> running_;
   burst_result result_;
--- a/src/fleet_daemon/fleet_daemon.cc
+++ b/src/fleet_daemon/fleet_daemon.cc
@@ -160,6 +160,8 @@
  private:
   dispatch_settings DispatchSettings() const {
     dispatch_settings dispatch;
+    // Others tell daemons apart by where they share.
+    dispatch.daemon = EndpointText(settings_.sharing.listen);
     dispatch.failure_domain = settings_.failure_domain;
     dispatch.budget = settings_.budget;
     dispatch.health = settings_.health;
--- a/src/sharing/share_message.cc
+++ b/src/sharing/share_message.cc
@@ -10,7 +10,7 @@
 namespace {
 
 // First byte of a message: its form and version.
-constexpr quint8 kForm = 0xA3;
+constexpr quint8 kForm = 0xA4;
 // Most runs of one engine in a message; an engine has a few dozen slots.
 constexpr size_t kMostRuns = 255;
 // Most engines, so that a message fits into one datagram.
@@ -30,7 +30,8 @@
   QDataStream stream(&bytes, QIODevice::WriteOnly);
   stream << kForm << static_cast<quint64>(message.incarnation)
          << message.sequence << message.leaving
-         << static_cast<quint16>(std::clamp(message.share.waiting, 0, 65535));
+         << static_cast<quint16>(std::clamp(message.share.waiting, 0, 65535))
+         << static_cast<quint16>(std::clamp(message.share.late, 0, 65535));
   stream << static_cast<quint8>(
       std::min(message.share.leavers.size(), kMostRuns));
   size_t leavers = 0;
@@ -62,12 +63,14 @@
   quint8 form = 0;
   quint64 incarnation = 0;
   quint16 waiting = 0;
+  quint16 late = 0;
   quint8 leavers = 0;
   quint16 engines = 0;
   share_message message;
   stream >> form >> incarnation >> message.sequence >> message.leaving >>
-      waiting >> leavers;
+      waiting >> late >> leavers;
   message.share.waiting = waiting;
+  message.share.late = late;
   for (quint8 i = 0; i < leavers && stream.status() == QDataStream::Ok; ++i) {
     quint32 key = 0;
     quint8 stage = 0;
