Introduce daemons to each other that the group leaves out

Cause: the store deals partitions topic by topic, so that 25 daemons hold 48 partitions in 18 hands; after all of them lost power, the other 7 were told only those 18 and never heard each other. They promised memory that the others had taken: from 44 to 56 s all 59 refusals of decode engines went to these 7. Ruled out: handles lost (refusals by decode engine, not by prefill engine). Change: each message names three daemons that its sender has heard of late.

--- a/src/sharing/share_message.cc
+++ b/src/sharing/share_message.cc
@@ -10,9 +10,11 @@
 namespace {
 
 // First byte of a message: its form and version.
-constexpr quint8 kForm = 0xA4;
+constexpr quint8 kForm = 0xA5;
 // Most runs of one engine in a message; an engine has a few dozen slots.
 constexpr size_t kMostRuns = 255;
+// Most daemons that are introduced in a message.
+constexpr size_t kMostIntroduced = 255;
 // Most engines, so that a message fits into one datagram.
 constexpr size_t kMostEngines = 400;
 
@@ -32,6 +34,12 @@
          << message.sequence << message.leaving
          << static_cast<quint16>(std::clamp(message.share.waiting, 0, 65535))
          << static_cast<quint16>(std::clamp(message.share.late, 0, 65535));
+  const size_t introduced =
+      std::min(message.introduced.size(), kMostIntroduced);
+  stream << static_cast<quint8>(introduced);
+  for (size_t i = 0; i < introduced; ++i) {
+    stream << message.introduced[i].ip << message.introduced[i].port;
+  }
   stream << static_cast<quint8>(
       std::min(message.share.leavers.size(), kMostRuns));
   size_t leavers = 0;
@@ -64,11 +72,19 @@
   quint64 incarnation = 0;
   quint16 waiting = 0;
   quint16 late = 0;
+  quint8 introduced = 0;
   quint8 leavers = 0;
   quint16 engines = 0;
   share_message message;
   stream >> form >> incarnation >> message.sequence >> message.leaving >>
-      waiting >> late >> leavers;
+      waiting >> late >> introduced;
+  for (quint8 i = 0; i < introduced && stream.status() == QDataStream::Ok;
+       ++i) {
+    share_address address;
+    stream >> address.ip >> address.port;
+    message.introduced.push_back(address);
+  }
+  stream >> leavers;
   message.share.waiting = waiting;
   message.share.late = late;
   for (quint8 i = 0; i < leavers && stream.status() == QDataStream::Ok; ++i) {
--- a/src/sharing/share_message.h
+++ b/src/sharing/share_message.h
@@ -3,6 +3,7 @@
 
 #include <QByteArray>
 #include <cstdint>
+#include <vector>
 
 #include "absl/status/statusor.h"
 #include "absl/strings/string_view.h"
@@ -10,6 +11,14 @@
 
 namespace anvilridge {
 
+/// Where a daemon shares.
+struct share_address {
+  uint32_t ip = 0;
+  uint16_t port = 0;
+
+  bool operator==(const share_address&) const = default;
+};
+
 /// What one daemon tells the others: all that it has under way.
 struct share_message {
   /// Differs for each start of the sender.
@@ -18,6 +27,9 @@
   uint32_t sequence = 0;
   /// Whether the sender is stopping and counts no more.
   bool leaving = false;
+  /// Some other daemons that the sender has heard of late: the store's group
+  /// names only those that hold a partition.
+  std::vector<share_address> introduced;
   load_share share;
 };
 
--- a/src/sharing/share_message_test.cc
+++ b/src/sharing/share_message_test.cc
@@ -17,7 +17,9 @@
   share_message message;
   message.incarnation = 77;
   message.sequence = 5;
+  message.introduced = {{0x0A000001, 7660}};
   message.share.waiting = 4;
+  message.share.late = 2;
   message.share.leavers[9] = {engine_stage::prefill, absl::Milliseconds(800)};
   message.share.engines[3].prefill_tokens = 5200;
   message.share.engines[3].runs = {{8000, 160, kNow}, {16, 0, kNow}};
@@ -31,7 +33,9 @@
   EXPECT_EQ(read->incarnation, 77u);
   EXPECT_EQ(read->sequence, 5u);
   EXPECT_FALSE(read->leaving);
+  EXPECT_EQ(read->introduced, Message().introduced);
   EXPECT_EQ(read->share.waiting, 4);
+  EXPECT_EQ(read->share.late, 2);
   EXPECT_EQ(read->share.leavers.at(9).stage, engine_stage::prefill);
   EXPECT_EQ(read->share.leavers.at(9).left, absl::Milliseconds(800));
   const engine_share& engine = read->share.engines.at(3);
--- a/src/sharing/share_port.cc
+++ b/src/sharing/share_port.cc
@@ -30,6 +30,14 @@
 constexpr absl::Duration kRefresh = absl::Milliseconds(300);
 // A daemon that was not heard for this long is no longer told or counted.
 constexpr absl::Duration kPeerLife = absl::Seconds(3);
+// Daemons are introduced to the others only while they are surely alive:
+// several of their messages are due within this time.
+constexpr absl::Duration kIntroduceWithin = absl::Seconds(1);
+// How long one that was only introduced is told, so that it may answer.
+constexpr absl::Duration kIntroductionLife = absl::Milliseconds(1500);
+// Daemons introduced in a message, in turn: 18 bytes, and a hundred daemons
+// within ten seconds.
+constexpr size_t kIntroducedAtOnce = 3;
 
 struct peer_state {
   QHostAddress host;
@@ -37,10 +45,25 @@
   // Whether the store names it.
   bool listed = false;
   absl::Time heard = absl::InfinitePast();
+  absl::Time introduced_until = absl::InfinitePast();
   uint64_t incarnation = 0;
   uint32_t sequence = 0;
 };
 
+bool IsHeard(const peer_state& peer, absl::Time now) {
+  return peer.heard + kPeerLife >= now;
+}
+
+// Whether `peer` is told what this daemon has under way.
+bool IsTold(const peer_state& peer, absl::Time now) {
+  return peer.listed || IsHeard(peer, now) || peer.introduced_until >= now;
+}
+
+std::string PeerName(const QHostAddress& host, uint16_t port) {
+  return absl::StrCat(
+      QHostAddress(host.toIPv4Address()).toString().toStdString(), ":", port);
+}
+
 }  // namespace
 
 struct share_port::impl {
@@ -52,12 +75,15 @@
   uint32_t sequence = 0;
   bool leaving = false;
   int daemons = 0;
+  size_t next_introduced = 0;
   absl::Time sent = absl::InfinitePast();
   bool send_due = false;
   std::unique_ptr<QTimer> refresh;
 
   void Receive();
   void Take(const QNetworkDatagram& datagram);
+  void Meet(const share_address& address, absl::Time now);
+  std::vector<share_address> Introductions(absl::Time now);
   void Send();
   void CountDaemons();
 };
@@ -80,11 +106,7 @@
     return;
   }
   const auto port = static_cast<uint16_t>(datagram.senderPort());
-  const std::string name =
-      absl::StrCat(QHostAddress(datagram.senderAddress().toIPv4Address())
-                       .toString()
-                       .toStdString(),
-                   ":", port);
+  const std::string name = PeerName(datagram.senderAddress(), port);
   if (name == own_address) return;
   peer_state& peer = peers[name];
   const bool same = peer.incarnation == message->incarnation;
@@ -101,10 +123,42 @@
     LogEvent(log_level::info, "daemon_leaves", {{"peer", QtText(name)}});
     peers.erase(name);
   }
+  for (const share_address& address : message->introduced) {
+    Meet(address, now);
+  }
   handler.on_share(name, std::move(message->share));
   CountDaemons();
 }
 
+// Takes in a daemon that another one has heard.
+void share_port::impl::Meet(const share_address& address, absl::Time now) {
+  const QHostAddress host(address.ip);
+  const std::string name = PeerName(host, address.port);
+  if (name == own_address) return;
+  const auto [entry, is_new] = peers.try_emplace(name);
+  if (!is_new) return;
+  entry->second.host = host;
+  entry->second.port = address.port;
+  entry->second.introduced_until = now + kIntroductionLife;
+}
+
+// Picks the daemons that the next message introduces, in turn.
+std::vector<share_address> share_port::impl::Introductions(absl::Time now) {
+  std::vector<share_address> addresses;
+  for (const auto& [name, peer] : peers) {
+    if (peer.heard + kIntroduceWithin < now) continue;
+    addresses.push_back({peer.host.toIPv4Address(), peer.port});
+  }
+  if (addresses.size() <= kIntroducedAtOnce) return addresses;
+  next_introduced %= addresses.size();
+  std::rotate(addresses.begin(),
+              addresses.begin() + static_cast<std::ptrdiff_t>(next_introduced),
+              addresses.end());
+  next_introduced += kIntroducedAtOnce;
+  addresses.resize(kIntroducedAtOnce);
+  return addresses;
+}
+
 void share_port::impl::Send() {
   send_due = false;
   sent = MonotonicNow();
@@ -112,10 +166,13 @@
   message.incarnation = incarnation;
   message.sequence = ++sequence;
   message.leaving = leaving;
-  if (!leaving) message.share = handler.own_share();
+  if (!leaving) {
+    message.share = handler.own_share();
+    message.introduced = Introductions(sent);
+  }
   const QByteArray bytes = EncodeShare(message);
   for (const auto& [name, peer] : peers) {
-    if (!peer.listed && peer.heard + kPeerLife < sent) continue;
+    if (!IsTold(peer, sent)) continue;
     CountControlBytes(control_channel::membership, traffic_direction::sent,
                       bytes.size());
     socket.writeDatagram(bytes, peer.host, peer.port);
@@ -126,10 +183,8 @@
   const absl::Time now = MonotonicNow();
   int counted = 1;
   for (auto entry = peers.begin(); entry != peers.end();) {
-    const bool heard = entry->second.heard + kPeerLife >= now;
-    if (heard || entry->second.listed) ++counted;
-    entry =
-        heard || entry->second.listed ? std::next(entry) : peers.erase(entry);
+    if (entry->second.listed || IsHeard(entry->second, now)) ++counted;
+    entry = IsTold(entry->second, now) ? std::next(entry) : peers.erase(entry);
   }
   if (std::exchange(daemons, counted) == counted) return;
   LogEvent(log_level::info, "daemons_known", {{"daemons", counted}});
--- a/src/sharing/share_port_test.cc
+++ b/src/sharing/share_port_test.cc
@@ -69,6 +69,20 @@
                        absl::Milliseconds(200)));
 }
 
+// More daemons than the group names: two that it leaves out learn of each other
+// from one that both know.
+TEST_F(share_port_test, DaemonsThatNobodyListsMeet) {
+  share_end a;
+  share_end listed;
+  share_end c;
+  a.own.waiting = 7;
+  a.port.SetPeers({listed.Name()});
+  c.port.SetPeers({listed.Name()});
+  EXPECT_TRUE(RunUntil([&] { return c.heard[a.Name()].waiting == 7; }));
+  EXPECT_TRUE(RunUntil([&] { return a.heard.contains(c.Name()); }));
+  EXPECT_EQ(a.daemons, 3);
+}
+
 TEST_F(share_port_test, OneThatLeavesHoldsNothing) {
   share_end a;
   share_end b;
