Take a misdirected send as a sign that the instance is gone

Cause: where the store turns some daemons away, these go on seeing engines that crashed and came back as other instances at the same addresses. Ruled out: engines ordered to another stage (the first order came 2 s later). Change: an upstream that answers so is away until it is registered anew, or for 5 s.

--- a/src/dispatch/call_flow.cc
+++ b/src/dispatch/call_flow.cc
@@ -137,7 +137,7 @@
     const answer_facts facts =
         state_.speaker.read_answer(result.http_status, result.headers);
     const send_fate fate = FateOf(result, facts);
-    Report(send, fate, result);
+    Report(send, fate, facts.other_instance, result);
     if (ended_) return;
     // The other send may still answer.
     if (!in_progress_.empty() && (fate != send_fate::answered ||
@@ -148,10 +148,10 @@
     Follow(fate, result);
   }
 
-  void Report(const send_in_progress& send, send_fate fate,
+  void Report(const send_in_progress& send, send_fate fate, bool misdirected,
               const http_result& result) {
     state_.metrics->CountSend(service_.name, SendFateName(fate));
-    ReportSend(state_, send.upstream, fate);
+    ReportSend(state_, send.upstream, fate, misdirected);
     if (fate == send_fate::answered && result.http_status < kFirstServerError) {
       return;
     }
--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -95,9 +95,11 @@
 }
 
 void ReportSend(dispatch_state& state, const fleet_upstream& upstream,
-                send_fate fate) {
+                send_fate fate, bool misdirected) {
   const uint32_t key = EngineKey(upstream.id);
-  if (fate == send_fate::refused) {
+  if (misdirected) {
+    NoteMisdirected(state.absences, key, upstream.stage, MonotonicNow());
+  } else if (fate == send_fate::refused) {
     NoteRefusal(state.absences, key, MonotonicNow());
   } else if (fate == send_fate::answered) {
     NoteAccepted(state.absences, key);
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -96,9 +96,10 @@
     dispatch_state& state, absl::string_view service,
     const std::vector<std::string>& tried, absl::Time now);
 
-/// Notes how a send to an upstream went.
+/// Notes how a send to an upstream went, and whether the upstream said that it
+/// isn't the instance or has not the stage that was meant.
 void ReportSend(dispatch_state& state, const fleet_upstream& upstream,
-                send_fate fate);
+                send_fate fate, bool misdirected);
 
 /// Notes that an upstream has been silent for too long.
 void ReportStall(dispatch_state& state, const fleet_upstream& upstream);
--- a/src/dispatch/stream_flow.cc
+++ b/src/dispatch/stream_flow.cc
@@ -176,7 +176,7 @@
     absl::StatusOr<fleet_prefill> prefill = absl::UnavailableError("no answer");
     const send_fate fate = FateOfPrefill(result, facts, prefill);
     state_.metrics->CountSend(service_.name, SendFateName(fate));
-    ReportSend(state_, *prefill_, fate);
+    ReportSend(state_, *prefill_, fate, facts.other_instance);
     const absl::Duration took = MonotonicNow() - prefill_began_;
     record_.prefill = took;
     if (prefill.ok()) {
@@ -413,7 +413,7 @@
       fate = send_fate::unknown;
     }
     state_.metrics->CountSend(service_.name, SendFateName(fate));
-    ReportSend(state_, decode_, fate);
+    ReportSend(state_, decode_, fate, facts.other_instance);
     if (whole) return Complete();
     LogEvent(log_level::warn, "decode_failed",
              {{"request", QtText(request_.id)},
--- a/src/dispatch/upstream_absence.h
+++ b/src/dispatch/upstream_absence.h
@@ -18,6 +18,10 @@
   /// with it; `none` when it isn't changing its stage.
   engine_stage leaving = engine_stage::none;
   absl::Time leaving_until = absl::InfinitePast();
+  /// The stage with which it was registered when a request didn't reach it, and
+  /// until when it counts as gone if that stands.
+  engine_stage misdirected_stage = engine_stage::none;
+  absl::Time misdirected_until = absl::InfinitePast();
 };
 
 /// By the key of an upstream's id.
@@ -27,6 +31,12 @@
 /// for a time that doubles with each refusal in a row.
 void NoteRefusal(absence_table& table, uint32_t upstream, absl::Time now);
 
+/// Notes that an upstream registered with `stage` is another instance by now,
+/// or changes its stage. It gets no work until it is registered anew, or for
+/// some seconds.
+void NoteMisdirected(absence_table& table, uint32_t upstream,
+                     engine_stage stage, absl::Time now);
+
 /// Notes that an upstream took a request.
 void NoteAccepted(absence_table& table, uint32_t upstream);
 
--- a/src/dispatch/upstream_absence_test.cc
+++ b/src/dispatch/upstream_absence_test.cc
@@ -46,5 +46,17 @@
                         kNow + absl::Seconds(13)));
 }
 
+// A daemon that the store turns away goes on seeing an instance that is gone.
+TEST(upstream_absence_test, AMisdirectedUpstreamIsAwayForSeconds) {
+  absence_table table;
+  NoteMisdirected(table, kEngine, engine_stage::decode, kNow);
+  const absl::Time later = kNow + absl::Seconds(3);
+  EXPECT_TRUE(IsAbsent(table, kEngine, engine_stage::decode, later));
+  // Registered with another stage since.
+  EXPECT_FALSE(IsAbsent(table, kEngine, engine_stage::prefill, later));
+  EXPECT_FALSE(
+      IsAbsent(table, kEngine, engine_stage::decode, kNow + absl::Seconds(6)));
+}
+
 }  // namespace
 }  // namespace anvilridge
