Keep prompts from being read beside other streams

Cause: a decode engine that reads a prompt makes all its streams pause for 36 ms a thousand tokens; two prompts at once, or one over 6,700 tokens, make all of them late. Change: a lost prefill is sent to another prefill engine where the route's attempts and the budget allow it; else the reader is an engine that reads nothing else and whose streams bear the pause. Long queues for prefill send prompts only to such.

--- a/src/dispatch/admission_turn_test.cc
+++ b/src/dispatch/admission_turn_test.cc
@@ -9,9 +9,9 @@
 constexpr uint32_t kEngine = 17;
 
 std::vector<room_contender> Daemons(int count) {
-  std::vector<room_contender> daemons;
-  for (int i = 0; i < count; ++i) {
-    daemons.push_back({absl::StrCat("10.0.0.", i, ":7660"), 1});
+  std::vector<room_contender> daemons(static_cast<size_t>(count));
+  for (size_t i = 0; i < daemons.size(); ++i) {
+    daemons[i] = {absl::StrCat("10.0.0.", i, ":7660"), 1};
   }
   return daemons;
 }
--- a/src/dispatch/decode_admission.cc
+++ b/src/dispatch/decode_admission.cc
@@ -23,8 +23,10 @@
 constexpr double kLeastLateSuccess = 0.5;
 // Engines with room up to which two daemons are likely to choose the same one.
 constexpr size_t kScarceEngines = 4;
-// A prompt that would wait longer is read by its decode engine: that takes
-// twice as long as its prefill, and the engine's other streams pause.
+// Part of the longest pause of streams that are on time which a prompt may take
+// beside them; the rest is for their own next event.
+constexpr double kPauseShare = 0.8;
+// A prompt that would wait longer is read by its decode engine, if that can.
 constexpr absl::Duration kLongestPrefillWait = absl::Milliseconds(250);
 
 const engine_traits* TraitsOf(const dispatch_state& state,
@@ -77,19 +79,28 @@
   return absl::Milliseconds(tokens / state.ledger.prefill_tokens_per_ms);
 }
 
-// Returns an engine with room for `run` that reads no prompt at present, so
-// that its other streams pause for one prompt only.
-std::optional<fleet_upstream> DecodeWithoutPrefill(
-    const dispatch_state& state, const engine_candidates& engines,
-    const decode_run& run, absl::Time now) {
-  std::vector<decode_candidate> idle;
+// Whether a decode engine can read `stream`'s prompt without making its other
+// streams late: they all pause meanwhile.
+bool ReadsQuietly(const dispatch_state& state, const decode_candidate& engine,
+                  const waiting_stream& stream, absl::Time now) {
+  if (engine.runs.empty()) return true;
+  if (PrefillBacklog(state.ledger, engine.upstream->id, now) > 0) return false;
+  return kDecodePrefillCost * PrefillTime(state, stream.prompt) <=
+         kPauseShare * stream.gap_target;
+}
+
+// Returns an engine with room for `stream` that can read its prompt quietly.
+std::optional<fleet_upstream> QuietReader(const dispatch_state& state,
+                                          const engine_candidates& engines,
+                                          const waiting_stream& stream,
+                                          absl::Time now) {
+  std::vector<decode_candidate> quiet;
   for (const decode_candidate& engine : engines.decodes) {
-    if (PrefillBacklog(state.ledger, engine.upstream->id, now) > 0) continue;
-    idle.push_back(engine);
+    if (ReadsQuietly(state, engine, stream, now)) quiet.push_back(engine);
   }
-  const auto chosen = ChooseDecode(idle, run);
+  const auto chosen = ChooseDecode(quiet, {stream.prompt, stream.output, now});
   if (!chosen) return std::nullopt;
-  return *idle[*chosen].upstream;
+  return *quiet[*chosen].upstream;
 }
 
 // Takes `stream` out of its list and promises `promise` to it.
@@ -143,7 +154,7 @@
   if (!prefill) return promise;
   if (PrefillTime(state, engines.prefills[*prefill].backlog) >
       kLongestPrefillWait) {
-    if (const auto alone = DecodeWithoutPrefill(state, engines, run, now)) {
+    if (const auto alone = QuietReader(state, engines, stream, now)) {
       promise.decode = *alone;
       return promise;
     }
@@ -209,35 +220,17 @@
 
 }  // namespace
 
-std::optional<engine_promise> PromiseEngines(
+std::optional<fleet_upstream> PromiseReader(
     dispatch_state& state, const waiting_stream& stream,
-    const std::vector<std::string>& tried, double memory, absl::Time now) {
-  return PromiseAmong(state,
-                      Candidates(state, stream.service, tried, memory, now),
-                      stream, now);
-}
-
-std::optional<fleet_upstream> ReviewPromise(dispatch_state& state,
-                                            const waiting_stream& stream,
-                                            const fleet_upstream& decode,
-                                            absl::Time now) {
-  const engine_traits* traits = TraitsOf(state, stream.service);
-  if (traits == nullptr) return std::nullopt;
-  const std::vector<decode_run> runs = RunsAt(state.ledger, decode.id, now);
-  if (PeakTokens(runs) <= static_cast<double>(traits->kv_tokens) &&
-      static_cast<int>(runs.size()) <= std::min(traits->slots, decode.slots)) {
-    return std::nullopt;
-  }
+    const std::vector<std::string>& tried, absl::Time now) {
   const engine_candidates engines =
-      Candidates(state, stream.service, {decode.id}, kPromisedMemory, now);
-  const auto other =
+      Candidates(state, stream.service, tried, kPromisedMemory, now);
+  auto quiet = QuietReader(state, engines, stream, now);
+  if (quiet) return quiet;
+  const auto any =
       ChooseDecode(engines.decodes, {stream.prompt, stream.output, now});
-  if (!other) return std::nullopt;
-  const fleet_upstream& engine = *engines.decodes[*other].upstream;
-  PromiseRun(state.ledger, stream.request_id, engine.id, stream.prompt,
-             stream.output, now);
-  if (state.on_ledger_change) state.on_ledger_change();
-  return engine;
+  if (!any) return std::nullopt;
+  return *engines.decodes[*any].upstream;
 }
 
 std::optional<fleet_upstream> PromisePrefill(
--- a/src/dispatch/decode_admission.h
+++ b/src/dispatch/decode_admission.h
@@ -26,21 +26,12 @@
 /// Admits who fits by now, and refuses who can't be served any more.
 void AdmitWaiting(dispatch_state& state, absl::Time now);
 
-/// Picks engines for `stream` at once; nothing when there is no room.
+/// Picks a decode engine that reads the prompt of `stream` itself: if possible
+/// one whose other streams stay on time; nothing when there is no room.
 /// @param tried ids of decode engines that are not to be used.
-/// @param memory part of the engines' memory that may be promised.
-std::optional<engine_promise> PromiseEngines(
+std::optional<fleet_upstream> PromiseReader(
     dispatch_state& state, const waiting_stream& stream,
-    const std::vector<std::string>& tried, double memory, absl::Time now);
-
-/// Looks again at `decode`, promised to `stream`, once its prompt has been
-/// read: other daemons may have promised the same memory at the same moment.
-/// Moves the promise to an engine with room if `decode` would run out of
-/// memory, and returns that engine; nothing when `decode` is to be used.
-std::optional<fleet_upstream> ReviewPromise(dispatch_state& state,
-                                            const waiting_stream& stream,
-                                            const fleet_upstream& decode,
-                                            absl::Time now);
+    const std::vector<std::string>& tried, absl::Time now);
 
 /// Picks the engine that reads a prompt of `tokens` first, other than those in
 /// `tried`; nothing when there is none.
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -43,6 +43,8 @@
   std::string service;
   double prompt = 0;
   double output = 0;
+  /// Longest pause between events for which a stream is still on time.
+  absl::Duration gap_target = absl::InfiniteDuration();
   /// Latest time at which its first event can still be on time.
   absl::Time start_by;
   /// Latest time at which it may still begin.
--- a/src/dispatch/engine_choice_test.cc
+++ b/src/dispatch/engine_choice_test.cc
@@ -25,6 +25,7 @@
   std::set<size_t> chosen;
   for (int daemon = 0; daemon < 40; ++daemon) {
     std::vector<prefill_candidate> candidates;
+    candidates.reserve(engines.size());
     for (const fleet_upstream& engine : engines) {
       candidates.push_back({&engine, 0, draw(random)});
     }
--- a/src/dispatch/engine_ledger.h
+++ b/src/dispatch/engine_ledger.h
@@ -63,6 +63,9 @@
   double prefill_tokens_per_ms = 50;
 };
 
+/// Time of a prompt at a decode engine, in that at a prefill engine.
+inline constexpr double kDecodePrefillCost = 2;
+
 /// What others told is dropped when nothing was heard for this long: the time
 /// after which engines have dropped the runs of a daemon that died.
 inline constexpr absl::Duration kPeerShareLife = absl::Milliseconds(1500);
--- a/src/dispatch/stream_flow.cc
+++ b/src/dispatch/stream_flow.cc
@@ -39,8 +39,6 @@
 constexpr double kLateTargets = 3;
 // A handle that was given this part of its life ago is not sent any more.
 constexpr double kHandleLifeShare = 0.8;
-// Time of a prompt at a decode engine, in that at a prefill engine.
-constexpr double kDecodePrefillCost = 2;
 constexpr int kOk = 200;
 
 double Ms(absl::Duration duration) {
@@ -97,6 +95,9 @@
     waiting.service = service_.name;
     waiting.prompt = static_cast<double>(request_.prompt_tokens);
     waiting.output = ExpectedRemaining(0);
+    if (route_.gap_target > absl::ZeroDuration()) {
+      waiting.gap_target = route_.gap_target;
+    }
     waiting.start_by = request_.received + route_.latency_target * kWaitShare;
     waiting.give_up =
         std::min(request_.received + route_.latency_target * kLateTargets,
@@ -204,8 +205,27 @@
                                 "the prefill engine has no room"));
       }
     }
-    if (fate != send_fate::unknown && SendOtherPrefill()) return;
-    // The decode engine reads the prompt itself, which slows down its others.
+    if (fate != send_fate::unknown) {
+      if (SendOtherPrefill()) return;
+    } else if (sends_ + 2 <= route_.attempts && TakeBudget("prefill_lost")) {
+      // This one counts as a send; the decode engine must remain.
+      ++sends_;
+      if (SendOtherPrefill()) return;
+      --sends_;
+    }
+    ReadAtDecode();
+  }
+
+  // The decode engine reads the prompt itself, which its other streams notice.
+  void ReadAtDecode() {
+    waiting_stream waiting = Waiting();
+    EndRun(state_.ledger, request_.id);
+    if (const auto reader =
+            PromiseReader(state_, waiting, tried_, MonotonicNow())) {
+      decode_ = *reader;
+    }
+    PromiseRun(state_.ledger, request_.id, decode_.id, waiting.prompt,
+               waiting.output, MonotonicNow());
     SendDecode();
   }
 
@@ -471,10 +491,9 @@
         static_cast<double>(service_.engine.tokens_per_event) * record_.events;
     waiting.prompt += generated;
     waiting.output = ExpectedRemaining(generated);
-    const auto promise = PromiseEngines(state_, waiting, tried_,
-                                        kPromisedMemory, MonotonicNow());
-    if (!promise) return false;
-    decode_ = promise->decode;
+    const auto other = PromiseReader(state_, waiting, tried_, MonotonicNow());
+    if (!other) return false;
+    decode_ = *other;
     PromiseRun(state_.ledger, request_.id, decode_.id, waiting.prompt,
                waiting.output, MonotonicNow());
     Changed();
--- a/src/dispatch/testing/burst_model.h
+++ b/src/dispatch/testing/burst_model.h
@@ -113,8 +113,6 @@
 
  private:
   struct stream {
-    // Its request until its prompt has been read.
-    std::optional<waiting_stream> reading;
     dispatch_state* daemon = nullptr;
     std::string engine;
     absl::Time began;
@@ -150,15 +148,15 @@
     waiting.start_by = now_ + 0.6 * kTarget;
     waiting.give_up = now_ + 3 * kTarget;
     const absl::Time arrived = now_;
-    made.reading = waiting;
     waiting.done = [this, id, made,
                     arrived](absl::StatusOr<engine_promise> promise) {
       if (!promise.ok()) return Refused(promise.status(), arrived);
       const bool on_time = now_ <= arrived + 0.6 * kTarget;
       ++(on_time ? result_.on_time : result_.late);
       if (on_time) ++on_time_[made.daemon];
-      if (!on_time && !made.daemon->waiting.empty())
+      if (!on_time && !made.daemon->waiting.empty()) {
         ++result_.late_before_on_time;
+      }
       stream begun = made;
       begun.engine = promise->decode.id;
       begun.began = now_ + kPrefill;
@@ -167,15 +165,6 @@
     AwaitEngines(*made.daemon, std::move(waiting), now_);
   }
 
-  void BeginDecode(stream& run) {
-    fleet_upstream engine;
-    engine.id = run.engine;
-    engine.slots = kSlots;
-    const auto other = ReviewPromise(*run.daemon, *run.reading, engine, now_);
-    if (other) run.engine = other->id;
-    run.reading.reset();
-  }
-
   void Refused(const absl::Status& why, absl::Time arrived) {
     ++result_.refused;
     if (now_ - arrived > kTarget / 8) ++result_.refused_late;
@@ -186,12 +175,11 @@
     now_ += kStep;
     std::map<std::string, double> held;
     for (auto next = running_.begin(); next != running_.end();) {
-      auto& [id, run] = *next;
+      const auto& [id, run] = *next;
       if (now_ < run.began) {
         ++next;
         continue;
       }
-      if (run.reading) BeginDecode(run);
       const double generated =
           absl::ToDoubleMilliseconds(now_ - run.began) * kTokensPerMs;
       if (generated >= run.length) {
