--- a/src/fleet/topic_follower.cc
+++ b/src/fleet/topic_follower.cc
@@ -18,6 +18,7 @@
   absl::Duration pause = kFirstPause;
   bool lost = false;
   absl::Time last_answer = absl::InfinitePast();
+  absl::Time read_began = absl::InfinitePast();
 
   void Next() {
     const std::weak_ptr<impl> weak = weak_from_this();
@@ -27,6 +28,12 @@
       });
       return;
     }
+    const absl::Duration early = read_began + kReadSpacing - MonotonicNow();
+    if (early > absl::ZeroDuration()) {
+      RunAfter(&context, early, [this] { Next(); });
+      return;
+    }
+    read_began = MonotonicNow();
     calls.read(*next, [weak](const absl::StatusOr<record_batch>& batch) {
       if (const auto self = weak.lock()) self->TakeBatch(batch);
     });
--- a/src/fleet/topic_follower.h
+++ b/src/fleet/topic_follower.h
@@ -63,6 +63,10 @@
   static constexpr absl::Duration kFirstPause = absl::Milliseconds(150);
   static constexpr absl::Duration kLongestPause = absl::Milliseconds(700);
 
+  /// Least time between two reads: news that come close together share a call.
+  /// Well below the seconds within which a change must be in force.
+  static constexpr absl::Duration kReadSpacing = absl::Milliseconds(300);
+
   topic_follower(topic_calls calls, topic_events events);
   ~topic_follower();
 
