Tell other daemons which upstreams can't be reached

Cause: each daemon finds out by itself, with requests that wait 250 ms for a connection: 190 such sends to 6 engines that had gone dark, by 25 daemons within 3 s. Handles lapse meanwhile. Change: an upstream to which no connection could be made gets nothing for 500 ms, and for 1 s when two other daemons tell the same and it has not answered here.

--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -97,10 +97,16 @@
 void ReportSend(dispatch_state& state, const fleet_upstream& upstream,
                 send_fate fate, bool misdirected) {
   const uint32_t key = EngineKey(upstream.id);
+  const absl::Time now = MonotonicNow();
+  if (fate == send_fate::unsent) {
+    NoteUnreachable(state.absences, key, now);
+  } else if (fate != send_fate::unknown) {
+    NoteReached(state.absences, key, now);
+  }
   if (misdirected) {
-    NoteMisdirected(state.absences, key, upstream.stage, MonotonicNow());
+    NoteMisdirected(state.absences, key, upstream.stage, now);
   } else if (fate == send_fate::refused) {
-    NoteRefusal(state.absences, key, MonotonicNow());
+    NoteRefusal(state.absences, key, now);
   } else if (fate == send_fate::answered) {
     NoteAccepted(state.absences, key);
   }
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -132,6 +132,7 @@
   }
   share.waiting = static_cast<int>(impl_->state.waiting.size());
   share.late = static_cast<int>(impl_->state.late.size());
+  share.unreachable = UnreachableUpstreams(impl_->state.absences, now);
   return share;
 }
 
@@ -150,6 +151,9 @@
     NoteLeavingStage(impl_->state.absences, key, leaver.stage,
                      now + leaver.left);
   }
+  for (const uint32_t key : share.unreachable) {
+    NoteReport(impl_->state.absences, key, peer, now);
+  }
   impl_->state.ledger.peers[std::string(peer)] = {std::move(share),
                                                   MonotonicNow()};
 }
--- a/src/dispatch/engine_ledger.h
+++ b/src/dispatch/engine_ledger.h
@@ -36,6 +36,8 @@
     absl::Duration left;
   };
   std::map<uint32_t, stage_leaver> leavers;
+  /// Upstreams to which it could not connect of late.
+  std::vector<uint32_t> unreachable;
 };
 
 /// What another daemon said last.
--- a/src/dispatch/upstream_absence.h
+++ b/src/dispatch/upstream_absence.h
@@ -3,7 +3,10 @@
 
 #include <cstdint>
 #include <map>
+#include <string>
+#include <vector>
 
+#include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "fleet/fleet_upstream.h"
 
@@ -22,6 +25,11 @@
   /// until when it counts as gone if that stands.
   engine_stage misdirected_stage = engine_stage::none;
   absl::Time misdirected_until = absl::InfinitePast();
+  /// When a connection to it failed last, and when it answered last.
+  absl::Time unreachable = absl::InfinitePast();
+  absl::Time reached = absl::InfinitePast();
+  /// Other daemons that can't connect to it, and when they told so last.
+  std::map<std::string, absl::Time, std::less<>> reports;
 };
 
 /// By the key of an upstream's id.
@@ -37,6 +45,22 @@
 void NoteMisdirected(absence_table& table, uint32_t upstream,
                      engine_stage stage, absl::Time now);
 
+/// Notes that no connection to an upstream could be made.
+void NoteUnreachable(absence_table& table, uint32_t upstream, absl::Time now);
+
+/// Notes that an upstream has answered, whatever the answer.
+void NoteReached(absence_table& table, uint32_t upstream, absl::Time now);
+
+/// Notes that the daemon `peer` can't connect to an upstream. Two of them are
+/// believed, unless it has answered this daemon of late: it may be cut off from
+/// some daemons only.
+void NoteReport(absence_table& table, uint32_t upstream, absl::string_view peer,
+                absl::Time now);
+
+/// Returns the upstreams to which this daemon could not connect of late.
+std::vector<uint32_t> UnreachableUpstreams(const absence_table& table,
+                                           absl::Time now);
+
 /// Notes that an upstream took a request.
 void NoteAccepted(absence_table& table, uint32_t upstream);
 
--- a/src/dispatch/upstream_absence_test.cc
+++ b/src/dispatch/upstream_absence_test.cc
@@ -58,5 +58,39 @@
       IsAbsent(table, kEngine, engine_stage::decode, kNow + absl::Seconds(6)));
 }
 
+// Engines gone dark: each daemon would find out by itself, with a request.
+TEST(upstream_absence_test, TwoOthersThatCannotConnectAreBelieved) {
+  absence_table table;
+  NoteReport(table, kEngine, "one", kNow);
+  NoteReport(table, kEngine, "one", kNow);
+  EXPECT_FALSE(IsAbsent(table, kEngine, engine_stage::decode, kNow));
+  NoteReport(table, kEngine, "two", kNow);
+  EXPECT_TRUE(IsAbsent(table, kEngine, engine_stage::decode, kNow));
+  // Somebody tries again when nobody tells of it any more.
+  EXPECT_FALSE(IsAbsent(table, kEngine, engine_stage::decode,
+                        kNow + absl::Milliseconds(1100)));
+}
+
+// Engines cut off from some daemons only.
+TEST(upstream_absence_test, OwnAnswersGoBeforeReports) {
+  absence_table table;
+  NoteReached(table, kEngine, kNow);
+  NoteReport(table, kEngine, "one", kNow);
+  NoteReport(table, kEngine, "two", kNow);
+  EXPECT_FALSE(IsAbsent(table, kEngine, engine_stage::decode, kNow));
+}
+
+TEST(upstream_absence_test, AFailedConnectionIsToldForAWhile) {
+  absence_table table;
+  NoteUnreachable(table, kEngine, kNow);
+  EXPECT_TRUE(IsAbsent(table, kEngine, engine_stage::decode, kNow));
+  EXPECT_EQ(UnreachableUpstreams(table, kNow + absl::Milliseconds(900)),
+            std::vector<uint32_t>{kEngine});
+  EXPECT_TRUE(
+      UnreachableUpstreams(table, kNow + absl::Milliseconds(1100)).empty());
+  NoteReached(table, kEngine, kNow);
+  EXPECT_TRUE(UnreachableUpstreams(table, kNow).empty());
+}
+
 }  // namespace
 }  // namespace anvilridge
--- a/src/sharing/share_message.cc
+++ b/src/sharing/share_message.cc
@@ -10,11 +10,13 @@
 namespace {
 
 // First byte of a message: its form and version.
-constexpr quint8 kForm = 0xA5;
+constexpr quint8 kForm = 0xA6;
 // Most runs of one engine in a message; an engine has a few dozen slots.
 constexpr size_t kMostRuns = 255;
 // Most daemons that are introduced in a message.
 constexpr size_t kMostIntroduced = 255;
+// Most upstreams that a message tells to be unreachable.
+constexpr size_t kMostUnreachable = 255;
 // Most engines, so that a message fits into one datagram.
 constexpr size_t kMostEngines = 400;
 
@@ -49,6 +51,12 @@
            << static_cast<quint16>(std::clamp<int64_t>(
                   absl::ToInt64Milliseconds(leaver.left), 0, 65535));
   }
+  const size_t unreachable =
+      std::min(message.share.unreachable.size(), kMostUnreachable);
+  stream << static_cast<quint8>(unreachable);
+  for (size_t i = 0; i < unreachable; ++i) {
+    stream << message.share.unreachable[i];
+  }
   const size_t engines = std::min(message.share.engines.size(), kMostEngines);
   stream << static_cast<quint16>(engines);
   size_t written = 0;
@@ -98,6 +106,14 @@
             : engine_stage::decode,
         absl::Milliseconds(left_ms)};
   }
+  quint8 unreachable = 0;
+  stream >> unreachable;
+  for (quint8 i = 0; i < unreachable && stream.status() == QDataStream::Ok;
+       ++i) {
+    quint32 key = 0;
+    stream >> key;
+    message.share.unreachable.push_back(key);
+  }
   stream >> engines;
   message.incarnation = incarnation;
   for (quint16 i = 0; i < engines && stream.status() == QDataStream::Ok; ++i) {
--- a/src/sharing/share_message_test.cc
+++ b/src/sharing/share_message_test.cc
@@ -20,6 +20,7 @@
   message.introduced = {{0x0A000001, 7660}};
   message.share.waiting = 4;
   message.share.late = 2;
+  message.share.unreachable = {11, 12};
   message.share.leavers[9] = {engine_stage::prefill, absl::Milliseconds(800)};
   message.share.engines[3].prefill_tokens = 5200;
   message.share.engines[3].runs = {{8000, 160, kNow}, {16, 0, kNow}};
@@ -36,6 +37,7 @@
   EXPECT_EQ(read->introduced, Message().introduced);
   EXPECT_EQ(read->share.waiting, 4);
   EXPECT_EQ(read->share.late, 2);
+  EXPECT_EQ(read->share.unreachable, (std::vector<uint32_t>{11, 12}));
   EXPECT_EQ(read->share.leavers.at(9).stage, engine_stage::prefill);
   EXPECT_EQ(read->share.leavers.at(9).left, absl::Milliseconds(800));
   const engine_share& engine = read->share.engines.at(3);
