--- a/src/dispatch/decode_admission.cc
+++ b/src/dispatch/decode_admission.cc
@@ -26,8 +26,6 @@
 // Part of the longest pause of streams that are on time which a prompt may take
 // beside them; the rest is for their own next event.
 constexpr double kPauseShare = 0.8;
-// A prompt that would wait longer is read by its decode engine, if that can.
-constexpr absl::Duration kLongestPrefillWait = absl::Milliseconds(250);
 
 const engine_traits* TraitsOf(const dispatch_state& state,
                               absl::string_view service) {
@@ -152,8 +150,10 @@
   const auto prefill = ChoosePrefill(engines.prefills, stream.prompt,
                                      promise.decode.failure_domain);
   if (!prefill) return promise;
-  if (PrefillTime(state, engines.prefills[*prefill].backlog) >
-      kLongestPrefillWait) {
+  // Too long a queue makes it late; then its decode engine reads, if it can.
+  if (now <= stream.start_by &&
+      now + PrefillTime(state, engines.prefills[*prefill].backlog) >
+          stream.start_by) {
     if (const auto alone = QuietReader(state, engines, stream, now)) {
       promise.decode = *alone;
       return promise;
--- a/src/dispatch/decode_admission_test.cc
+++ b/src/dispatch/decode_admission_test.cc
@@ -78,5 +78,33 @@
   EXPECT_FALSE(PromiseReader(state_, Stream(kPrompt), {"a", "b", "c"}, now_));
 }
 
+// Burst: a queue for prefill that a stream can bear is no reason to make others
+// pause.
+TEST_F(decode_admission_test, PromptsWaitForPrefillWhileTheyAreOnTime) {
+  auto view = std::make_shared<fleet_view>(*state_.view);
+  fleet_upstream prefill;
+  prefill.id = "p";
+  prefill.service = "model";
+  prefill.slots = 12;
+  prefill.stage = engine_stage::prefill;
+  view->upstreams["model"].push_back(prefill);
+  state_.view = view;
+  BeginPrefill(state_.ledger, "1", "p",
+               400 * state_.ledger.prefill_tokens_per_ms);
+  std::vector<bool> prefilled;
+  for (const int left_ms : {500, 300}) {
+    waiting_stream stream = Stream(kPrompt);
+    stream.request_id = std::to_string(left_ms);
+    stream.start_by = now_ + absl::Milliseconds(left_ms);
+    stream.give_up = now_ + absl::Seconds(3);
+    stream.done = [&](const absl::StatusOr<engine_promise>& promise) {
+      ASSERT_TRUE(promise.ok());
+      prefilled.push_back(promise->prefill.has_value());
+    };
+    AwaitEngines(state_, std::move(stream), now_);
+  }
+  EXPECT_EQ(prefilled, (std::vector<bool>{true, false}));
+}
+
 }  // namespace
 }  // namespace anvilridge
