End stopped processes at once

The place of a stopped daemon stayed empty meanwhile. Change: main ends by _Exit when the daemon has closed and logged all; 'stopped' is the last line.

--- a/programs/anvilridge_fleet.cc
+++ b/programs/anvilridge_fleet.cc
@@ -1,4 +1,5 @@
 #include <cstdio>
+#include <cstdlib>
 #include <cxxopts.hpp>
 #include <fstream>
 #include <iostream>
@@ -91,7 +92,10 @@
   }
   if (check) return 0;
   std::unique_ptr<anvilridge::platform::store_client> store;
-  return anvilridge::RunFleetDaemon(std::get<fleet_settings>(loaded),
-                                    MakePlatform(store),
-                                    [file] { return Load(file); });
+  const int status = anvilridge::RunFleetDaemon(
+      std::get<fleet_settings>(loaded), MakePlatform(store),
+      [file] { return Load(file); });
+  // All is closed and logged. The libraries' own threads may be waited for
+  // without end when static objects are destroyed.
+  std::_Exit(status);
 }
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -4,6 +4,7 @@
 #include <QTimer>
 #include <thread>
 
+#include "base/clock.h"
 #include "gtest/gtest.h"
 #include "harness/eventually.h"
 #include "harness/platform_scene.h"
@@ -195,5 +196,32 @@
   EXPECT_EQ(scene_.Daemon().WaitForExit(absl::Seconds(8)), 0);
 }
 
+// A stream that outlasts the grace is cut, and the daemon ends in order.
+TEST_F(platform_path_test, AStopEndsWithinItsGrace) {
+  scene_.OnDecode([](QTcpSocket& socket, const raw_request& request) {
+    const std::string head = platform_scene::Head(request, 200) +
+                             "Transfer-Encoding: chunked\r\n\r\n";
+    socket.write(head.data(), static_cast<qint64>(head.size()));
+    auto* timer = new QTimer(&socket);
+    QTcpSocket* to = &socket;
+    QObject::connect(timer, &QTimer::timeout, to, [to, next = 1]() mutable {
+      platform_scene::Events(*to, next, next);
+      ++next;
+    });
+    timer->start(50);
+  });
+  test_answer answer;
+  std::thread caller([&] { answer = Draft(); });
+  EXPECT_TRUE(
+      Eventually(kBound, [&] { return scene_.AtDecode().size() == 1; }));
+  const absl::Time began = MonotonicNow();
+  scene_.Daemon().Signal(SIGTERM);
+  EXPECT_EQ(scene_.Daemon().WaitForExit(absl::Seconds(10)), 0);
+  EXPECT_LE(MonotonicNow() - began, absl::Seconds(8));
+  caller.join();
+  EXPECT_NE(scene_.Daemon().Out().find("stop_ended"), std::string::npos);
+  EXPECT_NE(scene_.Daemon().Out().find("stopped"), std::string::npos);
+}
+
 }  // namespace
 }  // namespace anvilridge
