Cut large deployments into cells of daemons and engines

Change: daemons and engines fall into cells by hash, as many as there are 128 to 255 engines; daemons share within their cell, use its engines, and find its members by asking a few others each second. The number of cells follows from the engines in the store, which all daemons know alike. Below 256 engines nothing changes.

--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -6,6 +6,7 @@
 #include "base/clock.h"
 #include "base/error_kind.h"
 #include "base/qt_text.h"
+#include "dispatch/engine_cell.h"
 #include "log/decision_log.h"
 
 namespace anvilridge {
@@ -50,6 +51,10 @@
   return absl::Uniform(state.random, 0.0, 1.0) < standing->second.share;
 }
 
+bool IsModelEngine(const fleet_upstream& upstream) {
+  return upstream.stage != engine_stage::none;
+}
+
 void ReportResult(dispatch_state& state, const fleet_upstream& upstream,
                   call_result result) {
   const absl::Time now = MonotonicNow();
@@ -70,6 +75,17 @@
 
 }  // namespace
 
+void TakeView(dispatch_state& state, std::shared_ptr<const fleet_view> view) {
+  state.view = std::move(view);
+  state.standing_until = absl::InfinitePast();
+  size_t engines = 0;
+  for (const auto& [service, upstreams] : state.view->upstreams) {
+    engines += static_cast<size_t>(
+        std::count_if(upstreams.begin(), upstreams.end(), IsModelEngine));
+  }
+  state.cells = CellCount(engines);
+}
+
 std::vector<const fleet_upstream*> UsableUpstreams(
     dispatch_state& state, absl::string_view service,
     const std::vector<std::string>& tried, absl::Time now) {
@@ -79,8 +95,12 @@
   if (found == state.view->upstreams.end()) return usable;
   if (now >= state.standing_until) Judge(state, now);
   std::vector<const fleet_upstream*> doubtful;
+  const int cell = CellOf(state.name, state.cells);
   for (const fleet_upstream& upstream : found->second) {
     if (upstream.draining) continue;
+    if (IsModelEngine(upstream) && CellOf(upstream.id, state.cells) != cell) {
+      continue;
+    }
     if (std::find(tried.begin(), tried.end(), upstream.id) != tried.end()) {
       continue;
     }
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -60,6 +60,9 @@
   std::string name;
   fleet_speaker speaker;
   std::shared_ptr<const fleet_view> view;
+  /// Cells of the deployment; model engines of other cells than this daemon's
+  /// are not used.
+  int cells = 1;
   channel_client client;
   engine_ledger ledger;
   send_budget budget;
@@ -92,8 +95,11 @@
   std::function<void()> on_ledger_change;
 };
 
-/// Returns the upstreams of `service` that may take new work: neither leaving
-/// nor ejected, and not in `tried`.
+/// Takes over what is known of the deployment from now on.
+void TakeView(dispatch_state& state, std::shared_ptr<const fleet_view> view);
+
+/// Returns the upstreams of `service` that may take new work: of this daemon's
+/// cell, neither leaving nor ejected, and not in `tried`.
 std::vector<const fleet_upstream*> UsableUpstreams(
     dispatch_state& state, absl::string_view service,
     const std::vector<std::string>& tried, absl::Time now);
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -1,5 +1,6 @@
 #include "dispatch/dispatcher.h"
 
+#include <QJsonObject>
 #include <algorithm>
 #include <utility>
 
@@ -10,7 +11,9 @@
 #include "dispatch/call_flow.h"
 #include "dispatch/decode_admission.h"
 #include "dispatch/dispatch_state.h"
+#include "dispatch/engine_cell.h"
 #include "dispatch/stream_flow.h"
+#include "log/decision_log.h"
 
 namespace anvilridge {
 namespace {
@@ -60,8 +63,14 @@
 
 void dispatcher::SetView(std::shared_ptr<const fleet_view> view) {
   dispatch_state& state = impl_->state;
-  state.view = std::move(view);
-  state.standing_until = absl::InfinitePast();
+  const int cells = state.cells;
+  TakeView(state, std::move(view));
+  if (state.cells != cells) {
+    LogEvent(log_level::info, "cells_changed",
+             {{"before", cells},
+              {"cells", state.cells},
+              {"own", CellOf(state.name, state.cells)}});
+  }
   std::erase_if(state.health.upstreams, [&state](const auto& entry) {
     for (const auto& [service, upstreams] : state.view->upstreams) {
       for (const fleet_upstream& upstream : upstreams) {
@@ -158,6 +167,8 @@
                                                   MonotonicNow()};
 }
 
+int dispatcher::Cells() const { return impl_->state.cells; }
+
 workload_sample dispatcher::Workload() const { return impl_->state.workloads; }
 
 void dispatcher::SetDaemons(int daemons) {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -34,6 +34,8 @@
   void SetSettings(dispatch_settings settings);
 
   void SetView(std::shared_ptr<const fleet_view> view);
+  /// Into how many cells the deployment is cut.
+  int Cells() const;
 
   void Handle(const inbound_request& request,
               const std::shared_ptr<inbound_exchange>& exchange);
--- a/src/fleet_daemon/fleet_daemon.cc
+++ b/src/fleet_daemon/fleet_daemon.cc
@@ -215,7 +215,9 @@
 
   void PublishView(std::shared_ptr<const fleet_view> view) {
     PostTo(traffic_.Context(), [this, view = std::move(view)] {
-      if (dispatcher_) dispatcher_->SetView(view);
+      if (!dispatcher_) return;
+      dispatcher_->SetView(view);
+      sharing_->SetCells(dispatcher_->Cells());
     });
   }
 
--- a/src/sharing/share_message.cc
+++ b/src/sharing/share_message.cc
@@ -10,7 +10,7 @@
 namespace {
 
 // First byte of a message: its form and version.
-constexpr quint8 kForm = 0xA6;
+constexpr quint8 kForm = 0xA7;
 // Most runs of one engine in a message; an engine has a few dozen slots.
 constexpr size_t kMostRuns = 255;
 // Most daemons that are introduced in a message.
@@ -32,8 +32,9 @@
 QByteArray EncodeShare(const share_message& message) {
   QByteArray bytes;
   QDataStream stream(&bytes, QIODevice::WriteOnly);
-  stream << kForm << static_cast<quint64>(message.incarnation)
-         << message.sequence << message.leaving
+  stream << kForm << static_cast<quint8>(message.kind)
+         << static_cast<quint64>(message.incarnation) << message.sequence
+         << message.leaving
          << static_cast<quint16>(std::clamp(message.share.waiting, 0, 65535))
          << static_cast<quint16>(std::clamp(message.share.late, 0, 65535));
   const size_t introduced =
@@ -84,8 +85,9 @@
   quint8 leavers = 0;
   quint16 engines = 0;
   share_message message;
-  stream >> form >> incarnation >> message.sequence >> message.leaving >>
-      waiting >> late >> introduced;
+  quint8 kind = 0;
+  stream >> form >> kind >> incarnation >> message.sequence >>
+      message.leaving >> waiting >> late >> introduced;
   for (quint8 i = 0; i < introduced && stream.status() == QDataStream::Ok;
        ++i) {
     share_address address;
@@ -115,6 +117,7 @@
     message.share.unreachable.push_back(key);
   }
   stream >> engines;
+  message.kind = static_cast<share_kind>(kind);
   message.incarnation = incarnation;
   for (quint16 i = 0; i < engines && stream.status() == QDataStream::Ok; ++i) {
     quint32 key = 0;
@@ -131,7 +134,8 @@
     }
     message.share.engines[key] = std::move(engine);
   }
-  if (form != kForm || stream.status() != QDataStream::Ok) {
+  if (form != kForm || kind > static_cast<quint8>(share_kind::introduction) ||
+      stream.status() != QDataStream::Ok) {
     return MakeError(error_kind::malformed_request,
                      "not a message of another daemon");
   }
--- a/src/sharing/share_message.h
+++ b/src/sharing/share_message.h
@@ -19,8 +19,18 @@
   bool operator==(const share_address&) const = default;
 };
 
-/// What one daemon tells the others: all that it has under way.
+enum class share_kind : uint8_t {
+  /// To daemons of the own cell: what the sender has under way.
+  share,
+  /// To one of another cell: asks to be introduced to daemons of the own.
+  hello,
+  /// Answers a hello.
+  introduction,
+};
+
+/// What one daemon tells another.
 struct share_message {
+  share_kind kind = share_kind::share;
   /// Differs for each start of the sender.
   uint64_t incarnation = 0;
   /// Grows with each message of one incarnation.
--- a/src/sharing/share_port.cc
+++ b/src/sharing/share_port.cc
@@ -16,6 +16,7 @@
 #include "base/error_kind.h"
 #include "base/event_loop.h"
 #include "base/qt_text.h"
+#include "dispatch/engine_cell.h"
 #include "log/decision_log.h"
 #include "settings/settings_values.h"
 #include "sharing/share_message.h"
@@ -38,6 +39,10 @@
 // Daemons introduced in a message, in turn: 18 bytes, and a hundred daemons
 // within ten seconds.
 constexpr size_t kIntroducedAtOnce = 3;
+// How often, and how many, daemons of other cells are asked for introductions:
+// they know most of a cell of a dozen within some rounds.
+constexpr absl::Duration kHelloInterval = absl::Seconds(1);
+constexpr size_t kHellosAtOnce = 4;
 
 struct peer_state {
   QHostAddress host;
@@ -76,6 +81,9 @@
   bool leaving = false;
   int daemons = 0;
   size_t next_introduced = 0;
+  int cells = 1;
+  absl::Time hello_sent = absl::InfinitePast();
+  absl::BitGen random;
   absl::Time sent = absl::InfinitePast();
   bool send_due = false;
   std::unique_ptr<QTimer> refresh;
@@ -83,7 +91,10 @@
   void Receive();
   void Take(const QNetworkDatagram& datagram);
   void Meet(const share_address& address, absl::Time now);
-  std::vector<share_address> Introductions(absl::Time now);
+  std::vector<share_address> Introductions(int cell, absl::Time now);
+  void SendTo(const peer_state& peer, const share_message& message);
+  void SendHellos(absl::Time now);
+  bool IsOwnCell(absl::string_view name) const;
   void Send();
   void CountDaemons();
 };
@@ -110,15 +121,18 @@
   if (name == own_address) return;
   peer_state& peer = peers[name];
   const bool same = peer.incarnation == message->incarnation;
-  if (same && message->sequence <= peer.sequence) return;
+  const bool is_share = message->kind == share_kind::share;
+  if (is_share && same && message->sequence <= peer.sequence) return;
   if (peer.heard + kPeerLife < now) {
     LogEvent(log_level::info, "daemon_heard", {{"peer", QtText(name)}});
   }
   peer.host = datagram.senderAddress();
   peer.port = port;
   peer.heard = now;
-  peer.incarnation = message->incarnation;
-  peer.sequence = message->sequence;
+  if (is_share) {
+    peer.incarnation = message->incarnation;
+    peer.sequence = message->sequence;
+  }
   if (message->leaving) {
     LogEvent(log_level::info, "daemon_leaves", {{"peer", QtText(name)}});
     peers.erase(name);
@@ -126,7 +140,16 @@
   for (const share_address& address : message->introduced) {
     Meet(address, now);
   }
-  handler.on_share(name, std::move(message->share));
+  if (message->kind == share_kind::hello) {
+    share_message answer;
+    answer.kind = share_kind::introduction;
+    answer.incarnation = incarnation;
+    answer.sequence = sequence;
+    answer.introduced = Introductions(CellOf(name, cells), now);
+    SendTo(peers[name], answer);
+  } else if (is_share) {
+    handler.on_share(name, std::move(message->share));
+  }
   CountDaemons();
 }
 
@@ -142,11 +165,18 @@
   entry->second.introduced_until = now + kIntroductionLife;
 }
 
-// Picks the daemons that the next message introduces, in turn.
-std::vector<share_address> share_port::impl::Introductions(absl::Time now) {
+bool share_port::impl::IsOwnCell(absl::string_view name) const {
+  return CellOf(name, cells) == CellOf(own_address, cells);
+}
+
+// Picks daemons of `cell` that the next message introduces, in turn.
+std::vector<share_address> share_port::impl::Introductions(int cell,
+                                                           absl::Time now) {
   std::vector<share_address> addresses;
   for (const auto& [name, peer] : peers) {
-    if (peer.heard + kIntroduceWithin < now) continue;
+    const absl::Duration within =
+        IsOwnCell(name) ? kIntroduceWithin : kPeerLife;
+    if (peer.heard + within < now || CellOf(name, cells) != cell) continue;
     addresses.push_back({peer.host.toIPv4Address(), peer.port});
   }
   if (addresses.size() <= kIntroducedAtOnce) return addresses;
@@ -159,6 +189,33 @@
   return addresses;
 }
 
+void share_port::impl::SendTo(const peer_state& peer,
+                              const share_message& message) {
+  const QByteArray bytes = EncodeShare(message);
+  CountControlBytes(control_channel::membership, traffic_direction::sent,
+                    bytes.size());
+  socket.writeDatagram(bytes, peer.host, peer.port);
+}
+
+// Asks some daemons of other cells which ones of the own they have heard.
+void share_port::impl::SendHellos(absl::Time now) {
+  if (cells == 1 || leaving || now - hello_sent < kHelloInterval) return;
+  hello_sent = now;
+  std::vector<const peer_state*> others;
+  for (const auto& [name, peer] : peers) {
+    if (!IsOwnCell(name) && IsTold(peer, now)) others.push_back(&peer);
+  }
+  share_message hello;
+  hello.kind = share_kind::hello;
+  hello.incarnation = incarnation;
+  hello.sequence = sequence;
+  for (size_t i = 0; i < kHellosAtOnce && !others.empty(); ++i) {
+    const size_t chosen = absl::Uniform<size_t>(random, 0, others.size());
+    SendTo(*others[chosen], hello);
+    others.erase(others.begin() + static_cast<std::ptrdiff_t>(chosen));
+  }
+}
+
 void share_port::impl::Send() {
   send_due = false;
   sent = MonotonicNow();
@@ -168,24 +225,26 @@
   message.leaving = leaving;
   if (!leaving) {
     message.share = handler.own_share();
-    message.introduced = Introductions(sent);
+    message.introduced = Introductions(CellOf(own_address, cells), sent);
   }
-  const QByteArray bytes = EncodeShare(message);
   for (const auto& [name, peer] : peers) {
-    if (!IsTold(peer, sent)) continue;
-    CountControlBytes(control_channel::membership, traffic_direction::sent,
-                      bytes.size());
-    socket.writeDatagram(bytes, peer.host, peer.port);
+    if (IsOwnCell(name) && IsTold(peer, sent)) SendTo(peer, message);
   }
 }
 
 void share_port::impl::CountDaemons() {
   const absl::Time now = MonotonicNow();
   int counted = 1;
+  int own_cell = 1;
   for (auto entry = peers.begin(); entry != peers.end();) {
-    if (entry->second.listed || IsHeard(entry->second, now)) ++counted;
+    if (entry->second.listed || IsHeard(entry->second, now)) {
+      ++counted;
+      if (IsOwnCell(entry->first)) ++own_cell;
+    }
     entry = IsTold(entry->second, now) ? std::next(entry) : peers.erase(entry);
   }
+  // Most daemons of other cells are not known by name.
+  counted = std::max(counted, own_cell * cells);
   if (std::exchange(daemons, counted) == counted) return;
   LogEvent(log_level::info, "daemons_known", {{"daemons", counted}});
   handler.on_daemons(counted);
@@ -212,6 +271,7 @@
                    [self = impl_.get()] { self->Receive(); });
   impl_->refresh = RunEvery(kRefresh, [self = impl_.get()] {
     if (MonotonicNow() - self->sent >= kRefresh / 2) self->Send();
+    self->SendHellos(MonotonicNow());
     self->CountDaemons();
   });
   return absl::OkStatus();
@@ -231,6 +291,8 @@
   NoteChange();
 }
 
+void share_port::SetCells(int cells) { impl_->cells = cells; }
+
 void share_port::NoteChange() {
   if (impl_->send_due) return;
   impl_->send_due = true;
--- a/src/sharing/share_port.h
+++ b/src/sharing/share_port.h
@@ -37,6 +37,10 @@
   /// among them. Daemons that are heard are added by themselves.
   void SetPeers(const std::vector<std::string>& peers);
 
+  /// Sets into how many cells the deployment is cut. What this daemon has under
+  /// way is told to those of its cell; others only introduce daemons to it.
+  void SetCells(int cells);
+
   /// Notes that the own share has changed.
   void NoteChange();
 
--- a/src/sharing/share_port_test.cc
+++ b/src/sharing/share_port_test.cc
@@ -4,6 +4,7 @@
 #include <QUdpSocket>
 
 #include "base/testing/run_loop.h"
+#include "dispatch/engine_cell.h"
 #include "gtest/gtest.h"
 
 namespace anvilridge {
@@ -83,6 +84,31 @@
   EXPECT_EQ(a.daemons, 3);
 }
 
+// Large deployments: daemons share within their cell, and find those of it
+// through the others.
+TEST_F(share_port_test, CellsShareWithinAndIntroduceAcross) {
+  constexpr int kCells = 2;
+  std::vector<std::unique_ptr<share_end>> ends;
+  std::map<int, std::vector<share_end*>> cells;
+  while (cells[0].size() < 2 || cells[1].empty()) {
+    ends.push_back(std::make_unique<share_end>());
+    ends.back()->port.SetCells(kCells);
+    ends.back()->own.waiting = 7;
+    cells[CellOf(ends.back()->Name(), kCells)].push_back(ends.back().get());
+  }
+  share_end& a = *cells[0][0];
+  share_end& b = *cells[0][1];
+  share_end& other = *cells[1][0];
+  // Both are told only of one in another cell.
+  a.port.SetPeers({other.Name()});
+  b.port.SetPeers({other.Name()});
+  EXPECT_TRUE(RunUntil([&] { return a.heard[b.Name()].waiting == 7; }));
+  EXPECT_TRUE(RunUntil([&] { return b.heard[a.Name()].waiting == 7; }));
+  EXPECT_FALSE(a.heard.contains(other.Name()));
+  EXPECT_FALSE(other.heard.contains(a.Name()));
+  EXPECT_EQ(a.daemons, 4);
+}
+
 TEST_F(share_port_test, OneThatLeavesHoldsNothing) {
   share_end a;
   share_end b;
