Bound the log and never wait for its reader

A reader of the standard output that stopped held the daemon's threads, and nothing bounded the lines under load. Lines below warn come from a bucket of 500 a second; a line that would wait for its reader is left out; how many were left out is told with the next one.

--- a/src/log/decision_log.cc
+++ b/src/log/decision_log.cc
@@ -5,6 +5,8 @@
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
+#include <poll.h>
+#include <unistd.h>
 
 #include <QFile>
 #include <QJsonDocument>
@@ -18,6 +20,7 @@
 #include "absl/time/time.h"
 #include "base/clock.h"
 #include "base/error_kind.h"
+#include "log/line_budget.h"
 
 namespace anvilridge {
 namespace {
@@ -27,8 +30,11 @@
   log4cplus::Initializer initializer;
   log4cplus::Logger logger = log4cplus::Logger::getInstance("anvilridge");
   std::mutex mutex;
-  /// Guarded by `mutex`.
+  /// Guarded by `mutex`, as all below.
   std::string daemon;
+  /// Of a standard stream that lines are written to; -1 for a file.
+  int stream = -1;
+  line_budget budget;
 
   log_state() {
     logger.setAdditivity(false);
@@ -90,10 +96,29 @@
   return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
 }
 
+// Whether a line can be written to `stream` without waiting for its reader. A
+// pipe that can be written takes 4,096 bytes, more than a line has.
+bool CanWrite(int stream) {
+  if (stream < 0) return true;
+  pollfd poll_for{stream, POLLOUT, 0};
+  return ::poll(&poll_for, 1, 0) > 0;
+}
+
 std::string TimeText(absl::Time time) {
   return absl::FormatTime("%Y-%m-%d%ET%H:%M:%E3SZ", time, absl::UTCTimeZone());
 }
 
+void WriteLine(log_state& state, const level_name& name,
+               absl::string_view event, const QJsonObject& fields) {
+  QJsonObject line = fields;
+  line["time"] = Text(TimeText(WallNow()));
+  line["level"] = Text(name.name);
+  line["event"] = Text(event);
+  line["daemon"] = Text(state.daemon);
+  const QByteArray text = QJsonDocument(line).toJson(QJsonDocument::Compact);
+  state.logger.log(name.library_level, text.toStdString());
+}
+
 }  // namespace
 
 absl::Status OpenLog(const log_settings& settings, absl::string_view daemon) {
@@ -105,6 +130,10 @@
   (*appender)->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
   const std::lock_guard lock(state.mutex);
   state.daemon = std::string(daemon);
+  state.stream = settings.destination == "stdout"   ? STDOUT_FILENO
+                 : settings.destination == "stderr" ? STDERR_FILENO
+                                                    : -1;
+  state.budget = {};
   state.logger.removeAllAppenders();
   state.logger.addAppender(*appender);
   state.logger.setLogLevel(*level);
@@ -116,16 +145,20 @@
   log_state& state = State();
   const level_name& name = NameOf(level);
   if (!state.logger.isEnabledFor(name.library_level)) return;
-  QJsonObject line = fields;
-  line["time"] = Text(TimeText(WallNow()));
-  line["level"] = Text(name.name);
-  line["event"] = Text(event);
-  {
-    const std::lock_guard lock(state.mutex);
-    line["daemon"] = Text(state.daemon);
+  const std::lock_guard lock(state.mutex);
+  // Warnings and errors are few; they are left out only for a slow reader.
+  const bool is_bounded = level == log_level::debug || level == log_level::info;
+  if (is_bounded && !TakeLine(state.budget, MonotonicNow())) return;
+  if (!CanWrite(state.stream)) {
+    ++state.budget.dropped;
+    return;
   }
-  const QByteArray text = QJsonDocument(line).toJson(QJsonDocument::Compact);
-  state.logger.log(name.library_level, text.toStdString());
+  WriteLine(state, name, event, fields);
+  if (state.budget.dropped == 0 || !CanWrite(state.stream)) return;
+  const auto dropped =
+      static_cast<double>(std::exchange(state.budget.dropped, 0));
+  WriteLine(state, NameOf(log_level::warn), "log_lines_dropped",
+            {{"lines", dropped}});
 }
 
 }  // namespace anvilridge
--- a/src/log/decision_log.h
+++ b/src/log/decision_log.h
@@ -15,7 +15,9 @@
 absl::Status OpenLog(const log_settings& settings, absl::string_view daemon);
 
 /// Writes one JSON line with `time`, `level`, `daemon`, `event` and `fields`.
-/// Any thread. Never pass request bodies or keys.
+/// Any thread. Never pass request bodies or keys. Never waits for the reader of
+/// a standard stream, and bounds the lines a second below `warn`: what is left
+/// out is counted on a line `log_lines_dropped`.
 void LogEvent(log_level level, absl::string_view event,
               const QJsonObject& fields = {});
 
--- a/src/log/decision_log_test.cc
+++ b/src/log/decision_log_test.cc
@@ -1,8 +1,11 @@
 #include "log/decision_log.h"
 
+#include <unistd.h>
+
 #include <QFile>
 #include <QJsonDocument>
 #include <QTemporaryDir>
+#include <array>
 #include <string>
 #include <thread>
 #include <vector>
@@ -53,6 +56,41 @@
                 absl::UnixEpoch());
 }
 
+// A reader of the standard output that has stopped must not stop the daemon.
+TEST(decision_log_test, LinesForASlowReaderAreCountedNotAwaited) {
+  std::array<int, 2> ends{};
+  ASSERT_EQ(::pipe(ends.data()), 0);
+  const int kept = ::dup(STDOUT_FILENO);
+  ASSERT_TRUE(OpenLog({"info", "stdout"}, "entry-1").ok());
+  ::dup2(ends[1], STDOUT_FILENO);
+  for (int i = 0; i < 1500; ++i) LogEvent(log_level::info, "one_of_many");
+  std::string read(1 << 20, '\0');
+  read.resize(static_cast<size_t>(::read(ends[0], read.data(), read.size())));
+  LogEvent(log_level::info, "after_the_pause");
+  std::string rest(1 << 16, '\0');
+  rest.resize(static_cast<size_t>(::read(ends[0], rest.data(), rest.size())));
+  ::dup2(kept, STDOUT_FILENO);
+  ::close(kept);
+  ::close(ends[0]);
+  ::close(ends[1]);
+  EXPECT_EQ(read.back(), '\n');
+  EXPECT_TRUE(absl::StrContains(rest, "after_the_pause")) << rest;
+  EXPECT_TRUE(absl::StrContains(rest, "log_lines_dropped")) << rest;
+}
+
+TEST(decision_log_test, AFloodOfLinesIsBoundedAndToldOf) {
+  const QTemporaryDir folder;
+  const QString name = folder.filePath("log");
+  ASSERT_TRUE(OpenLog({"info", name.toStdString()}, "entry-1").ok());
+  for (int i = 0; i < 20000; ++i) LogEvent(log_level::info, "flood");
+  LogEvent(log_level::error, "lost");
+  const std::vector<QJsonObject> lines = ReadLines(name);
+  EXPECT_LT(lines.size(), 10000U);
+  EXPECT_EQ(lines[lines.size() - 2]["event"], "lost");
+  EXPECT_EQ(lines.back()["event"], "log_lines_dropped");
+  EXPECT_GT(lines.back()["lines"].toInt(), 10000);
+}
+
 TEST(decision_log_test, UnwritableFileIsAnError) {
   const absl::Status status = OpenLog({"info", "/nonexistent/log"}, "entry-1");
   EXPECT_TRUE(absl::StrContains(status.message(), "/nonexistent/log"))
