--- a/src/fleet_daemon/fleet_daemon.cc
+++ b/src/fleet_daemon/fleet_daemon.cc
@@ -63,7 +63,9 @@
                   });
                 }),
         steering_(SteeringSources(), platform.speaker),
-        caller_(settings.caller, settings.limits, {traffic_.Context()}),
+        caller_(std::make_unique<caller_port>(
+            settings.caller, settings.limits,
+            std::vector<QObject*>{traffic_.Context()})),
         readiness_(settings.readiness, &context_, Sources(),
                    ReadinessPaths(settings)),
         metrics_port_(settings.metrics, &context_, Sources()) {
@@ -76,6 +78,8 @@
   }
 
   ~running_fleet_daemon() {
+    // Cuts what is left, and tells its flows, which use the dispatcher.
+    caller_.reset();
     RunAndWait(traffic_.Context(), [this] {
       sharing_.reset();
       dispatcher_.reset();
@@ -88,7 +92,7 @@
       started.Update(sharing_->Listen(settings_.sharing.listen));
     });
     started.Update(metrics_port_.Listen());
-    started.Update(caller_.Listen([this](size_t) {
+    started.Update(caller_->Listen([this](size_t) {
       return [this](const inbound_request& request,
                     const std::shared_ptr<inbound_exchange>& exchange) {
         if (dispatcher_) dispatcher_->Handle(request, exchange);
@@ -106,7 +110,7 @@
       });
     });
     LogEvent(log_level::info, "started",
-             {{"caller_port", caller_.Port()},
+             {{"caller_port", caller_->Port()},
               {"readiness_port", readiness_.Port()},
               {"metrics_port", metrics_port_.Port()},
               {"version", ANVIL_VERSION}});
@@ -148,8 +152,8 @@
     if (stop_timer_) return;
     stop_began_ = MonotonicNow();
     LogEvent(log_level::info, "stop_began",
-             {{"requests", caller_.RequestsInProgress()}});
-    caller_.BeginDrain();
+             {{"requests", caller_->RequestsInProgress()}});
+    caller_->BeginDrain();
     PostTo(traffic_.Context(), [this, grace = settings_.stop_grace] {
       if (dispatcher_) dispatcher_->BeginStop(grace);
     });
@@ -224,10 +228,10 @@
   void TryExit() {
     const absl::Duration since = MonotonicNow() - stop_began_;
     const bool idle =
-        since >= kLeaveRotation && caller_.RequestsInProgress() == 0;
+        since >= kLeaveRotation && caller_->RequestsInProgress() == 0;
     if (!idle && since < settings_.stop_grace - kStopMargin) return;
     LogEvent(log_level::info, "stop_ended",
-             {{"requests", caller_.RequestsInProgress()}});
+             {{"requests", caller_->RequestsInProgress()}});
     QCoreApplication::quit();
   }
 
@@ -246,7 +250,7 @@
   published<workload_sample> workload_;
   std::unique_ptr<QTimer> workload_timer_;
   stage_steering_service steering_;
-  caller_port caller_;
+  std::unique_ptr<caller_port> caller_;
   health_port readiness_;
   health_port metrics_port_;
   std::unique_ptr<QTimer> stop_timer_;
