--- a/src/fleet_daemon/fleet_daemon.cc
+++ b/src/fleet_daemon/fleet_daemon.cc
@@ -277,19 +277,10 @@
   return kExitFailed;
 }
 
-}  // namespace
-
-int RunFleetDaemon(const fleet_settings& settings,
-                   const fleet_platform& platform,
-                   const settings_loader& load) {
-  int count = 1;
-  char name[] = "anvilridge_fleet";
-  char* arguments[] = {name, nullptr};
-  QCoreApplication app(count, arguments);
-  if (absl::Status opened = OpenLog(settings.log, settings.name);
-      !opened.ok()) {
-    return Complain(opened);
-  }
+// Runs the daemon until it is told to stop; returns the exit status once all of
+// it is closed.
+int Serve(const fleet_settings& settings, const fleet_platform& platform,
+          const settings_loader& load) {
   running_fleet_daemon daemon(settings, platform);
   // Before the daemon is ready: a signal must not end it by default.
   const signal_watch reload({SIGHUP}, [&] { daemon.Reload(load); });
@@ -307,4 +298,22 @@
   return kExitOk;
 }
 
+}  // namespace
+
+int RunFleetDaemon(const fleet_settings& settings,
+                   const fleet_platform& platform,
+                   const settings_loader& load) {
+  int count = 1;
+  char name[] = "anvilridge_fleet";
+  char* arguments[] = {name, nullptr};
+  QCoreApplication app(count, arguments);
+  if (absl::Status opened = OpenLog(settings.log, settings.name);
+      !opened.ok()) {
+    return Complain(opened);
+  }
+  const int status = Serve(settings, platform, load);
+  LogEvent(log_level::info, "stopped", {{"status", status}});
+  return status;
+}
+
 }  // namespace anvilridge
