--- a/src/fleet/topic_follower.cc
+++ b/src/fleet/topic_follower.cc
@@ -19,9 +19,11 @@
   bool lost = false;
   absl::Time last_answer = absl::InfinitePast();
   absl::Time read_began = absl::InfinitePast();
+  absl::Time call_began = absl::InfinitePast();
 
   void Next() {
     const std::weak_ptr<impl> weak = weak_from_this();
+    call_began = MonotonicNow();
     if (!next) {
       calls.list([weak](const absl::StatusOr<record_listing>& listing) {
         if (const auto self = weak.lock()) self->TakeListing(listing);
@@ -68,7 +70,10 @@
 
   void Retry(const absl::Status& why) {
     if (!std::exchange(lost, true)) events.on_lost(why);
-    RunAfter(&context, pause, [this] { Next(); });
+    // A call that hung was a pause by itself: the store may be back by now.
+    const absl::Duration hung = MonotonicNow() - call_began;
+    RunAfter(&context, std::max(absl::ZeroDuration(), pause - hung),
+             [this] { Next(); });
     pause = std::min(pause * 2, kLongestPause);
   }
 };
--- a/src/fleet/topic_follower_test.cc
+++ b/src/fleet/topic_follower_test.cc
@@ -101,6 +101,17 @@
   EXPECT_EQ(reads_, (std::vector<int64_t>{5, 5, 6}));
 }
 
+// A store that was silent: the read that hung fails behind its return.
+TEST_F(topic_follower_test, AReadThatHungIsRepeatedAtOnce) {
+  follower_->Start();
+  ASSERT_TRUE(RunUntil([&] { return reads_.size() == 1; }));
+  RunUntil([] { return false; }, absl::Milliseconds(500));
+  const auto hung = pending_;
+  hung(absl::UnavailableError("no progress in time"));
+  EXPECT_TRUE(RunUntil([&] { return reads_.size() == 2; },
+                       topic_follower::kFirstPause / 2));
+}
+
 TEST_F(topic_follower_test, AnAnswerAfterItsEndIsIgnored) {
   follower_->Start();
   follower_.reset();
