Learn from a broken connection how long others may rest

Cause: upstreams may forget idle connections sooner than they say; what is written to one next is reset, so a posting fails and a stream costs a send. Ruled out: upstreams that crash; their idle connections close at once and are not used again, and a run that is cut breaks later than a round trip.

Change: a kept connection that breaks within 40 ms of its next call, without a byte, tells how long it had rested.

The test of the client fails without the change (shown).

--- a/src/http1/channel_client.cc
+++ b/src/http1/channel_client.cc
@@ -17,8 +17,11 @@
 #include "base/deadline_queue.h"
 #include "base/error_kind.h"
 #include "base/event_loop.h"
+#include "base/qt_text.h"
+#include "http1/idle_time.h"
 #include "http1/response_reader.h"
 #include "http1/tcp_stream.h"
+#include "log/decision_log.h"
 #include "settings/settings_values.h"
 
 namespace anvilridge {
@@ -29,6 +32,9 @@
 constexpr absl::Duration kDefaultIdle = absl::Seconds(4);
 // Taken off the time that the upstream names, for the way of its close here.
 constexpr absl::Duration kIdleMargin = absl::Milliseconds(700);
+// A connection that had been dropped before a call was written to it breaks
+// within a round trip; one that breaks later had reached its upstream.
+constexpr absl::Duration kDroppedWithin = absl::Milliseconds(40);
 // Most idle connections to one address.
 constexpr size_t kMaxIdlePerAddress = 32;
 
@@ -74,7 +80,9 @@
   uint64_t call = 0;
   bool connected = false;
   absl::Duration idle_time = kDefaultIdle;
-  absl::Time idle_until = absl::InfinitePast();
+  absl::Time idle_since = absl::InfinitePast();
+  // How long it had rested before the call in progress; none for a new one.
+  absl::Duration rested = absl::ZeroDuration();
 };
 
 struct call_state {
@@ -97,6 +105,7 @@
   absl::flat_hash_map<uint64_t, std::unique_ptr<channel>> channels;
   // Ids of idle channels, the one used last at the back.
   std::map<std::string, std::vector<uint64_t>, std::less<>> idle;
+  idle_times idle_limits;
   deadline_queue deadlines{[this](call_id id) { CheckDeadline(id); }};
   deadline_queue idle_deadlines{[this](uint64_t id) { Close(id); }};
   QObject context;
@@ -119,6 +128,7 @@
   void OnConnected(uint64_t id);
   void OnBytes(uint64_t id, absl::string_view bytes);
   void OnEnd(uint64_t id, const absl::Status& end);
+  void NoteEnd(const channel& used, const call_state* state);
   void TakeHead(call_id id, channel& used, int status,
                 const http_headers& head);
   void TakeBody(call_id id, absl::string_view bytes);
@@ -138,9 +148,12 @@
   while (!ids.empty()) {
     const uint64_t id = ids.back();
     channel* kept = Find(id);
-    if (kept != nullptr && kept->idle_until > now) {
+    if (kept != nullptr &&
+        now - kept->idle_since <
+            IdleTime(idle_limits, address, kept->idle_time, now)) {
       ids.pop_back();
       idle_deadlines.Remove(id);
+      kept->rested = now - kept->idle_since;
       return kept;
     }
     Close(id);
@@ -270,9 +283,9 @@
   std::vector<uint64_t>& ids = idle[used.address];
   if (reusable && idle_time > absl::ZeroDuration() &&
       ids.size() < kMaxIdlePerAddress) {
-    used.idle_until = MonotonicNow() + idle_time;
+    used.idle_since = MonotonicNow();
     ids.push_back(used.id);
-    idle_deadlines.Set(used.id, used.idle_until);
+    idle_deadlines.Set(used.id, used.idle_since + idle_time);
   } else {
     Close(used.id);
   }
@@ -292,6 +305,7 @@
     if (used != nullptr && used->call == call) Complete(*used, false);
     return;
   }
+  NoteEnd(*used, state);
   const absl::string_view why =
       end.ok() ? "closed before the end of the answer" : end.message();
   Fail(call,
@@ -300,6 +314,20 @@
                  used->connected ? run_state::unknown : run_state::not_run));
 }
 
+void channel_client::impl::NoteEnd(const channel& used,
+                                   const call_state* state) {
+  const absl::Time now = MonotonicNow();
+  if (state == nullptr || used.rested == absl::ZeroDuration() ||
+      state->result.http_status != 0 || now - state->started > kDroppedWithin) {
+    return;
+  }
+  NoteIdleBreak(idle_limits, used.address, used.rested, now);
+  LogEvent(log_level::info, "idle_connection_dropped",
+           {{"upstream", QtText(used.address)},
+            {"rested_ms",
+             static_cast<double>(absl::ToInt64Milliseconds(used.rested))}});
+}
+
 void channel_client::impl::Fail(call_id id, const absl::Status& error) {
   call_state* state = FindCall(id);
   if (state == nullptr) return;
--- a/src/http1/channel_client_test.cc
+++ b/src/http1/channel_client_test.cc
@@ -1,7 +1,9 @@
 #include "http1/channel_client.h"
 
+#include <map>
 #include <optional>
 
+#include "base/clock.h"
 #include "base/error_kind.h"
 #include "base/testing/run_loop.h"
 #include "gtest/gtest.h"
@@ -57,6 +59,32 @@
   EXPECT_EQ(requests, 2);
 }
 
+// The upstream forgets connections that rested for long, and tells nobody.
+TEST_F(channel_client_test, LearnsThatIdleConnectionsAreDroppedSooner) {
+  constexpr absl::Duration kForgets = absl::Milliseconds(150);
+  const auto rest = [] {
+    const absl::Time until = MonotonicNow() + 2 * kForgets;
+    RunUntil([until] { return MonotonicNow() >= until; });
+  };
+  std::map<const QTcpSocket*, absl::Time> last;
+  raw_server server([&](QTcpSocket& socket, const raw_request&) {
+    const absl::Time now = MonotonicNow();
+    const auto found = last.find(&socket);
+    if (found != last.end() && now - found->second > kForgets) {
+      return raw_server::Reset(socket);
+    }
+    last[&socket] = now;
+    raw_server::Answer(socket, 200, "done");
+  });
+  EXPECT_TRUE(Run(server).status.ok());
+  rest();
+  EXPECT_EQ(RunStateOf(Run(server).status), run_state::unknown);
+  EXPECT_TRUE(Run(server).status.ok());
+  rest();
+  EXPECT_TRUE(Run(server).status.ok());
+  EXPECT_EQ(server.Connections(), 3);
+}
+
 TEST_F(channel_client_test, TellsThatNothingWasSent) {
   std::optional<raw_server> server(std::in_place, raw_server::Always(200, ""));
   http_call call;
