Split the relay of events and the lease of a KV cache from the stream flow

A routed request is one record for both flows, whose ends stood twice. A send from the budget for a lost prefill is taken only once another prefill engine is known.

Found on the way: a run that went on in the wrong place made the relay drop all later runs too, so the stream could not be completed any more. Each run is judged anew; the test fails before (shown).

--- a/src/dispatch/call_flow.cc
+++ b/src/dispatch/call_flow.cc
@@ -35,16 +35,13 @@
 
 class call_flow : public std::enable_shared_from_this<call_flow> {
  public:
-  call_flow(dispatch_state& state, fleet_request request,
-            std::shared_ptr<const fleet_config> config,
-            const fleet_route& route, const fleet_service& service,
-            std::shared_ptr<inbound_exchange> exchange)
+  call_flow(dispatch_state& state, routed_request routed)
       : state_(state),
-        request_(std::move(request)),
-        config_(std::move(config)),
-        route_(route),
-        service_(service),
-        exchange_(std::move(exchange)) {}
+        request_(std::move(routed.request)),
+        config_(std::move(routed.config)),
+        route_(*routed.route),
+        service_(*routed.service),
+        exchange_(std::move(routed.exchange)) {}
 
   void Start() {
     NoteRequest(state_.budget, service_.name, request_.received);
@@ -263,7 +260,7 @@
 
   dispatch_state& state_;
   const fleet_request request_;
-  // Keeps the route and service alive.
+  // Holds the route and the service.
   const std::shared_ptr<const fleet_config> config_;
   const fleet_route& route_;
   const fleet_service& service_;
@@ -277,13 +274,8 @@
 
 }  // namespace
 
-void StartCall(dispatch_state& state, fleet_request request,
-               std::shared_ptr<const fleet_config> config,
-               const fleet_route& route, const fleet_service& service,
-               std::shared_ptr<inbound_exchange> exchange) {
-  std::make_shared<call_flow>(state, std::move(request), std::move(config),
-                              route, service, std::move(exchange))
-      ->Start();
+void StartCall(dispatch_state& state, routed_request routed) {
+  std::make_shared<call_flow>(state, std::move(routed))->Start();
 }
 
 }  // namespace anvilridge
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -119,9 +119,9 @@
           MakeError(error_kind::shutting_down, "this daemon is stopping",
                     run_state::not_run, kStopComeBack));
     }
-    StartStream(state, *request, config, *route, *service, exchange);
+    StartStream(state, {*request, config, route, service, exchange});
   } else {
-    StartCall(state, *request, config, *route, *service, exchange);
+    StartCall(state, {*request, config, route, service, exchange});
   }
 }
 
--- a/src/dispatch/stream_flow.cc
+++ b/src/dispatch/stream_flow.cc
@@ -11,8 +11,9 @@
 #include "base/event_loop.h"
 #include "base/qt_text.h"
 #include "dispatch/decode_admission.h"
-#include "dispatch/event_splitter.h"
+#include "dispatch/kv_lease.h"
 #include "dispatch/stream_record.h"
+#include "dispatch/stream_relay.h"
 #include "log/decision_log.h"
 
 namespace anvilridge {
@@ -30,15 +31,14 @@
 constexpr double kStallGaps = 5;
 // Least such pause, where a route names no gap target: several events' time.
 constexpr absl::Duration kLeastEventPatience = absl::Milliseconds(500);
-// Time for the answer when a handle is freed; the engine drops it by itself.
-constexpr absl::Duration kReleaseTime = absl::Seconds(1);
 // Time for a first event once the memory is there.
 constexpr double kFirstEventTargets = 1.3;
 // How long a stream that is late already may wait: callers give up waiting for
 // a first event after four latency targets.
 constexpr double kLateTargets = 3;
-// A handle that was given this part of its life ago is not sent any more.
-constexpr double kHandleLifeShare = 0.8;
+// A prefill that was lost may have run: it counts as a send, and the decode
+// behind another one does.
+constexpr int kSendsAfterLostPrefill = 2;
 constexpr int kOk = 200;
 
 double Ms(absl::Duration duration) {
@@ -47,17 +47,16 @@
 
 class stream_flow : public std::enable_shared_from_this<stream_flow> {
  public:
-  stream_flow(dispatch_state& state, fleet_request request,
-              std::shared_ptr<const fleet_config> config,
-              const fleet_route& route, const fleet_service& service,
-              std::shared_ptr<inbound_exchange> exchange)
+  stream_flow(dispatch_state& state, routed_request routed)
       : state_(state),
-        request_(std::move(request)),
-        config_(std::move(config)),
-        route_(route),
-        service_(service),
-        exchange_(std::move(exchange)),
-        resume_after_(request_.resume_after) {}
+        request_(std::move(routed.request)),
+        config_(std::move(routed.config)),
+        route_(*routed.route),
+        service_(*routed.service),
+        exchange_(std::move(routed.exchange)),
+        relay_(
+            exchange_, request_.resume_after, [this] { NoteBegin(); },
+            [this] { NoteTokens(); }) {}
 
   void Start() {
     NoteRequest(state_.budget, service_.name, request_.received);
@@ -148,7 +147,7 @@
     order.upstream = engine;
     order.purpose = send_purpose::prefill;
     order.time_left = TimeLeft(request_, route_, now);
-    order.resume_after = resume_after_;
+    order.resume_after = relay_.ResumeAfter();
     http_call call = state_.speaker.write_send(request_, order);
     call.connect_timeout = kUpstreamConnectTimeout;
     const double backlog = PrefillBacklog(state_.ledger, engine.id, now);
@@ -184,9 +183,8 @@
       LearnPrefillSpeed(state_.ledger,
                         static_cast<double>(prefill->tokens) + prefill_backlog_,
                         took);
-      handle_ = prefill->handle;
-      handle_until_ =
-          MonotonicNow() + service_.engine.handle_ttl * kHandleLifeShare;
+      lease_ =
+          MakeLease(*prefill_, prefill->handle, service_.engine.handle_ttl);
       return SendDecode();
     }
     LogEvent(log_level::warn, "prefill_failed",
@@ -205,14 +203,7 @@
                                 "the prefill engine has no room"));
       }
     }
-    if (fate != send_fate::unknown) {
-      if (SendOtherPrefill()) return;
-    } else if (sends_ + 2 <= route_.attempts && TakeBudget("prefill_lost")) {
-      // This one counts as a send; the decode engine must remain.
-      ++sends_;
-      if (SendOtherPrefill()) return;
-      --sends_;
-    }
+    if (SendOtherPrefill(fate)) return;
     ReadAtDecode();
   }
 
@@ -229,13 +220,21 @@
     SendDecode();
   }
 
-  // Sends to a prefill engine that was not tried yet; false without one.
-  bool SendOtherPrefill() {
+  // Sends to a prefill engine that was not tried yet, after one that ended with
+  // `fate`; false when there is none or no send is left for it.
+  bool SendOtherPrefill(send_fate fate) {
     tried_prefill_.push_back(prefill_->id);
     const auto other = PromisePrefill(
         state_, service_.name, static_cast<double>(request_.prompt_tokens),
         decode_.failure_domain, tried_prefill_, MonotonicNow());
     if (!other) return false;
+    if (fate == send_fate::unknown) {
+      if (sends_ + kSendsAfterLostPrefill > route_.attempts ||
+          !TakeBudget("prefill_lost")) {
+        return false;
+      }
+      ++sends_;
+    }
     SendPrefill(*other);
     return true;
   }
@@ -249,22 +248,6 @@
     return FateOf(result, facts);
   }
 
-  void ReleaseHandle() {
-    if (handle_.empty()) return;
-    http_call call = state_.speaker.write_release(*prefill_, handle_);
-    handle_.clear();
-    call.connect_timeout = kUpstreamConnectTimeout;
-    call.timeout = kReleaseTime;
-    http_handler handler;
-    handler.on_done = [id = request_.id](const http_result& result) {
-      if (result.status.ok()) return;
-      LogEvent(
-          log_level::info, "handle_not_released",
-          {{"request", QtText(id)}, {"why", QtText(result.status.message())}});
-    };
-    state_.client.Start(std::move(call), std::move(handler));
-  }
-
   // ---- decode
 
   void SendDecode() {
@@ -273,13 +256,12 @@
     order.upstream = decode_;
     order.purpose = send_purpose::decode;
     order.time_left = TimeLeft(request_, route_, now);
-    order.resume_after = resume_after_;
-    if (!handle_.empty() && now < handle_until_) {
-      order.kv_address = prefill_->address;
-      order.kv_handle = handle_;
-      handle_.clear();
+    order.resume_after = relay_.ResumeAfter();
+    if (!lease_.handle.empty() && now < lease_.until) {
+      order.kv_address = lease_.engine.address;
+      order.kv_handle = std::exchange(lease_.handle, {});
     } else {
-      ReleaseHandle();
+      ReleaseLease(state_, request_.id, lease_);
       BeginPrefill(
           state_.ledger, request_.id, decode_.id,
           kDecodePrefillCost * static_cast<double>(request_.prompt_tokens));
@@ -291,9 +273,7 @@
     ++sends_;
     began_ = now;
     last_event_ = now;
-    genuine_ = false;
-    splitter_ = {};
-    failure_body_.clear();
+    relay_.BeginRun();
     generated_here_ = 0;
     const auto self = shared_from_this();
     http_handler handler;
@@ -301,7 +281,7 @@
       self->TakeHead(status, headers);
     };
     handler.on_data = [self](absl::string_view bytes) {
-      self->TakeBytes(bytes);
+      if (!self->ended_) self->relay_.TakeBytes(bytes);
     };
     handler.on_done = [self](const http_result& result) {
       self->DecodeEnded(result);
@@ -313,49 +293,18 @@
   void TakeHead(int status, const http_headers& headers) {
     if (ended_) return;
     const answer_facts facts = state_.speaker.read_answer(status, headers);
-    genuine_ = status == kOk && facts.genuine;
-    if (genuine_ && !begun_) head_ = headers;
+    relay_.TakeHead(status == kOk && facts.genuine, headers);
   }
 
-  void TakeBytes(absl::string_view bytes) {
-    if (ended_) return;
-    if (!genuine_) {
-      absl::StrAppend(&failure_body_, bytes);
-      return;
-    }
-    SplitEvents(splitter_, bytes,
-                [this](absl::string_view event, std::optional<int64_t> id) {
-                  TakeEvent(event, id);
-                });
-  }
-
-  void TakeEvent(absl::string_view event, std::optional<int64_t> id) {
-    if (ended_ || broken_order_) return;
-    if (id && last_id_ && *id <= *last_id_) return;
-    if (id && last_id_ && *id != *last_id_ + 1) {
-      // The rest of another run would leave a hole.
-      broken_order_ = true;
-      return;
-    }
+  void NoteBegin() {
     const absl::Time now = MonotonicNow();
-    if (!begun_) Begin(now);
-    exchange_->Write(event);
-    if (id) {
-      last_id_ = *id;
-      resume_after_ = absl::StrCat(*id);
-    }
-    NoteTokens(now);
-  }
-
-  void Begin(absl::Time now) {
-    begun_ = true;
     state_.metrics->CountFirstEvent(route_.name, now - request_.received);
     record_.first_event = now - request_.received;
     record_.decode_first = now - began_;
-    exchange_->Begin(kOk, head_);
   }
 
-  void NoteTokens(absl::Time now) {
+  void NoteTokens() {
+    const absl::Time now = MonotonicNow();
     const double tokens = service_.engine.tokens_per_event;
     if (generated_here_ == 0) EndPrefill(state_.ledger, request_.id);
     if (generated_here_ > 0) {
@@ -427,8 +376,7 @@
     const answer_facts facts =
         state_.speaker.read_answer(result.http_status, result.headers);
     send_fate fate = FateOf(result, facts);
-    const bool whole = fate == send_fate::answered && genuine_ &&
-                       splitter_.partial.empty() && !broken_order_;
+    const bool whole = fate == send_fate::answered && relay_.RunIsWhole();
     if (fate == send_fate::answered && result.http_status == kOk && !whole) {
       fate = send_fate::unknown;
     }
@@ -449,16 +397,15 @@
 
   // Whether a send to another engine is allowed, but for the budget.
   bool MayGoOn() const {
-    return route_.resumable && sends_ < route_.attempts &&
-           (!begun_ || last_id_.has_value());
+    return route_.resumable && sends_ < route_.attempts && relay_.CanGoOn();
   }
 
   void Follow(send_fate fate, const http_result& result) {
     const bool ran = fate == send_fate::unknown || fate == send_fate::answered;
-    if (fate == send_fate::unsent && !begun_ && !ran_) {
+    if (fate == send_fate::unsent && !relay_.Begun() && !ran_) {
       // Nothing arrived: neither the attempts nor the budget are touched.
       if (FindOther()) return SendDecode();
-    } else if (fate == send_fate::refused && !begun_ && !ran_) {
+    } else if (fate == send_fate::refused && !relay_.Begun() && !ran_) {
       if (sends_ < route_.attempts && FindOther() && TakeBudget("refused")) {
         return SendDecode();
       }
@@ -466,7 +413,7 @@
       if (TakeBudget(SendFateName(fate))) return SendDecode();
     }
     ran_ = ran_ || ran;
-    if (begun_) return Abort();
+    if (relay_.Begun()) return Abort();
     if (fate == send_fate::answered) return Deliver(result);
     if (ran_) {
       return Refuse(MakeError(error_kind::upstream_failed,
@@ -479,7 +426,7 @@
   void GoOn(absl::string_view reason) {
     ran_ = true;
     if (TakeBudget(reason)) return SendDecode();
-    if (begun_) return Abort();
+    if (relay_.Begun()) return Abort();
     Refuse(MakeError(error_kind::upstream_stalled,
                      "the engine made no progress", run_state::unknown));
   }
@@ -507,8 +454,7 @@
   // ---- the end
 
   void Complete() {
-    if (!begun_) Begin(MonotonicNow());
-    exchange_->End();
+    relay_.End();
     Learn();
     Ended("request_answered", kOk);
   }
@@ -534,12 +480,13 @@
   }
 
   void Deliver(const http_result& result) {
-    exchange_->Respond(result.http_status, result.headers, failure_body_);
+    exchange_->Respond(result.http_status, result.headers,
+                       relay_.FailureBody());
     Ended("request_answered", result.http_status);
   }
 
   void Abort() {
-    exchange_->Abort();
+    relay_.Abort();
     Ended("stream_broken", 0);
   }
 
@@ -552,7 +499,7 @@
 
   void TimeIsUp() {
     if (ended_) return;
-    if (begun_) return Abort();
+    if (relay_.Begun()) return Abort();
     Refuse(sends_ > 0
                ? MakeError(error_kind::upstream_stalled,
                            "no event within the time limit", run_state::unknown)
@@ -589,9 +536,10 @@
     if (std::exchange(ended_, true)) return;
     LeaveQueue(state_, request_.id);
     if (call_ != 0) state_.client.Cancel(std::exchange(call_, 0));
-    ReleaseHandle();
+    ReleaseLease(state_, request_.id, lease_);
     EndPrefill(state_.ledger, request_.id);
     EndRun(state_.ledger, request_.id);
+    relay_.Close();
     exchange_.reset();
     Changed();
     // Room for others; not from here, where the caller may be one of them.
@@ -605,11 +553,12 @@
 
   dispatch_state& state_;
   const fleet_request request_;
-  // Keeps the route and service alive.
+  // Holds the route and the service.
   const std::shared_ptr<const fleet_config> config_;
   const fleet_route& route_;
   const fleet_service& service_;
   std::shared_ptr<inbound_exchange> exchange_;
+  stream_relay relay_;
 
   // What its answer may be.
   length_distribution length_;
@@ -617,9 +566,7 @@
   std::optional<fleet_upstream> prefill_;
   absl::Time prefill_began_;
   double prefill_backlog_ = 0;
-  std::string handle_;
-  absl::Time handle_until_;
-
+  kv_lease lease_;
   std::vector<std::string> tried_prefill_;
   fleet_upstream decode_;
   std::vector<std::string> tried_;
@@ -628,31 +575,15 @@
   bool ran_ = false;
   absl::Time began_;
   absl::Time last_event_;
-  // Whether the answer in progress is an engine's stream.
-  bool genuine_ = false;
-  http_headers head_;
-  event_splitter splitter_;
-  std::string failure_body_;
   int generated_here_ = 0;
-
-  // Whether the caller has the head of its answer.
-  bool begun_ = false;
-  bool broken_order_ = false;
   bool ended_ = false;
-  std::optional<int64_t> last_id_;
-  std::string resume_after_;
   stream_record record_;
 };
 
 }  // namespace
 
-void StartStream(dispatch_state& state, fleet_request request,
-                 std::shared_ptr<const fleet_config> config,
-                 const fleet_route& route, const fleet_service& service,
-                 std::shared_ptr<inbound_exchange> exchange) {
-  std::make_shared<stream_flow>(state, std::move(request), std::move(config),
-                                route, service, std::move(exchange))
-      ->Start();
+void StartStream(dispatch_state& state, routed_request routed) {
+  std::make_shared<stream_flow>(state, std::move(routed))->Start();
 }
 
 }  // namespace anvilridge
--- /dev/null
+++ b/src/dispatch/stream_relay_test.cc
@@ -0,0 +1,108 @@
+#include "dispatch/stream_relay.h"
+
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "gtest/gtest.h"
+
+namespace anvilridge {
+namespace {
+
+struct fake_exchange : inbound_exchange {
+  void Respond(int, const http_headers&, absl::string_view) override {}
+  void Begin(int, const http_headers&) override { absl::StrAppend(&log, "("); }
+  void Write(absl::string_view bytes) override {
+    absl::StrAppend(&log, bytes);
+    if (on_write) on_write();
+  }
+  void End() override { absl::StrAppend(&log, ")"); }
+  void Abort() override { absl::StrAppend(&log, "!"); }
+  int64_t UnsentBytes() const override { return 0; }
+  bool Closed() const override { return false; }
+  void OnClosed(std::function<void()>) override {}
+
+  std::string log;
+  std::function<void()> on_write;
+};
+
+std::string Event(int id) { return absl::StrCat("id: ", id, "\n\n"); }
+
+class stream_relay_test : public testing::Test {
+ protected:
+  stream_relay Make(std::string resume_after = "") {
+    return {exchange_, std::move(resume_after), [] {}, [this] { ++events_; }};
+  }
+
+  std::shared_ptr<fake_exchange> exchange_ = std::make_shared<fake_exchange>();
+  int events_ = 0;
+};
+
+TEST_F(stream_relay_test, PassesWholeEventsOnAsTheyCome) {
+  stream_relay relay = Make();
+  relay.TakeHead(true, {});
+  relay.TakeBytes("id: 1\n\nid: 2");
+  EXPECT_EQ(exchange_->log, absl::StrCat("(", Event(1)));
+  EXPECT_FALSE(relay.RunIsWhole());
+  relay.TakeBytes("\n\n");
+  EXPECT_TRUE(relay.RunIsWhole());
+  relay.End();
+  EXPECT_EQ(exchange_->log, absl::StrCat("(", Event(1), Event(2), ")"));
+  EXPECT_EQ(events_, 2);
+  EXPECT_EQ(relay.ResumeAfter(), "2");
+}
+
+TEST_F(stream_relay_test, AnotherRunNeitherDoublesNorSkips) {
+  stream_relay relay = Make();
+  relay.TakeHead(true, {});
+  relay.TakeBytes(absl::StrCat(Event(1), Event(2)));
+  relay.BeginRun();
+  relay.TakeHead(true, {});
+  relay.TakeBytes(absl::StrCat(Event(2), Event(3)));
+  EXPECT_EQ(exchange_->log, absl::StrCat("(", Event(1), Event(2), Event(3)));
+}
+
+// A run that goes on in the wrong place is dropped; the next one may still
+// complete the stream.
+TEST_F(stream_relay_test, ARunWithAHoleIsMadeGoodByTheNext) {
+  stream_relay relay = Make();
+  relay.TakeHead(true, {});
+  relay.TakeBytes(Event(1));
+  relay.BeginRun();
+  relay.TakeHead(true, {});
+  relay.TakeBytes(absl::StrCat(Event(4), Event(5)));
+  EXPECT_FALSE(relay.RunIsWhole());
+  EXPECT_EQ(relay.ResumeAfter(), "1");
+  relay.BeginRun();
+  relay.TakeHead(true, {});
+  relay.TakeBytes(absl::StrCat(Event(2), Event(3)));
+  EXPECT_TRUE(relay.RunIsWhole());
+  EXPECT_EQ(exchange_->log, absl::StrCat("(", Event(1), Event(2), Event(3)));
+}
+
+TEST_F(stream_relay_test, AFailureIsKeptAndNotPassedOn) {
+  stream_relay relay = Make();
+  relay.TakeHead(false, {});
+  relay.TakeBytes("no room");
+  EXPECT_EQ(exchange_->log, "");
+  EXPECT_EQ(relay.FailureBody(), "no room");
+  EXPECT_FALSE(relay.RunIsWhole());
+}
+
+TEST_F(stream_relay_test, StopsWhenTheCallerLeavesWithinAnEvent) {
+  stream_relay relay = Make();
+  exchange_->on_write = [&relay] { relay.Close(); };
+  relay.TakeHead(true, {});
+  relay.TakeBytes(absl::StrCat(Event(1), Event(2)));
+  EXPECT_EQ(exchange_->log, absl::StrCat("(", Event(1)));
+}
+
+TEST_F(stream_relay_test, AResumedRequestBeginsBehindWhatItsCallerHas) {
+  stream_relay relay = Make("7");
+  EXPECT_EQ(relay.ResumeAfter(), "7");
+  EXPECT_TRUE(relay.CanGoOn());
+}
+
+}  // namespace
+}  // namespace anvilridge
