Add a seeded fault soak over real daemons

Daemons run as processes against stand-ins of the store, engines and services; each upstream and each daemon's way to the store lies behind a loopback proxy (delay, reset, silence, one way). Daemons are killed, stopped, frozen, hung up and given other settings; upstreams refuse, fail, lose answers, hang, leave and come back as other instances; the store refuses; configurations change. What callers and upstreams saw is checked by functions of their own, each with a test.

Planted faults (a resend, a stale view, a false refusal, a lost cancel) are caught in tests. The store's stand-in moves out of platform_scene, so that both use it; the daemon's command line moves into the library for the planted daemon.

--- a/tests/harness/platform_scene.cc
+++ b/tests/harness/platform_scene.cc
@@ -1,42 +1,21 @@
 #include "harness/platform_scene.h"
 
 #include <QCoreApplication>
-#include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
-#include <QTimer>
-#include <QtEndian>
 #include <utility>
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/str_split.h"
 #include "base/testing/run_loop.h"
 #include "harness/eventually.h"
+#include "harness/store_standin.h"
 #include "harness/temp_folder.h"
 #include "harness/test_http.h"
 
 namespace anvilridge {
 namespace {
 
-template <typename T>
-std::string BigEndian(T number) {
-  std::string bytes(sizeof(T), '\0');
-  qToBigEndian(number, bytes.data());
-  return bytes;
-}
-
-std::string QueryValue(const std::string& target, const std::string& name) {
-  const size_t at = target.find(name + "=");
-  if (at == std::string::npos) return "";
-  const std::string rest = target.substr(at + name.size() + 1);
-  return rest.substr(0, rest.find('&'));
-}
-
-struct stored_record {
-  std::string key;
-  std::string value;
-};
-
 std::string EntryOf(const std::string& service, const std::string& address,
                     const std::string& stage) {
   return absl::StrCat(R"({"Service":")", service, R"(","Addr":")", address,
@@ -65,77 +44,19 @@
 }  // namespace
 
 struct platform_scene::impl {
-  std::mutex mutex;
-  // Guarded by `mutex`.
-  std::map<std::string, std::vector<stored_record>> topics;
   raw_server::handler on_service;
   raw_server::handler on_decode;
   // Live on the thread.
-  std::unique_ptr<raw_server> store;
+  std::unique_ptr<store_standin> store;
   std::unique_ptr<raw_server> service;
   std::unique_ptr<raw_server> prefill;
   std::unique_ptr<raw_server> decode;
   temp_folder folder;
   event_thread thread{"scene"};
 
-  void AnswerStore(QTcpSocket& socket, const raw_request& request, bool up);
-  std::string ReadAnswer(const raw_request& request);
-  std::string ListAnswer(const raw_request& request);
   std::vector<raw_request> RequestsOf(const std::unique_ptr<raw_server>& of);
 };
 
-std::string platform_scene::impl::ReadAnswer(const raw_request& request) {
-  const std::lock_guard lock(mutex);
-  const auto& records = topics[QueryValue(request.target, "Topic")];
-  const size_t from = std::stoul(QueryValue(request.target, "From"));
-  std::string body = BigEndian<quint64>(records.size()) + BigEndian<quint64>(0);
-  for (size_t i = from; i < records.size(); ++i) {
-    const std::string content =
-        std::string(1, static_cast<char>(records[i].key.size())) +
-        records[i].key + records[i].value;
-    body += BigEndian(static_cast<quint32>(content.size())) + content;
-  }
-  return body;
-}
-
-std::string platform_scene::impl::ListAnswer(const raw_request& request) {
-  const std::lock_guard lock(mutex);
-  const auto& records = topics[QueryValue(request.target, "Topic")];
-  QJsonArray items;
-  for (size_t i = 0; i < records.size(); ++i) {
-    QJsonObject item;
-    item["Key"] = QString::fromStdString(records[i].key);
-    item["Value"] = QString::fromLatin1(
-        QByteArray::fromStdString(records[i].value).toBase64());
-    item["Offset"] = static_cast<int>(i);
-    items.append(item);
-  }
-  QJsonObject page;
-  page["items"] = items;
-  page["HasMore"] = false;
-  page["End"] = static_cast<int>(records.size());
-  return QJsonDocument(page).toJson().toStdString();
-}
-
-void platform_scene::impl::AnswerStore(QTcpSocket& socket,
-                                       const raw_request& request, bool up) {
-  if (!up) return raw_server::Answer(socket, 503, "");
-  if (absl::StartsWith(request.target, "/api/log-read")) {
-    // Long reads are answered soon: the daemon asks again.
-    QTcpSocket* to = &socket;
-    QTimer::singleShot(20, to, [this, to, asked = request] {
-      raw_server::Answer(*to, 200, ReadAnswer(asked));
-    });
-  } else if (absl::StartsWith(request.target, "/api/log-newest")) {
-    raw_server::Answer(socket, 200, ListAnswer(request));
-  } else if (absl::StartsWith(request.target, "/api/log-join")) {
-    raw_server::Answer(socket, 200,
-                       R"({"Generation":1,"parts":[["daemons-0",0,0]]})");
-  } else {
-    raw_server::Answer(socket, 200, R"({"parts":[]})");
-  }
-}
-
 std::vector<raw_request> platform_scene::impl::RequestsOf(
     const std::unique_ptr<raw_server>& of) {
   std::vector<raw_request> requests;
@@ -182,12 +103,8 @@
     Events(socket, 1, 3);
     socket.write("0\r\n\r\n");
   };
-  RunAndWait(impl_->thread.Context(), [this] {
-    impl* self = impl_.get();
-    self->store = std::make_unique<raw_server>(
-        [this, self](QTcpSocket& socket, const raw_request& request) {
-          self->AnswerStore(socket, request, store_up);
-        });
+  RunAndWait(impl_->thread.Context(), [self = impl_.get()] {
+    self->store = std::make_unique<store_standin>();
     self->service = std::make_unique<raw_server>(
         [self](QTcpSocket& socket, const raw_request& request) {
           self->on_service(socket, request);
@@ -227,10 +144,11 @@
 
 void platform_scene::Put(const std::string& topic, const std::string& key,
                          const std::string& value) {
-  const std::lock_guard lock(impl_->mutex);
-  impl_->topics[topic].push_back({key, value});
+  impl_->store->Put(topic, key, value);
 }
 
+void platform_scene::SetStoreUp(bool up) { impl_->store->SetUp(up); }
+
 std::string platform_scene::DecodeAddress() const {
   return impl_->decode->Address();
 }
--- a/tests/harness/platform_scene.h
+++ b/tests/harness/platform_scene.h
@@ -1,12 +1,9 @@
 #ifndef ANVILRIDGE_TESTS_HARNESS_PLATFORM_SCENE_H_
 #define ANVILRIDGE_TESTS_HARNESS_PLATFORM_SCENE_H_
 
-#include <atomic>
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
-#include <mutex>
 #include <string>
 #include <vector>
 
@@ -47,7 +44,7 @@
   void Put(const std::string& topic, const std::string& key,
            const std::string& value);
   /// Whether the store answers.
-  std::atomic<bool> store_up = true;
+  void SetStoreUp(bool up);
 
   /// An answer's status line and fields for `request`, with the marks of an
   /// upstream's own answer.
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -125,7 +125,7 @@
 }
 
 TEST_F(platform_path_test, ANewConfigurationIsInForceAndTheStoreMayGo) {
-  scene_.store_up = false;
+  scene_.SetStoreUp(false);
   ASSERT_TRUE(Eventually(kBound, [&] {
     return scene_.Daemon().Out().find("store_lost") != std::string::npos;
   }));
@@ -134,7 +134,7 @@
              R"({"Version":5,"Routes":[{"Name":"new","Host":"a.example",)"
              R"("PathPrefix":"/new/","Kind":"safe","Service":"ledger"}],)"
              R"("Services":[{"Name":"ledger"}]})");
-  scene_.store_up = true;
+  scene_.SetStoreUp(true);
   EXPECT_TRUE(
       Eventually(kBound, [&] { return Ask("GET", "/new/1").status == 200; }));
   EXPECT_EQ(Ask("GET", "/read/1").status, 404);
--- /dev/null
+++ b/tests/soak/planted_daemon.cc
@@ -0,0 +1,85 @@
+// The daemon with one fault planted, to show that the soak catches it.
+#include <cstdio>
+#include <cstdlib>
+#include <string>
+
+#include "base/error_kind.h"
+#include "fleet_daemon/fleet_program.h"
+#include "platform/fleet_platform.h"
+
+namespace anvilridge {
+namespace {
+
+constexpr int kFirstServerError = 500;
+constexpr int kExitUsage = 2;
+
+// Takes a failure for a refusal, so that what has run is sent again.
+void PlantResend(fleet_platform& platform) {
+  platform.speaker.read_answer = [read = platform.speaker.read_answer](
+                                     int status, const http_headers& headers) {
+    answer_facts facts = read(status, headers);
+    if (status >= kFirstServerError) facts.not_run = true;
+    return facts;
+  };
+}
+
+// Keeps the first configuration under each newer one's version.
+void PlantStaleView(fleet_platform& platform) {
+  platform.open_sources =
+      [open = platform.open_sources](const fleet_settings& settings) {
+        fleet_sources sources = open(settings);
+        const auto first = std::make_shared<std::string>();
+        sources.read_config = [read = sources.read_config,
+                               first](absl::string_view value) {
+          if (first->empty()) *first = std::string(value);
+          auto config = read(*first);
+          const auto newest = read(value);
+          if (config.ok() && newest.ok()) config->version = newest->version;
+          return config;
+        };
+        return sources;
+      };
+}
+
+// Says of what may have run that it hasn't.
+void PlantFalseRefusal(fleet_platform& platform) {
+  platform.speaker.refuse = [refuse = platform.speaker.refuse](
+                                inbound_exchange& exchange,
+                                const absl::Status& error,
+                                absl::string_view request_id) {
+    if (RunStateOf(error) != run_state::unknown) {
+      return refuse(exchange, error, request_id);
+    }
+    refuse(exchange,
+           MakeError(error_kind::overloaded, "planted", run_state::not_run,
+                     absl::Milliseconds(100)),
+           request_id);
+  };
+}
+
+bool Plant(fleet_platform& platform, const std::string& fault) {
+  if (fault == "resend") {
+    PlantResend(platform);
+  } else if (fault == "stale_view") {
+    PlantStaleView(platform);
+  } else if (fault == "false_refusal") {
+    PlantFalseRefusal(platform);
+  } else {
+    return false;
+  }
+  return true;
+}
+
+}  // namespace
+}  // namespace anvilridge
+
+/// As `anvilridge_fleet`, with the name of the fault as first argument.
+int main(int count, char** arguments) {
+  anvilridge::fleet_platform platform =
+      anvilridge::platform::MakeFleetPlatform();
+  if (count < 2 || !anvilridge::Plant(platform, arguments[1])) {
+    std::fprintf(stderr, "planted_daemon: name a fault\n");
+    return anvilridge::kExitUsage;
+  }
+  std::_Exit(anvilridge::RunFleetProgram(count - 1, arguments + 1, platform));
+}
--- /dev/null
+++ b/tests/soak/soak_checks.cc
@@ -0,0 +1,222 @@
+#include "soak/soak_checks.h"
+
+#include <algorithm>
+#include <array>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+
+namespace anvilridge {
+namespace {
+
+// Time limits of the soak's routes, by kind, and what the way here may add.
+constexpr absl::Duration kPostLimit = absl::Seconds(2);
+constexpr absl::Duration kStreamLimit = absl::Seconds(8);
+constexpr absl::Duration kWay = absl::Milliseconds(600);
+// Within which an engine must stop when the caller has left, by the rules of
+// the platform, and what the way may add.
+constexpr absl::Duration kStopBound = absl::Milliseconds(500);
+// Streams that may go on for longer: the rules take a few by chance.
+constexpr double kLateStops = 0.25;
+// How long nothing may be disturbed before a bound counts, and within which a
+// configuration must be in force then: the sites' bounds.
+constexpr absl::Duration kCalmBefore = absl::Seconds(4);
+constexpr absl::Duration kConfigBound = absl::Seconds(3);
+// Sends of one request that may run: the routes' attempts.
+constexpr size_t kAttempts = 2;
+constexpr int kFirstFailure = 300;
+constexpr std::array kNotRunStatuses = {408, 421, 429, 503};
+
+// Whether `place` was disturbed for `daemon` between `from` and `to`.
+bool Disturbed(const soak_record& record, fault_place place, int daemon,
+               absl::Time from, absl::Time to) {
+  return std::any_of(record.faults.begin(), record.faults.end(),
+                     [&](const fault_span& fault) {
+                       return fault.place == place &&
+                              (fault.daemon < 0 || fault.daemon == daemon) &&
+                              fault.from < to && from < fault.to;
+                     });
+}
+
+const upstream_record& UpstreamOf(const soak_record& record,
+                                  const std::string& id) {
+  static const auto* const kNone = new upstream_record;
+  const auto found = record.upstreams.find(id);
+  return found == record.upstreams.end() ? *kNone : found->second;
+}
+
+bool PromisesNotRun(const caller_record& caller) {
+  return std::find(kNotRunStatuses.begin(), kNotRunStatuses.end(),
+                   caller.status) != kNotRunStatuses.end();
+}
+
+std::string Describe(const caller_record& caller) {
+  return absl::StrCat("request ", caller.id, " at daemon ", caller.daemon,
+                      ", status ", caller.status);
+}
+
+class promise_checks {
+ public:
+  explicit promise_checks(const soak_record& record) : record_(record) {}
+
+  std::vector<std::string> Run() {
+    broken_ = record_.findings;
+    for (const caller_record& caller : record_.callers) {
+      CheckRuns(caller);
+      CheckAnswer(caller);
+      CheckTime(caller);
+      CheckCalm(caller);
+    }
+    CheckStops();
+    CheckConfigs();
+    return broken_;
+  }
+
+ private:
+  void Break(absl::string_view promise, absl::string_view what) {
+    broken_.push_back(absl::StrCat(promise, ": ", what));
+  }
+
+  // Runs at most once, not at all when refused, and within the attempts.
+  void CheckRuns(const caller_record& caller) {
+    const size_t runs = UpstreamOf(record_, caller.id).runs.size();
+    if (caller.kind == request_kind::posting && runs > 1) {
+      Break("run twice", Describe(caller));
+    }
+    if (caller.kind == request_kind::posting && PromisesNotRun(caller) &&
+        runs > 0) {
+      Break("refused and run", Describe(caller));
+    }
+    if (caller.kind == request_kind::posting && caller.status == 200 &&
+        runs == 0) {
+      Break("answered and not run", Describe(caller));
+    }
+    if (runs > kAttempts) {
+      Break("more sends than attempts",
+            absl::StrCat(Describe(caller), ", runs ", runs));
+    }
+    if (PromisesNotRun(caller) && caller.retry_after.empty()) {
+      Break("refused without a time to come back", Describe(caller));
+    }
+  }
+
+  // What arrived is the caller's own answer, whole or its beginning.
+  void CheckAnswer(const caller_record& caller) {
+    if (caller.status != 200) return;
+    const std::string expected = caller.kind == request_kind::stream
+                                     ? WholeStream(caller.id)
+                                     : absl::StrCat("done ", caller.id);
+    const bool right = caller.whole ? caller.body == expected
+                                    : absl::StartsWith(expected, caller.body);
+    if (!right) {
+      Break("wrong answer",
+            absl::StrCat(Describe(caller), ", ", caller.body.size(), " bytes"));
+    }
+  }
+
+  void CheckTime(const caller_record& caller) {
+    const absl::Duration limit =
+        caller.kind == request_kind::stream ? kStreamLimit : kPostLimit;
+    const absl::Time due = caller.began + limit + kWay;
+    if (caller.left < due || due > record_.end) return;
+    if (caller.ended <= due || Disturbed(record_, fault_place::daemon,
+                                         caller.daemon, caller.began, due)) {
+      return;
+    }
+    Break("no final answer in time", Describe(caller));
+  }
+
+  // Once all is well again, everybody is served.
+  void CheckCalm(const caller_record& caller) {
+    if (caller.began < record_.calm + kCalmBefore) return;
+    if (caller.left < absl::InfiniteFuture()) return;
+    if (caller.ended == absl::InfiniteFuture()) return;
+    if (caller.status >= kFirstFailure || !caller.whole) {
+      Break("not served on a calm day", Describe(caller));
+    }
+  }
+
+  void CheckStops() {
+    int gone = 0;
+    std::vector<std::string> late;
+    for (const caller_record& caller : record_.callers) {
+      const absl::Time due = caller.left + kStopBound + kWay;
+      if (caller.kind != request_kind::stream || due > record_.end) continue;
+      if (Disturbed(record_, fault_place::daemon, caller.daemon, caller.began,
+                    due) ||
+          Disturbed(record_, fault_place::upstream, -1, caller.began, due)) {
+        continue;
+      }
+      const upstream_record& upstream = UpstreamOf(record_, caller.id);
+      if (upstream.runs.empty()) continue;
+      ++gone;
+      if (upstream.stops.size() < upstream.runs.size() ||
+          upstream.stops.back() > due) {
+        late.push_back(caller.id);
+      }
+    }
+    if (static_cast<double>(late.size()) > kLateStops * gone) {
+      Break("engines work for callers that have left",
+            absl::StrCat(late.size(), " of ", gone, ": ",
+                         absl::StrJoin(late, " ")));
+    }
+  }
+
+  void CheckConfigs() {
+    for (const config_probe& probe : record_.probes) {
+      if (probe.version == 0) continue;
+      int due = 0;
+      for (const config_record& config : record_.configs) {
+        const absl::Time bound = config.written + kConfigBound;
+        const absl::Time from = config.written - kCalmBefore;
+        if (bound > probe.asked ||
+            Disturbed(record_, fault_place::daemon, probe.daemon, from,
+                      probe.asked) ||
+            Disturbed(record_, fault_place::store, probe.daemon, from,
+                      probe.asked)) {
+          continue;
+        }
+        due = std::max(due, config.version);
+      }
+      if (probe.version < due) {
+        Break("an old configuration in force",
+              absl::StrCat("daemon ", probe.daemon, " has ", probe.version,
+                           " instead of ", due));
+      }
+    }
+    for (size_t i = 0; i < record_.probes.size(); ++i) {
+      const config_probe& later = record_.probes[i];
+      for (size_t k = 0; k < i; ++k) {
+        const config_probe& earlier = record_.probes[k];
+        if (earlier.daemon == later.daemon && earlier.starts == later.starts &&
+            later.version != 0 && later.version < earlier.version) {
+          Break("an older configuration behind a newer one",
+                absl::StrCat("daemon ", later.daemon, ", ", later.version,
+                             " behind ", earlier.version));
+        }
+      }
+    }
+  }
+
+  const soak_record& record_;
+  std::vector<std::string> broken_;
+};
+
+}  // namespace
+
+std::string StreamEvent(const std::string& id, int number) {
+  return absl::StrCat("id: ", number, "\ndata: ", id, " ", number, "\n\n");
+}
+
+std::string WholeStream(const std::string& id) {
+  std::string whole;
+  for (int i = 1; i <= kStreamEvents; ++i) whole += StreamEvent(id, i);
+  return whole;
+}
+
+std::vector<std::string> BrokenPromises(const soak_record& record) {
+  return promise_checks(record).Run();
+}
+
+}  // namespace anvilridge
--- /dev/null
+++ b/tests/soak/soak_checks.h
@@ -0,0 +1,25 @@
+#ifndef ANVILRIDGE_TESTS_SOAK_SOAK_CHECKS_H_
+#define ANVILRIDGE_TESTS_SOAK_SOAK_CHECKS_H_
+
+#include <string>
+#include <vector>
+
+#include "soak/soak_record.h"
+
+namespace anvilridge {
+
+/// Text of a whole stream's answer to request `id`.
+std::string WholeStream(const std::string& id);
+
+/// Event `number`, from 1, of the answer to request `id`.
+std::string StreamEvent(const std::string& id, int number);
+
+/// Events of a whole stream.
+inline constexpr int kStreamEvents = 30;
+
+/// Returns a line for each promise that `record` shows broken.
+std::vector<std::string> BrokenPromises(const soak_record& record);
+
+}  // namespace anvilridge
+
+#endif  // ANVILRIDGE_TESTS_SOAK_SOAK_CHECKS_H_
--- /dev/null
+++ b/tests/soak/soak_checks_test.cc
@@ -0,0 +1,129 @@
+// Each check of the soak bites, shown on records made by hand.
+#include "soak/soak_checks.h"
+
+#include "absl/strings/str_join.h"
+#include "gmock/gmock.h"
+#include "gtest/gtest.h"
+
+namespace anvilridge {
+namespace {
+
+using testing::HasSubstr;
+
+const absl::Time kStart = absl::FromUnixSeconds(1'000);
+
+class soak_checks_test : public testing::Test {
+ protected:
+  soak_checks_test() {
+    record_.calm = kStart + absl::Seconds(60);
+    record_.end = kStart + absl::Seconds(70);
+  }
+
+  caller_record& Caller(request_kind kind, int status, const std::string& body,
+                        absl::Time began = kStart) {
+    caller_record caller;
+    caller.id = "r1";
+    caller.kind = kind;
+    caller.began = began;
+    caller.ended = began + absl::Seconds(1);
+    caller.status = status;
+    caller.whole = true;
+    caller.body = body;
+    record_.callers.push_back(caller);
+    return record_.callers.back();
+  }
+  void Runs(int count) {
+    for (int i = 0; i < count; ++i) {
+      record_.upstreams["r1"].runs.push_back(kStart);
+    }
+  }
+  std::string Broken() const {
+    return absl::StrJoin(BrokenPromises(record_), "\n");
+  }
+
+  soak_record record_;
+};
+
+TEST_F(soak_checks_test, ARightAnswerBreaksNothing) {
+  Caller(request_kind::posting, 200, "done r1");
+  Runs(1);
+  EXPECT_EQ(Broken(), "");
+}
+
+TEST_F(soak_checks_test, APostingRunsOnce) {
+  Caller(request_kind::posting, 200, "done r1");
+  Runs(2);
+  EXPECT_THAT(Broken(), HasSubstr("run twice"));
+}
+
+TEST_F(soak_checks_test, ARefusalIsTrueAndNamesATime) {
+  Caller(request_kind::posting, 503, "");
+  Runs(1);
+  EXPECT_THAT(Broken(), HasSubstr("refused and run"));
+  EXPECT_THAT(Broken(), HasSubstr("without a time to come back"));
+}
+
+TEST_F(soak_checks_test, AnAnswerComesFromARun) {
+  Caller(request_kind::posting, 200, "done r1");
+  EXPECT_THAT(Broken(), HasSubstr("answered and not run"));
+}
+
+TEST_F(soak_checks_test, SendsStayWithinTheAttempts) {
+  Caller(request_kind::read, 200, "done r1");
+  Runs(3);
+  EXPECT_THAT(Broken(), HasSubstr("more sends than attempts"));
+}
+
+TEST_F(soak_checks_test, AStreamHasNeitherHoleNorDouble) {
+  const std::string whole = WholeStream("r1");
+  EXPECT_EQ((Caller(request_kind::stream, 200, whole), Broken()), "");
+  record_.callers.clear();
+  Caller(request_kind::stream, 200, StreamEvent("r1", 1) + StreamEvent("r1", 3))
+      .whole = false;
+  EXPECT_THAT(Broken(), HasSubstr("wrong answer"));
+  record_.callers.clear();
+  Caller(request_kind::stream, 200, whole.substr(0, whole.size() - 9));
+  EXPECT_THAT(Broken(), HasSubstr("wrong answer"));
+}
+
+TEST_F(soak_checks_test, TheFinalAnswerComesInTimeUnlessTheDaemonWasAway) {
+  Caller(request_kind::read, 504, "").ended = kStart + absl::Seconds(3);
+  EXPECT_THAT(Broken(), HasSubstr("no final answer in time"));
+  record_.faults.push_back(
+      {fault_place::upstream, -1, kStart, kStart + absl::Seconds(2)});
+  EXPECT_THAT(Broken(), HasSubstr("no final answer in time"));
+  record_.faults.push_back(
+      {fault_place::daemon, 0, kStart, kStart + absl::Seconds(2)});
+  EXPECT_EQ(Broken(), "");
+}
+
+TEST_F(soak_checks_test, AllAreServedOnceItIsCalm) {
+  Caller(request_kind::read, 502, "", kStart + absl::Seconds(65));
+  EXPECT_THAT(Broken(), HasSubstr("not served on a calm day"));
+}
+
+TEST_F(soak_checks_test, EnginesStopForCallersThatHaveLeft) {
+  Caller(request_kind::stream, 200, StreamEvent("r1", 1)).whole = false;
+  record_.callers.back().left = kStart + absl::Seconds(1);
+  Runs(1);
+  record_.upstreams["r1"].stops = {kStart + absl::Seconds(4)};
+  EXPECT_THAT(Broken(), HasSubstr("callers that have left"));
+  record_.upstreams["r1"].stops = {kStart + absl::Milliseconds(1300)};
+  EXPECT_EQ(Broken(), "");
+}
+
+TEST_F(soak_checks_test, AConfigurationIsInForceInTimeAndStays) {
+  record_.configs = {{2, kStart}};
+  record_.probes = {{0, kStart + absl::Seconds(2), 1, 1}};
+  EXPECT_EQ(Broken(), "");
+  record_.probes.push_back({0, kStart + absl::Seconds(5), 1, 1});
+  EXPECT_THAT(Broken(), HasSubstr("an old configuration in force"));
+  record_.faults = {
+      {fault_place::store, -1, kStart, kStart + absl::Seconds(1)}};
+  EXPECT_EQ(Broken(), "");
+  record_.probes = {{0, kStart, 2, 1}, {0, kStart, 1, 1}};
+  EXPECT_THAT(Broken(), HasSubstr("behind a newer one"));
+}
+
+}  // namespace
+}  // namespace anvilridge
--- /dev/null
+++ b/tests/soak/soak_main.cc
@@ -0,0 +1,68 @@
+// Runs the soak by hand, with any seeds.
+#include <QCoreApplication>
+#include <cstdio>
+#include <cxxopts.hpp>
+
+#include "soak/soak_checks.h"
+#include "soak/soak_run.h"
+
+namespace anvilridge {
+namespace {
+
+int RunSeeds(const cxxopts::ParseResult& parsed) {
+  int failed = 0;
+  soak_options options;
+  options.daemons = parsed["daemons"].as<int>();
+  options.disturbed = absl::Seconds(parsed["seconds"].as<int>());
+  options.rate = parsed["rate"].as<double>();
+  const auto first = parsed["seed"].as<uint64_t>();
+  const auto count = parsed["count"].as<uint64_t>();
+  for (uint64_t seed = first; seed < first + count; ++seed) {
+    options.seed = seed;
+    const soak_result result =
+        RunSoak(options, parsed["logs"].as<std::string>());
+    const auto broken = BrokenPromises(result.record);
+    std::printf("seed %llu: %zu requests, %zu steps, %zu broken\n",
+                static_cast<unsigned long long>(seed),
+                result.record.callers.size(), result.steps.size(),
+                broken.size());
+    for (const std::string& line : broken) std::printf("  %s\n", line.c_str());
+    if (!broken.empty()) {
+      ++failed;
+      for (const std::string& step : result.steps) {
+        std::printf("    %s\n", step.c_str());
+      }
+    }
+    std::fflush(stdout);
+  }
+  return failed == 0 ? 0 : 1;
+}
+
+}  // namespace
+}  // namespace anvilridge
+
+int main(int count, char** arguments) {
+  QCoreApplication application(count, arguments);
+  cxxopts::Options options("anvil_soak", "Disturbs daemons as seeds say");
+  auto add = options.add_options();
+  add("seed", "First seed", cxxopts::value<uint64_t>()->default_value("1"));
+  add("count", "Seeds to run", cxxopts::value<uint64_t>()->default_value("1"));
+  add("daemons", "Daemons", cxxopts::value<int>()->default_value("3"));
+  add("seconds", "Disturbed span", cxxopts::value<int>()->default_value("8"));
+  add("rate", "Requests a second",
+      cxxopts::value<double>()->default_value("40"));
+  add("logs", "Folder for the daemons' logs",
+      cxxopts::value<std::string>()->default_value(""));
+  add("help", "Show this text");
+  try {
+    const auto parsed = options.parse(count, arguments);
+    if (parsed.count("help") > 0) {
+      std::puts(options.help().c_str());
+      return 0;
+    }
+    return anvilridge::RunSeeds(parsed);
+  } catch (const cxxopts::exceptions::exception& error) {
+    std::fprintf(stderr, "%s\n", error.what());
+    return 2;
+  }
+}
--- /dev/null
+++ b/tests/soak/soak_plan.cc
@@ -0,0 +1,71 @@
+#include "soak/soak_plan.h"
+
+#include <algorithm>
+#include <array>
+#include <random>
+
+namespace anvilridge {
+namespace {
+
+// Disturbances a second: several overlap, and calm spans remain between them.
+constexpr double kStepsPerSecond = 1.3;
+constexpr int kShortestMs = 200;
+constexpr int kLongestMs = 3000;
+
+struct action_name {
+  soak_action action;
+  absl::string_view name;
+};
+
+constexpr std::array kActions = {
+    action_name{soak_action::kill_daemon, "kill_daemon"},
+    action_name{soak_action::stop_daemon, "stop_daemon"},
+    action_name{soak_action::freeze_daemon, "freeze_daemon"},
+    action_name{soak_action::hang_up_daemon, "hang_up_daemon"},
+    action_name{soak_action::change_settings, "change_settings"},
+    action_name{soak_action::cut_upstream, "cut_upstream"},
+    action_name{soak_action::upset_upstream, "upset_upstream"},
+    action_name{soak_action::renew_upstream, "renew_upstream"},
+    action_name{soak_action::drain_upstream, "drain_upstream"},
+    action_name{soak_action::cut_store, "cut_store"},
+    action_name{soak_action::refuse_at_store, "refuse_at_store"},
+    action_name{soak_action::change_config, "change_config"},
+};
+
+// The same on each machine, other than the library's distributions.
+int Draw(std::mt19937_64& random, int below) {
+  return static_cast<int>(random() % static_cast<uint64_t>(below));
+}
+
+}  // namespace
+
+absl::string_view ActionName(soak_action action) {
+  return kActions.at(static_cast<size_t>(action)).name;
+}
+
+std::vector<soak_step> MakePlan(const soak_options& options) {
+  std::mt19937_64 random(options.seed);
+  const int span_ms =
+      static_cast<int>(absl::ToInt64Milliseconds(options.disturbed));
+  const int count =
+      std::max(1, static_cast<int>(absl::ToDoubleSeconds(options.disturbed) *
+                                   kStepsPerSecond));
+  std::vector<soak_step> plan;
+  for (int i = 0; i < count; ++i) {
+    soak_step step;
+    step.at = absl::Milliseconds(Draw(random, span_ms));
+    step.action =
+        kActions.at(Draw(random, static_cast<int>(kActions.size()))).action;
+    step.target = Draw(random, 1 << 20);
+    step.form = Draw(random, 1 << 20);
+    step.lasts = absl::Milliseconds(kShortestMs +
+                                    Draw(random, kLongestMs - kShortestMs));
+    plan.push_back(step);
+  }
+  std::stable_sort(
+      plan.begin(), plan.end(),
+      [](const auto& one, const auto& other) { return one.at < other.at; });
+  return plan;
+}
+
+}  // namespace anvilridge
--- /dev/null
+++ b/tests/soak/soak_plan.h
@@ -0,0 +1,65 @@
+#ifndef ANVILRIDGE_TESTS_SOAK_SOAK_PLAN_H_
+#define ANVILRIDGE_TESTS_SOAK_SOAK_PLAN_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "absl/strings/string_view.h"
+#include "absl/time/time.h"
+
+namespace anvilridge {
+
+struct soak_options {
+  uint64_t seed = 1;
+  /// Span in which things are disturbed.
+  absl::Duration disturbed = absl::Seconds(8);
+  int daemons = 3;
+  int decode_engines = 4;
+  int prefill_engines = 2;
+  int services = 2;
+  /// Requests a second of all callers.
+  double rate = 40;
+  /// Program of the daemons, and what it is given besides its settings.
+  std::string program = "anvilridge_fleet";
+  std::vector<std::string> arguments;
+  /// Hides from engines that their callers have left, as a daemon would that
+  /// doesn't pass it on.
+  bool hide_close = false;
+};
+
+enum class soak_action {
+  kill_daemon,
+  stop_daemon,
+  freeze_daemon,
+  hang_up_daemon,
+  change_settings,
+  cut_upstream,
+  upset_upstream,
+  renew_upstream,
+  drain_upstream,
+  cut_store,
+  refuse_at_store,
+  change_config,
+};
+
+absl::string_view ActionName(soak_action action);
+
+/// One disturbance.
+struct soak_step {
+  /// From the start of the disturbed span.
+  absl::Duration at;
+  soak_action action = soak_action::kill_daemon;
+  /// Which daemon or upstream, counted round.
+  int target = 0;
+  /// Which of the action's forms, counted round.
+  int form = 0;
+  absl::Duration lasts;
+};
+
+/// Draws the disturbances of a run, in order of time; some overlap.
+std::vector<soak_step> MakePlan(const soak_options& options);
+
+}  // namespace anvilridge
+
+#endif  // ANVILRIDGE_TESTS_SOAK_SOAK_PLAN_H_
--- /dev/null
+++ b/tests/soak/soak_record.h
@@ -0,0 +1,82 @@
+#ifndef ANVILRIDGE_TESTS_SOAK_SOAK_RECORD_H_
+#define ANVILRIDGE_TESTS_SOAK_SOAK_RECORD_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+
+namespace anvilridge {
+
+enum class request_kind { posting, read, stream };
+
+/// What one caller asked and got.
+struct caller_record {
+  std::string id;
+  request_kind kind = request_kind::read;
+  int daemon = 0;
+  absl::Time began;
+  absl::Time ended = absl::InfiniteFuture();
+  /// When the caller closed its connection before the answer was complete.
+  absl::Time left = absl::InfiniteFuture();
+  /// 0 when no answer began.
+  int status = 0;
+  /// Whether the answer came to its end.
+  bool whole = false;
+  std::string retry_after;
+  std::string body;
+};
+
+/// What happened to one request at the upstreams.
+struct upstream_record {
+  /// Times at which an upstream began to run it.
+  std::vector<absl::Time> runs;
+  /// Times at which an engine stopped generating it: its end or its caller's.
+  std::vector<absl::Time> stops;
+};
+
+enum class fault_place { daemon, store, upstream };
+
+/// A span in which something was disturbed.
+struct fault_span {
+  fault_place place = fault_place::daemon;
+  /// Which daemon it concerns; -1 for all of them.
+  int daemon = -1;
+  absl::Time from;
+  absl::Time to;
+};
+
+/// A configuration and when it was written to the store.
+struct config_record {
+  int version = 0;
+  absl::Time written;
+};
+
+/// One question of which configuration a daemon has in force.
+struct config_probe {
+  int daemon = 0;
+  absl::Time asked;
+  /// 0 when it could not be told.
+  int version = 0;
+  /// How often the daemon had been started before.
+  int starts = 0;
+};
+
+/// All that is known of one run, for the checks.
+struct soak_record {
+  std::vector<caller_record> callers;
+  std::map<std::string, upstream_record> upstreams;
+  std::vector<fault_span> faults;
+  std::vector<config_record> configs;
+  std::vector<config_probe> probes;
+  /// From when on nothing is disturbed any more, and the end.
+  absl::Time calm;
+  absl::Time end;
+  /// What the run itself saw, such as a daemon that crashed.
+  std::vector<std::string> findings;
+};
+
+}  // namespace anvilridge
+
+#endif  // ANVILRIDGE_TESTS_SOAK_SOAK_RECORD_H_
--- /dev/null
+++ b/tests/soak/soak_test.cc
@@ -0,0 +1,65 @@
+// A short soak for each verdict, the seeds that ever failed, and planted faults
+// that must be caught.
+#include "absl/strings/str_join.h"
+#include "base/testing/run_loop.h"
+#include "gmock/gmock.h"
+#include "gtest/gtest.h"
+#include "soak/soak_checks.h"
+#include "soak/soak_run.h"
+
+namespace anvilridge {
+namespace {
+
+using testing::HasSubstr;
+
+std::string Broken(const soak_options& options) {
+  EnsureTestApplication();
+  const soak_result result = RunSoak(options);
+  // A run in which nobody is served would break no promise.
+  EXPECT_GT(result.record.upstreams.size(), 100u);
+  const std::string broken = absl::StrJoin(BrokenPromises(result.record), "\n");
+  if (!broken.empty()) {
+    GTEST_LOG_(INFO) << "seed " << options.seed << "\n"
+                     << absl::StrJoin(result.steps, "\n");
+  }
+  return broken;
+}
+
+class soak_seed_test : public testing::TestWithParam<uint64_t> {};
+
+TEST_P(soak_seed_test, BreaksNoPromise) {
+  soak_options options;
+  options.seed = GetParam();
+  EXPECT_EQ(Broken(options), "");
+}
+
+INSTANTIATE_TEST_SUITE_P(short_runs, soak_seed_test, testing::Values(1, 2));
+
+soak_options Planted(const char* fault) {
+  soak_options options;
+  options.program = "planted_daemon";
+  options.arguments = {fault};
+  return options;
+}
+
+TEST(soak_planted_test, AResendIsCaught) {
+  EXPECT_THAT(Broken(Planted("resend")), HasSubstr("run twice"));
+}
+
+TEST(soak_planted_test, AStaleViewIsCaught) {
+  EXPECT_THAT(Broken(Planted("stale_view")),
+              HasSubstr("an old configuration in force"));
+}
+
+TEST(soak_planted_test, AFalseRefusalIsCaught) {
+  EXPECT_THAT(Broken(Planted("false_refusal")), HasSubstr("refused and run"));
+}
+
+TEST(soak_planted_test, ALostCancelIsCaught) {
+  soak_options options;
+  options.hide_close = true;
+  EXPECT_THAT(Broken(options), HasSubstr("callers that have left"));
+}
+
+}  // namespace
+}  // namespace anvilridge
--- /dev/null
+++ b/tests/soak/soak_upstreams.cc
@@ -0,0 +1,190 @@
+#include "soak/soak_upstreams.h"
+
+#include <QPointer>
+#include <utility>
+
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "base/clock.h"
+#include "base/event_loop.h"
+#include "harness/platform_scene.h"
+#include "soak/soak_checks.h"
+#include "upstreams/testing/raw_server.h"
+
+namespace anvilridge {
+namespace {
+
+// Some of the work of a plain service and of a prefill.
+constexpr absl::Duration kWork = absl::Milliseconds(30);
+// Behind the time limits of all routes.
+constexpr absl::Duration kLate = absl::Seconds(9);
+constexpr absl::Duration kEventGap = absl::Milliseconds(50);
+constexpr int kServiceSlots = 64;
+constexpr int kEngineSlots = 12;
+
+void WriteText(QTcpSocket& socket, absl::string_view text) {
+  socket.write(text.data(), static_cast<qint64>(text.size()));
+}
+
+void AnswerWhole(QTcpSocket& socket, const raw_request& request, int status,
+                 absl::string_view body) {
+  WriteText(socket,
+            absl::StrCat(platform_scene::Head(request, status),
+                         "Content-Length: ", body.size(), "\r\n\r\n", body));
+}
+
+bool IsOpen(const QPointer<QTcpSocket>& socket) {
+  return socket && socket->state() == QAbstractSocket::ConnectedState;
+}
+
+}  // namespace
+
+struct soak_upstream::impl {
+  impl(std::string name, upstream_stage of,
+       std::map<std::string, upstream_record>& into)
+      : id(std::move(name)), stage(of), records(into) {}
+
+  std::string id;
+  upstream_stage stage = upstream_stage::service;
+  std::map<std::string, upstream_record>& records;
+  upstream_fault fault = upstream_fault::none;
+  int64_t orders = 0;
+  int handles = 0;
+  // Also drops what its timers still hold, when it is destroyed.
+  QObject context;
+  std::unique_ptr<raw_server> server;
+  std::unique_ptr<fault_proxy> link;
+
+  void Handle(QTcpSocket& socket, const raw_request& request);
+  void Run(QTcpSocket& socket, const raw_request& request);
+  void Prefill(QTcpSocket& socket, const raw_request& request);
+  void Stream(QTcpSocket& socket, const raw_request& request);
+  void NextEvent(const QPointer<QTcpSocket>& socket, const std::string& id,
+                 int number);
+};
+
+void soak_upstream::impl::Handle(QTcpSocket& socket,
+                                 const raw_request& request) {
+  if (platform_scene::Field(request, "expect-instance") != id) {
+    return WriteText(socket,
+                     "HTTP/1.1 421 Other\r\nNot-Run: 1\r\n"
+                     "Content-Length: 0\r\n\r\n");
+  }
+  if (absl::StartsWith(request.target, "/api/report")) {
+    const absl::string_view name =
+        stage == upstream_stage::prefill ? "prefill" : "decode";
+    return AnswerWhole(socket, request, 200,
+                       absl::StrCat(R"({"Busy":false,"Seq":)", orders,
+                                    R"(,"Stage":")", name, R"("})"));
+  }
+  if (absl::StartsWith(request.target, "/api/order")) {
+    // Stages stay as they are.
+    return AnswerWhole(socket, request, 409, "{}");
+  }
+  if (request.method == "DELETE") {
+    return AnswerWhole(socket, request, 200, "{}");
+  }
+  if (fault == upstream_fault::refuse) {
+    return WriteText(socket,
+                     absl::StrCat(platform_scene::Head(request, 503),
+                                  "Not-Run: 1\r\nContent-Length: 0\r\n\r\n"));
+  }
+  if (platform_scene::Field(request, "stage") == "prefill") {
+    return Prefill(socket, request);
+  }
+  Run(socket, request);
+}
+
+void soak_upstream::impl::Prefill(QTcpSocket& socket,
+                                  const raw_request& request) {
+  const QPointer<QTcpSocket> to = &socket;
+  const absl::Duration work = fault == upstream_fault::late ? kLate : kWork;
+  RunAfter(&context, work, [this, to, request] {
+    if (!IsOpen(to)) return;
+    if (fault == upstream_fault::lose) return raw_server::Reset(*to);
+    const int status = fault == upstream_fault::fail ? 500 : 200;
+    AnswerWhole(
+        *to, request, status,
+        absl::StrCat(R"({"Handle":"h)", ++handles, R"(","Tokens":100})"));
+  });
+}
+
+void soak_upstream::impl::Run(QTcpSocket& socket, const raw_request& request) {
+  const std::string request_id = platform_scene::Field(request, "request-id");
+  records[request_id].runs.push_back(MonotonicNow());
+  const QPointer<QTcpSocket> to = &socket;
+  if (fault == upstream_fault::lose) return raw_server::Reset(socket);
+  const absl::Duration work = fault == upstream_fault::late ? kLate : kWork;
+  RunAfter(&context, work, [this, to, request, request_id] {
+    if (!IsOpen(to)) {
+      records[request_id].stops.push_back(MonotonicNow());
+      return;
+    }
+    if (fault == upstream_fault::fail) {
+      return AnswerWhole(*to, request, 500, "failed");
+    }
+    if (stage == upstream_stage::service) {
+      return AnswerWhole(*to, request, 200, absl::StrCat("done ", request_id));
+    }
+    Stream(*to, request);
+  });
+}
+
+void soak_upstream::impl::Stream(QTcpSocket& socket,
+                                 const raw_request& request) {
+  WriteText(socket, absl::StrCat(platform_scene::Head(request, 200),
+                                 "Transfer-Encoding: chunked\r\n\r\n"));
+  int last = 0;
+  (void)absl::SimpleAtoi(platform_scene::Field(request, "last-event-id"),
+                         &last);
+  NextEvent(&socket, platform_scene::Field(request, "request-id"), last + 1);
+}
+
+void soak_upstream::impl::NextEvent(const QPointer<QTcpSocket>& socket,
+                                    const std::string& id, int number) {
+  const bool ended = number > kStreamEvents;
+  if (!IsOpen(socket) || ended) {
+    if (IsOpen(socket)) WriteText(*socket, "0\r\n\r\n");
+    records[id].stops.push_back(MonotonicNow());
+    return;
+  }
+  raw_server::Chunk(*socket, StreamEvent(id, number));
+  RunAfter(&context, kEventGap,
+           [this, socket, id, number] { NextEvent(socket, id, number + 1); });
+}
+
+soak_upstream::soak_upstream(std::string id, upstream_stage stage,
+                             std::map<std::string, upstream_record>& records)
+    : impl_(std::make_unique<impl>(std::move(id), stage, records)) {
+  impl_->server = std::make_unique<raw_server>(
+      [this](QTcpSocket& socket, const raw_request& request) {
+        impl_->Handle(socket, request);
+      });
+  impl_->link = std::make_unique<fault_proxy>(impl_->server->Address());
+}
+
+soak_upstream::~soak_upstream() = default;
+
+std::string soak_upstream::Entry(bool leaving) const {
+  const bool is_service = impl_->stage == upstream_stage::service;
+  const absl::string_view stage = is_service ? ""
+                                  : impl_->stage == upstream_stage::prefill
+                                      ? "prefill"
+                                      : "decode";
+  return absl::StrCat(
+      R"({"Service":")", is_service ? "ledger" : "model", R"(","Addr":")",
+      impl_->link->Address(), R"(","Zone":"z","Slots":)",
+      is_service ? kServiceSlots : kEngineSlots, R"(,"State":")",
+      leaving ? "draining" : "ready", R"(","Stage":")", stage, R"(","Seq":0})");
+}
+
+const std::string& soak_upstream::Id() const { return impl_->id; }
+
+void soak_upstream::Renew(std::string id) { impl_->id = std::move(id); }
+
+void soak_upstream::SetFault(upstream_fault fault) { impl_->fault = fault; }
+
+fault_proxy& soak_upstream::Link() { return *impl_->link; }
+
+}  // namespace anvilridge
--- /dev/null
+++ b/tests/soak/soak_upstreams.h
@@ -0,0 +1,57 @@
+#ifndef ANVILRIDGE_TESTS_SOAK_SOAK_UPSTREAMS_H_
+#define ANVILRIDGE_TESTS_SOAK_SOAK_UPSTREAMS_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "absl/strings/string_view.h"
+#include "soak/fault_proxy.h"
+#include "soak/soak_record.h"
+
+namespace anvilridge {
+
+/// How an upstream treats the requests that reach it.
+enum class upstream_fault {
+  none,
+  /// Refuses them and says so.
+  refuse,
+  /// Runs them and answers with a failure of its own.
+  fail,
+  /// Runs them and breaks the connection.
+  lose,
+  /// Runs them and answers only much later than their time limits.
+  late,
+};
+
+enum class upstream_stage { service, prefill, decode };
+
+/// Stand-in of one upstream by the platform's calls behind a proxy. Notes what
+/// runs. Used on one thread with a Qt event loop.
+class soak_upstream {
+ public:
+  soak_upstream(std::string id, upstream_stage stage,
+                std::map<std::string, upstream_record>& records);
+  ~soak_upstream();
+  soak_upstream(const soak_upstream&) = delete;
+  soak_upstream& operator=(const soak_upstream&) = delete;
+
+  /// Its entry in the store, ready or leaving.
+  std::string Entry(bool leaving) const;
+  const std::string& Id() const;
+
+  /// Comes back as another instance at the same address.
+  void Renew(std::string id);
+
+  void SetFault(upstream_fault fault);
+  fault_proxy& Link();
+
+ private:
+  struct impl;
+  std::unique_ptr<impl> impl_;
+};
+
+}  // namespace anvilridge
+
+#endif  // ANVILRIDGE_TESTS_SOAK_SOAK_UPSTREAMS_H_
