--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -15,6 +15,13 @@
   options.daemons = parsed["daemons"].as<int>();
   options.disturbed = absl::Seconds(parsed["seconds"].as<int>());
   options.rate = parsed["rate"].as<double>();
+  if (const auto plant = parsed["plant"].as<std::string>();
+      plant == "lost_cancel") {
+    options.hide_close = true;
+  } else if (!plant.empty()) {
+    options.program = "planted_daemon";
+    options.arguments = {plant};
+  }
   const auto first = parsed["seed"].as<uint64_t>();
   const auto count = parsed["count"].as<uint64_t>();
   for (uint64_t seed = first; seed < first + count; ++seed) {
@@ -53,6 +60,9 @@
       cxxopts::value<double>()->default_value("40"));
   add("logs", "Folder for the daemons' logs",
       cxxopts::value<std::string>()->default_value(""));
+  add("plant",
+      "Fault to plant: resend, stale_view, false_refusal or lost_cancel",
+      cxxopts::value<std::string>()->default_value(""));
   add("help", "Show this text");
   try {
     const auto parsed = options.parse(count, arguments);
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -36,6 +36,9 @@
 constexpr absl::Duration kPollInterval = absl::Milliseconds(50);
 // Memory that a daemon may take, by the capacity target.
 constexpr int64_t kMostMemoryKb = 128 * 1024;
+// One run in so many is lost or fails while things are disturbed: some at each
+// upstream, and few enough that it counts as sound.
+constexpr int kSpoilPeriod = 25;
 constexpr std::array kSlacks = {50, 100, 200};
 constexpr std::array kLinkFaults = {link_fault::delay, link_fault::reset,
                                     link_fault::silence,
@@ -120,7 +123,9 @@
     for (const soak_step& step : MakePlan(options_)) {
       RunAfter(&context_, step.at, [this, step] { Disturb(step); });
     }
+    SpoilEach(kSpoilPeriod);
     Wait(options_.disturbed);
+    SpoilEach(0);
     if (!RunUntil([this] { return disturbances_ == 0 && AllReady(); },
                   kStartBound)) {
       Find("not all daemons were ready again in time");
@@ -160,6 +165,10 @@
     store_.Put(kUpstreamTopic, upstream.Id(), upstream.Entry(leaving));
   }
 
+  void SpoilEach(int period) {
+    for (const auto& upstream : upstreams_) upstream->SpoilEach(period);
+  }
+
   static void Wait(absl::Duration span) {
     const absl::Time until = MonotonicNow() + span;
     RunUntil([until] { return MonotonicNow() >= until; },
--- a/tests/soak/soak_upstreams.cc
+++ b/tests/soak/soak_upstreams.cc
@@ -49,6 +49,8 @@
   upstream_stage stage = upstream_stage::service;
   std::map<std::string, upstream_record>& records;
   upstream_fault fault = upstream_fault::none;
+  int spoil_period = 0;
+  int runs = 0;
   int64_t orders = 0;
   int handles = 0;
   // Also drops what its timers still hold, when it is destroyed.
@@ -56,6 +58,7 @@
   std::unique_ptr<raw_server> server;
   std::unique_ptr<fault_proxy> link;
 
+  upstream_fault NextFault();
   void Handle(QTcpSocket& socket, const raw_request& request);
   void Run(QTcpSocket& socket, const raw_request& request);
   void Prefill(QTcpSocket& socket, const raw_request& request);
@@ -110,18 +113,29 @@
   });
 }
 
+upstream_fault soak_upstream::impl::NextFault() {
+  ++runs;
+  if (fault != upstream_fault::none || spoil_period == 0 ||
+      runs % spoil_period != 0) {
+    return fault;
+  }
+  return runs / spoil_period % 2 == 0 ? upstream_fault::fail
+                                      : upstream_fault::lose;
+}
+
 void soak_upstream::impl::Run(QTcpSocket& socket, const raw_request& request) {
   const std::string request_id = platform_scene::Field(request, "request-id");
   records[request_id].runs.push_back(MonotonicNow());
   const QPointer<QTcpSocket> to = &socket;
-  if (fault == upstream_fault::lose) return raw_server::Reset(socket);
-  const absl::Duration work = fault == upstream_fault::late ? kLate : kWork;
-  RunAfter(&context, work, [this, to, request, request_id] {
+  const upstream_fault spoilt = NextFault();
+  if (spoilt == upstream_fault::lose) return raw_server::Reset(socket);
+  const absl::Duration work = spoilt == upstream_fault::late ? kLate : kWork;
+  RunAfter(&context, work, [this, to, request, request_id, spoilt] {
     if (!IsOpen(to)) {
       records[request_id].stops.push_back(MonotonicNow());
       return;
     }
-    if (fault == upstream_fault::fail) {
+    if (spoilt == upstream_fault::fail) {
       return AnswerWhole(*to, request, 500, "failed");
     }
     if (stage == upstream_stage::service) {
@@ -185,6 +199,8 @@
 
 void soak_upstream::SetFault(upstream_fault fault) { impl_->fault = fault; }
 
+void soak_upstream::SpoilEach(int period) { impl_->spoil_period = period; }
+
 fault_proxy& soak_upstream::Link() { return *impl_->link; }
 
 }  // namespace anvilridge
--- a/tests/soak/soak_upstreams.h
+++ b/tests/soak/soak_upstreams.h
@@ -45,6 +45,8 @@
   void Renew(std::string id);
 
   void SetFault(upstream_fault fault);
+  /// Besides, loses or fails each `period`th run; 0 for none.
+  void SpoilEach(int period);
   fault_proxy& Link();
 
  private:
