--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -171,6 +171,7 @@
        {"ran", QtText(RunStateName(RunStateOf(error)))},
        {"retry_after_ms",
         static_cast<double>(absl::ToInt64Milliseconds(RetryAfterOf(error)))},
+       {"prompt", static_cast<double>(request.prompt_tokens)},
        {"config", state.view && state.view->config
                       ? static_cast<double>(state.view->config->version)
                       : 0},
