Count what decode engines read again of streams that go on

Change: the event id that a caller has tells how much was generated; it counts as memory, as reading at the decode engine from the promise on (also told to the other daemons), and against the expected length. Such a stream goes where it can be read without making others late, if there is such an engine.

--- a/src/dispatch/decode_admission.cc
+++ b/src/dispatch/decode_admission.cc
@@ -77,26 +77,32 @@
   return absl::Milliseconds(tokens / state.ledger.prefill_tokens_per_ms);
 }
 
-// Whether a decode engine can read `stream`'s prompt without making its other
-// streams late: they all pause meanwhile.
+decode_run RunOf(const waiting_stream& stream, absl::Time now) {
+  return {stream.prompt + stream.generated, stream.output, now};
+}
+
+// Whether a decode engine can read `tokens` without making its other streams
+// late: they all pause meanwhile.
 bool ReadsQuietly(const dispatch_state& state, const decode_candidate& engine,
-                  const waiting_stream& stream, absl::Time now) {
-  if (engine.runs.empty()) return true;
+                  double tokens, absl::Duration gap_target, absl::Time now) {
+  if (tokens <= 0 || engine.runs.empty()) return true;
   if (PrefillBacklog(state.ledger, engine.upstream->id, now) > 0) return false;
-  return kDecodePrefillCost * PrefillTime(state, stream.prompt) <=
-         kPauseShare * stream.gap_target;
+  return kDecodePrefillCost * PrefillTime(state, tokens) <=
+         kPauseShare * gap_target;
 }
 
-// Returns an engine with room for `stream` that can read its prompt quietly.
+// Returns an engine with room for `stream` that can read `tokens` quietly.
 std::optional<fleet_upstream> QuietReader(const dispatch_state& state,
                                           const engine_candidates& engines,
                                           const waiting_stream& stream,
-                                          absl::Time now) {
+                                          double tokens, absl::Time now) {
   std::vector<decode_candidate> quiet;
   for (const decode_candidate& engine : engines.decodes) {
-    if (ReadsQuietly(state, engine, stream, now)) quiet.push_back(engine);
+    if (ReadsQuietly(state, engine, tokens, stream.gap_target, now)) {
+      quiet.push_back(engine);
+    }
   }
-  const auto chosen = ChooseDecode(quiet, {stream.prompt, stream.output, now});
+  const auto chosen = ChooseDecode(quiet, RunOf(stream, now));
   if (!chosen) return std::nullopt;
   return *quiet[*chosen].upstream;
 }
@@ -110,8 +116,12 @@
                 state, stream.prompt + PrefillBacklog(state.ledger,
                                                       promise.prefill->id, now))
           : absl::ZeroDuration();
-  PromiseRun(state.ledger, stream.request_id, promise.decode.id, stream.prompt,
-             stream.output, now + prefill);
+  const decode_run run = RunOf(stream, now);
+  PromiseRun(state.ledger, stream.request_id, promise.decode.id, run.context,
+             run.remaining, now + prefill);
+  ExpectReading(state.ledger, stream.request_id,
+                kDecodePrefillCost *
+                    (stream.generated + (promise.prefill ? 0 : stream.prompt)));
   if (state.on_ledger_change) state.on_ledger_change();
   stream.done(promise);
 }
@@ -142,11 +152,16 @@
                                            const engine_candidates& engines,
                                            const waiting_stream& stream,
                                            absl::Time now) {
-  const decode_run run{stream.prompt, stream.output, now};
-  const auto decode = ChooseDecode(engines.decodes, run);
+  const auto decode = ChooseDecode(engines.decodes, RunOf(stream, now));
   if (!decode) return std::nullopt;
   engine_promise promise;
   promise.decode = *engines.decodes[*decode].upstream;
+  if (stream.generated > 0) {
+    if (const auto quiet =
+            QuietReader(state, engines, stream, stream.generated, now)) {
+      promise.decode = *quiet;
+    }
+  }
   const auto prefill = ChoosePrefill(engines.prefills, stream.prompt,
                                      promise.decode.failure_domain);
   if (!prefill) return promise;
@@ -154,7 +169,8 @@
   if (now <= stream.start_by &&
       now + PrefillTime(state, engines.prefills[*prefill].backlog) >
           stream.start_by) {
-    if (const auto alone = QuietReader(state, engines, stream, now)) {
+    if (const auto alone = QuietReader(state, engines, stream,
+                                       stream.prompt + stream.generated, now)) {
       promise.decode = *alone;
       return promise;
     }
@@ -171,7 +187,7 @@
                                             double memory, absl::Time now) {
   engine_candidates engines =
       Candidates(state, stream.service, {}, memory, now);
-  LeaveToOthers(state, engines, {stream.prompt, stream.output, now},
+  LeaveToOthers(state, engines, RunOf(stream, now),
                 {state.name, static_cast<int>(waiting)},
                 Contenders(state.ledger, late, now), now);
   return PromiseAmong(state, engines, stream, now);
@@ -225,10 +241,10 @@
     const std::vector<std::string>& tried, absl::Time now) {
   const engine_candidates engines =
       Candidates(state, stream.service, tried, kPromisedMemory, now);
-  auto quiet = QuietReader(state, engines, stream, now);
+  auto quiet = QuietReader(state, engines, stream,
+                           stream.prompt + stream.generated, now);
   if (quiet) return quiet;
-  const auto any =
-      ChooseDecode(engines.decodes, {stream.prompt, stream.output, now});
+  const auto any = ChooseDecode(engines.decodes, RunOf(stream, now));
   if (!any) return std::nullopt;
   return *engines.decodes[*any].upstream;
 }
@@ -250,7 +266,7 @@
       Candidates(state, stream.service, {}, kPromisedMemory, now).decodes;
   if (engines.empty()) return absl::InfiniteDuration();
   const double speed = state.ledger.tokens_per_ms;
-  const decode_run run{stream.prompt, stream.output, now};
+  const decode_run run = RunOf(stream, now);
   std::vector<absl::Duration> waits;
   waits.reserve(engines.size());
   const auto forecast = [&](const decode_candidate& engine) {
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -42,6 +42,10 @@
   std::string request_id;
   std::string service;
   double prompt = 0;
+  /// Tokens that its caller has already. The decode engine reads them itself,
+  /// behind the prompt.
+  double generated = 0;
+  /// Tokens to come.
   double output = 0;
   /// Longest pause between events for which a stream is still on time.
   absl::Duration gap_target = absl::InfiniteDuration();
--- a/src/dispatch/engine_ledger.cc
+++ b/src/dispatch/engine_ledger.cc
@@ -40,11 +40,18 @@
                                           {prompt, output, now}};
 }
 
+void ExpectReading(engine_ledger& ledger, absl::string_view request_id,
+                   double tokens) {
+  const auto found = ledger.runs.find(request_id);
+  if (found != ledger.runs.end()) found->second.to_read = tokens;
+}
+
 void AdvanceRun(engine_ledger& ledger, absl::string_view request_id,
                 double context, double remaining, absl::Time now) {
   const auto found = ledger.runs.find(request_id);
   if (found == ledger.runs.end()) return;
   found->second.run = {context, remaining, now};
+  found->second.to_read = 0;
 }
 
 void EndRun(engine_ledger& ledger, absl::string_view request_id) {
@@ -100,6 +107,9 @@
   for (const auto& [id, own] : ledger.prefills) {
     if (own.engine == key) tokens += own.tokens;
   }
+  for (const auto& [id, own] : ledger.runs) {
+    if (own.engine == key) tokens += own.to_read;
+  }
   for (const auto& [peer, share] : ledger.peers) {
     if (!IsFresh(share, now)) continue;
     const auto found = share.share.engines.find(key);
@@ -134,8 +144,9 @@
 load_share OwnShare(const engine_ledger& ledger, absl::Time now) {
   load_share share;
   for (const auto& [id, own] : ledger.runs) {
-    share.engines[own.engine].runs.push_back(
-        RunAt(own.run, now, ledger.tokens_per_ms));
+    engine_share& engine = share.engines[own.engine];
+    engine.runs.push_back(RunAt(own.run, now, ledger.tokens_per_ms));
+    engine.prefill_tokens += own.to_read;
   }
   for (const auto& [id, own] : ledger.prefills) {
     share.engines[own.engine].prefill_tokens += own.tokens;
--- a/src/dispatch/engine_ledger.h
+++ b/src/dispatch/engine_ledger.h
@@ -51,6 +51,9 @@
   struct own_run {
     uint32_t engine = 0;
     decode_run run;
+    /// What the engine reads before the run's first event, as prompt tokens at
+    /// a prefill engine.
+    double to_read = 0;
   };
   struct own_prefill {
     uint32_t engine = 0;
@@ -65,7 +68,8 @@
   double prefill_tokens_per_ms = 50;
 };
 
-/// Time of a prompt at a decode engine, in that at a prefill engine.
+/// Time of a prompt at a decode engine, in that at a prefill engine: decode
+/// engines read at half the speed.
 inline constexpr double kDecodePrefillCost = 2;
 
 /// What others told is dropped when nothing was heard for this long: the time
@@ -80,6 +84,11 @@
                 absl::string_view engine_id, double prompt, double output,
                 absl::Time now);
 
+/// Notes that the engine of a promised run has `tokens` to read itself before
+/// the first event.
+void ExpectReading(engine_ledger& ledger, absl::string_view request_id,
+                   double tokens);
+
 /// Notes that a run stands at `context` tokens with `remaining` to come.
 void AdvanceRun(engine_ledger& ledger, absl::string_view request_id,
                 double context, double remaining, absl::Time now);
@@ -100,7 +109,8 @@
 std::vector<decode_run> RunsAt(const engine_ledger& ledger,
                                absl::string_view engine_id, absl::Time now);
 
-/// Returns the prompt tokens that wait at an engine for all daemons.
+/// Returns the prompt tokens that an engine has to read for all daemons; those
+/// at a decode engine count by their cost.
 double PrefillBacklog(const engine_ledger& ledger, absl::string_view engine_id,
                       absl::Time now);
 
--- a/src/dispatch/stream_flow.cc
+++ b/src/dispatch/stream_flow.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "base/clock.h"
 #include "base/error_kind.h"
@@ -59,6 +60,10 @@
             [this] { NoteTokens(); }) {}
 
   void Start() {
+    // Event ids count from 1; what else a caller sends tells nothing.
+    if (!absl::SimpleAtoi(request_.resume_after, &events_before_)) {
+      events_before_ = 0;
+    }
     NoteRequest(state_.budget, service_.name, request_.received);
     const absl::Time now = MonotonicNow();
     length_ = ExpectLength(state_.lengths[service_.name],
@@ -93,7 +98,8 @@
     waiting.request_id = request_.id;
     waiting.service = service_.name;
     waiting.prompt = static_cast<double>(request_.prompt_tokens);
-    waiting.output = ExpectedRemaining(0);
+    waiting.generated = Generated();
+    waiting.output = ExpectedRemaining(waiting.generated);
     if (route_.gap_target > absl::ZeroDuration()) {
       waiting.gap_target = route_.gap_target;
     }
@@ -111,6 +117,15 @@
            route_.latency_target * (1 - kWaitShare);
   }
 
+  // Tokens that the caller has, of this answer and of those that broke before.
+  double Generated() const {
+    const double tokens =
+        static_cast<double>(service_.engine.tokens_per_event) *
+        (events_before_ + record_.events);
+    return std::clamp(tokens, 0.0,
+                      static_cast<double>(request_.max_output_tokens));
+  }
+
   double ExpectedRemaining(double generated) const {
     return ExpectRemaining(length_, generated,
                            static_cast<double>(request_.max_output_tokens));
@@ -128,7 +143,8 @@
               {"decode", QtText(decode_.id)},
               {"prefill", QtText(promise->prefill ? promise->prefill->id : "")},
               {"prompt", static_cast<double>(request_.prompt_tokens)},
-              {"output", ExpectedRemaining(0)},
+              {"output", ExpectedRemaining(Generated())},
+              {"resume_after", QtText(request_.resume_after)},
               {"waited_ms", Ms(waited)}});
     if (promise->prefill) {
       SendPrefill(*promise->prefill);
@@ -180,6 +196,7 @@
     const absl::Duration took = MonotonicNow() - prefill_began_;
     record_.prefill = took;
     if (prefill.ok()) {
+      record_.prefill_tokens = prefill->tokens;
       LearnPrefillSpeed(state_.ledger,
                         static_cast<double>(prefill->tokens) + prefill_backlog_,
                         took);
@@ -209,17 +226,23 @@
 
   // The decode engine reads the prompt itself, which its other streams notice.
   void ReadAtDecode() {
-    waiting_stream waiting = Waiting();
+    const waiting_stream waiting = Waiting();
     EndRun(state_.ledger, request_.id);
     if (const auto reader =
             PromiseReader(state_, waiting, tried_, MonotonicNow())) {
       decode_ = *reader;
     }
-    PromiseRun(state_.ledger, request_.id, decode_.id, waiting.prompt,
-               waiting.output, MonotonicNow());
+    Promise(waiting);
     SendDecode();
   }
 
+  // Promises memory at the chosen decode engine.
+  void Promise(const waiting_stream& waiting) {
+    PromiseRun(state_.ledger, request_.id, decode_.id,
+               waiting.prompt + waiting.generated, waiting.output,
+               MonotonicNow());
+  }
+
   // Sends to a prefill engine that was not tried yet, after one that ended with
   // `fate`; false when there is none or no send is left for it.
   bool SendOtherPrefill(send_fate fate) {
@@ -262,9 +285,10 @@
       order.kv_handle = std::exchange(lease_.handle, {});
     } else {
       ReleaseLease(state_, request_.id, lease_);
-      BeginPrefill(
-          state_.ledger, request_.id, decode_.id,
-          kDecodePrefillCost * static_cast<double>(request_.prompt_tokens));
+      ExpectReading(
+          state_.ledger, request_.id,
+          kDecodePrefillCost *
+              (static_cast<double>(request_.prompt_tokens) + Generated()));
       Changed();
     }
     http_call call = state_.speaker.write_send(request_, order);
@@ -306,7 +330,6 @@
   void NoteTokens() {
     const absl::Time now = MonotonicNow();
     const double tokens = service_.engine.tokens_per_event;
-    if (generated_here_ == 0) EndPrefill(state_.ledger, request_.id);
     if (generated_here_ > 0) {
       LearnDecodeSpeed(state_.ledger, tokens, now - last_event_);
     }
@@ -317,7 +340,7 @@
     last_event_ = now;
     ++generated_here_;
     ++record_.events;
-    const double generated = tokens * record_.events;
+    const double generated = Generated();
     AdvanceRun(state_.ledger, request_.id,
                static_cast<double>(request_.prompt_tokens) + generated,
                ExpectedRemaining(generated), now);
@@ -371,7 +394,6 @@
 
   void DecodeEnded(const http_result& result) {
     call_ = 0;
-    EndPrefill(state_.ledger, request_.id);
     if (ended_) return;
     const answer_facts facts =
         state_.speaker.read_answer(result.http_status, result.headers);
@@ -433,16 +455,11 @@
 
   // Promises another decode engine to this request; false when none has room.
   bool FindOther() {
-    waiting_stream waiting = Waiting();
-    const double generated =
-        static_cast<double>(service_.engine.tokens_per_event) * record_.events;
-    waiting.prompt += generated;
-    waiting.output = ExpectedRemaining(generated);
+    const waiting_stream waiting = Waiting();
     const auto other = PromiseReader(state_, waiting, tried_, MonotonicNow());
     if (!other) return false;
     decode_ = *other;
-    PromiseRun(state_.ledger, request_.id, decode_.id, waiting.prompt,
-               waiting.output, MonotonicNow());
+    Promise(waiting);
     Changed();
     return true;
   }
@@ -577,6 +594,8 @@
   absl::Time last_event_;
   int generated_here_ = 0;
   bool ended_ = false;
+  // Events that the caller had when it asked.
+  int events_before_ = 0;
   stream_record record_;
 };
 
--- a/src/dispatch/stream_record.h
+++ b/src/dispatch/stream_record.h
@@ -12,6 +12,9 @@
   int events = 0;
   absl::Duration first_event;
   absl::Duration prefill;
+  /// Tokens that the prefill engine read; fewer than asked for when it had
+  /// some.
+  int64_t prefill_tokens = 0;
   /// From the send to the decode engine to its first event.
   absl::Duration decode_first;
   /// Longest pause between events, and when it ended, from the arrival on.
