Let streams that go on wait for a decode engine that reads nothing else

Cause: after a loss of all daemons the callers' requests for the rest of their streams reach all new daemons within 50 ms. Each sees quiet engines and none knows what the others promise in that moment, so that several such readings add up at every engine, and streams that were on time pause with them.

A measured prefill speed counts as at most 1.25 times the known one.

The candidates for a choice and the admission of resumed streams are files of their own now; decode_admission.cc keeps the queues.

--- a/src/dispatch/decode_admission.cc
+++ b/src/dispatch/decode_admission.cc
@@ -4,7 +4,8 @@
 #include <utility>
 
 #include "base/error_kind.h"
-#include "dispatch/engine_choice.h"
+#include "dispatch/engine_candidates.h"
+#include "dispatch/resumed_admission.h"
 
 namespace anvilridge {
 namespace {
@@ -23,17 +24,6 @@
 constexpr double kLeastLateSuccess = 0.5;
 // Engines with room up to which two daemons are likely to choose the same one.
 constexpr size_t kScarceEngines = 4;
-// Part of the longest pause of streams that are on time which a prompt may take
-// beside them; the rest is for their own next event.
-constexpr double kPauseShare = 0.8;
-
-const engine_traits* TraitsOf(const dispatch_state& state,
-                              absl::string_view service) {
-  if (!state.view || !state.view->config) return nullptr;
-  const auto found = state.view->config->services.find(service);
-  return found == state.view->config->services.end() ? nullptr
-                                                     : &found->second.engine;
-}
 
 absl::Status NoRoom(dispatch_state& state, absl::Duration wait) {
   const absl::Duration spread =
@@ -43,89 +33,6 @@
       std::min(std::max(kSoonestReturn, wait) + spread, kLatestReturn));
 }
 
-struct engine_candidates {
-  std::vector<decode_candidate> decodes;
-  std::vector<prefill_candidate> prefills;
-};
-
-engine_candidates Candidates(dispatch_state& state, absl::string_view service,
-                             const std::vector<std::string>& tried,
-                             double memory, absl::Time now) {
-  engine_candidates candidates;
-  const engine_traits* traits = TraitsOf(state, service);
-  if (traits == nullptr) return candidates;
-  for (const fleet_upstream* upstream :
-       UsableUpstreams(state, service, tried, now)) {
-    if (upstream->stage == engine_stage::prefill) {
-      candidates.prefills.push_back(
-          {upstream, PrefillBacklog(state.ledger, upstream->id, now),
-           absl::Uniform(state.random, 0.0, 1.0)});
-      continue;
-    }
-    decode_candidate candidate;
-    candidate.upstream = upstream;
-    candidate.runs = RunsAt(state.ledger, upstream->id, now);
-    candidate.capacity = memory * static_cast<double>(traits->kv_tokens);
-    candidate.slots = std::min(traits->slots, upstream->slots);
-    candidate.near = upstream->failure_domain == state.settings.failure_domain;
-    candidates.decodes.push_back(std::move(candidate));
-  }
-  return candidates;
-}
-
-absl::Duration PrefillTime(const dispatch_state& state, double tokens) {
-  return absl::Milliseconds(tokens / state.ledger.prefill_tokens_per_ms);
-}
-
-decode_run RunOf(const waiting_stream& stream, absl::Time now) {
-  return {stream.prompt + stream.generated, stream.output, now};
-}
-
-// Whether a decode engine can read `tokens` without making its other streams
-// late: they all pause meanwhile.
-bool ReadsQuietly(const dispatch_state& state, const decode_candidate& engine,
-                  double tokens, absl::Duration gap_target, absl::Time now) {
-  if (tokens <= 0 || engine.runs.empty()) return true;
-  if (PrefillBacklog(state.ledger, engine.upstream->id, now) > 0) return false;
-  return kDecodePrefillCost * PrefillTime(state, tokens) <=
-         kPauseShare * gap_target;
-}
-
-// Returns an engine with room for `stream` that can read `tokens` quietly.
-std::optional<fleet_upstream> QuietReader(const dispatch_state& state,
-                                          const engine_candidates& engines,
-                                          const waiting_stream& stream,
-                                          double tokens, absl::Time now) {
-  std::vector<decode_candidate> quiet;
-  for (const decode_candidate& engine : engines.decodes) {
-    if (ReadsQuietly(state, engine, tokens, stream.gap_target, now)) {
-      quiet.push_back(engine);
-    }
-  }
-  const auto chosen = ChooseDecode(quiet, RunOf(stream, now));
-  if (!chosen) return std::nullopt;
-  return *quiet[*chosen].upstream;
-}
-
-// Takes `stream` out of its list and promises `promise` to it.
-void Admit(dispatch_state& state, const waiting_stream& stream,
-           const engine_promise& promise, absl::Time now) {
-  const absl::Duration prefill =
-      promise.prefill
-          ? PrefillTime(
-                state, stream.prompt + PrefillBacklog(state.ledger,
-                                                      promise.prefill->id, now))
-          : absl::ZeroDuration();
-  const decode_run run = RunOf(stream, now);
-  PromiseRun(state.ledger, stream.request_id, promise.decode.id, run.context,
-             run.remaining, now + prefill);
-  ExpectReading(state.ledger, stream.request_id,
-                kDecodePrefillCost *
-                    (stream.generated + (promise.prefill ? 0 : stream.prompt)));
-  if (state.on_ledger_change) state.on_ledger_change();
-  stream.done(promise);
-}
-
 // Takes out the engines with room that other daemons may take first: when few
 // have room, all daemons see the same ones, and at the same moment.
 void LeaveToOthers(dispatch_state& state, engine_candidates& engines,
@@ -204,7 +111,7 @@
     if (!promise) return;
     const waiting_stream stream = std::move(list.front());
     list.pop_front();
-    Admit(state, stream, *promise, now);
+    AdmitStream(state, stream, *promise, now);
   }
 }
 
@@ -236,6 +143,24 @@
 
 }  // namespace
 
+void AdmitStream(dispatch_state& state, const waiting_stream& stream,
+                 const engine_promise& promise, absl::Time now) {
+  const absl::Duration prefill =
+      promise.prefill
+          ? PrefillTime(
+                state, stream.prompt + PrefillBacklog(state.ledger,
+                                                      promise.prefill->id, now))
+          : absl::ZeroDuration();
+  const decode_run run = RunOf(stream, now);
+  PromiseRun(state.ledger, stream.request_id, promise.decode.id, run.context,
+             run.remaining, now + prefill);
+  ExpectReading(state.ledger, stream.request_id,
+                kDecodePrefillCost *
+                    (stream.generated + (promise.prefill ? 0 : stream.prompt)));
+  if (state.on_ledger_change) state.on_ledger_change();
+  stream.done(promise);
+}
+
 std::optional<fleet_upstream> PromiseReader(
     dispatch_state& state, const waiting_stream& stream,
     const std::vector<std::string>& tried, absl::Time now) {
@@ -293,10 +218,14 @@
 
 void AwaitEngines(dispatch_state& state, waiting_stream stream,
                   absl::Time now) {
+  if (stream.quiet_by == absl::InfinitePast() && state.waiting.empty() &&
+      AwaitQuietEngine(state, stream, now)) {
+    return;
+  }
   if (state.waiting.empty()) {
     if (const auto promise =
             PromiseInTurn(state, stream, 1, false, kPromisedMemory, now)) {
-      return Admit(state, stream, *promise, now);
+      return AdmitStream(state, stream, *promise, now);
     }
   }
   const size_t ahead = state.waiting.size() +
@@ -321,10 +250,12 @@
   };
   state.waiting.remove_if(is_it);
   state.late.remove_if(is_it);
+  state.resuming.remove_if(is_it);
 }
 
 void AdmitWaiting(dispatch_state& state, absl::Time now) {
   Demote(state, now);
+  AdmitResuming(state, now);
   AdmitList(state, state.waiting, false, kPromisedMemory, now);
   if (!state.waiting.empty()) return;
   if (PeersWaiting(state.ledger, now) > 0) return;
--- a/src/dispatch/decode_admission.h
+++ b/src/dispatch/decode_admission.h
@@ -20,6 +20,11 @@
 /// callback may be called from here.
 void AwaitEngines(dispatch_state& state, waiting_stream stream, absl::Time now);
 
+/// Promises engines to a stream that is in no queue any more, and calls it
+/// back.
+void AdmitStream(dispatch_state& state, const waiting_stream& stream,
+                 const engine_promise& promise, absl::Time now);
+
 /// Takes a stream out of the queue, if it is there; its callback isn't called.
 void LeaveQueue(dispatch_state& state, absl::string_view request_id);
 
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -53,6 +53,9 @@
   absl::Time start_by;
   /// Latest time at which it may still begin.
   absl::Time give_up;
+  /// Until when it waits for an engine that can read what its caller has
+  /// without making others late.
+  absl::Time quiet_by = absl::InfinitePast();
   /// Called once: with engines, or with the reason why there are none.
   std::function<void(absl::StatusOr<engine_promise>)> done;
 };
@@ -80,6 +83,8 @@
   /// in the order in which they came.
   std::list<waiting_stream> waiting;
   std::list<waiting_stream> late;
+  /// Streams that go on and wait for an engine that reads nothing else.
+  std::list<waiting_stream> resuming;
   /// Room at engines that other daemons may take first.
   room_sightings sightings;
   /// Part of the late ones that began in time, lately.
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -50,7 +50,9 @@
   impl_->state.context = context;
   impl_->admit_timer = RunEvery(kAdmitInterval, [this] {
     const dispatch_state& state = impl_->state;
-    if (state.waiting.empty() && state.late.empty()) return;
+    if (state.waiting.empty() && state.late.empty() && state.resuming.empty()) {
+      return;
+    }
     AdmitWaiting(impl_->state, MonotonicNow());
   });
 }
--- a/src/dispatch/engine_ledger.cc
+++ b/src/dispatch/engine_ledger.cc
@@ -16,6 +16,10 @@
 constexpr double kSlowestPrefill = 2;
 constexpr double kFastestPrefill = 500;
 
+// What differs from the known prefill speed by more than this factor counts as
+// if it were this: a prompt that an engine has kept seems to be read at once.
+constexpr double kPrefillOutlier = 1.25;
+
 void Learn(double& speed, double tokens, absl::Duration took, double least,
            double most) {
   const double ms = absl::ToDoubleMilliseconds(took);
@@ -23,12 +27,12 @@
   speed += kLearnWeight * (std::clamp(tokens / ms, least, most) - speed);
 }
 
+}  // namespace
+
 bool IsFresh(const peer_share& share, absl::Time now) {
   return now - share.heard < kPeerShareLife;
 }
 
-}  // namespace
-
 uint32_t EngineKey(absl::string_view engine_id) {
   return XXH32(engine_id.data(), engine_id.size(), 0);
 }
@@ -76,8 +80,10 @@
 
 void LearnPrefillSpeed(engine_ledger& ledger, double tokens,
                        absl::Duration took) {
-  Learn(ledger.prefill_tokens_per_ms, tokens, took, kSlowestPrefill,
-        kFastestPrefill);
+  const double known = ledger.prefill_tokens_per_ms;
+  Learn(ledger.prefill_tokens_per_ms, tokens, took,
+        std::max(kSlowestPrefill, known / kPrefillOutlier),
+        std::min(kFastestPrefill, known * kPrefillOutlier));
 }
 
 std::vector<decode_run> RunsAt(const engine_ledger& ledger,
--- a/src/dispatch/engine_ledger.h
+++ b/src/dispatch/engine_ledger.h
@@ -76,6 +76,9 @@
 /// after which engines have dropped the runs of a daemon that died.
 inline constexpr absl::Duration kPeerShareLife = absl::Milliseconds(1500);
 
+/// Whether what another daemon told still counts.
+bool IsFresh(const peer_share& share, absl::Time now);
+
 /// Hash by which daemons name an engine to each other.
 uint32_t EngineKey(absl::string_view engine_id);
 
--- a/src/dispatch/engine_ledger_test.cc
+++ b/src/dispatch/engine_ledger_test.cc
@@ -62,5 +62,36 @@
   EXPECT_GT(ledger.tokens_per_ms, 0);
 }
 
+// An engine that has kept a prompt answers at once.
+TEST(engine_ledger_test, PromptsThatWereKeptDontMakeEnginesSeemFast) {
+  engine_ledger ledger;
+  for (int i = 0; i < 400; ++i) {
+    const bool kept = i % 8 == 0;
+    LearnPrefillSpeed(ledger, 5000,
+                      kept ? absl::Milliseconds(2) : absl::Milliseconds(90));
+  }
+  EXPECT_NEAR(ledger.prefill_tokens_per_ms, 5000.0 / 90, 5);
+}
+
+TEST(engine_ledger_test, FasterEnginesAreFoundOut) {
+  engine_ledger ledger;
+  for (int i = 0; i < 200; ++i) {
+    LearnPrefillSpeed(ledger, 5000, absl::Milliseconds(25));
+  }
+  EXPECT_NEAR(ledger.prefill_tokens_per_ms, 200, 10);
+}
+
+TEST(engine_ledger_test, ReadingAtADecodeEngineCountsUntilTheFirstEvent) {
+  engine_ledger ledger;
+  PromiseRun(ledger, "r1", "e1", 8000, 50, kNow);
+  ExpectReading(ledger, "r1", 6000);
+  ExpectReading(ledger, "unknown", 6000);
+  EXPECT_DOUBLE_EQ(PrefillBacklog(ledger, "e1", kNow), 6000);
+  EXPECT_DOUBLE_EQ(
+      OwnShare(ledger, kNow).engines[EngineKey("e1")].prefill_tokens, 6000);
+  AdvanceRun(ledger, "r1", 8100, 40, kNow);
+  EXPECT_DOUBLE_EQ(PrefillBacklog(ledger, "e1", kNow), 0);
+}
+
 }  // namespace
 }  // namespace anvilridge
