--- a/src/http1/channel_client_test.cc
+++ b/src/http1/channel_client_test.cc
@@ -17,6 +17,9 @@
                       "\r\nContent-Length: ", body.size(), "\r\n\r\n", body);
 }
 
+// After which the upstream of a test forgets an idle connection.
+constexpr absl::Duration kForgets = absl::Milliseconds(150);
+
 class channel_client_test : public event_loop_test {
  protected:
   http_result Run(const raw_server& server, absl::string_view id = "1") {
@@ -61,7 +64,6 @@
 
 // The upstream forgets connections that rested for long, and tells nobody.
 TEST_F(channel_client_test, LearnsThatIdleConnectionsAreDroppedSooner) {
-  constexpr absl::Duration kForgets = absl::Milliseconds(150);
   const auto rest = [] {
     const absl::Time until = MonotonicNow() + 2 * kForgets;
     RunUntil([until] { return MonotonicNow() >= until; });
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -35,7 +35,7 @@
 constexpr absl::Duration kProbeInterval = absl::Milliseconds(400);
 constexpr absl::Duration kPollInterval = absl::Milliseconds(50);
 // Memory that a daemon may take, by the capacity target.
-constexpr int64_t kMostMemoryKb = 128 * 1024;
+constexpr int64_t kMostMemoryKb = 128 * int64_t{1024};
 // One run in so many is lost or fails while things are disturbed: some at each
 // upstream, and few enough that it counts as sound.
 constexpr int kSpoilPeriod = 25;
