--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -17,7 +17,7 @@
   const soak_result result = RunSoak(options);
   // A run in which nobody is served would break no promise.
   EXPECT_GT(result.record.upstreams.size(), 100u);
-  const std::string broken = absl::StrJoin(BrokenPromises(result.record), "\n");
+  std::string broken = absl::StrJoin(BrokenPromises(result.record), "\n");
   if (!broken.empty()) {
     GTEST_LOG_(INFO) << "seed " << options.seed << "\n"
                      << absl::StrJoin(result.steps, "\n");
