--- a/tests/soak/soak_checks.cc
+++ b/tests/soak/soak_checks.cc
@@ -6,25 +6,20 @@
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
+#include "soak/soak_config.h"
 
 namespace anvilridge {
 namespace {
 
-// Time limits of the soak's routes, by kind, and what the way here may add.
-constexpr absl::Duration kPostLimit = absl::Seconds(2);
-constexpr absl::Duration kStreamLimit = absl::Seconds(8);
+// What the way to a caller may add to a time limit.
 constexpr absl::Duration kWay = absl::Milliseconds(600);
 // Within which an engine must stop when the caller has left, by the rules of
 // the platform, and what the way may add.
 constexpr absl::Duration kStopBound = absl::Milliseconds(500);
 // Streams that may go on for longer: the rules take a few by chance.
 constexpr double kLateStops = 0.25;
-// How long nothing may be disturbed before a bound counts, and within which a
-// configuration must be in force then: the sites' bounds.
-constexpr absl::Duration kCalmBefore = absl::Seconds(4);
+// Within which a configuration must be in force: the sites' bound.
 constexpr absl::Duration kConfigBound = absl::Seconds(3);
-// Sends of one request that may run: the routes' attempts.
-constexpr size_t kAttempts = 2;
 constexpr int kFirstFailure = 300;
 constexpr std::array kNotRunStatuses = {408, 421, 429, 503};
 
@@ -117,7 +112,7 @@
 
   void CheckTime(const caller_record& caller) {
     const absl::Duration limit =
-        caller.kind == request_kind::stream ? kStreamLimit : kPostLimit;
+        caller.kind == request_kind::stream ? kStreamLimit : kCallLimit;
     const absl::Time due = caller.began + limit + kWay;
     if (caller.left < due || due > record_.end) return;
     if (caller.ended <= due || Disturbed(record_, fault_place::daemon,
--- /dev/null
+++ b/tests/soak/soak_config.cc
@@ -0,0 +1,46 @@
+#include "soak/soak_config.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+
+namespace anvilridge {
+namespace {
+
+QJsonObject Route(const char* name, const QString& prefix, const char* kind,
+                  const char* service, absl::Duration limit, int target_ms) {
+  return {{"Name", name},
+          {"Host", "a.example"},
+          {"PathPrefix", prefix},
+          {"Kind", kind},
+          {"Service", service},
+          {"Attempts", static_cast<int>(kAttempts)},
+          {"TimeoutMs", static_cast<int>(absl::ToInt64Milliseconds(limit))},
+          {"LatencyTargetMs", target_ms}};
+}
+
+}  // namespace
+
+std::string ConfigText(int version) {
+  QJsonObject stream =
+      Route("draft", "/draft/", "stream", "model", kStreamLimit, 900);
+  stream["CanResume"] = true;
+  stream["GapTargetMs"] = 300;
+  const QJsonArray routes{
+      stream, Route("post", "/post/", "unsafe", "ledger", kCallLimit, 150),
+      Route("read", "/read/", "safe", "ledger", kCallLimit, 150),
+      Route("version", QString("/v%1/").arg(version), "safe", "ledger",
+            kCallLimit, 150)};
+  const QJsonObject engine{{"Slots", 12},        {"KvCapacity", 100000},
+                           {"KvTokenBytes", 16}, {"LinkMbps", 1000},
+                           {"HandleTtlS", 5},    {"StageSwitchS", 6},
+                           {"Stride", 10}};
+  const QJsonArray services{
+      QJsonObject{{"Name", "model"}, {"MaxConns", 64}, {"Engine", engine}},
+      QJsonObject{{"Name", "ledger"}, {"MaxConns", 256}}};
+  const QJsonObject config{
+      {"Version", version}, {"Routes", routes}, {"Services", services}};
+  return QJsonDocument(config).toJson(QJsonDocument::Compact).toStdString();
+}
+
+}  // namespace anvilridge
--- /dev/null
+++ b/tests/soak/soak_config.h
@@ -0,0 +1,25 @@
+#ifndef ANVILRIDGE_TESTS_SOAK_SOAK_CONFIG_H_
+#define ANVILRIDGE_TESTS_SOAK_SOAK_CONFIG_H_
+
+#include <cstddef>
+#include <string>
+
+#include "absl/time/time.h"
+
+namespace anvilridge {
+
+/// Time limits of the soak's routes: some times what their upstreams take.
+inline constexpr absl::Duration kCallLimit = absl::Seconds(2);
+inline constexpr absl::Duration kStreamLimit = absl::Seconds(8);
+/// Sends of one request that may run.
+inline constexpr size_t kAttempts = 2;
+/// How long nothing may be disturbed before a bound counts: the sites' bound.
+inline constexpr absl::Duration kCalmBefore = absl::Seconds(4);
+
+/// Returns the record of configuration `version`: streams, postings and reads,
+/// and a route `/vVERSION/` that no other version has.
+std::string ConfigText(int version);
+
+}  // namespace anvilridge
+
+#endif  // ANVILRIDGE_TESTS_SOAK_SOAK_CONFIG_H_
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -3,9 +3,6 @@
 #include <signal.h>
 
 #include <QFile>
-#include <QJsonArray>
-#include <QJsonDocument>
-#include <QJsonObject>
 #include <algorithm>
 #include <array>
 #include <memory>
@@ -18,15 +15,14 @@
 #include "base/testing/run_loop.h"
 #include "harness/store_standin.h"
 #include "soak/soak_callers.h"
+#include "soak/soak_config.h"
 #include "soak/soak_daemon.h"
 #include "soak/soak_upstreams.h"
 
 namespace anvilridge {
 namespace {
 
-// Bounds of the sites: how long nothing is disturbed before the rules count
-// again, and how long is looked on then.
-constexpr absl::Duration kCalmBefore = absl::Seconds(4);
+// How long is looked on once the bounds count.
 constexpr absl::Duration kCalmSpan = absl::Seconds(4);
 // For processes to start side by side on a busy machine.
 constexpr absl::Duration kStartBound = absl::Seconds(60);
@@ -49,40 +45,6 @@
 
 constexpr char kUpstreamTopic[] = "keyed.servers";
 
-QJsonObject Route(const char* name, const QString& prefix, const char* kind,
-                  const char* service, int timeout_ms, int target_ms) {
-  return {{"Name", name},
-          {"Host", "a.example"},
-          {"PathPrefix", prefix},
-          {"Kind", kind},
-          {"Service", service},
-          {"Attempts", 2},
-          {"TimeoutMs", timeout_ms},
-          {"LatencyTargetMs", target_ms}};
-}
-
-// The limits are those that the checks know.
-std::string ConfigText(int version) {
-  QJsonObject stream = Route("draft", "/draft/", "stream", "model", 8000, 900);
-  stream["CanResume"] = true;
-  stream["GapTargetMs"] = 300;
-  const QJsonArray routes{
-      stream, Route("post", "/post/", "unsafe", "ledger", 2000, 150),
-      Route("read", "/read/", "safe", "ledger", 2000, 150),
-      Route("version", QString("/v%1/").arg(version), "safe", "ledger", 1500,
-            150)};
-  const QJsonObject engine{{"Slots", 12},        {"KvCapacity", 100000},
-                           {"KvTokenBytes", 16}, {"LinkMbps", 1000},
-                           {"HandleTtlS", 5},    {"StageSwitchS", 6},
-                           {"Stride", 10}};
-  const QJsonArray services{
-      QJsonObject{{"Name", "model"}, {"MaxConns", 64}, {"Engine", engine}},
-      QJsonObject{{"Name", "ledger"}, {"MaxConns", 256}}};
-  const QJsonObject config{
-      {"Version", version}, {"Routes", routes}, {"Services", services}};
-  return QJsonDocument(config).toJson(QJsonDocument::Compact).toStdString();
-}
-
 // Peak resident memory of a process; 0 when it has ended.
 int64_t PeakMemoryKb(pid_t pid) {
   QFile file(QString("/proc/%1/status").arg(pid));
