--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -62,7 +62,7 @@
     const QByteArray bytes = from->readAll();
     if (connection->silent || (connection->deaf && !from_client)) return;
     After(connection, from_client, [to, bytes] {
-      if (to) to->write(bytes);
+      if (to && to->isOpen()) to->write(bytes);
     });
   }
 
