--- a/tests/soak/soak_daemon.cc
+++ b/tests/soak/soak_daemon.cc
@@ -15,12 +15,6 @@
 // Sends beyond the ratio that the soak's few requests may cost.
 constexpr int kSlack = 200;
 
-uint16_t FreePort() {
-  QUdpSocket socket;
-  socket.bind(QHostAddress::LocalHost);
-  return socket.localPort();
-}
-
 }  // namespace
 
 struct soak_daemon::impl {
@@ -29,13 +23,19 @@
       : index(number),
         program(std::move(run)),
         arguments(std::move(given)),
-        store_link(store_address) {}
+        store_link(store_address),
+        port_holder(std::make_unique<QUdpSocket>()) {
+    port_holder->bind(QHostAddress::LocalHost);
+    sharing_port = port_holder->localPort();
+  }
 
   int index = 0;
   std::string program;
   std::vector<std::string> arguments;
   fault_proxy store_link;
-  uint16_t sharing_port = FreePort();
+  // Keeps the sharing port from the other daemons until the first start.
+  std::unique_ptr<QUdpSocket> port_holder;
+  uint16_t sharing_port = 0;
   temp_folder folder;
   std::unique_ptr<child_process> process;
   int starts = 0;
@@ -86,6 +86,7 @@
                    {"--config", impl_->folder.File("fleet.ini")});
   impl_->caller_port = 0;
   impl_->ready_port = 0;
+  impl_->port_holder.reset();
   impl_->process =
       std::make_unique<child_process>(impl_->program, std::move(arguments));
   ++impl_->starts;
