--- a/src/dispatch/decode_admission_test.cc
+++ b/src/dispatch/decode_admission_test.cc
@@ -68,6 +68,14 @@
     return stream;
   }
 
+  // The first is admitted, and the second waits until it has been read.
+  void TwoGoOnAtOneEngine() {
+    state_.view = OneDecodeEngine();
+    Run("1", "a", kPrompt);
+    AwaitEngines(state_, Resumed("first", state_), now_);
+    AwaitEngines(state_, Resumed("second", state_), now_);
+  }
+
   void Run(const std::string& id, const std::string& engine, double context) {
     PromiseRun(state_.ledger, id, engine, context, 4000, now_);
   }
@@ -161,10 +169,7 @@
 }
 
 TEST_F(decode_admission_test, AResumedStreamTakesTheTurnOfOneThatHasBeenRead) {
-  state_.view = OneDecodeEngine();
-  Run("1", "a", kPrompt);
-  AwaitEngines(state_, Resumed("first", state_), now_);
-  AwaitEngines(state_, Resumed("second", state_), now_);
+  TwoGoOnAtOneEngine();
   EXPECT_EQ(last_, "first");
   now_ += absl::Milliseconds(200);
   state_.ledger.peers.clear();
@@ -176,10 +181,7 @@
 }
 
 TEST_F(decode_admission_test, AResumedStreamDoesNotWaitForQuietForEver) {
-  state_.view = OneDecodeEngine();
-  Run("1", "a", kPrompt);
-  AwaitEngines(state_, Resumed("first", state_), now_);
-  AwaitEngines(state_, Resumed("second", state_), now_);
+  TwoGoOnAtOneEngine();
   now_ += absl::Milliseconds(900);
   AdmitWaiting(state_, now_);
   EXPECT_EQ(last_, "first");
@@ -189,10 +191,7 @@
 }
 
 TEST_F(decode_admission_test, ACallerThatLeavesWaitsNoMore) {
-  state_.view = OneDecodeEngine();
-  Run("1", "a", kPrompt);
-  AwaitEngines(state_, Resumed("first", state_), now_);
-  AwaitEngines(state_, Resumed("second", state_), now_);
+  TwoGoOnAtOneEngine();
   LeaveQueue(state_, "second");
   AdmitWaiting(state_, now_ + absl::Seconds(2));
   EXPECT_EQ(last_, "first");
--- a/src/planning/offline_bound.cc
+++ b/src/planning/offline_bound.cc
@@ -7,8 +7,8 @@
 namespace anvilridge {
 namespace {
 
-// Width of the spans' grid: finer ones find little more, at the cost of its
-// square.
+// Width of the spans' grid, about half a latency target. The number of spans
+// grows with the square of a finer one.
 constexpr absl::Duration kGrid = absl::Milliseconds(500);
 
 struct stream_need {
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -195,13 +195,12 @@
   // ---- disturbances
 
   void BeginSpan(fault_place place, int daemon) {
-    open_spans_.push_back(
-        {place, daemon, MonotonicNow(), absl::InfiniteFuture()});
+    spans_.push_back({place, daemon, MonotonicNow(), absl::InfiniteFuture()});
   }
 
   // A daemon's process is itself again.
   void EndSpan(size_t daemon) {
-    for (fault_span& span : open_spans_) {
+    for (fault_span& span : spans_) {
       if (span.place == fault_place::daemon &&
           span.daemon == static_cast<int>(daemon)) {
         span.to = std::min(span.to, MonotonicNow());
@@ -212,7 +211,7 @@
   void DisturbFor(fault_place place, int daemon, absl::Duration lasts,
                   std::function<void()> end) {
     const absl::Time now = MonotonicNow();
-    open_spans_.push_back({place, daemon, now, now + lasts});
+    spans_.push_back({place, daemon, now, now + lasts});
     ++disturbances_;
     RunAfter(&context_, lasts, [this, end = std::move(end)] {
       end();
@@ -366,7 +365,7 @@
   }
 
   soak_result Finish(const std::string& log_folder) {
-    result_.record.faults = open_spans_;
+    result_.record.faults = spans_;
     for (size_t i = 0; i < daemons_.size(); ++i) {
       child_process& process = daemons_[i].process->Process();
       const int64_t memory = PeakMemoryKb(process.Pid());
@@ -399,7 +398,7 @@
   absl::Time began_ = MonotonicNow();
   int config_version_ = 0;
   int disturbances_ = 0;
-  std::vector<fault_span> open_spans_;
+  std::vector<fault_span> spans_;
   std::vector<std::string> logs_;
 };
 
