Log each extra send with what the budget allowed

Nothing told which daemon sent a request once more, why, and with how many daemons it reckoned, so that lost counts, a wrong number of daemons and sends outside the budget look alike. Each extra send and each refused one now has a line with reason, budget left, number of daemons and totals.

--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -142,14 +142,23 @@
 
 bool TakeBudgetedSend(dispatch_state& state, absl::string_view service,
                       absl::string_view request_id, absl::string_view reason) {
-  if (!ConsumeExtraSend(state.budget, service, state.settings.budget,
-                        state.daemons, MonotonicNow())) {
-    LogEvent(log_level::warn, "send_budget_used_up",
-             {{"request", QtText(request_id)}, {"service", QtText(service)}});
-    return false;
-  }
-  state.metrics->CountExtraSend(service, reason);
-  return true;
+  const absl::Time now = MonotonicNow();
+  const double available = AvailableExtraSends(
+      state.budget, service, state.settings.budget, state.daemons, now);
+  const bool taken = ConsumeExtraSend(
+      state.budget, service, state.settings.budget, state.daemons, now);
+  const service_sends& sends = state.budget.services.find(service)->second;
+  LogEvent(taken ? log_level::info : log_level::warn,
+           taken ? "extra_send" : "send_budget_used_up",
+           {{"request", QtText(request_id)},
+            {"service", QtText(service)},
+            {"reason", QtText(reason)},
+            {"available", available},
+            {"daemons", state.daemons},
+            {"requests", static_cast<double>(sends.total_requests)},
+            {"extra_sends", static_cast<double>(sends.total_extra_sends)}});
+  if (taken) state.metrics->CountExtraSend(service, reason);
+  return taken;
 }
 
 absl::Time ResponseDeadline(const fleet_request& request,
--- a/src/dispatch/send_budget.cc
+++ b/src/dispatch/send_budget.cc
@@ -18,9 +18,8 @@
 
 // Returns the counts of the slice at `now`; begins a new slice when the last
 // one is over.
-send_counts& CurrentSlice(send_budget& budget, absl::string_view service,
-                          absl::Time now) {
-  std::deque<send_counts>& slices = budget.services[std::string(service)];
+send_counts& CurrentSlice(service_sends& sends, absl::Time now) {
+  std::deque<send_counts>& slices = sends.slices;
   if (slices.empty() || now >= slices.back().start + kSliceLength) {
     slices.push_back({now, 0, 0});
   }
@@ -31,15 +30,18 @@
 
 void RecordRequest(send_budget& budget, absl::string_view service,
                    absl::Time now) {
-  ++CurrentSlice(budget, service, now).requests;
+  service_sends& sends = budget.services[std::string(service)];
+  ++CurrentSlice(sends, now).requests;
+  ++sends.total_requests;
 }
 
-bool ConsumeExtraSend(send_budget& budget, absl::string_view service,
-                      const send_budget_limits& limits, int daemons,
-                      absl::Time now) {
-  send_counts& current = CurrentSlice(budget, service, now);
-  std::deque<send_counts>& slices = budget.services[std::string(service)];
-  while (slices.front().start + kSliceLength < now - limits.window) {
+double AvailableExtraSends(send_budget& budget, absl::string_view service,
+                           const send_budget_limits& limits, int daemons,
+                           absl::Time now) {
+  std::deque<send_counts>& slices =
+      budget.services[std::string(service)].slices;
+  while (!slices.empty() &&
+         slices.front().start + kSliceLength < now - limits.window) {
     slices.pop_front();
   }
   double requests = 0;
@@ -50,8 +52,18 @@
   }
   const double allowed = kRatioShare * limits.ratio * requests +
                          kSlackShare * limits.slack / std::max(1, daemons);
-  if (extra_sends + 1 > allowed) return false;
-  ++current.extra_sends;
+  return allowed - extra_sends;
+}
+
+bool ConsumeExtraSend(send_budget& budget, absl::string_view service,
+                      const send_budget_limits& limits, int daemons,
+                      absl::Time now) {
+  if (AvailableExtraSends(budget, service, limits, daemons, now) < 1) {
+    return false;
+  }
+  service_sends& sends = budget.services[std::string(service)];
+  ++CurrentSlice(sends, now).extra_sends;
+  ++sends.total_extra_sends;
   return true;
 }
 
