Earn extra sends instead of counting them back over a window

Callers saw upstreams flooded with repeats: the fleet sent more of them in ten seconds than the send budget allows, when daemons were killed while upstreams refused requests.

Cause: each daemon enforced its part of a limit of the whole fleet from counts and a number of daemons that it alone held. A new process had its whole part of the slack again, while the sends of the process before still counted; a daemon that had just started assumed four daemons; one that was cut off counted only those that it still heard.

Change: requests and time earn extra sends, which are saved up to a part of the slack. A process starts without any. What is sent in a window is then at most what was saved up before it and what was earned in it, however often processes start. The load exchange does not report a count before the store has listed the daemons or another one was heard.

The test ExtraSendsAreAvailableAgainAfterTheWindow expected a new daemon to have a whole part at once, which is the fault; TimeEarnsExtraSends replaces it and expects the exact number earned and saved. DaemonsTogetherKeepTheBound... now runs with 1, 4 and 29 daemons, calm and failing, with the pause it had. ABrokenStreamGoesOnElsewhere waits until its daemon may send once more.

--- a/src/dispatch/call_flow.cc
+++ b/src/dispatch/call_flow.cc
@@ -47,7 +47,8 @@
         exchange_(std::move(routed.exchange)) {}
 
   void Start() {
-    RecordRequest(state_.budget, service_.name, request_.received);
+    RecordRequest(state_.budget, service_.name, state_.settings.budget,
+                  MonotonicNow());
     const auto self = shared_from_this();
     exchange_->OnClosed([self] { self->OnCallerLeft(); });
     const absl::Time now = MonotonicNow();
--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -143,20 +143,20 @@
 bool TakeBudgetedSend(dispatch_state& state, absl::string_view service,
                       absl::string_view request_id, absl::string_view reason) {
   const absl::Time now = MonotonicNow();
-  const double available = AvailableExtraSends(
-      state.budget, service, state.settings.budget, state.daemons, now);
-  const bool taken = ConsumeExtraSend(
-      state.budget, service, state.settings.budget, state.daemons, now);
-  const service_sends& sends = state.budget.services.find(service)->second;
+  const send_budget_limits& limits = state.settings.budget;
+  const bool taken = ConsumeExtraSend(state.budget, service, limits, now);
+  const send_credit& credit = SendCredit(state.budget, service, limits, now);
+  const std::optional<int> daemons =
+      SettledDaemonCount(state.budget.daemons, now);
   LogEvent(taken ? log_level::info : log_level::warn,
            taken ? "extra_send" : "send_budget_used_up",
            {{"request", QtText(request_id)},
             {"service", QtText(service)},
             {"reason", QtText(reason)},
-            {"available", available},
-            {"daemons", state.daemons},
-            {"requests", static_cast<double>(sends.total_requests)},
-            {"extra_sends", static_cast<double>(sends.total_extra_sends)}});
+            {"available", credit.available},
+            {"daemons", daemons.value_or(0)},
+            {"requests", static_cast<double>(credit.requests)},
+            {"extra_sends", static_cast<double>(credit.extra_sends)}});
   if (taken) state.metrics->CountExtraSend(service, reason);
   return taken;
 }
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -101,8 +101,6 @@
   std::map<std::string, length_statistics, std::less<>> lengths;
   /// Stream sizes and engine speeds for the planning of stages, by service.
   std::map<std::string, stream_workload, std::less<>> workloads;
-  /// Number of daemons that share the send budget, including this one.
-  int daemons = 4;
   /// Time from which new streams are refused because this daemon stops.
   absl::Time refuse_streams_from = absl::InfiniteFuture();
   absl::BitGen random;
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -182,7 +182,7 @@
 }
 
 void dispatcher::SetDaemonCount(int daemons) {
-  impl_->state.daemons = std::max(1, daemons);
+  RecordDaemonCount(impl_->state.budget.daemons, daemons, MonotonicNow());
 }
 
 void dispatcher::OnLoadChange(std::function<void()> listener) {
--- a/src/dispatch/send_budget.cc
+++ b/src/dispatch/send_budget.cc
@@ -5,66 +5,66 @@
 namespace anvilridge {
 namespace {
 
-// The window slides in steps of this length.
-constexpr absl::Duration kSliceLength = absl::Milliseconds(500);
-// Part of the slack that the daemons use. The margin covers daemons that
-// restart and lose their counts, and daemons that disagree on the number of
-// daemons.
-constexpr double kSlackShare = 0.5;
-// Part of the ratio that the daemons use. The margin covers requests that are
-// counted here but never reach an upstream, and windows of different daemons
-// that don't slide at the same time.
+// Parts of the slack that all daemons together may save up, and that they earn
+// within one window. The rest is a margin for daemons that don't know of each
+// other yet.
+constexpr double kSavedSlackShare = 0.5;
+constexpr double kEarnedSlackShare = 0.25;
+// Part of the ratio that requests earn. The rest is a margin for requests and
+// sends that arrive late and are counted in another window.
 constexpr double kRatioShare = 0.85;
 
-// Returns the counts of the slice at `now`; begins a new slice when the last
-// one is over.
-send_counts& CurrentSlice(service_sends& sends, absl::Time now) {
-  std::deque<send_counts>& slices = sends.slices;
-  if (slices.empty() || now >= slices.back().start + kSliceLength) {
-    slices.push_back({now, 0, 0});
-  }
-  return slices.back();
+// Returns this daemon's even part of the slack; none while it doesn't know the
+// number of daemons.
+double SlackPart(const send_budget& budget, const send_budget_limits& limits,
+                 absl::Time now) {
+  const std::optional<int> daemons = SettledDaemonCount(budget.daemons, now);
+  return daemons ? static_cast<double>(limits.slack) / std::max(1, *daemons)
+                 : 0;
+}
+
+// Returns the credit for `service` at `now`, after adding what time has earned
+// and `earned` extra sends.
+send_credit& AddCredit(send_budget& budget, absl::string_view service,
+                       const send_budget_limits& limits, absl::Time now,
+                       double earned) {
+  const auto [entry, is_new] = budget.services.try_emplace(
+      std::string(service),
+      send_credit{.earned_until = std::min(now, budget.daemons.first)});
+  send_credit& credit = entry->second;
+  const double slack_part = SlackPart(budget, limits, now);
+  const double windows =
+      absl::FDivDuration(now - credit.earned_until, limits.window);
+  credit.earned_until = now;
+  // One extra send may always be saved up: with less, none could be made.
+  const double most = std::max(1.0, kSavedSlackShare * slack_part);
+  credit.available =
+      std::min(most, credit.available + earned +
+                         kEarnedSlackShare * slack_part * windows);
+  return credit;
 }
 
 }  // namespace
 
 void RecordRequest(send_budget& budget, absl::string_view service,
-                   absl::Time now) {
-  service_sends& sends = budget.services[std::string(service)];
-  ++CurrentSlice(sends, now).requests;
-  ++sends.total_requests;
-}
-
-double AvailableExtraSends(send_budget& budget, absl::string_view service,
-                           const send_budget_limits& limits, int daemons,
-                           absl::Time now) {
-  std::deque<send_counts>& slices =
-      budget.services[std::string(service)].slices;
-  while (!slices.empty() &&
-         slices.front().start + kSliceLength < now - limits.window) {
-    slices.pop_front();
-  }
-  double requests = 0;
-  int extra_sends = 0;
-  for (const send_counts& slice : slices) {
-    requests += slice.requests;
-    extra_sends += slice.extra_sends;
-  }
-  const double allowed = kRatioShare * limits.ratio * requests +
-                         kSlackShare * limits.slack / std::max(1, daemons);
-  return allowed - extra_sends;
+                   const send_budget_limits& limits, absl::Time now) {
+  ++AddCredit(budget, service, limits, now, kRatioShare * limits.ratio)
+        .requests;
 }
 
 bool ConsumeExtraSend(send_budget& budget, absl::string_view service,
-                      const send_budget_limits& limits, int daemons,
-                      absl::Time now) {
-  if (AvailableExtraSends(budget, service, limits, daemons, now) < 1) {
-    return false;
-  }
-  service_sends& sends = budget.services[std::string(service)];
-  ++CurrentSlice(sends, now).extra_sends;
-  ++sends.total_extra_sends;
+                      const send_budget_limits& limits, absl::Time now) {
+  send_credit& credit = AddCredit(budget, service, limits, now, 0);
+  if (credit.available < 1) return false;
+  credit.available -= 1;
+  ++credit.extra_sends;
   return true;
 }
 
+const send_credit& SendCredit(send_budget& budget, absl::string_view service,
+                              const send_budget_limits& limits,
+                              absl::Time now) {
+  return AddCredit(budget, service, limits, now, 0);
+}
+
 }  // namespace anvilridge
--- a/src/dispatch/send_budget.h
+++ b/src/dispatch/send_budget.h
@@ -2,12 +2,12 @@
 #define ANVILRIDGE_DISPATCH_SEND_BUDGET_H_
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <string>
 
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
+#include "dispatch/daemon_count.h"
 
 namespace anvilridge {
 
@@ -20,45 +20,37 @@
   absl::Duration window = absl::Seconds(10);
 };
 
-/// Requests and extra sends of one service within a slice of the window.
-struct send_counts {
-  absl::Time start;
-  int requests = 0;
-  int extra_sends = 0;
+/// Extra sends that this daemon may make to one service. Requests and time earn
+/// them; a daemon starts without any, because the previous process may have
+/// spent what it had.
+struct send_credit {
+  double available = 0;
+  /// Until when `available` contains what time has earned.
+  absl::Time earned_until;
+  /// Requests and extra sends since the daemon started.
+  int64_t requests = 0;
+  int64_t extra_sends = 0;
 };
 
-/// Requests and extra sends of this daemon to one service.
-struct service_sends {
-  /// Those within the window, oldest slice first.
-  std::deque<send_counts> slices;
-  /// Those since the daemon started.
-  int64_t total_requests = 0;
-  int64_t total_extra_sends = 0;
-};
-
-/// This daemon's use of the budget, by service.
+/// This daemon's part of the limit.
 struct send_budget {
-  std::map<std::string, service_sends, std::less<>> services;
+  /// Daemons that share the slack.
+  daemon_count daemons;
+  std::map<std::string, send_credit, std::less<>> services;
 };
 
-/// Counts a request to `service`.
+/// Records a request to `service`, which earns a part of an extra send.
 void RecordRequest(send_budget& budget, absl::string_view service,
-                   absl::Time now);
+                   const send_budget_limits& limits, absl::Time now);
 
-/// Returns how many extra sends to `service` are left of this daemon's part of
-/// the budget, which is made of the ratio of its own requests and an equal part
-/// of the slack.
-/// @param daemons number of daemons that share the slack, at least 1.
-double AvailableExtraSends(send_budget& budget, absl::string_view service,
-                           const send_budget_limits& limits, int daemons,
-                           absl::Time now);
-
-/// Consumes one extra send to `service` from this daemon's part of the budget.
-/// @param daemons number of daemons that share the slack, at least 1.
-/// @return false if this daemon's part is used up.
+/// Consumes one extra send to `service`.
+/// @return false if this daemon has none available.
 bool ConsumeExtraSend(send_budget& budget, absl::string_view service,
-                      const send_budget_limits& limits, int daemons,
-                      absl::Time now);
+                      const send_budget_limits& limits, absl::Time now);
+
+/// Returns the extra sends that this daemon may make to `service` at `now`.
+const send_credit& SendCredit(send_budget& budget, absl::string_view service,
+                              const send_budget_limits& limits, absl::Time now);
 
 }  // namespace anvilridge
 
--- a/src/dispatch/send_budget_test.cc
+++ b/src/dispatch/send_budget_test.cc
@@ -1,64 +1,173 @@
 #include "dispatch/send_budget.h"
 
+#include <vector>
+
 #include "gtest/gtest.h"
 
 namespace anvilridge {
 namespace {
 
 constexpr char kService[] = "ledger";
+constexpr send_budget_limits kLimits{0.2, 182, absl::Seconds(10)};
+constexpr absl::Duration kStep = absl::Milliseconds(5);
+
+// A fleet of daemons without a network. Requests arrive at the daemons in turn,
+// one at each step, while upstreams work or refuse everything.
+class simulated_fleet {
+ public:
+  explicit simulated_fleet(int daemons) : budgets_(daemons) {
+    for (send_budget& budget : budgets_) {
+      RecordDaemonCount(budget.daemons, daemons, now_);
+    }
+  }
+
+  // Runs until `duration` has passed. Each request that is refused is sent
+  // again if the budget allows it.
+  void Run(absl::Duration duration, bool refused) {
+    for (const absl::Time end = now_ + duration; now_ < end; now_ += kStep) {
+      send_budget& budget = budgets_[requests_.size() % budgets_.size()];
+      RecordRequest(budget, kService, kLimits, now_);
+      requests_.push_back(now_);
+      if (refused && ConsumeExtraSend(budget, kService, kLimits, now_)) {
+        extra_sends_.push_back(now_);
+      }
+    }
+  }
+
+  // Lets `duration` pass without requests.
+  void Pause(absl::Duration duration) { now_ += duration; }
+
+  // Replaces each daemon's process by a new one that finds `daemons` daemons.
+  void Restart(int daemons) {
+    for (send_budget& budget : budgets_) {
+      budget = send_budget();
+      RecordDaemonCount(budget.daemons, daemons, now_);
+    }
+  }
+
+  // Lets each daemon find `daemons` daemons from now on.
+  void Find(int daemons) {
+    for (send_budget& budget : budgets_) {
+      RecordDaemonCount(budget.daemons, daemons, now_);
+    }
+  }
+
+  size_t ExtraSends() const { return extra_sends_.size(); }
+
+  // Checks the limit in each window that ends with an extra send.
+  void ExpectLimitInEveryWindow() const {
+    size_t first_extra = 0;
+    size_t first_request = 0;
+    size_t end_request = 0;
+    for (size_t i = 0; i < extra_sends_.size(); ++i) {
+      const absl::Time end = extra_sends_[i];
+      const absl::Time begin = end - kLimits.window;
+      while (extra_sends_[first_extra] < begin) ++first_extra;
+      while (requests_[first_request] < begin) ++first_request;
+      while (end_request < requests_.size() && requests_[end_request] <= end) {
+        ++end_request;
+      }
+      const auto requests = static_cast<double>(end_request - first_request);
+      ASSERT_LE(static_cast<double>(i + 1 - first_extra),
+                kLimits.ratio * requests + kLimits.slack)
+          << "in the window that ends " << end - requests_[0]
+          << " after the start";
+    }
+  }
+
+ private:
+  absl::Time now_ = absl::FromUnixSeconds(1000);
+  std::vector<send_budget> budgets_;
+  std::vector<absl::Time> requests_;
+  std::vector<absl::Time> extra_sends_;
+};
 
 // Guards against daemons that each keep to their part of the budget but exceed
 // it together in some window.
 TEST(send_budget_test, DaemonsTogetherKeepTheBoundInEveryWindow) {
-  constexpr int kDaemons = 4;
-  const send_budget_limits limits{0.2, 52, absl::Seconds(10)};
-  std::vector<send_budget> budgets(kDaemons);
-  std::vector<std::pair<absl::Time, bool>> events;  // time, is extra send
-  absl::Time now = absl::FromUnixSeconds(1000);
-  for (int i = 0; i < 12000; ++i) {
-    now += absl::Milliseconds(5);
+  for (const int daemons : {1, 4, 29}) {
+    simulated_fleet fleet(daemons);
+    fleet.Run(absl::Minutes(1), false);
+    fleet.Run(absl::Seconds(30), true);
     // Budget from before a pause must not accumulate.
-    if (i == 6000) now += absl::Seconds(20);
-    send_budget& budget = budgets[i % kDaemons];
-    RecordRequest(budget, kService, now);
-    events.emplace_back(now, false);
-    // Every request fails and needs an extra send.
-    if (ConsumeExtraSend(budget, kService, limits, kDaemons, now)) {
-      events.emplace_back(now, true);
-    }
+    fleet.Pause(absl::Seconds(20));
+    fleet.Run(absl::Seconds(30), true);
+    fleet.ExpectLimitInEveryWindow();
+    // In a long failure, callers get more than the ratio.
+    EXPECT_GT(fleet.ExtraSends(), 60 * 200 * 0.2 * 0.85);
   }
-  size_t begin = 0;
-  int requests = 0;
-  int extra_sends = 0;
-  for (const auto& [time, is_extra] : events) {
-    ++(is_extra ? extra_sends : requests);
-    while (events[begin].first < time - limits.window) {
-      --(events[begin].second ? extra_sends : requests);
-      ++begin;
+}
+
+// Guards against repeats beyond the budget when daemons are killed while
+// upstreams refuse: each new process spent the whole part of its daemon again.
+TEST(send_budget_test, RestartedDaemonsDoNotSpendTheirPartAgain) {
+  for (const int restarts : {1, 3, 8, 40}) {
+    simulated_fleet fleet(29);
+    fleet.Run(absl::Minutes(1), false);
+    for (int i = 0; i < restarts; ++i) {
+      fleet.Run(absl::Seconds(10) / restarts, true);
+      fleet.Restart(29);
     }
-    ASSERT_LE(extra_sends, limits.ratio * requests + limits.slack);
+    fleet.Run(absl::Seconds(20), true);
+    fleet.ExpectLimitInEveryWindow();
+  }
+}
+
+// Guards against repeats beyond the budget when daemons start at once: each
+// took the part of one of few daemons until it had found the others.
+TEST(send_budget_test, StartingDaemonsDoNotSpendPartsOfDaemonsNotFoundYet) {
+  for (const int found : {1, 4}) {
+    simulated_fleet fleet(29);
+    fleet.Restart(found);
+    fleet.Run(absl::Seconds(2), true);
+    fleet.Find(29);
+    fleet.Run(absl::Seconds(20), true);
+    fleet.ExpectLimitInEveryWindow();
   }
-  EXPECT_GT(extra_sends, 0);
+}
+
+// Guards against repeats beyond the budget when daemons are cut off from each
+// other: each took the parts of all those that it no longer heard.
+TEST(send_budget_test, DaemonsCutOffDoNotSpendPartsOfOthers) {
+  simulated_fleet fleet(29);
+  fleet.Run(absl::Minutes(1), false);
+  fleet.Find(1);
+  fleet.Run(absl::Seconds(30), false);
+  fleet.Run(absl::Seconds(20), true);
+  fleet.Find(29);
+  fleet.Run(absl::Seconds(20), true);
+  fleet.ExpectLimitInEveryWindow();
 }
 
 TEST(send_budget_test, EachServiceHasItsOwnBudget) {
   send_budget budget;
-  const send_budget_limits limits{0, 2, absl::Seconds(10)};
   const absl::Time now = absl::FromUnixSeconds(1000);
-  EXPECT_TRUE(ConsumeExtraSend(budget, "a", limits, 1, now));
-  EXPECT_FALSE(ConsumeExtraSend(budget, "a", limits, 1, now));
-  EXPECT_TRUE(ConsumeExtraSend(budget, "b", limits, 1, now));
+  const send_budget_limits limits{1, 0, absl::Seconds(10)};
+  for (int i = 0; i < 2; ++i) RecordRequest(budget, "a", limits, now);
+  EXPECT_FALSE(ConsumeExtraSend(budget, "b", limits, now));
+  EXPECT_TRUE(ConsumeExtraSend(budget, "a", limits, now));
+  EXPECT_FALSE(ConsumeExtraSend(budget, "a", limits, now));
 }
 
-TEST(send_budget_test, ExtraSendsAreAvailableAgainAfterTheWindow) {
+// A service with few requests must get more than their ratio.
+TEST(send_budget_test, TimeEarnsExtraSends) {
   send_budget budget;
-  const send_budget_limits limits{0, 2, absl::Seconds(10)};
   absl::Time now = absl::FromUnixSeconds(1000);
-  EXPECT_TRUE(ConsumeExtraSend(budget, "a", limits, 1, now));
-  now += absl::Seconds(9);
-  EXPECT_FALSE(ConsumeExtraSend(budget, "a", limits, 1, now));
-  now += absl::Seconds(2);
-  EXPECT_TRUE(ConsumeExtraSend(budget, "a", limits, 1, now));
+  const send_budget_limits limits{0, 8, absl::Seconds(10)};
+  RecordDaemonCount(budget.daemons, 1, now);
+  EXPECT_FALSE(ConsumeExtraSend(budget, "a", limits, now));
+  now += limits.window;
+  EXPECT_TRUE(ConsumeExtraSend(budget, "a", limits, now));
+  EXPECT_TRUE(ConsumeExtraSend(budget, "a", limits, now));
+  EXPECT_FALSE(ConsumeExtraSend(budget, "a", limits, now));
+  // What is not spent is not saved up without end.
+  now += absl::Hours(1);
+  for (int i = 0; i < 4; ++i) {
+    EXPECT_TRUE(ConsumeExtraSend(budget, "a", limits, now));
+  }
+  EXPECT_FALSE(ConsumeExtraSend(budget, "a", limits, now));
+  // Also before the first request to a service.
+  EXPECT_TRUE(ConsumeExtraSend(budget, "b", limits, now));
 }
 
 }  // namespace
--- a/src/dispatch/stream_flow.cc
+++ b/src/dispatch/stream_flow.cc
@@ -69,7 +69,8 @@
     if (!absl::SimpleAtoi(request_.resume_after, &events_before_resume_)) {
       events_before_resume_ = 0;
     }
-    RecordRequest(state_.budget, service_.name, request_.received);
+    RecordRequest(state_.budget, service_.name, state_.settings.budget,
+                  MonotonicNow());
     const absl::Time now = MonotonicNow();
     length_ = EstimateLength(state_.lengths[service_.name],
                              static_cast<double>(request_.output_estimate),
--- a/src/sharing/load_exchange.cc
+++ b/src/sharing/load_exchange.cc
@@ -89,6 +89,8 @@
   uint64_t incarnation = absl::Uniform<uint64_t>(absl::BitGen());
   uint32_t sequence = 0;
   bool leaving = false;
+  // Whether the store has listed the daemons.
+  bool has_listing = false;
   // Last count passed to `handler`.
   int daemon_count = 0;
   // Position in the rotation of live peers to list in messages.
@@ -261,6 +263,8 @@
     entry = ShouldSendTo(entry->second, now) ? std::next(entry)
                                              : peers.erase(entry);
   }
+  // Without a listing, others may be there that this daemon can't hear.
+  if (!has_listing && daemon_count == 0 && count == 1) return;
   // This daemon has the addresses of only a few daemons of other cells, so it
   // assumes that each cell has as many daemons as its own.
   count = std::max(count, own_cell * cells);
@@ -297,6 +301,7 @@
 }
 
 void load_exchange::SetPeers(const std::vector<std::string>& peers) {
+  impl_->has_listing = true;
   for (auto& [name, peer] : impl_->peers) peer.listed = false;
   for (const std::string& name : peers) {
     const auto address = ParseEndpoint(name);
--- a/src/sharing/load_exchange.h
+++ b/src/sharing/load_exchange.h
@@ -20,7 +20,8 @@
   /// Receives the load of another daemon. `peer` is the sender's
   /// `a.b.c.d:port`.
   std::function<void(absl::string_view peer, daemon_load share)> on_load;
-  /// Receives the number of daemons, this one included, when it changes.
+  /// Receives the number of daemons, this one included, when it changes. Not
+  /// called before the store has listed the daemons or another one was heard.
   std::function<void(int daemons)> on_daemon_count;
 };
 
--- a/src/sharing/load_exchange_test.cc
+++ b/src/sharing/load_exchange_test.cc
@@ -121,6 +121,16 @@
   EXPECT_TRUE(RunUntil([&] { return b.daemon_count == 1; }));
 }
 
+// Guards against a daemon that takes itself for the only one because it starts
+// while neither the store nor the other daemons reach it.
+TEST_F(load_exchange_test, ADaemonThatHasHeardNobodyDoesNotCountItself) {
+  test_daemon a;
+  EXPECT_FALSE(
+      RunUntil([&] { return a.daemon_count > 0; }, absl::Milliseconds(700)));
+  a.exchange.SetPeers({a.Name()});
+  EXPECT_EQ(a.daemon_count, 1);
+}
+
 TEST_F(load_exchange_test, MalformedDatagramsAreIgnored) {
   test_daemon a;
   QUdpSocket sender;
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -5,6 +5,7 @@
 #include <thread>
 
 #include "base/clock.h"
+#include "dispatch/daemon_count.h"
 #include "gtest/gtest.h"
 #include "harness/eventually.h"
 #include "harness/platform_scene.h"
@@ -92,6 +93,9 @@
     return scene_.Daemon().Out().find(R"("upstream":"d2")") !=
            std::string::npos;
   }));
+  // A daemon that has just started has no extra sends yet.
+  std::this_thread::sleep_for(absl::ToChronoMilliseconds(kCountSettleTime) +
+                              std::chrono::milliseconds(500));
   const test_answer answer = Draft();
   EXPECT_EQ(answer.body,
             "id: 1\ndata: t1\n\nid: 2\ndata: t2\n\nid: 3\ndata: t3\n\n"
