Check the send budget over all daemons in the soak

The soak did not look at repeats, so it could not see daemons exceed the budget together. It now adds up the arrivals at its upstreams over all daemons and holds them to ratio, slack and window as the users' rule counts them. Its herd plan ends or stops all daemons again and again while all upstreams refuse.

--- a/tests/soak/soak_checks.cc
+++ b/tests/soak/soak_checks.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
@@ -21,6 +22,9 @@
 // Within which a configuration must be in force: the sites' bound.
 constexpr absl::Duration kConfigBound = absl::Seconds(3);
 constexpr int kFirstFailure = 300;
+// Window and ratio of the send budget, by the daemons' defaults.
+constexpr absl::Duration kSendWindow = absl::Seconds(10);
+constexpr double kSendRatio = 0.2;
 constexpr std::array kNotRunStatuses = {408, 421, 429, 503};
 
 // Whether `place` was disturbed for `daemon` between `from` and `to`.
@@ -41,6 +45,14 @@
   return found == record.upstreams.end() ? *kNone : found->second;
 }
 
+// Returns how many of `times`, which are sorted, lie in the window that ends at
+// `end`.
+int CountWithin(const std::vector<absl::Time>& times, absl::Time end) {
+  return static_cast<int>(
+      std::upper_bound(times.begin(), times.end(), end) -
+      std::upper_bound(times.begin(), times.end(), end - kSendWindow));
+}
+
 bool PromisesNotRun(const caller_record& caller) {
   return std::find(kNotRunStatuses.begin(), kNotRunStatuses.end(),
                    caller.status) != kNotRunStatuses.end();
@@ -65,6 +77,8 @@
     }
     CheckStops();
     CheckConfigs();
+    CheckSendBudget("model", {request_kind::stream});
+    CheckSendBudget("ledger", {request_kind::posting, request_kind::read});
     return broken_;
   }
 
@@ -194,6 +208,44 @@
     }
   }
 
+  // In each window, all daemons together send requests to `service` again no
+  // more often than the budget allows by the requests of this window, the one
+  // before it or the one half a window before it.
+  void CheckSendBudget(absl::string_view service,
+                       const std::vector<request_kind>& kinds) {
+    std::vector<absl::Time> requests;
+    std::set<std::string> asked;
+    for (const caller_record& caller : record_.callers) {
+      asked.insert(caller.id);
+      if (std::find(kinds.begin(), kinds.end(), caller.kind) != kinds.end()) {
+        requests.push_back(caller.began);
+      }
+    }
+    std::vector<absl::Time> extra_sends;
+    for (const auto& [id, upstream] : record_.upstreams) {
+      if (upstream.service != service || upstream.arrivals.empty()) continue;
+      const auto first = upstream.arrivals.begin();
+      // Questions for the configuration in force.
+      if (!asked.contains(id)) requests.push_back(*first);
+      extra_sends.insert(extra_sends.end(), first + 1, upstream.arrivals.end());
+    }
+    std::sort(requests.begin(), requests.end());
+    std::sort(extra_sends.begin(), extra_sends.end());
+    for (const absl::Time end : extra_sends) {
+      int most = 0;
+      for (const double windows_before : {0.0, 0.5, 1.0}) {
+        most = std::max(
+            most, CountWithin(requests, end - kSendWindow * windows_before));
+      }
+      const int extra = CountWithin(extra_sends, end);
+      if (extra <= kSendRatio * most + record_.send_slack) continue;
+      return Break("more extra sends than the budget",
+                   absl::StrCat(extra, " to ", service, " within ",
+                                absl::FormatDuration(kSendWindow), " for ",
+                                most, " requests"));
+    }
+  }
+
   const soak_record& record_;
   std::vector<std::string> broken_;
 };
--- a/tests/soak/soak_checks_test.cc
+++ b/tests/soak/soak_checks_test.cc
@@ -50,6 +50,22 @@
   EXPECT_EQ(Broken(), "");
 }
 
+TEST_F(soak_checks_test, ExtraSendsKeepToTheBudget) {
+  record_.send_slack = 2;
+  for (int i = 0; i < 10; ++i) {
+    Caller(request_kind::posting, 503, "").retry_after = "1";
+    upstream_record& upstream = record_.upstreams["r1"];
+    upstream.service = "ledger";
+    // Ten requests and the slack allow four; the first arrival is none.
+    if (i < 5) upstream.arrivals.push_back(kStart + absl::Milliseconds(i));
+  }
+  EXPECT_EQ(Broken(), "");
+  record_.upstreams["r1"].arrivals.push_back(kStart + absl::Seconds(9));
+  EXPECT_THAT(Broken(), HasSubstr("more extra sends than the budget"));
+  record_.upstreams["r1"].arrivals.back() += absl::Seconds(2);
+  EXPECT_EQ(Broken(), "");
+}
+
 TEST_F(soak_checks_test, APostingRunsOnce) {
   Caller(request_kind::posting, 200, "done r1");
   Runs(2);
--- a/tests/soak/soak_daemon.cc
+++ b/tests/soak/soak_daemon.cc
@@ -10,13 +10,6 @@
 #include "harness/temp_folder.h"
 
 namespace anvilridge {
-namespace {
-
-// Sends beyond the ratio that the soak's few requests may cost.
-constexpr int kSlack = 200;
-
-}  // namespace
-
 struct soak_daemon::impl {
   impl(int number, std::string run, std::vector<std::string> given,
        absl::string_view store_address)
@@ -72,10 +65,10 @@
 
 soak_daemon::soak_daemon(int index, std::string program,
                          std::vector<std::string> arguments,
-                         absl::string_view store_address)
+                         absl::string_view store_address, int slack)
     : impl_(std::make_unique<impl>(index, std::move(program),
                                    std::move(arguments), store_address)) {
-  impl_->WriteSettings(kSlack);
+  impl_->WriteSettings(slack);
 }
 
 soak_daemon::~soak_daemon() = default;
--- a/tests/soak/soak_daemon.h
+++ b/tests/soak/soak_daemon.h
@@ -19,7 +19,7 @@
  public:
   soak_daemon(int index, std::string program,
               std::vector<std::string> arguments,
-              absl::string_view store_address);
+              absl::string_view store_address, int slack);
   ~soak_daemon();
   soak_daemon(const soak_daemon&) = delete;
   soak_daemon& operator=(const soak_daemon&) = delete;
@@ -34,7 +34,7 @@
   uint16_t CallerPort();
   uint16_t ReadyPort();
 
-  /// Rewrites the settings file with another retry budget.
+  /// Rewrites the settings file with another slack of the send budget.
   void ChangeSettings(int slack);
 
   fault_proxy& StoreLink();
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -15,6 +15,9 @@
   options.daemons = parsed["daemons"].as<int>();
   options.disturbed = absl::Seconds(parsed["seconds"].as<int>());
   options.rate = parsed["rate"].as<double>();
+  options.decode_engines = parsed["decode-engines"].as<int>();
+  options.slack = parsed["slack"].as<int>();
+  options.herds = parsed["herds"].as<bool>();
   if (const auto plant = parsed["plant"].as<std::string>();
       plant == "lost_cancel") {
     options.hide_close = true;
@@ -58,6 +61,11 @@
   add("seconds", "Disturbed span", cxxopts::value<int>()->default_value("8"));
   add("rate", "Requests a second",
       cxxopts::value<double>()->default_value("40"));
+  add("decode-engines", "Decode engines; each serves 8 streams a second",
+      cxxopts::value<int>()->default_value("4"));
+  add("slack", "Slack of the send budget",
+      cxxopts::value<int>()->default_value("200"));
+  add("herds", "End all daemons together while all upstreams refuse");
   add("logs", "Folder for the daemons' logs",
       cxxopts::value<std::string>()->default_value(""));
   add("plant",
--- a/tests/soak/soak_plan.cc
+++ b/tests/soak/soak_plan.cc
@@ -11,6 +11,10 @@
 constexpr double kStepsPerSecond = 1.3;
 constexpr int kShortestMs = 200;
 constexpr int kLongestMs = 3000;
+// Time between two ends of all daemons, in which they start again and have used
+// up what they may send. One in so many is a planned stop.
+constexpr absl::Duration kHerdInterval = absl::Milliseconds(1800);
+constexpr int kHerdsPerStop = 4;
 
 struct action_name {
   soak_action action;
@@ -37,6 +41,31 @@
   return static_cast<int>(random() % static_cast<uint64_t>(below));
 }
 
+std::vector<soak_step> MakeHerdPlan(const soak_options& options) {
+  std::mt19937_64 random(options.seed);
+  std::vector<soak_step> plan;
+  const int upstreams =
+      options.services + options.prefill_engines + options.decode_engines;
+  for (int upstream = 0; upstream < upstreams; ++upstream) {
+    // The form is a refusal.
+    plan.push_back({absl::ZeroDuration(), soak_action::upset_upstream, upstream,
+                    /*form=*/0, options.disturbed});
+  }
+  absl::Duration at = kHerdInterval / 2;
+  while (at < options.disturbed) {
+    const soak_action action = Draw(random, kHerdsPerStop) == 0
+                                   ? soak_action::stop_daemon
+                                   : soak_action::kill_daemon;
+    for (int daemon = 0; daemon < options.daemons; ++daemon) {
+      const absl::Duration lasts =
+          absl::Milliseconds(kShortestMs + Draw(random, kShortestMs));
+      plan.push_back({at, action, daemon, /*form=*/0, lasts});
+    }
+    at += kHerdInterval + absl::Milliseconds(Draw(random, kShortestMs));
+  }
+  return plan;
+}
+
 }  // namespace
 
 absl::string_view ActionName(soak_action action) {
@@ -44,6 +73,7 @@
 }
 
 std::vector<soak_step> MakePlan(const soak_options& options) {
+  if (options.herds) return MakeHerdPlan(options);
   std::mt19937_64 random(options.seed);
   const int span_ms =
       static_cast<int>(absl::ToInt64Milliseconds(options.disturbed));
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -20,6 +20,11 @@
   int services = 2;
   /// Requests a second of all callers.
   double rate = 40;
+  /// Slack of the daemons' send budget.
+  int slack = 200;
+  /// Ends or stops all daemons together, again and again, while all upstreams
+  /// refuse, in place of single disturbances.
+  bool herds = false;
   /// Program of the daemons, and what it is given besides its settings.
   std::string program = "anvilridge_fleet";
   std::vector<std::string> arguments;
--- a/tests/soak/soak_record.h
+++ b/tests/soak/soak_record.h
@@ -30,6 +30,11 @@
 
 /// What happened to one request at the upstreams.
 struct upstream_record {
+  std::string service;
+  /// Times at which it arrived at an upstream, also where it was refused, but
+  /// for the first prefill that an engine accepted.
+  std::vector<absl::Time> arrivals;
+  bool prefilled = false;
   /// Times at which an upstream began to run it.
   std::vector<absl::Time> runs;
   /// Times at which an engine stopped generating it: its end or its caller's.
@@ -70,6 +75,8 @@
   std::vector<fault_span> faults;
   std::vector<config_record> configs;
   std::vector<config_probe> probes;
+  /// Slack of the daemons' send budget; the largest if it changes.
+  int send_slack = 0;
   /// From when on nothing is disturbed any more, and the end.
   absl::Time calm;
   absl::Time end;
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -66,9 +66,13 @@
     AddUpstreams(options.prefill_engines, upstream_stage::prefill, "prefill");
     AddUpstreams(options.decode_engines, upstream_stage::decode, "decode");
     for (int i = 0; i < options.daemons; ++i) {
-      daemons_.push_back({std::make_unique<soak_daemon>(
-          i, options.program, options.arguments, store_.Address())});
+      daemons_.push_back(
+          {std::make_unique<soak_daemon>(i, options.program, options.arguments,
+                                         store_.Address(), options.slack)});
     }
+    result_.record.send_slack = std::max(
+        options.slack, *std::max_element(kSlacks.begin(), kSlacks.end()));
+    if (options.herds) result_.record.send_slack = options.slack;
   }
 
   soak_result Run(const std::string& log_folder) {
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -35,6 +35,23 @@
 
 INSTANTIATE_TEST_SUITE_P(short_runs, soak_seed_test, testing::Values(1, 2));
 
+// Guards against repeats beyond the send budget when all daemons are ended
+// again and again while upstreams refuse.
+class soak_herd_test : public testing::TestWithParam<uint64_t> {};
+
+TEST_P(soak_herd_test, RestartsWhileUpstreamsRefuseKeepTheBudget) {
+  soak_options options;
+  options.seed = GetParam();
+  options.herds = true;
+  options.daemons = 8;
+  options.decode_engines = 8;
+  options.rate = 150;
+  options.slack = 40;
+  EXPECT_EQ(Broken(options), "");
+}
+
+INSTANTIATE_TEST_SUITE_P(short_runs, soak_herd_test, testing::Values(1, 2));
+
 soak_options Planted(const char* fault) {
   soak_options options;
   options.program = "planted_daemon";
--- a/tests/soak/soak_upstreams.cc
+++ b/tests/soak/soak_upstreams.cc
@@ -59,6 +59,8 @@
   std::unique_ptr<fault_proxy> link;
 
   upstream_fault NextFault();
+  upstream_record& RecordOf(const raw_request& request);
+  void RecordArrival(const raw_request& request);
   void Handle(QTcpSocket& socket, const raw_request& request);
   void Run(QTcpSocket& socket, const raw_request& request);
   void Prefill(QTcpSocket& socket, const raw_request& request);
@@ -67,9 +69,21 @@
                  int number);
 };
 
+upstream_record& soak_upstream::impl::RecordOf(const raw_request& request) {
+  upstream_record& record =
+      records[platform_scene::Field(request, "request-id")];
+  record.service = stage == upstream_stage::service ? "ledger" : "model";
+  return record;
+}
+
+void soak_upstream::impl::RecordArrival(const raw_request& request) {
+  RecordOf(request).arrivals.push_back(MonotonicNow());
+}
+
 void soak_upstream::impl::Handle(QTcpSocket& socket,
                                  const raw_request& request) {
   if (platform_scene::Field(request, "expect-instance") != id) {
+    if (!absl::StartsWith(request.target, "/api/")) RecordArrival(request);
     return WriteText(socket,
                      "HTTP/1.1 421 Other\r\nNot-Run: 1\r\n"
                      "Content-Length: 0\r\n\r\n");
@@ -89,6 +103,7 @@
     return AnswerWhole(socket, request, 200, "{}");
   }
   if (fault == upstream_fault::refuse) {
+    RecordArrival(request);
     return WriteText(socket,
                      absl::StrCat(platform_scene::Head(request, 503),
                                   "Not-Run: 1\r\nContent-Length: 0\r\n\r\n"));
@@ -101,6 +116,7 @@
 
 void soak_upstream::impl::Prefill(QTcpSocket& socket,
                                   const raw_request& request) {
+  if (std::exchange(RecordOf(request).prefilled, true)) RecordArrival(request);
   const QPointer<QTcpSocket> to = &socket;
   const absl::Duration work = fault == upstream_fault::late ? kLate : kWork;
   RunAfter(&context, work, [this, to, request] {
@@ -125,6 +141,7 @@
 
 void soak_upstream::impl::Run(QTcpSocket& socket, const raw_request& request) {
   const std::string request_id = platform_scene::Field(request, "request-id");
+  RecordArrival(request);
   records[request_id].runs.push_back(MonotonicNow());
   const QPointer<QTcpSocket> to = &socket;
   const upstream_fault spoilt = NextFault();
