Bound answers that never end in both upstream clients

An upstream may send bytes that are no answer without end. Callers lost all streams of a daemon whose memory it filled: channel_client compared a body with its largest size only at its end, so it kept all bytes until the time limit; it read interim answers and answers of earlier calls for as long. http_client kept no more than allowed, but read trailers without end.

Now both count what is read of a head, of interim answers and of trailers (64 KiB) and of a body or an answer that is passed over (the call's largest body), end the call as failed with an unknown fate, and close the connection.

endless_answer_test sends each part of an answer without end from a thread.

--- a/src/http1/channel_client.cc
+++ b/src/http1/channel_client.cc
@@ -94,6 +94,8 @@
   absl::Time last_progress;
   // Whether the response being read belongs to an earlier call.
   bool passing_over = false;
+  // Body bytes that were buffered or passed over.
+  size_t body_bytes = 0;
 };
 
 }  // namespace
@@ -228,12 +230,12 @@
 
 void channel_client::impl::TakeBody(call_id id, absl::string_view bytes) {
   call_state* state = FindCall(id);
-  if (state == nullptr || state->passing_over) return;
-  if (state->handler.on_data) {
-    state->handler.on_data(bytes);
-  } else {
-    absl::StrAppend(&state->result.body, bytes);
+  if (state == nullptr) return;
+  if (state->handler.on_data && !state->passing_over) {
+    return state->handler.on_data(bytes);
   }
+  state->body_bytes += bytes.size();
+  if (!state->passing_over) absl::StrAppend(&state->result.body, bytes);
 }
 
 void channel_client::impl::OnBytes(uint64_t id, absl::string_view bytes) {
@@ -256,9 +258,13 @@
     used = Find(id);
     if (used == nullptr || used->call != call) return;
     if (!progress.ok()) return Fail(call, progress.status());
+    const call_state* state = FindCall(call);
+    if (state != nullptr && state->body_bytes > state->call.max_body_bytes) {
+      return Fail(call, MakeError(error_kind::upstream_failed,
+                                  "the answer is too long"));
+    }
     if (*progress == response_reader::progress::partial) return;
     bytes.remove_prefix(taken);
-    const call_state* state = FindCall(call);
     if (state != nullptr && state->passing_over) {
       if (!used->reader.KeepAlive()) {
         return Fail(call, MakeError(error_kind::upstream_failed,
@@ -267,11 +273,6 @@
       BeginResponse(*used);
       continue;
     }
-    if (state != nullptr &&
-        state->result.body.size() > state->call.max_body_bytes) {
-      return Fail(call, MakeError(error_kind::upstream_failed,
-                                  "the answer is too long"));
-    }
     return Complete(*used, bytes.empty() && used->reader.KeepAlive() &&
                                used->stream->UnsentBytes() == 0);
   }
--- a/src/http1/channel_client_test.cc
+++ b/src/http1/channel_client_test.cc
@@ -7,6 +7,7 @@
 #include "base/error_kind.h"
 #include "base/testing/run_loop.h"
 #include "gtest/gtest.h"
+#include "upstreams/testing/endless_server.h"
 #include "upstreams/testing/raw_server.h"
 
 namespace anvilridge {
@@ -170,5 +171,43 @@
   EXPECT_EQ(client_.ActiveCalls(), 0u);
 }
 
+// Guards against memory that grows until the time limit, and a connection that
+// stays open, when an upstream sends bytes that are no answer without end.
+class endless_answer_test : public testing::TestWithParam<endless_answer> {};
+
+TEST_P(endless_answer_test, EndsTheCallAndClosesTheConnection) {
+  EnsureTestApplication();
+  constexpr size_t kMaxBody = 1 << 20;
+  // Of both ends of the connection.
+  constexpr size_t kSocketBuffers = 16 << 20;
+  const endless_server server(GetParam());
+  channel_client client;
+  http_call call;
+  call.address = server.Address();
+  call.timeout = absl::Seconds(30);
+  call.max_body_bytes = kMaxBody;
+  call.answer_mark = {"x-id", "1"};
+  std::optional<http_result> result;
+  http_handler handler;
+  handler.on_done = [&](http_result done) { result = std::move(done); };
+  client.Start(call, handler);
+  ASSERT_TRUE(RunUntil([&] { return result.has_value(); }));
+  EXPECT_EQ(KindOf(result->status), error_kind::upstream_failed);
+  EXPECT_EQ(RunStateOf(result->status), run_state::unknown);
+  EXPECT_TRUE(RunUntil([&] { return server.Closed(); }));
+  EXPECT_LT(server.SentBytes(), kMaxBody + kSocketBuffers);
+}
+
+INSTANTIATE_TEST_SUITE_P(earlier_call, endless_answer_test,
+                         testing::Values(endless_answer{
+                             "body", "HTTP/1.1 200 OK\r\nX-Id: 0\r\n\r\n",
+                             "b"}));
+
+INSTANTIATE_TEST_SUITE_P(parts, endless_answer_test,
+                         testing::ValuesIn(EndlessAnswers()),
+                         [](const auto& answer) {
+                           return std::string(answer.param.name);
+                         });
+
 }  // namespace
 }  // namespace anvilridge
--- a/src/http1/response_reader.cc
+++ b/src/http1/response_reader.cc
@@ -16,7 +16,10 @@
   http_parser_settings callbacks{};
   response_sink sink;
   http_headers headers;
+  // Bytes of header fields and trailers.
   size_t head_bytes = 0;
+  // Bytes taken while the final response's head is incomplete.
+  size_t unfinished_head_bytes = 0;
   bool head_request = false;
   bool in_value = false;
   bool interim = false;
@@ -34,6 +37,7 @@
     parser.data = this;
     headers.clear();
     head_bytes = 0;
+    unfinished_head_bytes = 0;
     in_value = false;
     interim = false;
     complete = false;
@@ -120,6 +124,12 @@
   taken = http_parser_execute(&impl_->parser, &impl_->callbacks, bytes.data(),
                               bytes.size());
   if (impl_->complete) return progress::complete;
+  // Status lines and interim responses have bytes that no callback counts.
+  if (!impl_->has_head) impl_->unfinished_head_bytes += bytes.size();
+  if (impl_->unfinished_head_bytes > kMaxHeadBytes) {
+    return MakeError(error_kind::upstream_failed,
+                     "the head of the response is too long");
+  }
   const http_errno error = HTTP_PARSER_ERRNO(&impl_->parser);
   if (error != HPE_OK || impl_->parser.upgrade != 0) {
     return MakeError(
--- a/src/http1/response_reader.h
+++ b/src/http1/response_reader.h
@@ -21,7 +21,8 @@
  public:
   enum class progress { partial, complete };
 
-  /// Bounds the header fields of one response, in bytes.
+  /// Bounds the heads of one response and of the interim responses before it,
+  /// in bytes.
   static constexpr size_t kMaxHeadBytes = 64 << 10;
 
   response_reader();
--- a/src/upstreams/curl_transfer.cc
+++ b/src/upstreams/curl_transfer.cc
@@ -13,7 +13,7 @@
 namespace anvilridge {
 namespace {
 
-/// Header fields of one answer may be this long in all.
+/// Header fields and trailers of one answer may be this long in all.
 constexpr size_t kMaxHeaderBytes = 64 << 10;
 constexpr int kMaxPort = 65535;
 
@@ -85,11 +85,11 @@
   auto& transfer = *static_cast<curl_transfer*>(user);
   const size_t length = size * count;
   transfer.on_progress();
-  // Lines after the body are trailers, which nobody here reads.
-  if (transfer.headers_complete) return length;
   transfer.header_bytes += length;
   transfer.headers_too_large = transfer.header_bytes > kMaxHeaderBytes;
   if (transfer.headers_too_large) return 0;
+  // Lines after the body are trailers, which nobody here reads.
+  if (transfer.headers_complete) return length;
   const absl::string_view line =
       absl::StripTrailingAsciiWhitespace(absl::string_view(data, length));
   if (absl::StartsWith(line, "HTTP/")) {
--- a/src/upstreams/http_client_test.cc
+++ b/src/upstreams/http_client_test.cc
@@ -10,6 +10,7 @@
 #include "base/error_kind.h"
 #include "base/testing/run_loop.h"
 #include "gtest/gtest.h"
+#include "upstreams/testing/endless_server.h"
 #include "upstreams/testing/raw_server.h"
 
 namespace anvilridge {
@@ -321,5 +322,45 @@
   }
 }
 
+// Guards against memory that grows until the time limit, and a connection that
+// stays open, when an upstream sends bytes that are no answer without end.
+class endless_http_answer_test : public testing::TestWithParam<endless_answer> {
+};
+
+TEST_P(endless_http_answer_test, EndsTheCallAndClosesTheConnection) {
+  EnsureTestApplication();
+  constexpr size_t kMaxBody = 1 << 20;
+  // Of both ends of the connection.
+  constexpr size_t kSocketBuffers = 16 << 20;
+  const endless_server server(GetParam());
+  http_client client;
+  http_call call;
+  call.address = server.Address();
+  call.timeout = absl::Seconds(30);
+  // libcurl does not tell of chunk extensions; the call ends by this time.
+  call.stall_timeout = absl::Seconds(1);
+  call.max_body_bytes = kMaxBody;
+  std::optional<http_result> result;
+  http_handler handler;
+  handler.on_done = [&](http_result done) { result = std::move(done); };
+  client.Start(call, handler);
+  ASSERT_TRUE(RunUntil([&] { return result.has_value(); }));
+  const bool is_extension =
+      absl::string_view(GetParam().name) == "chunk_extension";
+  EXPECT_EQ(KindOf(result->status), is_extension ? error_kind::upstream_stalled
+                                                 : error_kind::upstream_failed);
+  EXPECT_EQ(RunStateOf(result->status), run_state::unknown);
+  EXPECT_TRUE(RunUntil([&] { return server.Closed(); }));
+  // What libcurl skips is not kept.
+  if (is_extension) return;
+  EXPECT_LT(server.SentBytes(), kMaxBody + kSocketBuffers);
+}
+
+INSTANTIATE_TEST_SUITE_P(parts, endless_http_answer_test,
+                         testing::ValuesIn(EndlessAnswers()),
+                         [](const auto& answer) {
+                           return std::string(answer.param.name);
+                         });
+
 }  // namespace
 }  // namespace anvilridge
