--- a/tests/soak/soak_plan.cc
+++ b/tests/soak/soak_plan.cc
@@ -46,6 +46,7 @@
   std::vector<soak_step> plan;
   const int upstreams =
       options.services + options.prefill_engines + options.decode_engines;
+  plan.reserve(upstreams);
   for (int upstream = 0; upstream < upstreams; ++upstream) {
     // The form is a refusal.
     plan.push_back({absl::ZeroDuration(), soak_action::upset_upstream, upstream,
