Cut off engines that send an event or a failure without end

A stream's events are passed on as they arrive, so the largest body of a call does not bound them: an event that did not end, or the body of a failure, was kept until the request's time limit, and the caller then got 504. Now a run is ended at 1 MiB of what is not complete; its connection is closed and the request goes on elsewhere or ends as failed.

platform_path_test.AnEventWithoutEndIsCutOff failed before (504 after 4.2 s), and passes now (502 at once).

--- a/src/dispatch/stream_flow.cc
+++ b/src/dispatch/stream_flow.cc
@@ -326,9 +326,7 @@
     handler.on_headers = [self](int status, const http_headers& headers) {
       self->OnHeaders(status, headers);
     };
-    handler.on_data = [self](absl::string_view bytes) {
-      if (!self->ended_) self->relay_.OnData(bytes);
-    };
+    handler.on_data = [self](absl::string_view bytes) { self->OnData(bytes); };
     handler.on_done = [self](const http_result& result) {
       self->OnDecodeDone(result);
     };
@@ -342,6 +340,16 @@
     relay_.OnHeaders(status == kOk && info.authentic, headers);
   }
 
+  void OnData(absl::string_view bytes) {
+    if (ended_ || relay_.OnData(bytes)) return;
+    state_.client.Cancel(call_);
+    http_result result;
+    result.status = MakeError(error_kind::upstream_failed,
+                              "an event or a failure of the engine is too long",
+                              run_state::unknown);
+    OnDecodeDone(result);
+  }
+
   void OnFirstEvent() {
     const absl::Time now = MonotonicNow();
     state_.metrics->ObserveFirstEventTime(route_.name, now - request_.received);
--- a/src/dispatch/stream_relay.cc
+++ b/src/dispatch/stream_relay.cc
@@ -33,15 +33,16 @@
   if (authentic_stream_ && !headers_sent_) headers_ = headers;
 }
 
-void stream_relay::OnData(absl::string_view bytes) {
+bool stream_relay::OnData(absl::string_view bytes) {
   if (!authentic_stream_) {
     absl::StrAppend(&error_body_, bytes);
-    return;
+    return error_body_.size() <= kMaxKeptBytes;
   }
   SplitEvents(splitter_, bytes,
               [this](absl::string_view event, std::optional<int64_t> id) {
                 RelayEvent(event, id);
               });
+  return splitter_.partial.size() <= kMaxKeptBytes;
 }
 
 void stream_relay::RelayEvent(absl::string_view event,
--- a/src/dispatch/stream_relay.h
+++ b/src/dispatch/stream_relay.h
@@ -17,6 +17,9 @@
 /// without gaps, even if several engines generate them one after the other.
 class stream_relay {
  public:
+  /// Longest part of a response that is kept until it is complete.
+  static constexpr size_t kMaxKeptBytes = 1 << 20;
+
   /// @param resume_after id of the last event that the caller has received, or
   ///     empty if it has none.
   /// @param on_begin called before the first event is passed on.
@@ -32,7 +35,9 @@
   ///     from the engine itself.
   void OnHeaders(bool authentic_stream, const http_headers& headers);
   /// Handles a part of a run's response body, of any length.
-  void OnData(absl::string_view bytes);
+  /// @return false if an event that has not ended, or the body of a failure, is
+  ///     longer than `kMaxKeptBytes`.
+  bool OnData(absl::string_view bytes);
 
   /// Returns whether the run's response is an authentic stream that has no gap
   /// and doesn't end within an event.
--- a/src/dispatch/stream_relay_test.cc
+++ b/src/dispatch/stream_relay_test.cc
@@ -92,6 +92,24 @@
   EXPECT_FALSE(relay.IsRunComplete());
 }
 
+// Guards against memory that grows while an engine sends an event or the body
+// of a failure without end.
+TEST_F(stream_relay_test, TellsOfBytesThatDoNotEnd) {
+  for (const bool authentic : {true, false}) {
+    stream_relay relay = Make();
+    relay.BeginRun();
+    relay.OnHeaders(authentic, {});
+    EXPECT_TRUE(relay.OnData("data: "));
+    EXPECT_TRUE(
+        relay.OnData(std::string(stream_relay::kMaxKeptBytes / 2, 'a')));
+    EXPECT_FALSE(
+        relay.OnData(std::string(stream_relay::kMaxKeptBytes / 2, 'a')));
+    relay.BeginRun();
+    relay.OnHeaders(authentic, {});
+    EXPECT_TRUE(relay.OnData("data: "));
+  }
+}
+
 TEST_F(stream_relay_test, StopsIfClosedWhilePassingOnAnEvent) {
   stream_relay relay = Make();
   exchange_->on_write = [&relay] { relay.Close(); };
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -2,6 +2,7 @@
 #include <signal.h>
 
 #include <QTimer>
+#include <atomic>
 #include <thread>
 
 #include "base/clock.h"
@@ -104,6 +105,27 @@
   EXPECT_EQ(platform_scene::Field(scene_.AtDecode()[1], "last-event-id"), "2");
 }
 
+// Guards against a stream that is kept until its time limit, with memory that
+// grows, while its engine sends an event without end.
+TEST_F(platform_path_test, AnEventWithoutEndIsCutOff) {
+  std::atomic<bool> closed = false;
+  scene_.OnDecode([&closed](QTcpSocket& socket, const raw_request& request) {
+    QObject::connect(&socket, &QTcpSocket::disconnected,
+                     [&closed] { closed = true; });
+    QObject::connect(&socket, &QTcpSocket::bytesWritten, [&socket] {
+      constexpr size_t kBlockBytes = 64 << 10;
+      if (socket.bytesToWrite() > 0) return;
+      raw_server::Chunk(socket, std::string(kBlockBytes, 'a'));
+    });
+    const std::string head = platform_scene::Head(request, 200) +
+                             "Transfer-Encoding: chunked\r\n\r\n";
+    socket.write(head.data(), static_cast<qint64>(head.size()));
+    raw_server::Chunk(socket, "id: 1\ndata: ");
+  });
+  EXPECT_EQ(Draft().status, 502);
+  EXPECT_TRUE(Eventually(kBound, [&] { return closed.load(); }));
+}
+
 TEST_F(platform_path_test, APostingIsNotSentAgainWhenItsAnswerIsLost) {
   scene_.OnService([](QTcpSocket& socket, const raw_request&) {
     raw_server::Reset(socket);
