Run tasks at once whose time has passed already

Qt refuses such timers with a warning and never runs them, so these requests had no time limit of ours. RunAfter now runs them at once.

event_loop_timer_test.ATaskThatIsOverdueRunsAtOnce failed before.

--- a/src/base/event_loop.h
+++ b/src/base/event_loop.h
@@ -3,6 +3,7 @@
 
 #include <QObject>
 #include <QTimer>
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <utility>
@@ -19,10 +20,12 @@
                             Qt::QueuedConnection);
 }
 
-/// Runs `task` once on the thread of `context` after `delay`; must be called
-/// on that thread.
+/// Runs `task` once on the thread of `context` after `delay`, or at once if
+/// that is negative; must be called on that thread.
 inline void RunAfter(QObject* context, absl::Duration delay,
                      std::function<void()> task) {
+  // Qt never starts a timer with a negative interval.
+  delay = std::max(delay, absl::ZeroDuration());
   QTimer::singleShot(std::chrono::milliseconds(absl::ToInt64Milliseconds(
                          absl::Ceil(delay, absl::Milliseconds(1)))),
                      Qt::PreciseTimer, context, std::move(task));
