--- a/src/fleet_daemon/fleet_settings.cc
+++ b/src/fleet_daemon/fleet_settings.cc
@@ -144,9 +144,14 @@
          settings.budget.slack = static_cast<int>(slack);
          return true;
        }},
-      {"budget", "window", false, kDurationForm,
+      {"budget", "window", false, "a number above 0 with the unit ms or s",
        [](absl::string_view value, fleet_settings& settings) {
-         return ParseDuration(value, settings.budget.window);
+         absl::Duration window;
+         if (!ParseDuration(value, window) || window <= absl::ZeroDuration()) {
+           return false;
+         }
+         settings.budget.window = window;
+         return true;
        }},
       {"stop", "grace", false, kDurationForm,
        [](absl::string_view value, fleet_settings& settings) {
--- a/src/fleet_daemon/fleet_settings_test.cc
+++ b/src/fleet_daemon/fleet_settings_test.cc
@@ -60,11 +60,23 @@
   ASSERT_EQ(errors.size(), 6u);
   EXPECT_EQ(errors[0].key, "ratio");
   EXPECT_EQ(errors[1].key, "slack");
-  EXPECT_EQ(errors[2].message, "allowed is a number with the unit ms or s");
+  EXPECT_EQ(errors[2].message,
+            "allowed is a number above 0 with the unit ms or s");
   EXPECT_EQ(errors[3].message, "there is no such key");
   EXPECT_EQ(errors[5].message, "the key is given twice");
 }
 
+// Guards against an unlimited send budget: time earns its slack by parts of the
+// window.
+TEST(fleet_settings_test, RejectsASendBudgetWithoutAWindow) {
+  for (const char* window : {"0s", "0ms"}) {
+    const auto errors = ParseErrors(
+        absl::StrCat(kRequiredKeys, "[budget]\nwindow = ", window, "\n"));
+    ASSERT_EQ(errors.size(), 1u);
+    EXPECT_EQ(errors[0].key, "window");
+  }
+}
+
 TEST(fleet_settings_test, RejectsAHostNameAsAddress) {
   const auto errors = ParseErrors(absl::StrReplaceAll(
       kRequiredKeys, {{"10.0.0.9:8142", "store.example:8142"}}));
