Split time limits and demand of streams from the stream flow

The time limits of a stream and what it adds to its service's workload are free functions of their own files now; the code does the same.

--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -119,6 +119,15 @@
   ReportResult(state, upstream, call_result::stalled);
 }
 
+void ReportStall(dispatch_state& state, absl::string_view service,
+                 absl::string_view id) {
+  const auto found = state.view->upstreams.find(service);
+  if (found == state.view->upstreams.end()) return;
+  for (const fleet_upstream& upstream : found->second) {
+    if (upstream.id == id) ReportStall(state, upstream);
+  }
+}
+
 void ReportSend(dispatch_state& state, const fleet_upstream& upstream,
                 send_outcome fate, bool misdirected) {
   const uint32_t key = EngineKey(upstream.id);
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -132,6 +132,10 @@
 /// Records in the upstream's health that it has sent nothing for too long.
 void ReportStall(dispatch_state& state, const fleet_upstream& upstream);
 
+/// Records the same for the upstream `id` of `service`, if it is registered.
+void ReportStall(dispatch_state& state, absl::string_view service,
+                 absl::string_view id);
+
 /// Timeout for connecting to an upstream. Connecting takes one round trip, and
 /// a lost opening packet is sent again only after a second, so that a new
 /// connection is faster.
--- a/src/dispatch/stream_flow.cc
+++ b/src/dispatch/stream_flow.cc
@@ -13,6 +13,8 @@
 #include "base/qt_text.h"
 #include "dispatch/decode_admission.h"
 #include "dispatch/kv_lease.h"
+#include "dispatch/stream_demand.h"
+#include "dispatch/stream_limits.h"
 #include "dispatch/stream_record.h"
 #include "dispatch/stream_relay.h"
 #include "log/decision_log.h"
@@ -20,25 +22,6 @@
 namespace anvilridge {
 namespace {
 
-// Part of the latency target for which a stream may wait for memory. The rest
-// is for the prefill, the transfer of the KV cache and the first event.
-constexpr double kWaitShare = 0.6;
-// Multiple of its expected duration after which a prefill times out, and the
-// shortest such timeout.
-constexpr double kPrefillTimeoutFactor = 3;
-constexpr absl::Duration kMinPrefillTimeout = absl::Milliseconds(400);
-// Number of gap targets without an event after which a resumable stream is
-// resumed at another engine. Callers abandon a stream after eight.
-constexpr double kStallGapTargets = 5;
-// Shortest pause after which a stream is resumed at another engine, also for
-// routes without a gap target. It is the time of several events.
-constexpr absl::Duration kMinStallTimeout = absl::Milliseconds(500);
-// Number of latency targets after the send to the decode engine within which
-// the first event must arrive.
-constexpr double kFirstEventLatencyTargets = 1.3;
-// Number of latency targets after its arrival for which a late stream may wait.
-// Callers abandon a stream without a first event after four latency targets.
-constexpr double kLateWaitLatencyTargets = 3;
 // Number of sends that must be left to replace a lost prefill: the lost one
 // counts as a send because it may have run, and the decode after its
 // replacement is one.
@@ -75,7 +58,7 @@
     length_ = EstimateLength(state_.lengths[service_.name],
                              static_cast<double>(request_.output_estimate),
                              static_cast<double>(request_.max_output_tokens));
-    RecordDemand();
+    RecordDemand(state_, request_, service_, ExpectedRemaining(0));
     const auto self = shared_from_this();
     exchange_->OnClosed([self] { self->OnCallerLeft(); });
     RunAfter(state_.context, ResponseDeadline(request_, route_) - now,
@@ -113,22 +96,13 @@
     if (route_.gap_target > absl::ZeroDuration()) {
       waiting.gap_target = route_.gap_target;
     }
-    waiting.latest_on_time_start =
-        request_.received + route_.latency_target * kWaitShare;
-    waiting.latest_start = std::min(
-        request_.received + route_.latency_target * kLateWaitLatencyTargets,
-        LatestStart(waiting.output));
+    waiting.latest_on_time_start = LatestOnTimeStart(request_, route_);
+    waiting.latest_start = LatestStart(request_, route_, waiting.output,
+                                       state_.ledger.tokens_per_ms,
+                                       ResponseDeadline(request_, route_));
     return waiting;
   }
 
-  // Returns the latest time at which the stream can begin if `output` tokens
-  // are to be generated before the request times out.
-  absl::Time LatestStart(double output) const {
-    return ResponseDeadline(request_, route_) -
-           absl::Milliseconds(output / state_.ledger.tokens_per_ms) -
-           route_.latency_target * (1 - kWaitShare);
-  }
-
   // Returns the number of tokens that the caller has received, including those
   // from before it resumed the stream.
   double Generated() const {
@@ -184,9 +158,7 @@
     const double backlog = PrefillBacklog(state_.ledger, engine.id, now);
     const double tokens = static_cast<double>(request_.prompt_tokens);
     call.timeout =
-        std::max(kMinPrefillTimeout,
-                 absl::Milliseconds(kPrefillTimeoutFactor * (backlog + tokens) /
-                                    state_.ledger.prefill_tokens_per_ms));
+        PrefillTimeout(tokens, backlog, state_.ledger.prefill_tokens_per_ms);
     prefill_backlog_ = backlog;
     BeginPrefill(state_.ledger, request_.id, engine.id, tokens);
     NotifyLoadChange();
@@ -379,8 +351,7 @@
   // Schedules a check for the time at which the next event is overdue.
   void ScheduleCheck() {
     if (!route_.resumable) return;
-    const absl::Duration timeout = StallTimeout();
-    const absl::Time due = last_event_ + timeout;
+    const absl::Time due = last_event_ + StallTimeout(route_, run_events_);
     RunAfter(state_.context, due - MonotonicNow(),
              [weak = weak_from_this(), call = call_] {
                const auto flow = weak.lock();
@@ -389,15 +360,9 @@
              });
   }
 
-  // Returns how long the decode engine may take for the next event.
-  absl::Duration StallTimeout() const {
-    return run_events_ == 0 ? route_.latency_target * kFirstEventLatencyTargets
-                            : std::max(route_.gap_target * kStallGapTargets,
-                                       kMinStallTimeout);
-  }
-
   void CheckForStall() {
-    if (MonotonicNow() < last_event_ + StallTimeout()) return ScheduleCheck();
+    const absl::Duration silence = MonotonicNow() - last_event_;
+    if (silence < StallTimeout(route_, run_events_)) return ScheduleCheck();
     // Without another engine that has capacity, the request stays at this one,
     // which may still respond.
     if (!MayResume() || !ReserveOtherEngine()) return;
@@ -405,28 +370,13 @@
              {{"request", QtText(request_.id)},
               {"upstream", QtText(tried_decodes_.back())},
               {"events", record_.events},
-              {"silent_ms", ToMilliseconds(MonotonicNow() - last_event_)}});
-    for (const fleet_upstream* upstream :
-         RegisteredEngines(tried_decodes_.back())) {
-      ReportStall(state_, *upstream);
-    }
+              {"silent_ms", ToMilliseconds(silence)}});
+    ReportStall(state_, service_.name, tried_decodes_.back());
     state_.client.Cancel(call_);
     call_ = 0;
     ResumeElsewhere("stalled");
   }
 
-  // Returns the registered engines of the service whose id is `id`.
-  std::vector<const fleet_upstream*> RegisteredEngines(
-      absl::string_view id) const {
-    std::vector<const fleet_upstream*> found;
-    const auto service = state_.view->upstreams.find(service_.name);
-    if (service == state_.view->upstreams.end()) return found;
-    for (const fleet_upstream& upstream : service->second) {
-      if (upstream.id == id) found.push_back(&upstream);
-    }
-    return found;
-  }
-
   void OnDecodeDone(const http_result& result) {
     call_ = 0;
     if (ended_) return;
@@ -522,33 +472,10 @@
 
   void Complete() {
     relay_.End();
-    RecordOutputLength();
+    RecordOutputLength(state_, request_, service_, record_.events);
     LogAndEnd("request_answered", kOk);
   }
 
-  // Adds the request to the workload of its service. Requests that can't be
-  // served count as well.
-  void RecordDemand() {
-    stream_workload& workload = state_.workloads[service_.name];
-    UpdateWorkload(workload, static_cast<double>(request_.prompt_tokens),
-                   ExpectedRemaining(0));
-    workload.prefill_tokens_per_ms = state_.ledger.prefill_tokens_per_ms;
-    workload.decode_tokens_per_ms = state_.ledger.tokens_per_ms;
-    workload.kv_tokens = static_cast<double>(service_.engine.kv_tokens);
-    workload.slots = service_.engine.slots;
-  }
-
-  // Updates the estimate of output lengths from a complete output. The length
-  // of an output that the caller resumed is unknown.
-  void RecordOutputLength() {
-    const double tokens =
-        static_cast<double>(service_.engine.tokens_per_event) * record_.events;
-    if (tokens <= 0 || !request_.resume_after.empty()) return;
-    UpdateLengthStatistics(state_.lengths[service_.name],
-                           static_cast<double>(request_.output_estimate),
-                           tokens);
-  }
-
   void Deliver(const http_result& result) {
     exchange_->Respond(result.http_status, result.headers, relay_.ErrorBody());
     LogAndEnd("request_answered", result.http_status);
