Keep the number of daemons while most of the listed ones are silent

A daemon that started behind a cut took the daemons that the store lists for all, some 18 of 29, and one that was cut off later believed after ten minutes that the others had ended. Either takes more than its part of the send budget. Now a first or lower number counts only while at least half of the listed daemons of the own cell are heard, or once the store lists others.

ADaemonCountsOnceItHearsMostOfTheListed and ASilentListedDaemonDoesNotLowerTheCount failed before.

--- a/src/sharing/load_exchange.cc
+++ b/src/sharing/load_exchange.cc
@@ -112,6 +112,7 @@
   void SendHellos(absl::Time now);
   bool IsOwnCell(absl::string_view name) const;
   void SendLoad();
+  bool HearsMostListed(absl::Time now) const;
   void UpdateDaemonCount();
 };
 
@@ -250,6 +251,19 @@
   }
 }
 
+// Returns whether messages arrive from at least half of the daemons of the own
+// cell that the store lists. Otherwise this daemon may be cut off.
+bool load_exchange::impl::HearsMostListed(absl::Time now) const {
+  int listed = 0;
+  int heard = 0;
+  for (const auto& [name, peer] : peers) {
+    if (!peer.listed || !IsOwnCell(name)) continue;
+    ++listed;
+    if (IsLive(peer, now)) ++heard;
+  }
+  return 2 * heard >= listed;
+}
+
 // Removes peers that time out, counts the daemons and reports a changed count.
 void load_exchange::impl::UpdateDaemonCount() {
   const absl::Time now = MonotonicNow();
@@ -268,6 +282,9 @@
   // This daemon has the addresses of only a few daemons of other cells, so it
   // assumes that each cell has as many daemons as its own.
   count = std::max(count, own_cell * cells);
+  if ((daemon_count == 0 || count < daemon_count) && !HearsMostListed(now)) {
+    return;
+  }
   if (std::exchange(daemon_count, count) == count) return;
   LogEvent(log_level::info, "daemons_known", {{"daemons", count}});
   handler.on_daemon_count(count);
--- a/src/sharing/load_exchange.h
+++ b/src/sharing/load_exchange.h
@@ -21,7 +21,9 @@
   /// `a.b.c.d:port`.
   std::function<void(absl::string_view peer, daemon_load share)> on_load;
   /// Receives the number of daemons, this one included, when it changes. Not
-  /// called before the store has listed the daemons or another one was heard.
+  /// called for a first or a lower number that may come from a cut: before the
+  /// store has listed the daemons or another one was heard, and while most of
+  /// the listed ones are silent.
   std::function<void(int daemons)> on_daemon_count;
 };
 
--- a/src/sharing/load_exchange_test.cc
+++ b/src/sharing/load_exchange_test.cc
@@ -18,8 +18,8 @@
 
 // A daemon's load exchange with the loads and the count that it receives.
 struct test_daemon {
-  test_daemon() : exchange(MakeHandler()) {
-    address = {"127.0.0.1", FreePort()};
+  explicit test_daemon(endpoint listen = {"127.0.0.1", FreePort()})
+      : address(std::move(listen)), exchange(MakeHandler()) {
     EXPECT_TRUE(exchange.Listen(address).ok());
   }
 
@@ -131,6 +131,41 @@
   EXPECT_EQ(a.daemon_count, 1);
 }
 
+// Guards against a daemon that is cut off when it starts and takes those that
+// the store lists for all: the store lists only some.
+TEST_F(load_exchange_test, ADaemonCountsOnceItHearsMostOfTheListed) {
+  test_daemon a;
+  test_daemon b;
+  const std::string silent = "127.0.0.1:" + std::to_string(FreePort());
+  auto c = std::make_unique<test_daemon>();
+  const std::string c_name = c->Name();
+  const endpoint c_address = c->address;
+  c.reset();
+  a.exchange.SetPeers({a.Name(), b.Name(), c_name, silent});
+  ASSERT_TRUE(RunUntil([&] { return a.received.contains(b.Name()); }));
+  EXPECT_FALSE(
+      RunUntil([&] { return a.daemon_count > 0; }, absl::Milliseconds(700)));
+  c = std::make_unique<test_daemon>(c_address);
+  EXPECT_TRUE(RunUntil([&] { return a.daemon_count == 4; }));
+}
+
+// Guards against a daemon that is cut off and takes those that it no longer
+// hears for ended: it keeps to its part of a limit until the store has listed
+// who is left.
+TEST_F(load_exchange_test, ASilentListedDaemonDoesNotLowerTheCount) {
+  test_daemon a;
+  auto listed = std::make_unique<test_daemon>();
+  auto unlisted = std::make_unique<test_daemon>();
+  a.exchange.SetPeers({a.Name(), listed->Name()});
+  unlisted->exchange.SetPeers({a.Name()});
+  ASSERT_TRUE(RunUntil([&] { return a.daemon_count == 3; }));
+  listed.reset();
+  unlisted.reset();
+  EXPECT_FALSE(RunUntil([&] { return a.daemon_count < 3; }, absl::Seconds(4)));
+  a.exchange.SetPeers({a.Name()});
+  EXPECT_TRUE(RunUntil([&] { return a.daemon_count == 1; }));
+}
+
 TEST_F(load_exchange_test, MalformedDatagramsAreIgnored) {
   test_daemon a;
   QUdpSocket sender;
