Leave out listed daemons without a port when daemons are counted

A daemon that listens on any free port is listed as port 0 and took itself for another, silent one. Since most of the listed daemons must be heard, its number of daemons was never known, and it made no use of the slack: platform_path_test.ABrokenStreamGoesOnElsewhere failed so. Nothing can be sent to port 0, so such entries are left out. ListedDaemonsWithoutAPortAreNotCounted failed before.

--- a/src/sharing/load_exchange.cc
+++ b/src/sharing/load_exchange.cc
@@ -322,7 +322,7 @@
   for (auto& [name, peer] : impl_->peers) peer.listed = false;
   for (const std::string& name : peers) {
     const auto address = ParseEndpoint(name);
-    if (!address || name == impl_->own_address) continue;
+    if (!address || address->port == 0 || name == impl_->own_address) continue;
     peer_state& peer = impl_->peers[name];
     peer.host = QHostAddress(QString::fromStdString(address->address));
     peer.port = address->port;
--- a/src/sharing/load_exchange_test.cc
+++ b/src/sharing/load_exchange_test.cc
@@ -149,6 +149,14 @@
   EXPECT_TRUE(RunUntil([&] { return a.daemon_count == 4; }));
 }
 
+// A daemon that listens on any free port is listed without its port; it may be
+// this one, and nothing can be sent there.
+TEST_F(load_exchange_test, ListedDaemonsWithoutAPortAreNotCounted) {
+  test_daemon a;
+  a.exchange.SetPeers({"127.0.0.1:0"});
+  EXPECT_EQ(a.daemon_count, 1);
+}
+
 // Guards against a daemon that is cut off and takes those that it no longer
 // hears for ended: it keeps to its part of a limit until the store has listed
 // who is left.
