--- a/src/dispatch/send_budget.cc
+++ b/src/dispatch/send_budget.cc
@@ -8,7 +8,7 @@
 namespace {
 
 // Parts of the slack that all daemons together may save up, and that they earn
-// within one window. The rest is a margin for daemons that don't know of each
+// within one window. The rest is a margin for daemons that have not found each
 // other yet.
 constexpr double kSavedSlackShare = 0.5;
 constexpr double kEarnedSlackShare = 0.25;
--- a/src/dispatch/send_budget.h
+++ b/src/dispatch/send_budget.h
@@ -51,7 +51,7 @@
                       const send_budget_limits& limits, absl::BitGenRef random,
                       absl::Time now);
 
-/// Returns the extra sends that this daemon may make to `service` at `now`.
+/// Returns this daemon's credit for `service` at `now`.
 const send_credit& SendCredit(send_budget& budget, absl::string_view service,
                               const send_budget_limits& limits, absl::Time now);
 
--- a/src/dispatch/stream_flow.cc
+++ b/src/dispatch/stream_flow.cc
@@ -316,9 +316,11 @@
     if (ended_ || relay_.OnData(bytes)) return;
     state_.client.Cancel(call_);
     http_result result;
-    result.status = MakeError(error_kind::upstream_failed,
-                              "an event or a failure of the engine is too long",
-                              run_state::unknown);
+    result.status = MakeError(
+        error_kind::upstream_failed,
+        absl::StrCat("the engine sent more than ", stream_relay::kMaxKeptBytes,
+                     " bytes of an event or an error response without its end"),
+        run_state::unknown);
     OnDecodeDone(result);
   }
 
--- a/src/http1/channel_client.cc
+++ b/src/http1/channel_client.cc
@@ -260,8 +260,10 @@
     if (!progress.ok()) return Fail(call, progress.status());
     const call_state* state = FindCall(call);
     if (state != nullptr && state->body_bytes > state->call.max_body_bytes) {
-      return Fail(call, MakeError(error_kind::upstream_failed,
-                                  "the answer is too long"));
+      return Fail(
+          call, MakeError(error_kind::upstream_failed,
+                          absl::StrCat("the answer is longer than ",
+                                       state->call.max_body_bytes, " bytes")));
     }
     if (*progress == response_reader::progress::partial) return;
     bytes.remove_prefix(taken);
--- a/src/http1/response_reader.cc
+++ b/src/http1/response_reader.cc
@@ -128,7 +128,8 @@
   if (!impl_->has_head) impl_->unfinished_head_bytes += bytes.size();
   if (impl_->unfinished_head_bytes > kMaxHeadBytes) {
     return MakeError(error_kind::upstream_failed,
-                     "the head of the response is too long");
+                     absl::StrCat("the head of the response is longer than ",
+                                  kMaxHeadBytes, " bytes"));
   }
   const http_errno error = HTTP_PARSER_ERRNO(&impl_->parser);
   if (error != HPE_OK || impl_->parser.upgrade != 0) {
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -72,6 +72,7 @@
     }
     result_.record.send_slack = std::max(
         options.slack, *std::max_element(kSlacks.begin(), kSlacks.end()));
+    // Herd plans change no settings.
     if (options.herds) result_.record.send_slack = options.slack;
   }
 
