Count prefills that replace a failed one against the send budget

Callers saw nothing; the model service did: a prefill that an engine answered with a failure of its own (a status of 5xx with the marks of its own answer) was sent to the next engine without an extra send.

Cause: the replacement consumed the budget only after a prefill whose fate is unknown.

Change: a prefill that was answered with a failure counts like a lost one.

Measured: platform_path_test.AReplacedPrefillIsAnExtraSend failed before (two prefills, no extra_send line) and passes now.

--- a/src/dispatch/stream_flow.cc
+++ b/src/dispatch/stream_flow.cc
@@ -22,8 +22,8 @@
 namespace anvilridge {
 namespace {
 
-// Number of sends that must be left to replace a lost prefill: the lost one
-// counts as a send because it may have run, and the decode after its
+// Number of sends that must be left to replace a prefill that failed or got
+// lost: it counts as a send because it may have run, and the decode after its
 // replacement is one.
 constexpr int kSendsForReplacementPrefill = 2;
 constexpr int kOk = 200;
@@ -199,8 +199,8 @@
               {"status", result.http_status},
               {"why", QtText(result.status.message())},
               {"ms", ToMilliseconds(elapsed)}});
-    // A refused prefill counts as a send. A lost one, which may have been
-    // accepted, is not counted here but when its replacement is sent.
+    // A refused prefill counts as a send. One that the engine accepted, or may
+    // have accepted, is not counted here but when its replacement is sent.
     if (outcome == send_outcome::refused) {
       ++sends_;
       if (sends_ >= route_.attempts || !ConsumeBudget("prefill_refused")) {
@@ -241,9 +241,10 @@
         state_, service_.name, static_cast<double>(request_.prompt_tokens),
         decode_.failure_domain, tried_prefills_, MonotonicNow());
     if (!other) return false;
-    if (outcome == send_outcome::unknown) {
+    const bool failed = outcome == send_outcome::answered;
+    if (failed || outcome == send_outcome::unknown) {
       if (sends_ + kSendsForReplacementPrefill > route_.attempts ||
-          !ConsumeBudget("prefill_lost")) {
+          !ConsumeBudget(failed ? "prefill_failed" : "prefill_lost")) {
         return false;
       }
       ++sends_;
--- a/tests/harness/platform_scene.cc
+++ b/tests/harness/platform_scene.cc
@@ -45,6 +45,7 @@
 
 struct platform_scene::impl {
   raw_server::handler on_service;
+  raw_server::handler on_prefill;
   raw_server::handler on_decode;
   // Live on the thread.
   std::unique_ptr<store_standin> store;
@@ -96,6 +97,14 @@
         absl::StrCat(Head(request, 200), "Content-Length: 4\r\n\r\ndone");
     socket.write(text.data(), static_cast<qint64>(text.size()));
   };
+  impl_->on_prefill = [](QTcpSocket& socket, const raw_request& request) {
+    const std::string body =
+        request.method == "DELETE" ? "{}" : R"({"Handle":"h1","Tokens":100})";
+    const std::string text = absl::StrCat(
+        "HTTP/1.1 200 OK\r\nRequest-Id: ", Field(request, "request-id"),
+        "\r\nContent-Length: ", body.size(), "\r\n\r\n", body);
+    socket.write(text.data(), static_cast<qint64>(text.size()));
+  };
   impl_->on_decode = [](QTcpSocket& socket, const raw_request& request) {
     const std::string head =
         Head(request, 200) + "Transfer-Encoding: chunked\r\n\r\n";
@@ -114,14 +123,8 @@
           self->on_decode(socket, request);
         });
     self->prefill = std::make_unique<raw_server>(
-        [](QTcpSocket& socket, const raw_request& request) {
-          const std::string body = request.method == "DELETE"
-                                       ? "{}"
-                                       : R"({"Handle":"h1","Tokens":100})";
-          const std::string text = absl::StrCat(
-              "HTTP/1.1 200 OK\r\nRequest-Id: ", Field(request, "request-id"),
-              "\r\nContent-Length: ", body.size(), "\r\n\r\n", body);
-          socket.write(text.data(), static_cast<qint64>(text.size()));
+        [self](QTcpSocket& socket, const raw_request& request) {
+          self->on_prefill(socket, request);
         });
   });
   Put("keyed.servers", "p1",
@@ -149,6 +152,10 @@
 
 void platform_scene::SetStoreUp(bool up) { impl_->store->SetUp(up); }
 
+std::string platform_scene::PrefillAddress() const {
+  return impl_->prefill->Address();
+}
+
 std::string platform_scene::DecodeAddress() const {
   return impl_->decode->Address();
 }
@@ -158,6 +165,11 @@
              [&] { impl_->on_service = std::move(handler); });
 }
 
+void platform_scene::OnPrefill(raw_server::handler handler) {
+  RunAndWait(impl_->thread.Context(),
+             [&] { impl_->on_prefill = std::move(handler); });
+}
+
 void platform_scene::OnDecode(raw_server::handler handler) {
   RunAndWait(impl_->thread.Context(),
              [&] { impl_->on_decode = std::move(handler); });
--- a/tests/harness/platform_scene.h
+++ b/tests/harness/platform_scene.h
@@ -28,11 +28,14 @@
   child_process& Daemon() { return *daemon_; }
   uint16_t CallerPort() const { return caller_port_; }
   uint16_t ReadyPort() const { return ready_port_; }
-  /// `a.b.c.d:port` of the decode engine.
+  /// `a.b.c.d:port` of the prefill and of the decode engine.
+  std::string PrefillAddress() const;
   std::string DecodeAddress() const;
 
   /// Replaces what the plain service does with a request.
   void OnService(raw_server::handler handler);
+  /// Replaces what the prefill engine does with a request.
+  void OnPrefill(raw_server::handler handler);
   /// Replaces what the decode engine does with a request.
   void OnDecode(raw_server::handler handler);
   /// Requests that arrived at the service, the prefill and the decode engine.
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -4,6 +4,7 @@
 #include <QTimer>
 #include <atomic>
 #include <thread>
+#include <utility>
 
 #include "base/clock.h"
 #include "dispatch/daemon_count.h"
@@ -37,6 +38,21 @@
     return Ask("POST", "/draft/1",
                {{"Token-Count", "100,400"}, {"Deadline-Ms", "4000"}});
   }
+  // Adds a model engine, waits until the daemon knows it and until the daemon,
+  // which has no extra sends at its start, may make some.
+  void AddEngine(const std::string& id, const std::string& address,
+                 const std::string& stage) {
+    scene_.Put("keyed.servers", id,
+               absl::StrCat(R"({"Service":"model","Addr":")", address,
+                            R"(","Zone":"z","Slots":4,"State":"ready",)",
+                            R"("Stage":")", stage, R"(","Seq":0})"));
+    ASSERT_TRUE(Eventually(kBound, [&] {
+      return scene_.Daemon().Out().find(absl::StrCat(
+                 R"("upstream":")", id, "\"")) != std::string::npos;
+    }));
+    std::this_thread::sleep_for(absl::ToChronoMilliseconds(kCountSettleTime) +
+                                std::chrono::milliseconds(500));
+  }
 
   platform_scene scene_;
 };
@@ -85,18 +101,7 @@
     platform_scene::Events(socket, 3, 4);
     socket.write("0\r\n\r\n");
   });
-  // A second decode engine at the same address.
-  scene_.Put("keyed.servers", "d2",
-             absl::StrCat(R"({"Service":"model","Addr":")",
-                          scene_.DecodeAddress(), R"(","Zone":"z","Slots":4,)",
-                          R"("State":"ready","Stage":"decode","Seq":0})"));
-  ASSERT_TRUE(Eventually(kBound, [&] {
-    return scene_.Daemon().Out().find(R"("upstream":"d2")") !=
-           std::string::npos;
-  }));
-  // A daemon that has just started has no extra sends yet.
-  std::this_thread::sleep_for(absl::ToChronoMilliseconds(kCountSettleTime) +
-                              std::chrono::milliseconds(500));
+  AddEngine("d2", scene_.DecodeAddress(), "decode");
   const test_answer answer = Draft();
   EXPECT_EQ(answer.body,
             "id: 1\ndata: t1\n\nid: 2\ndata: t2\n\nid: 3\ndata: t3\n\n"
@@ -105,6 +110,27 @@
   EXPECT_EQ(platform_scene::Field(scene_.AtDecode()[1], "last-event-id"), "2");
 }
 
+// Guards against repeats beyond the send budget while prefill engines fail: a
+// prefill that replaces a failed one is an extra send.
+TEST_F(platform_path_test, AReplacedPrefillIsAnExtraSend) {
+  scene_.OnPrefill(
+      [first = true](QTcpSocket& socket, const raw_request& request) mutable {
+        const bool fails = std::exchange(first, false);
+        const std::string body =
+            fails ? "failed" : R"({"Handle":"h1","Tokens":100})";
+        const std::string text =
+            absl::StrCat(platform_scene::Head(request, fails ? 500 : 200),
+                         "Content-Length: ", body.size(), "\r\n\r\n", body);
+        socket.write(text.data(), static_cast<qint64>(text.size()));
+      });
+  AddEngine("p2", scene_.PrefillAddress(), "prefill");
+  EXPECT_EQ(Draft().status, 200);
+  EXPECT_EQ(scene_.AtPrefill().size(), 2u);
+  EXPECT_TRUE(Eventually(kBound, [&] {
+    return scene_.Daemon().Out().find(R"("extra_send")") != std::string::npos;
+  }));
+}
+
 // Guards against a stream that is kept until its time limit, with memory that
 // grows, while its engine sends an event without end.
 TEST_F(platform_path_test, AnEventWithoutEndIsCutOff) {
