Cut off refusals of a decode whose body never ends

A caller's stream waited until its time limit when an engine refused its decode with a body without end: the product's engine client kept the first bytes only, but read on, and each byte counted as progress, so that neither the stall time nor another attachment ended the wait. The connection stayed open.

Now such a body ends the call at 64 KiB as a failure of the engine, which may have run the request; the stream attaches again and then goes elsewhere.

The same cause elsewhere: the other calls of that client keep the whole body and are bounded by it; streams with status 200 end after 2 s without a token whatever bytes arrive.

--- a/src/upstreams/engine_client.cc
+++ b/src/upstreams/engine_client.cc
@@ -18,6 +18,8 @@
 constexpr absl::Duration kOrderTimeout = absl::Seconds(5);
 /// Refusals longer than this are cut.
 constexpr size_t kMaxRefusalBytes = 4096;
+/// A refusal of a decode that goes on for longer is no refusal.
+constexpr size_t kMaxRefusalBodyBytes = 64 << 10;
 
 constexpr int kHttpOk = 200;
 constexpr int kHttpAccepted = 202;
@@ -257,10 +259,28 @@
 
 /// What a decode call has been answered so far.
 struct decode_answer {
+  http_client::call_id call = 0;
   int http_status = 0;
+  /// The beginning of a refusal's body, and the length of what has arrived.
   std::string refusal;
+  size_t refusal_bytes = 0;
 };
 
+void TakeRefusal(decode_answer& answer, absl::string_view bytes) {
+  answer.refusal_bytes += bytes.size();
+  absl::StrAppend(&answer.refusal,
+                  bytes.substr(0, kMaxRefusalBytes - answer.refusal.size()));
+}
+
+absl::Status EndlessRefusal(const decode_answer& answer) {
+  return MakeError(
+      error_kind::upstream_failed,
+      absl::StrCat("the engine answered status ", answer.http_status,
+                   " with a body of more than ", kMaxRefusalBodyBytes,
+                   " bytes"),
+      run_state::unknown);
+}
+
 absl::Status DecodeEnd(const http_result& result, const decode_answer& answer) {
   if (!result.status.ok()) return result.status;
   if (result.http_status == kHttpOk) return absl::OkStatus();
@@ -345,17 +365,20 @@
   handler.on_headers = [answer](int http_status, const http_headers&) {
     answer->http_status = http_status;
   };
-  handler.on_data = [answer,
+  handler.on_data = [&client, answer, done,
                      on_data = std::move(on_data)](absl::string_view bytes) {
     if (answer->http_status == kHttpOk) return on_data(bytes);
-    if (answer->refusal.size() > kMaxRefusalBytes) return;
-    absl::StrAppend(&answer->refusal, bytes.substr(0, kMaxRefusalBytes));
+    TakeRefusal(*answer, bytes);
+    if (answer->refusal_bytes <= kMaxRefusalBodyBytes) return;
+    client.Cancel(answer->call);
+    done(EndlessRefusal(*answer));
   };
   handler.on_done = [answer,
                      done = std::move(done)](const http_result& result) {
     done(DecodeEnd(result, *answer));
   };
-  return client.Start(std::move(call), std::move(handler));
+  answer->call = client.Start(std::move(call), std::move(handler));
+  return answer->call;
 }
 
 http_client::call_id CancelEngineRequest(http_client& client,
--- a/src/upstreams/engine_client_test.cc
+++ b/src/upstreams/engine_client_test.cc
@@ -7,6 +7,7 @@
 #include "gtest/gtest.h"
 #include "upstreams/json_reader.h"
 #include "upstreams/sse_parser.h"
+#include "upstreams/testing/endless_server.h"
 #include "upstreams/testing/raw_server.h"
 
 namespace anvilridge {
@@ -44,9 +45,13 @@
   }
   absl::Status Decode(const raw_server& engine,
                       absl::Duration stall = kTimeout) {
+    return Decode(engine.Address(), stall);
+  }
+  absl::Status Decode(const std::string& address,
+                      absl::Duration stall = kTimeout) {
     std::optional<absl::Status> result;
     StartDecode(
-        client_, engine.Address(), "r1", "entry-1:3", 0, stall,
+        client_, address, "r1", "entry-1:3", 0, stall,
         [&](absl::string_view bytes) { absl::StrAppend(&stream_, bytes); },
         [&](absl::Status status) { result = std::move(status); });
     EXPECT_TRUE(RunUntil([&] { return result.has_value(); }));
@@ -204,6 +209,21 @@
   EXPECT_EQ(stream_, "");
 }
 
+// Guards against a stream that waits until its caller's time limit, with its
+// connection open, when the body of an engine's refusal never ends.
+TEST_F(engine_client_test, ADecodeRefusalWithoutEndIsCutOff) {
+  for (const char* status : {"404 Not Found", "503 Busy"}) {
+    SCOPED_TRACE(status);
+    const endless_server engine(
+        {"refusal", absl::StrCat("HTTP/1.1 ", status, "\r\n\r\n"), "x"});
+    const absl::Status ended = Decode(engine.Address());
+    EXPECT_EQ(KindOf(ended), error_kind::upstream_failed);
+    EXPECT_EQ(RunStateOf(ended), run_state::unknown);
+    EXPECT_EQ(stream_, "");
+    EXPECT_TRUE(RunUntil([&] { return engine.Closed(); }));
+  }
+}
+
 TEST_F(engine_client_test, SilentDecodeStalls) {
   raw_server engine([](QTcpSocket& socket, const raw_request&) {
     raw_server::BeginChunked(socket);
