--- a/tests/soak/soak_callers.cc
+++ b/tests/soak/soak_callers.cc
@@ -131,6 +131,7 @@
         asked->probe.version = std::max(asked->probe.version, version);
       }
       if (--asked->answers_due > 0) return;
+      asked->probe.answered = MonotonicNow();
       impl_->record.probes.push_back(asked->probe);
     };
     impl_->client.Start(std::move(call), std::move(handler));
--- a/tests/soak/soak_record.h
+++ b/tests/soak/soak_record.h
@@ -66,6 +66,7 @@
   int version = 0;
   /// How often the daemon had been started before.
   int starts = 0;
+  absl::Time answered;
 };
 
 /// All that is known of one run, for the checks.
