Let the claim of a late answer miss the read that begins with it

Cause: the test lets the log answer an append 3.5 s late, so that a claim is known only when its call may not be sent any more. But the append itself takes effect at once, and the daemon reads the log as the claim arrives: where the read came behind the append, it showed the claim, which was rightly granted in time.

Now the append takes effect after 1 s, so the read that begins with the claim can't see it; the next one begins at 3 s and does.

--- a/tests/not_run_test.cc
+++ b/tests/not_run_test.cc
@@ -186,7 +186,10 @@
 }
 
 // The claim is in the log, and its holder hears so past its send window.
+// The read that begins with the claim must not see it in the log already.
 void ClaimAnsweredLate(scene& on) {
+  SetFault(on.deployment.platform.port, "slow",
+           {{"path", "/log/claims"}, {"method", "POST"}, {"ms", 1000}});
   const int late_ms =
       static_cast<int>(absl::ToInt64Milliseconds(kMaxSendWindow)) + 500;
   SetFault(on.deployment.platform.port, "late_answer",
