Judge by recent messages whether most listed daemons are heard

Cause: a cut silences all daemons at once, but their last messages are up to 300 ms apart, so they time out one by one. One that the store doesn't list and that timed out first was taken for ended while the listed ones still counted as heard, 3 s after their last message. A daemon that is cut off for more than ten minutes would so reckon with too few others, by up to the unlisted ones.

--- a/src/sharing/load_exchange.cc
+++ b/src/sharing/load_exchange.cc
@@ -252,14 +252,15 @@
 }
 
 // Returns whether messages arrive from at least half of the daemons of the own
-// cell that the store lists. Otherwise this daemon may be cut off.
+// cell that the store lists. Otherwise this daemon may be cut off. The age that
+// counts is below the timeout of a peer, as a cut silences all at once.
 bool load_exchange::impl::HearsMostListed(absl::Time now) const {
   int listed = 0;
   int heard = 0;
   for (const auto& [name, peer] : peers) {
     if (!peer.listed || !IsOwnCell(name)) continue;
     ++listed;
-    if (IsLive(peer, now)) ++heard;
+    if (peer.last_seen + kLivePeerMaxAge >= now) ++heard;
   }
   return 2 * heard >= listed;
 }
