Log and count requests that end without a whole answer, with the reason

What callers saw: streams cut or answered 504. Neither log nor metrics told whether their engine had failed, had been given up for its silence or had reached the time limit, nor what the send budget had left. The line request_unfinished and anvil_fleet_unfinished_total tell it.

--- a/src/dispatch/call_flow.cc
+++ b/src/dispatch/call_flow.cc
@@ -9,6 +9,7 @@
 #include "base/error_kind.h"
 #include "base/event_loop.h"
 #include "base/qt_text.h"
+#include "dispatch/unfinished_request.h"
 #include "log/decision_log.h"
 
 namespace anvilridge {
@@ -77,6 +78,7 @@
     call.connect_timeout = kUpstreamConnectTimeout;
     tried_.push_back(best->id);
     ++sends_;
+    last_send_ = now;
     ++state_.calls[best->id];
     send_in_progress send{0, *best, now};
     const auto self = shared_from_this();
@@ -201,6 +203,7 @@
                                 "no upstream accepted the request",
                                 run_state::not_run, kRetryAfter));
       case next_step::fail:
+        ReportUnfinished(unfinished_reason::upstream_failed);
         return Refuse(MakeError(error_kind::upstream_failed,
                                 "no complete response from the upstream",
                                 run_state::unknown));
@@ -238,6 +241,7 @@
     for (const send_in_progress& send : in_progress_) {
       ReportStall(state_, send.upstream);
     }
+    if (sent) ReportUnfinished(unfinished_reason::time_limit);
     Refuse(sent ? MakeError(error_kind::upstream_stalled,
                             "no response within the time limit",
                             run_state::unknown)
@@ -247,6 +251,17 @@
                       run_state::not_run, kRetryAfter));
   }
 
+  void ReportUnfinished(unfinished_reason reason) {
+    unfinished_request unfinished;
+    unfinished.reason = reason;
+    if (!tried_.empty()) unfinished.upstream = tried_.back();
+    unfinished.call_in_progress = !in_progress_.empty();
+    unfinished.silence = MonotonicNow() - last_send_;
+    unfinished.sends = sends_;
+    anvilridge::ReportUnfinished(state_, request_, route_, service_,
+                                 unfinished);
+  }
+
   void OnCallerLeft() {
     if (ended_) return;
     ended_ = true;
@@ -283,6 +298,7 @@
   std::vector<std::string> tried_;
   std::vector<send_in_progress> in_progress_;
   int sends_ = 0;
+  absl::Time last_send_;
   // Whether an upstream may have run the request.
   bool may_have_run_ = false;
   bool ended_ = false;
--- a/src/dispatch/dispatch_metrics.cc
+++ b/src/dispatch/dispatch_metrics.cc
@@ -23,6 +23,9 @@
                                   "Sends of a request after its first one"};
 constexpr metric_name kRefusals{"anvil_fleet_refusals_total",
                                 "Refused or failed requests, by reason"};
+constexpr metric_name kUnfinished{
+    "anvil_fleet_unfinished_total",
+    "Requests that were sent to an upstream and ended without a whole answer"};
 constexpr metric_name kInProgress{"anvil_fleet_requests_in_progress",
                                   "Requests in progress"};
 constexpr metric_name kWaiting{"anvil_fleet_streams_waiting",
@@ -71,6 +74,16 @@
   registry_.Counter(kRefusals, {{"reason", std::string(kind)}}).Increment();
 }
 
+void dispatch_metrics::CountUnfinished(absl::string_view route,
+                                       absl::string_view reason,
+                                       bool call_in_progress) {
+  registry_
+      .Counter(kUnfinished, {{"route", std::string(route)},
+                             {"reason", std::string(reason)},
+                             {"call", call_in_progress ? "open" : "ended"}})
+      .Increment();
+}
+
 void dispatch_metrics::SetInProgress(int requests, int waiting) {
   registry_.Gauge(kInProgress).Set(requests);
   registry_.Gauge(kWaiting).Set(waiting);
--- a/src/dispatch/dispatch_metrics.h
+++ b/src/dispatch/dispatch_metrics.h
@@ -28,6 +28,11 @@
   void CountExtraSend(absl::string_view service, absl::string_view reason);
   /// Counts a request that was refused or failed with an error of `kind`.
   void CountRefusal(absl::string_view kind);
+  /// Counts a request that was sent to an upstream and ended without a whole
+  /// answer because of `reason`.
+  /// @param call_in_progress whether the upstream was still at work on it.
+  void CountUnfinished(absl::string_view route, absl::string_view reason,
+                       bool call_in_progress);
   /// Sets the number of requests in progress, and that of streams that wait for
   /// decode memory.
   void SetInProgress(int requests, int waiting);
--- a/src/dispatch/stream_flow.cc
+++ b/src/dispatch/stream_flow.cc
@@ -17,6 +17,7 @@
 #include "dispatch/stream_limits.h"
 #include "dispatch/stream_record.h"
 #include "dispatch/stream_relay.h"
+#include "dispatch/unfinished_request.h"
 #include "log/decision_log.h"
 
 namespace anvilridge {
@@ -433,9 +434,10 @@
       if (ConsumeBudget(SendOutcomeName(outcome))) return SendDecode();
     }
     may_have_run_ = may_have_run_ || may_have_run;
-    if (relay_.HeadersSent()) return Abort();
+    if (relay_.HeadersSent()) return Abort(unfinished_reason::upstream_failed);
     if (outcome == send_outcome::answered) return Deliver(result);
     if (may_have_run_) {
+      ReportUnfinished(unfinished_reason::upstream_failed);
       return Refuse(MakeError(error_kind::upstream_failed,
                               "no complete response from the decode engine",
                               run_state::unknown));
@@ -449,7 +451,8 @@
   void ResumeElsewhere(absl::string_view reason) {
     may_have_run_ = true;
     if (ConsumeBudget(reason)) return SendDecode();
-    if (relay_.HeadersSent()) return Abort();
+    if (relay_.HeadersSent()) return Abort(unfinished_reason::silence);
+    ReportUnfinished(unfinished_reason::silence);
     Refuse(MakeError(error_kind::upstream_stalled,
                      "the decode engine made no progress", run_state::unknown));
   }
@@ -484,11 +487,24 @@
     LogAndEnd("request_answered", result.http_status);
   }
 
-  void Abort() {
+  void Abort(unfinished_reason reason) {
+    ReportUnfinished(reason);
     relay_.Abort();
     LogAndEnd("stream_broken", 0);
   }
 
+  void ReportUnfinished(unfinished_reason reason) {
+    unfinished_request unfinished;
+    unfinished.reason = reason;
+    if (!tried_decodes_.empty()) unfinished.upstream = tried_decodes_.back();
+    unfinished.call_in_progress = call_ != 0;
+    unfinished.silence = MonotonicNow() - last_event_;
+    unfinished.sends = sends_;
+    unfinished.events = record_.events;
+    anvilridge::ReportUnfinished(state_, request_, route_, service_,
+                                 unfinished);
+  }
+
   void Refuse(const absl::Status& error) {
     if (ended_) return;
     const auto exchange = exchange_;
@@ -498,7 +514,8 @@
 
   void OnTimeout() {
     if (ended_) return;
-    if (relay_.HeadersSent()) return Abort();
+    if (relay_.HeadersSent()) return Abort(unfinished_reason::time_limit);
+    if (sends_ > 0) ReportUnfinished(unfinished_reason::time_limit);
     Refuse(sends_ > 0
                ? MakeError(error_kind::upstream_stalled,
                            "no event within the time limit", run_state::unknown)
