Leave a silent engine its stream until another one has accepted it

Cause: after a silence of 1.3 latency targets before the first event, or of 5 gap targets later, the call was cancelled first. Only then was the send budget asked, and only then could the next engine refuse. Either ended the stream. The class: what works is given up on a suspicion, before its replacement is assured. Silent prefills, cancelled after 400 ms, and hedged calls used up the budget meanwhile.

Change: a silent engine keeps its stream. After 1.5 s, or half of the callers' patience if that is longer, another engine is asked as well; the one that sends first has the stream, and the other is cancelled. A slow prefill is replaced only with budget and goes on otherwise. Sends beside one that is in progress leave half of the saved budget to replacements of failed ones.

Why it works: no call is cancelled any more because of silence alone; a stream ends when its engine breaks off, its time limit is reached or its caller leaves.

--- a/src/dispatch/call_flow.cc
+++ b/src/dispatch/call_flow.cc
@@ -124,12 +124,14 @@
                if (!flow || flow->ended_ || flow->sends_ != sends) return;
                if (flow->in_progress_.empty()) return;
                ReportStall(flow->state_, flow->in_progress_.back().upstream);
-               if (flow->ConsumeBudget("slow")) flow->Send();
+               if (flow->ConsumeBudget("slow", extra_send_need::alternative)) {
+                 flow->Send();
+               }
              });
   }
 
-  bool ConsumeBudget(absl::string_view reason) {
-    return TakeBudgetedSend(state_, service_.name, request_.id, reason);
+  bool ConsumeBudget(absl::string_view reason, extra_send_need need) {
+    return TakeBudgetedSend(state_, service_.name, request_.id, reason, need);
   }
 
   void OnSendDone(const std::string& upstream_id, const http_result& result) {
@@ -188,7 +190,8 @@
     if (outcome == send_outcome::unknown) may_have_run_ = true;
     next_step step = DecideNextStep(outcome, result.http_status, retry);
     if (step == next_step::send_again && outcome != send_outcome::unsent &&
-        !ConsumeBudget(SendOutcomeName(outcome))) {
+        !ConsumeBudget(SendOutcomeName(outcome),
+                       extra_send_need::replacement)) {
       retry.has_budget = false;
       step = DecideNextStep(outcome, result.http_status, retry);
     }
--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -150,11 +150,12 @@
 }
 
 bool TakeBudgetedSend(dispatch_state& state, absl::string_view service,
-                      absl::string_view request_id, absl::string_view reason) {
+                      absl::string_view request_id, absl::string_view reason,
+                      extra_send_need need) {
   const absl::Time now = MonotonicNow();
   const send_budget_limits& limits = state.settings.budget;
   const bool taken =
-      ConsumeExtraSend(state.budget, service, limits, state.random, now);
+      ConsumeExtraSend(state.budget, service, limits, need, state.random, now);
   const send_credit& credit = SendCredit(state.budget, service, limits, now);
   const std::optional<int> daemons =
       SettledDaemonCount(state.budget.daemons, now);
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -146,7 +146,8 @@
 /// under `reason`, or logs that the budget is used up.
 /// @return false when the budget is used up.
 bool TakeBudgetedSend(dispatch_state& state, absl::string_view service,
-                      absl::string_view request_id, absl::string_view reason);
+                      absl::string_view request_id, absl::string_view reason,
+                      extra_send_need need);
 
 /// Returns the time from `now` to the caller's deadline or the route's timeout,
 /// whichever comes first.
--- a/src/dispatch/send_budget.cc
+++ b/src/dispatch/send_budget.cc
@@ -15,6 +15,8 @@
 // Part of the ratio that requests earn. The rest is a margin for requests and
 // sends that arrive late and are counted in another window.
 constexpr double kRatioShare = 0.85;
+// Part of what a daemon may save up that is kept for replacements.
+constexpr double kReplacementShare = 0.5;
 
 // Returns this daemon's even part of the slack; none while it doesn't know the
 // number of daemons.
@@ -63,13 +65,17 @@
 }
 
 bool ConsumeExtraSend(send_budget& budget, absl::string_view service,
-                      const send_budget_limits& limits, absl::BitGenRef random,
-                      absl::Time now) {
+                      const send_budget_limits& limits, extra_send_need need,
+                      absl::BitGenRef random, absl::Time now) {
   send_credit& credit = AddCredit(budget, service, limits, now, 0);
   // Consumed even if chance is against the send: else a request could draw
   // again and again.
-  const double share = MaxSaved(budget, limits, now) < 1 ? credit.available : 1;
-  if (credit.available < share) return false;
+  const double max_saved = MaxSaved(budget, limits, now);
+  const double share = max_saved < 1 ? credit.available : 1;
+  const double kept = need == extra_send_need::alternative
+                          ? kReplacementShare * (max_saved - share)
+                          : 0;
+  if (credit.available < share + kept) return false;
   credit.available -= share;
   if (absl::Uniform(random, 0.0, 1.0) >= share) return false;
   ++credit.extra_sends;
--- a/src/dispatch/send_budget.h
+++ b/src/dispatch/send_budget.h
@@ -21,6 +21,15 @@
   absl::Duration window = absl::Seconds(10);
 };
 
+/// What an extra send is for.
+enum class extra_send_need {
+  /// No other send of the request is in progress.
+  replacement,
+  /// Another send of the request is in progress, but slow. Such sends leave a
+  /// part of the credit to replacements.
+  alternative,
+};
+
 /// Extra sends that this daemon may make to one service. Requests and time earn
 /// them; a daemon starts without any, because the previous process may have
 /// spent what it had.
@@ -48,8 +57,8 @@
 /// save up a whole one is granted it by chance, as often as its part allows.
 /// @return false if this daemon may not make the extra send.
 bool ConsumeExtraSend(send_budget& budget, absl::string_view service,
-                      const send_budget_limits& limits, absl::BitGenRef random,
-                      absl::Time now);
+                      const send_budget_limits& limits, extra_send_need need,
+                      absl::BitGenRef random, absl::Time now);
 
 /// Returns this daemon's credit for `service` at `now`.
 const send_credit& SendCredit(send_budget& budget, absl::string_view service,
--- a/src/dispatch/send_budget_test.cc
+++ b/src/dispatch/send_budget_test.cc
@@ -33,7 +33,8 @@
       RecordRequest(budget, kService, limits_, now_);
       requests_.push_back(now_);
       if (refused &&
-          ConsumeExtraSend(budget, kService, limits_, random_, now_)) {
+          ConsumeExtraSend(budget, kService, limits_,
+                           extra_send_need::replacement, random_, now_)) {
         extra_sends_.push_back(now_);
       }
     }
@@ -109,7 +110,8 @@
     RecordRequest(budget, kService, limits, now);
     events.emplace_back(now, false);
     // Every request fails and needs an extra send.
-    if (ConsumeExtraSend(budget, kService, limits, random, now)) {
+    if (ConsumeExtraSend(budget, kService, limits, extra_send_need::replacement,
+                         random, now)) {
       events.emplace_back(now, true);
     }
   }
@@ -218,9 +220,12 @@
   absl::Time now = absl::FromUnixSeconds(1000);
   RecordDaemonCount(budget.daemons, 1, now);
   now += absl::Minutes(1);
-  EXPECT_TRUE(ConsumeExtraSend(budget, "a", limits, random, now));
-  EXPECT_FALSE(ConsumeExtraSend(budget, "a", limits, random, now));
-  EXPECT_TRUE(ConsumeExtraSend(budget, "b", limits, random, now));
+  EXPECT_TRUE(ConsumeExtraSend(budget, "a", limits,
+                               extra_send_need::replacement, random, now));
+  EXPECT_FALSE(ConsumeExtraSend(budget, "a", limits,
+                                extra_send_need::replacement, random, now));
+  EXPECT_TRUE(ConsumeExtraSend(budget, "b", limits,
+                               extra_send_need::replacement, random, now));
 }
 
 TEST(send_budget_test, ExtraSendsAreAvailableAgainAfterTheWindow) {
@@ -232,13 +237,18 @@
   RecordDaemonCount(budget.daemons, 1, now);
   now += absl::Hours(1);
   // Half of the slack is saved up, however long nothing was sent.
-  EXPECT_TRUE(ConsumeExtraSend(budget, "a", limits, random, now));
-  EXPECT_TRUE(ConsumeExtraSend(budget, "a", limits, random, now));
-  EXPECT_FALSE(ConsumeExtraSend(budget, "a", limits, random, now));
+  EXPECT_TRUE(ConsumeExtraSend(budget, "a", limits,
+                               extra_send_need::replacement, random, now));
+  EXPECT_TRUE(ConsumeExtraSend(budget, "a", limits,
+                               extra_send_need::replacement, random, now));
+  EXPECT_FALSE(ConsumeExtraSend(budget, "a", limits,
+                                extra_send_need::replacement, random, now));
   now += absl::Seconds(9);
-  EXPECT_FALSE(ConsumeExtraSend(budget, "a", limits, random, now));
+  EXPECT_FALSE(ConsumeExtraSend(budget, "a", limits,
+                                extra_send_need::replacement, random, now));
   now += absl::Seconds(2);
-  EXPECT_TRUE(ConsumeExtraSend(budget, "a", limits, random, now));
+  EXPECT_TRUE(ConsumeExtraSend(budget, "a", limits,
+                               extra_send_need::replacement, random, now));
 }
 
 // A slack of which only one extra send can be saved up comes back later, but
@@ -250,11 +260,14 @@
   absl::Time now = absl::FromUnixSeconds(1000);
   RecordDaemonCount(budget.daemons, 1, now);
   now += absl::Hours(1);
-  EXPECT_TRUE(ConsumeExtraSend(budget, "a", limits, random, now));
+  EXPECT_TRUE(ConsumeExtraSend(budget, "a", limits,
+                               extra_send_need::replacement, random, now));
   now += absl::Seconds(9);
-  EXPECT_FALSE(ConsumeExtraSend(budget, "a", limits, random, now));
+  EXPECT_FALSE(ConsumeExtraSend(budget, "a", limits,
+                                extra_send_need::replacement, random, now));
   now += absl::Seconds(12);
-  EXPECT_TRUE(ConsumeExtraSend(budget, "a", limits, random, now));
+  EXPECT_TRUE(ConsumeExtraSend(budget, "a", limits,
+                               extra_send_need::replacement, random, now));
 }
 
 TEST(send_budget_test, ADaemonStartsWithoutExtraSends) {
@@ -262,11 +275,14 @@
   std::mt19937_64 random(1);
   absl::Time now = absl::FromUnixSeconds(1000);
   RecordDaemonCount(budget.daemons, 1, now);
-  EXPECT_FALSE(ConsumeExtraSend(budget, kService, kLimits, random, now));
+  EXPECT_FALSE(ConsumeExtraSend(budget, kService, kLimits,
+                                extra_send_need::replacement, random, now));
   now += kCountSettleTime - absl::Milliseconds(1);
-  EXPECT_FALSE(ConsumeExtraSend(budget, kService, kLimits, random, now));
+  EXPECT_FALSE(ConsumeExtraSend(budget, kService, kLimits,
+                                extra_send_need::replacement, random, now));
   now += absl::Seconds(1);
-  EXPECT_TRUE(ConsumeExtraSend(budget, kService, kLimits, random, now));
+  EXPECT_TRUE(ConsumeExtraSend(budget, kService, kLimits,
+                               extra_send_need::replacement, random, now));
 }
 
 // A deployment without slack has the ratio alone.
@@ -280,7 +296,8 @@
   int extra_sends = 0;
   for (int i = 0; i < 10000; ++i) {
     RecordRequest(budget, kService, limits, now);
-    extra_sends += ConsumeExtraSend(budget, kService, limits, random, now);
+    extra_sends += ConsumeExtraSend(budget, kService, limits,
+                                    extra_send_need::replacement, random, now);
   }
   EXPECT_GT(extra_sends, 1500);
   EXPECT_LT(extra_sends, 2000);
--- a/src/dispatch/stream_flow.cc
+++ b/src/dispatch/stream_flow.cc
@@ -28,11 +28,22 @@
 // replacement is one.
 constexpr int kSendsForReplacementPrefill = 2;
 constexpr int kOk = 200;
+// Interval at which a silent stream or prefill is looked at again.
+constexpr absl::Duration kSilenceCheckInterval = absl::Milliseconds(500);
 
 double ToMilliseconds(absl::Duration duration) {
   return static_cast<double>(absl::ToInt64Milliseconds(duration));
 }
 
+// A decode whose response is pending or being received.
+struct run_in_progress {
+  // Identifies the run within its flow.
+  uint64_t number = 0;
+  channel_client::call_id call = 0;
+  fleet_upstream engine;
+  absl::Time start;
+};
+
 // Serves one streamed request.
 class stream_flow : public std::enable_shared_from_this<stream_flow> {
  public:
@@ -158,9 +169,10 @@
     call.connect_timeout = kUpstreamConnectTimeout;
     const double backlog = PrefillBacklog(state_.ledger, engine.id, now);
     const double tokens = static_cast<double>(request_.prompt_tokens);
-    call.timeout =
-        PrefillTimeout(tokens, backlog, state_.ledger.prefill_tokens_per_ms);
+    prefill_slow_after_ =
+        SlowPrefillTime(tokens, backlog, state_.ledger.prefill_tokens_per_ms);
     prefill_backlog_ = backlog;
+    tried_prefills_.push_back(engine.id);
     BeginPrefill(state_.ledger, request_.id, engine.id, tokens);
     NotifyLoadChange();
     const auto self = shared_from_this();
@@ -169,6 +181,42 @@
       self->OnPrefillDone(result);
     };
     call_ = state_.client.Start(std::move(call), std::move(handler));
+    SchedulePrefillCheck(prefill_slow_after_);
+  }
+
+  void SchedulePrefillCheck(absl::Duration delay) {
+    RunAfter(state_.context, delay, [weak = weak_from_this(), call = call_] {
+      const auto flow = weak.lock();
+      if (!flow || flow->ended_ || flow->call_ != call) return;
+      flow->CheckSlowPrefill();
+    });
+  }
+
+  // Replaces a prefill whose engine is silent. The engine may still answer, so
+  // the prefill is kept while the budget or the engines don't allow another
+  // send.
+  void CheckSlowPrefill() {
+    const absl::Duration elapsed = MonotonicNow() - prefill_start_;
+    const bool lost =
+        elapsed >= std::max(prefill_slow_after_, kLongestSoundSilence);
+    const auto other = ChooseOtherPrefill();
+    const bool replaces =
+        (other && MayReplacePrefill() &&
+         ConsumeBudget("prefill_slow", lost ? extra_send_need::replacement
+                                            : extra_send_need::alternative)) ||
+        (!other && lost && ConsumeBudget("prefill_lost"));
+    if (!replaces) return SchedulePrefillCheck(kSilenceCheckInterval);
+    LogEvent(log_level::warn, "prefill_replaced",
+             {{"request", QtText(request_.id)},
+              {"upstream", QtText(prefill_->id)},
+              {"by", QtText(other ? other->id : decode_.id)},
+              {"silent_ms", ToMilliseconds(elapsed)}});
+    ReportStall(state_, *prefill_);
+    state_.client.Cancel(std::exchange(call_, 0));
+    EndPrefill(state_.ledger, request_.id);
+    if (!other) return PrefillAtDecode();
+    ++sends_;
+    SendPrefill(*other);
   }
 
   void OnPrefillDone(const http_result& result) {
@@ -222,29 +270,40 @@
             state_, waiting, tried_decodes_, MonotonicNow())) {
       decode_ = *engine;
     }
-    ReserveDecodeMemory(waiting);
+    ReserveDecodeMemory(decode_, waiting);
     SendDecode();
   }
 
-  // Reserves memory at the chosen decode engine.
-  void ReserveDecodeMemory(const waiting_stream& waiting) {
-    ReserveRun(state_.ledger, request_.id, decode_.id,
+  // Reserves memory at `engine`, and nowhere else.
+  void ReserveDecodeMemory(const fleet_upstream& engine,
+                           const waiting_stream& waiting) {
+    ReserveRun(state_.ledger, request_.id, engine.id,
                waiting.prompt + waiting.generated, waiting.output,
                MonotonicNow());
   }
 
+  // Returns a prefill engine that was not tried yet.
+  std::optional<fleet_upstream> ChooseOtherPrefill() {
+    return ChoosePrefillEngine(
+        state_, service_.name, static_cast<double>(request_.prompt_tokens),
+        decode_.failure_domain, tried_prefills_, MonotonicNow());
+  }
+
+  // Returns whether the attempts allow to replace a prefill that an engine may
+  // have accepted.
+  bool MayReplacePrefill() const {
+    return sends_ + kSendsForReplacementPrefill <= route_.attempts;
+  }
+
   // Sends the request to a prefill engine that was not tried yet, after a
   // prefill that ended with `outcome`. Returns false if there is no such
   // engine, or if the attempts or the budget don't allow the send.
   bool SendOtherPrefill(send_outcome outcome) {
-    tried_prefills_.push_back(prefill_->id);
-    const auto other = ChoosePrefillEngine(
-        state_, service_.name, static_cast<double>(request_.prompt_tokens),
-        decode_.failure_domain, tried_prefills_, MonotonicNow());
+    const auto other = ChooseOtherPrefill();
     if (!other) return false;
     const bool failed = outcome == send_outcome::answered;
     if (failed || outcome == send_outcome::unknown) {
-      if (sends_ + kSendsForReplacementPrefill > route_.attempts ||
+      if (!MayReplacePrefill() ||
           !ConsumeBudget(failed ? "prefill_failed" : "prefill_lost")) {
         return false;
       }
@@ -268,53 +327,95 @@
 
   // ---- Decode
 
+  // Sends the request to `decode_`.
   void SendDecode() {
     const absl::Time now = MonotonicNow();
-    send_parameters parameters;
-    parameters.upstream = decode_;
-    parameters.purpose = send_purpose::decode;
-    parameters.time_left = TimeLeft(request_, route_, now);
-    parameters.resume_after = relay_.ResumeAfter();
+    send_parameters parameters = DecodeParameters(decode_, now);
     // Without a usable KV cache the decode engine prefills the prompt itself.
     if (!lease_.handle.empty() && now < lease_.usable_until) {
       parameters.kv_address = lease_.engine.address;
       parameters.kv_handle = std::exchange(lease_.handle, {});
     } else {
       ReleaseLease(state_, request_.id, lease_);
-      SetTokensToPrefill(
-          state_.ledger, request_.id,
-          kDecodePrefillCost *
-              (static_cast<double>(request_.prompt_tokens) + Generated()));
-      NotifyLoadChange();
+      AccountLocalPrefill();
     }
+    run_ = StartRun(std::move(parameters));
+    BeginRun();
+  }
+
+  send_parameters DecodeParameters(const fleet_upstream& engine,
+                                   absl::Time now) const {
+    send_parameters parameters;
+    parameters.upstream = engine;
+    parameters.purpose = send_purpose::decode;
+    parameters.time_left = TimeLeft(request_, route_, now);
+    parameters.resume_after = relay_.ResumeAfter();
+    return parameters;
+  }
+
+  // Accounts in the ledger for a decode engine that prefills the prompt itself.
+  void AccountLocalPrefill() {
+    SetTokensToPrefill(
+        state_.ledger, request_.id,
+        kDecodePrefillCost *
+            (static_cast<double>(request_.prompt_tokens) + Generated()));
+    NotifyLoadChange();
+  }
+
+  // Sends the request to a decode engine.
+  run_in_progress StartRun(send_parameters parameters) {
+    run_in_progress run;
+    run.engine = parameters.upstream;
+    run.start = MonotonicNow();
+    run.number = ++last_run_number_;
     http_call call = state_.protocol.build_send_call(request_, parameters);
     call.connect_timeout = kUpstreamConnectTimeout;
-    tried_decodes_.push_back(decode_.id);
+    tried_decodes_.push_back(run.engine.id);
     ++sends_;
-    decode_start_ = now;
-    last_event_ = now;
-    relay_.BeginRun();
-    run_events_ = 0;
     const auto self = shared_from_this();
     http_handler handler;
-    handler.on_headers = [self](int status, const http_headers& headers) {
-      self->OnHeaders(status, headers);
+    handler.on_headers = [self, number = run.number](
+                             int status, const http_headers& headers) {
+      self->OnHeaders(number, status, headers);
     };
-    handler.on_data = [self](absl::string_view bytes) { self->OnData(bytes); };
-    handler.on_done = [self](const http_result& result) {
-      self->OnDecodeDone(result);
+    handler.on_data = [self, number = run.number](absl::string_view bytes) {
+      self->OnData(number, bytes);
     };
-    call_ = state_.client.Start(std::move(call), std::move(handler));
-    ScheduleCheck();
+    handler.on_done = [self, number = run.number](const http_result& result) {
+      self->OnRunDone(number, result);
+    };
+    run.call = state_.client.Start(std::move(call), std::move(handler));
+    return run;
+  }
+
+  // Prepares for the response of `run_`.
+  void BeginRun() {
+    call_ = run_->call;
+    last_progress_ = run_->start;
+    relay_.BeginRun();
+    run_events_ = 0;
+    stall_reported_ = false;
+    ScheduleStallCheck(last_progress_ + StallTimeout(route_) - MonotonicNow());
+  }
+
+  bool IsSuccessor(uint64_t number) const {
+    return successor_ && successor_->number == number;
   }
 
-  void OnHeaders(int status, const http_headers& headers) {
+  void OnHeaders(uint64_t number, int status, const http_headers& headers) {
     if (ended_) return;
     const response_info info = state_.protocol.parse_response(status, headers);
-    relay_.OnHeaders(status == kOk && info.authentic, headers);
+    const bool is_stream = status == kOk && info.authentic;
+    if (IsSuccessor(number)) {
+      if (!is_stream) return;
+      ContinueWithSuccessor("accepted");
+    }
+    relay_.OnHeaders(is_stream, headers);
   }
 
-  void OnData(absl::string_view bytes) {
+  void OnData(uint64_t number, absl::string_view bytes) {
+    // The body of an error; the silent run goes on.
+    if (IsSuccessor(number)) return;
     if (ended_ || relay_.OnData(bytes)) return;
     state_.client.Cancel(call_);
     http_result result;
@@ -323,27 +424,32 @@
         absl::StrCat("the engine sent more than ", stream_relay::kMaxKeptBytes,
                      " bytes of an event or an error response without its end"),
         run_state::unknown);
-    OnDecodeDone(result);
+    OnRunDone(number, result);
   }
 
   void OnFirstEvent() {
     const absl::Time now = MonotonicNow();
     state_.metrics->ObserveFirstEventTime(route_.name, now - request_.received);
     record_.first_event = now - request_.received;
-    record_.decode_first = now - decode_start_;
+    record_.decode_first = now - run_->start;
   }
 
   void OnEvent() {
     const absl::Time now = MonotonicNow();
     const double tokens = service_.engine.tokens_per_event;
     if (run_events_ > 0) {
-      UpdateDecodeSpeed(state_.ledger, tokens, now - last_event_);
+      UpdateDecodeSpeed(state_.ledger, tokens, now - last_progress_);
     }
-    if (now - last_event_ > record_.longest_gap) {
-      record_.longest_gap = now - last_event_;
+    const absl::Duration gap =
+        now - (record_.events > 0 ? last_event_ : run_->start);
+    if (gap > record_.longest_gap) {
+      record_.longest_gap = gap;
       record_.longest_gap_end = now - request_.received;
     }
     last_event_ = now;
+    last_progress_ = now;
+    stall_reported_ = false;
+    if (successor_) DropSuccessor("progress");
     ++run_events_;
     ++record_.events;
     const double generated = Generated();
@@ -352,38 +458,104 @@
                ExpectedRemaining(generated), now);
   }
 
-  // Schedules a check for the time at which the next event is overdue.
-  void ScheduleCheck() {
+  // ---- A silent decode engine
+
+  void ScheduleStallCheck(absl::Duration delay) {
     if (!route_.resumable) return;
-    const absl::Time due = last_event_ + StallTimeout(route_, run_events_);
-    RunAfter(state_.context, due - MonotonicNow(),
-             [weak = weak_from_this(), call = call_] {
-               const auto flow = weak.lock();
-               if (!flow || flow->ended_ || flow->call_ != call) return;
-               flow->CheckForStall();
-             });
+    RunAfter(state_.context, delay, [weak = weak_from_this(), call = call_] {
+      const auto flow = weak.lock();
+      if (!flow || flow->ended_ || flow->call_ != call) return;
+      flow->CheckForStall();
+    });
   }
 
+  // Asks another engine to continue a stream whose engine is silent. The silent
+  // one may be sound, so it keeps the stream until another one has accepted it.
   void CheckForStall() {
-    const absl::Duration silence = MonotonicNow() - last_event_;
-    if (silence < StallTimeout(route_, run_events_)) return ScheduleCheck();
-    // Without another engine that has capacity, the request stays at this one,
-    // which may still respond.
-    if (!MayResume() || !ReserveOtherEngine()) return;
-    LogEvent(log_level::warn, "stream_stalled",
+    const absl::Time now = MonotonicNow();
+    const absl::Duration silence = now - last_progress_;
+    if (silence < StallTimeout(route_)) {
+      return ScheduleStallCheck(StallTimeout(route_) - silence);
+    }
+    if (!std::exchange(stall_reported_, true)) {
+      LogEvent(log_level::warn, "stream_stalled",
+               {{"request", QtText(request_.id)},
+                {"upstream", QtText(decode_.id)},
+                {"events", record_.events},
+                {"silent_ms", ToMilliseconds(silence)}});
+      ReportStall(state_, service_.name, decode_.id);
+    }
+    if (!MayResume()) return;
+    // An engine that stays silent has probably failed.
+    const bool failed = silence >= StallTimeout(route_) + kSilenceCheckInterval;
+    if (!successor_) {
+      StartSuccessor(now, failed ? extra_send_need::replacement
+                                 : extra_send_need::alternative);
+    }
+    ScheduleStallCheck(kSilenceCheckInterval);
+  }
+
+  // Sends the request to another engine beside the silent one, if there is one
+  // with capacity and the budget allows it.
+  void StartSuccessor(absl::Time now, extra_send_need need) {
+    const waiting_stream waiting = MakeWaitingStream();
+    const auto engine =
+        ChooseLocalPrefillEngine(state_, waiting, tried_decodes_, now);
+    if (!engine || !ConsumeBudget("stalled", need)) return;
+    ReserveDecodeMemory(*engine, waiting);
+    AccountLocalPrefill();
+    successor_ = StartRun(DecodeParameters(*engine, now));
+  }
+
+  // Continues the stream at the successor and cancels the silent run. Both
+  // would otherwise generate the same events.
+  void ContinueWithSuccessor(absl::string_view reason) {
+    LogEvent(log_level::info, "stream_moved",
              {{"request", QtText(request_.id)},
-              {"upstream", QtText(tried_decodes_.back())},
-              {"events", record_.events},
-              {"silent_ms", ToMilliseconds(silence)}});
-    ReportStall(state_, service_.name, tried_decodes_.back());
+              {"from", QtText(decode_.id)},
+              {"to", QtText(successor_->engine.id)},
+              {"reason", QtText(reason)},
+              {"events", record_.events}});
     state_.client.Cancel(call_);
-    call_ = 0;
-    ResumeElsewhere("stalled");
+    may_have_run_ = true;
+    run_ = *std::exchange(successor_, std::nullopt);
+    decode_ = run_->engine;
+    BeginRun();
   }
 
-  void OnDecodeDone(const http_result& result) {
-    call_ = 0;
+  // Cancels the successor, if it is still in progress, and stays at the engine
+  // that was silent.
+  void DropSuccessor(absl::string_view reason) {
+    LogEvent(log_level::info, "stream_kept",
+             {{"request", QtText(request_.id)},
+              {"upstream", QtText(decode_.id)},
+              {"not_moved_to", QtText(successor_->engine.id)},
+              {"reason", QtText(reason)},
+              {"events", record_.events}});
+    state_.client.Cancel(successor_->call);
+    may_have_run_ = true;
+    successor_.reset();
+    ReserveDecodeMemory(decode_, MakeWaitingStream());
+    NotifyLoadChange();
+  }
+
+  // Handles the end of a successor that has not continued the stream.
+  void OnSuccessorDone(const http_result& result) {
+    const response_info info =
+        state_.protocol.parse_response(result.http_status, result.headers);
+    const send_outcome outcome = ClassifySend(result, info);
+    state_.metrics->CountSend(service_.name, SendOutcomeName(outcome));
+    ReportSend(state_, successor_->engine, outcome, info.other_instance);
+    if (outcome == send_outcome::unsent) --sends_;
+    DropSuccessor(SendOutcomeName(outcome));
+  }
+
+  // ---- End of a decode
+
+  void OnRunDone(uint64_t number, const http_result& result) {
     if (ended_) return;
+    if (IsSuccessor(number)) return OnSuccessorDone(result);
+    call_ = 0;
     const response_info info =
         state_.protocol.parse_response(result.http_status, result.headers);
     send_outcome outcome = ClassifySend(result, info);
@@ -403,8 +575,9 @@
               {"status", result.http_status},
               {"why", QtText(result.status.message())},
               {"events", record_.events},
-              {"ms", ToMilliseconds(MonotonicNow() - decode_start_)}});
+              {"ms", ToMilliseconds(MonotonicNow() - run_->start)}});
     if (outcome == send_outcome::unsent) --sends_;
+    if (successor_) return ContinueWithSuccessor("failed");
     HandleFailure(outcome, result);
   }
 
@@ -446,17 +619,6 @@
                      "no decode engine accepted the request"));
   }
 
-  // Sends the request to the decode engine reserved for it after the previous
-  // one stalled, if the budget allows that, and otherwise ends it.
-  void ResumeElsewhere(absl::string_view reason) {
-    may_have_run_ = true;
-    if (ConsumeBudget(reason)) return SendDecode();
-    if (relay_.HeadersSent()) return Abort(unfinished_reason::silence);
-    ReportUnfinished(unfinished_reason::silence);
-    Refuse(MakeError(error_kind::upstream_stalled,
-                     "the decode engine made no progress", run_state::unknown));
-  }
-
   // Reserves a decode engine that was not tried yet. Returns false if none has
   // capacity.
   bool ReserveOtherEngine() {
@@ -465,13 +627,14 @@
                                                 MonotonicNow());
     if (!other) return false;
     decode_ = *other;
-    ReserveDecodeMemory(waiting);
+    ReserveDecodeMemory(decode_, waiting);
     NotifyLoadChange();
     return true;
   }
 
-  bool ConsumeBudget(absl::string_view reason) {
-    return TakeBudgetedSend(state_, service_.name, request_.id, reason);
+  bool ConsumeBudget(absl::string_view reason,
+                     extra_send_need need = extra_send_need::replacement) {
+    return TakeBudgetedSend(state_, service_.name, request_.id, reason, need);
   }
 
   // ---- End of the request
@@ -496,9 +659,9 @@
   void ReportUnfinished(unfinished_reason reason) {
     unfinished_request unfinished;
     unfinished.reason = reason;
-    if (!tried_decodes_.empty()) unfinished.upstream = tried_decodes_.back();
+    if (run_) unfinished.upstream = run_->engine.id;
     unfinished.call_in_progress = call_ != 0;
-    unfinished.silence = MonotonicNow() - last_event_;
+    unfinished.silence = MonotonicNow() - last_progress_;
     unfinished.sends = sends_;
     unfinished.events = record_.events;
     anvilridge::ReportUnfinished(state_, request_, route_, service_,
@@ -533,15 +696,13 @@
   void LogAndEnd(absl::string_view event, int http_status) {
     const absl::Duration elapsed = MonotonicNow() - request_.received;
     state_.metrics->CountRequest(route_.name, http_status, elapsed);
-    QJsonObject fields{
-        {"request", QtText(request_.id)},
-        {"route", QtText(route_.name)},
-        {"upstream",
-         QtText(tried_decodes_.empty() ? "" : tried_decodes_.back())},
-        {"status", http_status},
-        {"sends", sends_},
-        {"config", static_cast<double>(config_->version)},
-        {"ms", ToMilliseconds(elapsed)}};
+    QJsonObject fields{{"request", QtText(request_.id)},
+                       {"route", QtText(route_.name)},
+                       {"upstream", QtText(run_ ? run_->engine.id : "")},
+                       {"status", http_status},
+                       {"sends", sends_},
+                       {"config", static_cast<double>(config_->version)},
+                       {"ms", ToMilliseconds(elapsed)}};
     const QJsonObject record = LogFields(record_);
     for (auto field = record.begin(); field != record.end(); ++field) {
       fields[field.key()] = field.value();
@@ -555,6 +716,7 @@
     if (std::exchange(ended_, true)) return;
     RemoveFromQueues(state_, request_.id);
     if (call_ != 0) state_.client.Cancel(std::exchange(call_, 0));
+    if (successor_) state_.client.Cancel(successor_->call);
     ReleaseLease(state_, request_.id, lease_);
     EndPrefill(state_.ledger, request_.id);
     EndRun(state_.ledger, request_.id);
@@ -586,18 +748,29 @@
   channel_client::call_id call_ = 0;
   std::optional<fleet_upstream> prefill_;
   absl::Time prefill_start_;
+  // Time from its start after which the prefill counts as slow.
+  absl::Duration prefill_slow_after_;
   // Tokens that the prefill engine had to prefill before this prompt.
   double prefill_backlog_ = 0;
   kv_lease lease_;
   // Ids of the engines that the request was sent to.
   std::vector<std::string> tried_prefills_;
+  // The engine that is reserved for the decode, and then the one of `run_`.
   fleet_upstream decode_;
   std::vector<std::string> tried_decodes_;
   int sends_ = 0;
   // Whether an engine may have run the request.
   bool may_have_run_ = false;
-  absl::Time decode_start_;
+  // The decode that generates the stream.
+  std::optional<run_in_progress> run_;
+  // A decode that was asked to continue the stream of a silent one.
+  std::optional<run_in_progress> successor_;
+  uint64_t last_run_number_ = 0;
+  // Time of the last event that was passed on.
   absl::Time last_event_;
+  // Time of the last event of the current run, or of its start.
+  absl::Time last_progress_;
+  bool stall_reported_ = false;
   // Events of the current run.
   int run_events_ = 0;
   bool ended_ = false;
--- a/src/dispatch/stream_limits.cc
+++ b/src/dispatch/stream_limits.cc
@@ -10,19 +10,18 @@
 // Number of latency targets after its arrival for which a late stream may wait.
 // Callers abandon a stream without a first event after four latency targets.
 constexpr double kLateWaitLatencyTargets = 3;
-// Multiple of its expected duration after which a prefill times out, and the
-// shortest such timeout.
-constexpr double kPrefillTimeoutFactor = 3;
-constexpr absl::Duration kMinPrefillTimeout = absl::Milliseconds(400);
-// Number of gap targets without an event after which a resumable stream is
-// resumed at another engine. Callers abandon a stream after eight.
-constexpr double kStallGapTargets = 5;
-// Shortest pause after which a stream is resumed at another engine, also for
-// routes without a gap target. It is the time of several events.
-constexpr absl::Duration kMinStallTimeout = absl::Milliseconds(500);
-// Number of latency targets after the send to the decode engine within which
-// the first event must arrive.
-constexpr double kFirstEventLatencyTargets = 1.3;
+// Multiple of its expected duration after which a prefill is slow, and the
+// shortest such time.
+constexpr double kSlowPrefillFactor = 3;
+constexpr absl::Duration kMinSlowPrefill = absl::Milliseconds(400);
+// Bounds of callers' patience: they abandon a stream after the longest of these
+// pauses.
+constexpr absl::Duration kMinCallerPatience = absl::Seconds(2);
+constexpr double kPatienceLatencyTargets = 4;
+constexpr double kPatienceGapTargets = 8;
+// Part of callers' patience after which a silent stream is continued elsewhere;
+// the rest is for the other engine to prefill.
+constexpr double kStallPatienceShare = 0.5;
 
 }  // namespace
 
@@ -41,17 +40,18 @@
       deadline - duration);
 }
 
-absl::Duration PrefillTimeout(double tokens, double backlog,
-                              double tokens_per_ms) {
-  return std::max(kMinPrefillTimeout,
-                  absl::Milliseconds(kPrefillTimeoutFactor *
-                                     (backlog + tokens) / tokens_per_ms));
+absl::Duration SlowPrefillTime(double tokens, double backlog,
+                               double tokens_per_ms) {
+  return std::max(kMinSlowPrefill,
+                  absl::Milliseconds(kSlowPrefillFactor * (backlog + tokens) /
+                                     tokens_per_ms));
 }
 
-absl::Duration StallTimeout(const fleet_route& route, int run_events) {
-  return run_events == 0
-             ? route.latency_target * kFirstEventLatencyTargets
-             : std::max(route.gap_target * kStallGapTargets, kMinStallTimeout);
+absl::Duration StallTimeout(const fleet_route& route) {
+  const absl::Duration patience = std::max(
+      {kMinCallerPatience, route.latency_target * kPatienceLatencyTargets,
+       route.gap_target * kPatienceGapTargets});
+  return std::max(kLongestSoundSilence, patience * kStallPatienceShare);
 }
 
 }  // namespace anvilridge
--- a/src/dispatch/stream_limits.h
+++ b/src/dispatch/stream_limits.h
@@ -21,15 +21,18 @@
                        double output, double tokens_per_ms,
                        absl::Time deadline);
 
-/// Returns how long a prefill of `tokens` may take.
+/// Returns the time after which a prefill of `tokens` takes unusually long.
 /// @param backlog tokens that the engine has to prefill before.
 /// @param tokens_per_ms speed of a prefill engine.
-absl::Duration PrefillTimeout(double tokens, double backlog,
-                              double tokens_per_ms);
+absl::Duration SlowPrefillTime(double tokens, double backlog,
+                               double tokens_per_ms);
 
-/// Returns how long a decode engine may take for the next event of a run.
-/// @param run_events events that the run has had.
-absl::Duration StallTimeout(const fleet_route& route, int run_events);
+/// Engines that work may send nothing for this long.
+inline constexpr absl::Duration kLongestSoundSilence = absl::Milliseconds(1500);
+
+/// Returns how long a decode engine may be silent until another one is asked to
+/// continue its stream.
+absl::Duration StallTimeout(const fleet_route& route);
 
 }  // namespace anvilridge
 
--- a/tests/harness/platform_scene.cc
+++ b/tests/harness/platform_scene.cc
@@ -185,7 +185,7 @@
   return impl_->RequestsOf(impl_->decode);
 }
 
-bool platform_scene::Start() {
+bool platform_scene::Start(const std::string& budget) {
   const std::string file = impl_->folder.Write(
       "fleet.ini",
       absl::StrCat("[daemon]\nname = entry-1\nfailure_domain = z\n"
@@ -193,7 +193,9 @@
                    "[readiness]\nlisten = 127.0.0.1:0\n"
                    "[metrics]\nlisten = 127.0.0.1:0\n"
                    "[sharing]\nlisten = 127.0.0.1:0\n"
-                   "[budget]\nslack = 50\n"
+                   "[budget]\n",
+                   budget,
+                   "\n"
                    "[store]\naddress = ",
                    impl_->store->Address(), "\n[log]\ndestination = stdout\n"));
   daemon_ = std::make_unique<child_process>(
--- a/tests/harness/platform_scene.h
+++ b/tests/harness/platform_scene.h
@@ -23,7 +23,8 @@
   ~platform_scene();
 
   /// Starts the daemon and waits until it is ready.
-  bool Start();
+  /// @param budget lines of the settings' section `[budget]`.
+  bool Start(const std::string& budget = "slack = 50");
 
   child_process& Daemon() { return *daemon_; }
   uint16_t CallerPort() const { return caller_port_; }
