Let upstreams of the soak fall silent and go on

A plan of its own (--silences): one upstream, every other one or all of them are silent for 0.5 to 3 s, beside kills, stops, freezes and signals of daemons, changes of settings and configuration, refusing and leaving upstreams, and a store that is cut off or refuses.

A planted daemon that gives silent decode engines up after 1 s is caught.

--- a/tests/soak/planted_daemon.cc
+++ b/tests/soak/planted_daemon.cc
@@ -12,6 +12,7 @@
 
 constexpr int kFirstServerError = 500;
 constexpr int kExitUsage = 2;
+constexpr absl::Duration kPlantedPatience = absl::Seconds(1);
 
 // Takes a failure for a refusal, so that what has run is sent again.
 void PlantResend(fleet_platform& platform) {
@@ -58,6 +59,20 @@
   };
 }
 
+// Gives decode engines up that were silent for a second, whether or not the
+// stream can go on elsewhere.
+void PlantNoPatience(fleet_platform& platform) {
+  platform.protocol.build_send_call =
+      [build = platform.protocol.build_send_call](
+          const fleet_request& request, const send_parameters& parameters) {
+        http_call call = build(request, parameters);
+        if (parameters.purpose == send_purpose::decode) {
+          call.stall_timeout = kPlantedPatience;
+        }
+        return call;
+      };
+}
+
 bool Plant(fleet_platform& platform, const std::string& fault) {
   if (fault == "resend") {
     PlantResend(platform);
@@ -65,6 +80,8 @@
     PlantStaleView(platform);
   } else if (fault == "false_refusal") {
     PlantFalseRefusal(platform);
+  } else if (fault == "no_patience") {
+    PlantNoPatience(platform);
   } else {
     return false;
   }
--- a/tests/soak/soak_checks.cc
+++ b/tests/soak/soak_checks.cc
@@ -21,10 +21,10 @@
 constexpr double kLateStops = 0.25;
 // Within which a configuration must be in force: the sites' bound.
 constexpr absl::Duration kConfigBound = absl::Seconds(3);
+constexpr int kOk = 200;
 constexpr int kFirstFailure = 300;
-// Window and ratio of the send budget, by the daemons' defaults.
+// Window of the send budget, by the daemons' default.
 constexpr absl::Duration kSendWindow = absl::Seconds(10);
-constexpr double kSendRatio = 0.2;
 constexpr std::array kNotRunStatuses = {408, 421, 429, 503};
 
 // Whether `place` was disturbed for `daemon` between `from` and `to`.
@@ -53,6 +53,10 @@
       std::upper_bound(times.begin(), times.end(), end - kSendWindow));
 }
 
+absl::Duration TimeLimit(const caller_record& caller) {
+  return caller.kind == request_kind::stream ? kStreamLimit : kCallLimit;
+}
+
 bool PromisesNotRun(const caller_record& caller) {
   return std::find(kNotRunStatuses.begin(), kNotRunStatuses.end(),
                    caller.status) != kNotRunStatuses.end();
@@ -63,6 +67,17 @@
                       ", status ", caller.status);
 }
 
+// Whether `caller` stayed until its answer ended, within its time limit, and
+// nothing but silence befell its upstreams and its daemon.
+bool IsSilencedOnly(const soak_record& record, const caller_record& caller) {
+  const upstream_record& upstream = UpstreamOf(record, caller.id);
+  return upstream.silenced && !upstream.failed &&
+         caller.left == absl::InfiniteFuture() &&
+         caller.ended < caller.began + TimeLimit(caller) &&
+         !Disturbed(record, fault_place::daemon, caller.daemon, caller.began,
+                    caller.ended);
+}
+
 class promise_checks {
  public:
   explicit promise_checks(const soak_record& record) : record_(record) {}
@@ -74,6 +89,7 @@
       CheckAnswer(caller);
       CheckTime(caller);
       CheckCalm(caller);
+      CheckSilence(caller);
     }
     CheckStops();
     CheckConfigs();
@@ -125,9 +141,7 @@
   }
 
   void CheckTime(const caller_record& caller) {
-    const absl::Duration limit =
-        caller.kind == request_kind::stream ? kStreamLimit : kCallLimit;
-    const absl::Time due = caller.began + limit + kWay;
+    const absl::Time due = caller.began + TimeLimit(caller) + kWay;
     if (caller.left < due || due > record_.end) return;
     if (caller.ended <= due || Disturbed(record_, fault_place::daemon,
                                          caller.daemon, caller.began, due)) {
@@ -146,6 +160,20 @@
     }
   }
 
+  // A silent upstream goes on, so its requests have a whole answer, or a true
+  // refusal if none of them ran, unless the time limit was reached.
+  void CheckSilence(const caller_record& caller) {
+    if (!IsSilencedOnly(record_, caller)) return;
+    const bool answered = caller.status == kOk && caller.whole;
+    const bool refused = PromisesNotRun(caller) && caller.whole &&
+                         UpstreamOf(record_, caller.id).runs.empty();
+    if (answered || refused) return;
+    Break("ended because its upstream was silent",
+          absl::StrCat(Describe(caller), ", ", caller.body.size(),
+                       " bytes, after ",
+                       absl::FormatDuration(caller.ended - caller.began)));
+  }
+
   void CheckStops() {
     int gone = 0;
     std::vector<std::string> late;
@@ -238,7 +266,7 @@
             most, CountWithin(requests, end - kSendWindow * windows_before));
       }
       const int extra = CountWithin(extra_sends, end);
-      if (extra <= kSendRatio * most + record_.send_slack) continue;
+      if (extra <= record_.send_ratio * most + record_.send_slack) continue;
       return Break("more extra sends than the budget",
                    absl::StrCat(extra, " to ", service, " within ",
                                 absl::FormatDuration(kSendWindow), " for ",
@@ -262,6 +290,12 @@
   return whole;
 }
 
+int SilencedRequests(const soak_record& record) {
+  return static_cast<int>(std::count_if(
+      record.callers.begin(), record.callers.end(),
+      [&](const auto& caller) { return IsSilencedOnly(record, caller); }));
+}
+
 std::vector<std::string> BrokenPromises(const soak_record& record) {
   return promise_checks(record).Run();
 }
--- a/tests/soak/soak_checks.h
+++ b/tests/soak/soak_checks.h
@@ -17,6 +17,9 @@
 /// Events of a whole stream.
 inline constexpr int kStreamEvents = 30;
 
+/// Returns the number of requests that only silence befell.
+int SilencedRequests(const soak_record& record);
+
 /// Returns a line for each promise that `record` shows broken.
 std::vector<std::string> BrokenPromises(const soak_record& record);
 
--- a/tests/soak/soak_checks_test.cc
+++ b/tests/soak/soak_checks_test.cc
@@ -118,6 +118,33 @@
   EXPECT_THAT(Broken(), HasSubstr("not served on a calm day"));
 }
 
+// Guards against a request that is ended because its upstream was silent.
+TEST_F(soak_checks_test, SilenceEndsNothing) {
+  record_.upstreams["r1"].silenced = true;
+  caller_record& caller =
+      Caller(request_kind::stream, 200, StreamEvent("r1", 1));
+  caller.whole = false;
+  Runs(1);
+  EXPECT_THAT(Broken(), HasSubstr("its upstream was silent"));
+  record_.upstreams["r1"].failed = true;
+  EXPECT_EQ(Broken(), "");
+  record_.upstreams["r1"].failed = false;
+  caller.ended = caller.began + absl::Seconds(8);
+  EXPECT_EQ(Broken(), "");
+}
+
+TEST_F(soak_checks_test, SilenceAllowsOnlyTrueRefusals) {
+  record_.upstreams["r1"].silenced = true;
+  caller_record& caller = Caller(request_kind::read, 503, "");
+  caller.retry_after = "1";
+  EXPECT_EQ(Broken(), "");
+  Runs(1);
+  EXPECT_THAT(Broken(), HasSubstr("its upstream was silent"));
+  caller.status = 504;
+  record_.upstreams["r1"].runs.clear();
+  EXPECT_THAT(Broken(), HasSubstr("its upstream was silent"));
+}
+
 TEST_F(soak_checks_test, EnginesStopForCallersThatHaveLeft) {
   Caller(request_kind::stream, 200, StreamEvent("r1", 1)).whole = false;
   record_.callers.back().left = kStart + absl::Seconds(1);
--- a/tests/soak/soak_daemon.cc
+++ b/tests/soak/soak_daemon.cc
@@ -12,11 +12,12 @@
 namespace anvilridge {
 struct soak_daemon::impl {
   impl(int number, std::string run, std::vector<std::string> given,
-       absl::string_view store_address)
+       absl::string_view store_address, double send_ratio)
       : index(number),
         program(std::move(run)),
         arguments(std::move(given)),
         store_link(store_address),
+        ratio(send_ratio),
         port_holder(std::make_unique<QUdpSocket>()) {
     port_holder->bind(QHostAddress::LocalHost);
     sharing_port = port_holder->localPort();
@@ -26,6 +27,7 @@
   std::string program;
   std::vector<std::string> arguments;
   fault_proxy store_link;
+  double ratio = 0;
   // Keeps the sharing port from the other daemons until the first start.
   std::unique_ptr<QUdpSocket> port_holder;
   uint16_t sharing_port = 0;
@@ -44,8 +46,8 @@
                      "[readiness]\nlisten = 127.0.0.1:0\n"
                      "[metrics]\nlisten = 127.0.0.1:0\n"
                      "[sharing]\nlisten = 127.0.0.1:",
-                     sharing_port, "\n[budget]\nslack = ", slack,
-                     "\n[store]\naddress = ", store_link.Address(),
+                     sharing_port, "\n[budget]\nratio = ", ratio, "\nslack = ",
+                     slack, "\n[store]\naddress = ", store_link.Address(),
                      "\n[stop]\ngrace = 8s\n[log]\ndestination = stdout\n"));
   }
 
@@ -65,9 +67,11 @@
 
 soak_daemon::soak_daemon(int index, std::string program,
                          std::vector<std::string> arguments,
-                         absl::string_view store_address, int slack)
+                         absl::string_view store_address, int slack,
+                         double ratio)
     : impl_(std::make_unique<impl>(index, std::move(program),
-                                   std::move(arguments), store_address)) {
+                                   std::move(arguments), store_address,
+                                   ratio)) {
   impl_->WriteSettings(slack);
 }
 
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -17,7 +17,9 @@
   options.rate = parsed["rate"].as<double>();
   options.decode_engines = parsed["decode-engines"].as<int>();
   options.slack = parsed["slack"].as<int>();
+  options.ratio = parsed["ratio"].as<double>();
   options.herds = parsed["herds"].as<bool>();
+  options.silences = parsed["silences"].as<bool>();
   if (const auto plant = parsed["plant"].as<std::string>();
       plant == "lost_cancel") {
     options.hide_close = true;
@@ -32,10 +34,10 @@
     const soak_result result =
         RunSoak(options, parsed["logs"].as<std::string>());
     const auto broken = BrokenPromises(result.record);
-    std::printf("seed %llu: %zu requests, %zu steps, %zu broken\n",
+    std::printf("seed %llu: %zu requests, %d silenced, %zu steps, %zu broken\n",
                 static_cast<unsigned long long>(seed),
-                result.record.callers.size(), result.steps.size(),
-                broken.size());
+                result.record.callers.size(), SilencedRequests(result.record),
+                result.steps.size(), broken.size());
     for (const std::string& line : broken) std::printf("  %s\n", line.c_str());
     if (!broken.empty()) {
       ++failed;
@@ -65,11 +67,15 @@
       cxxopts::value<int>()->default_value("4"));
   add("slack", "Slack of the send budget",
       cxxopts::value<int>()->default_value("200"));
+  add("ratio", "Ratio of the send budget",
+      cxxopts::value<double>()->default_value("0.2"));
+  add("silences", "Upstreams fall silent and go on, beside other disturbances");
   add("herds", "End all daemons together while all upstreams refuse");
   add("logs", "Folder for the daemons' logs",
       cxxopts::value<std::string>()->default_value(""));
   add("plant",
-      "Fault to plant: resend, stale_view, false_refusal or lost_cancel",
+      "Fault to plant: resend, stale_view, false_refusal, no_patience or "
+      "lost_cancel",
       cxxopts::value<std::string>()->default_value(""));
   add("help", "Show this text");
   try {
--- a/tests/soak/soak_plan.cc
+++ b/tests/soak/soak_plan.cc
@@ -34,8 +34,22 @@
     action_name{soak_action::cut_store, "cut_store"},
     action_name{soak_action::refuse_at_store, "refuse_at_store"},
     action_name{soak_action::change_config, "change_config"},
+    action_name{soak_action::silence_upstreams, "silence_upstreams"},
 };
 
+// What is drawn without a plan of its own: the first ones.
+constexpr int kMixedActions = 12;
+// What is drawn beside silences, which are every other disturbance.
+constexpr std::array kBesideSilences = {
+    soak_action::kill_daemon,     soak_action::stop_daemon,
+    soak_action::freeze_daemon,   soak_action::hang_up_daemon,
+    soak_action::change_settings, soak_action::upset_upstream,
+    soak_action::drain_upstream,  soak_action::cut_store,
+    soak_action::refuse_at_store, soak_action::change_config,
+};
+constexpr int kShortestSilenceMs = 500;
+constexpr int kSilenceForms = 3;
+
 // The same on each machine, other than the library's distributions.
 int Draw(std::mt19937_64& random, int below) {
   return static_cast<int>(random() % static_cast<uint64_t>(below));
@@ -67,6 +81,41 @@
   return plan;
 }
 
+std::vector<soak_step> MakeSilencePlan(const soak_options& options) {
+  std::mt19937_64 random(options.seed);
+  const int span_ms =
+      static_cast<int>(absl::ToInt64Milliseconds(options.disturbed));
+  const int pairs =
+      std::max(1, static_cast<int>(absl::ToDoubleSeconds(options.disturbed) *
+                                   kStepsPerSecond));
+  std::vector<soak_step> plan;
+  for (int i = 0; i < pairs; ++i) {
+    soak_step silence;
+    silence.at = absl::Milliseconds(Draw(random, span_ms));
+    silence.action = soak_action::silence_upstreams;
+    silence.target = Draw(random, 1 << 20);
+    silence.form = Draw(random, kSilenceForms);
+    silence.lasts = absl::Milliseconds(
+        kShortestSilenceMs + Draw(random, kLongestMs - kShortestSilenceMs));
+    plan.push_back(silence);
+    soak_step other;
+    other.at = absl::Milliseconds(Draw(random, span_ms));
+    other.action = kBesideSilences.at(
+        Draw(random, static_cast<int>(kBesideSilences.size())));
+    other.target = Draw(random, 1 << 20);
+    // An upstream that is upset refuses.
+    other.form =
+        other.action == soak_action::upset_upstream ? 0 : Draw(random, 1 << 20);
+    other.lasts = absl::Milliseconds(kShortestMs +
+                                     Draw(random, kLongestMs - kShortestMs));
+    plan.push_back(other);
+  }
+  std::stable_sort(
+      plan.begin(), plan.end(),
+      [](const auto& one, const auto& another) { return one.at < another.at; });
+  return plan;
+}
+
 }  // namespace
 
 absl::string_view ActionName(soak_action action) {
@@ -75,6 +124,7 @@
 
 std::vector<soak_step> MakePlan(const soak_options& options) {
   if (options.herds) return MakeHerdPlan(options);
+  if (options.silences) return MakeSilencePlan(options);
   std::mt19937_64 random(options.seed);
   const int span_ms =
       static_cast<int>(absl::ToInt64Milliseconds(options.disturbed));
@@ -85,8 +135,7 @@
   for (int i = 0; i < count; ++i) {
     soak_step step;
     step.at = absl::Milliseconds(Draw(random, span_ms));
-    step.action =
-        kActions.at(Draw(random, static_cast<int>(kActions.size()))).action;
+    step.action = kActions.at(Draw(random, kMixedActions)).action;
     step.target = Draw(random, 1 << 20);
     step.form = Draw(random, 1 << 20);
     step.lasts = absl::Milliseconds(kShortestMs +
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -22,9 +22,15 @@
   double rate = 40;
   /// Slack of the daemons' send budget.
   int slack = 200;
+  /// Ratio of that budget.
+  double ratio = 0.2;
   /// Ends or stops all daemons together, again and again, while all upstreams
   /// refuse, in place of single disturbances.
   bool herds = false;
+  /// Upstreams fall silent and go on, beside disturbances of the daemons, of
+  /// their store and of what is registered. No upstream and no link fails but
+  /// for single runs.
+  bool silences = false;
   /// Program of the daemons, and what it is given besides its settings.
   std::string program = "anvilridge_fleet";
   std::vector<std::string> arguments;
@@ -46,6 +52,8 @@
   cut_store,
   refuse_at_store,
   change_config,
+  /// Forms: one upstream, every other one, all of them.
+  silence_upstreams,
 };
 
 absl::string_view ActionName(soak_action action);
--- a/tests/soak/soak_record.h
+++ b/tests/soak/soak_record.h
@@ -35,6 +35,10 @@
   /// for the first prefill that an engine accepted.
   std::vector<absl::Time> arrivals;
   bool prefilled = false;
+  /// Whether an upstream was silent while it had this request, and whether one
+  /// broke off or failed it.
+  bool silenced = false;
+  bool failed = false;
   /// Times at which an upstream began to run it.
   std::vector<absl::Time> runs;
   /// Times at which an engine stopped generating it: its end or its caller's.
@@ -78,6 +82,8 @@
   std::vector<config_probe> probes;
   /// Slack of the daemons' send budget; the largest if it changes.
   int send_slack = 0;
+  /// Ratio of that budget.
+  double send_ratio = 0.2;
   /// From when on nothing is disturbed any more, and the end.
   absl::Time calm;
   absl::Time end;
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -69,14 +69,17 @@
     AddUpstreams(options.prefill_engines, upstream_stage::prefill, "prefill");
     AddUpstreams(options.decode_engines, upstream_stage::decode, "decode");
     for (int i = 0; i < options.daemons; ++i) {
-      daemons_.push_back(
-          {std::make_unique<soak_daemon>(i, options.program, options.arguments,
-                                         store_.Address(), options.slack)});
+      daemons_.push_back({std::make_unique<soak_daemon>(
+          i, options.program, options.arguments, store_.Address(),
+          options.slack, options.ratio)});
     }
     result_.record.send_slack = std::max(
         options.slack, *std::max_element(kSlacks.begin(), kSlacks.end()));
-    // Herd plans change no settings.
-    if (options.herds) result_.record.send_slack = options.slack;
+    // Herd plans change no settings, and an empty budget stays empty.
+    if (options.herds || options.slack == 0) {
+      result_.record.send_slack = options.slack;
+    }
+    result_.record.send_ratio = options.ratio;
   }
 
   soak_result Run(const std::string& log_folder) {
@@ -243,7 +246,7 @@
         return daemons_[daemon].process->Process().Signal(SIGHUP);
       case soak_action::change_settings:
         return daemons_[daemon].process->ChangeSettings(
-            kSlacks.at(step.form % kSlacks.size()));
+            options_.slack == 0 ? 0 : kSlacks.at(step.form % kSlacks.size()));
       case soak_action::cut_upstream:
         return CutUpstream(upstream, step);
       case soak_action::upset_upstream:
@@ -260,6 +263,8 @@
                           [this] { store_.SetUp(true); });
       case soak_action::change_config:
         return ChangeConfig();
+      case soak_action::silence_upstreams:
+        return SilenceUpstreams(upstream, step);
     }
   }
 
@@ -336,6 +341,17 @@
                [&upstream] { upstream.SetFault(upstream_fault::none); });
   }
 
+  void SilenceUpstreams(size_t first, const soak_step& step) {
+    // By form: one upstream, every other one, all of them.
+    const size_t stride = step.form == 0   ? upstreams_.size()
+                          : step.form == 1 ? 2
+                                           : 1;
+    for (size_t i = 0; i < upstreams_.size(); i += stride) {
+      upstreams_[(first + i) % upstreams_.size()]->FallSilent(step.lasts);
+    }
+    DisturbFor(fault_place::upstream, -1, step.lasts, [] {});
+  }
+
   // Another instance at the same address: requests that are meant for the one
   // before must not reach it.
   void RenewUpstream(size_t index) {
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -17,6 +17,9 @@
   const soak_result result = RunSoak(options);
   // A run in which nobody is served would break no promise.
   EXPECT_GT(result.record.upstreams.size(), 100u);
+  if (options.silences) {
+    EXPECT_GT(SilencedRequests(result.record), 30);
+  }
   std::string broken = absl::StrJoin(BrokenPromises(result.record), "\n");
   if (!broken.empty()) {
     GTEST_LOG_(INFO) << "seed " << options.seed << "\n"
@@ -56,6 +59,32 @@
 
 INSTANTIATE_TEST_SUITE_P(short_runs, soak_herd_test, testing::Values(1, 2));
 
+struct silence_run {
+  uint64_t seed;
+  bool has_budget;
+};
+
+// Guards against requests that end without a whole answer because their
+// upstream was silent for at most 3 s.
+class soak_silence_test : public testing::TestWithParam<silence_run> {};
+
+soak_options Silences(const silence_run& run) {
+  soak_options options;
+  options.silences = true;
+  options.seed = run.seed;
+  if (!run.has_budget) options.slack = 0;
+  if (!run.has_budget) options.ratio = 0;
+  return options;
+}
+
+TEST_P(soak_silence_test, UpstreamsThatGoOnKeepTheirRequests) {
+  EXPECT_EQ(Broken(Silences(GetParam())), "");
+}
+
+INSTANTIATE_TEST_SUITE_P(short_runs, soak_silence_test,
+                         testing::Values(silence_run{1, true},
+                                         silence_run{2, false}));
+
 soak_options Planted(const char* fault) {
   soak_options options;
   options.program = "planted_daemon";
@@ -82,6 +111,13 @@
   EXPECT_THAT(Broken(Planted("false_refusal")), HasSubstr("refused and run"));
 }
 
+TEST(soak_planted_test, NoPatienceIsCaught) {
+  soak_options options = Silences({2, false});
+  options.program = "planted_daemon";
+  options.arguments = {"no_patience"};
+  EXPECT_THAT(Broken(options), HasSubstr("its upstream was silent"));
+}
+
 TEST(soak_planted_test, ALostCancelIsCaught) {
   soak_options options;
   options.hide_close = true;
--- a/tests/soak/soak_upstreams.cc
+++ b/tests/soak/soak_upstreams.cc
@@ -20,6 +20,8 @@
 // Behind the time limits of all routes.
 constexpr absl::Duration kLate = absl::Seconds(9);
 constexpr absl::Duration kEventGap = absl::Milliseconds(50);
+// Between two silences of an upstream.
+constexpr absl::Duration kTalk = absl::Milliseconds(500);
 constexpr int kServiceSlots = 64;
 constexpr int kEngineSlots = 12;
 
@@ -27,13 +29,6 @@
   socket.write(text.data(), static_cast<qint64>(text.size()));
 }
 
-void AnswerWhole(QTcpSocket& socket, const raw_request& request, int status,
-                 absl::string_view body) {
-  WriteText(socket,
-            absl::StrCat(platform_scene::Head(request, status),
-                         "Content-Length: ", body.size(), "\r\n\r\n", body));
-}
-
 bool IsOpen(const QPointer<QTcpSocket>& socket) {
   return socket && socket->state() == QAbstractSocket::ConnectedState;
 }
@@ -51,6 +46,7 @@
   upstream_fault fault = upstream_fault::none;
   int spoil_period = 0;
   int runs = 0;
+  absl::Time silent_until = absl::InfinitePast();
   int64_t orders = 0;
   int handles = 0;
   // Also drops what its timers still hold, when it is destroyed.
@@ -59,6 +55,11 @@
   std::unique_ptr<fault_proxy> link;
 
   upstream_fault NextFault();
+  void After(absl::Duration work, const std::string& request_id,
+             std::function<void()> act);
+  void Answer(QTcpSocket& socket, const raw_request& request, int status,
+              absl::string_view body);
+  void RefuseToRun(QTcpSocket& socket, const raw_request& request, int status);
   upstream_record& RecordOf(const raw_request& request);
   void RecordArrival(const raw_request& request);
   void Handle(QTcpSocket& socket, const raw_request& request);
@@ -80,33 +81,66 @@
   RecordOf(request).arrivals.push_back(MonotonicNow());
 }
 
+// Does `act` after `work` and the silence at that time.
+void soak_upstream::impl::After(absl::Duration work,
+                                const std::string& request_id,
+                                std::function<void()> act) {
+  RunAfter(&context, work, [this, request_id, act = std::move(act)]() mutable {
+    const absl::Duration left = silent_until - MonotonicNow();
+    if (left <= absl::ZeroDuration()) return act();
+    records[request_id].silenced = true;
+    After(left, request_id, std::move(act));
+  });
+}
+
+void soak_upstream::impl::Answer(QTcpSocket& socket, const raw_request& request,
+                                 int status, absl::string_view body) {
+  const QPointer<QTcpSocket> to = &socket;
+  After(absl::ZeroDuration(), platform_scene::Field(request, "request-id"),
+        [to, text = absl::StrCat(platform_scene::Head(request, status),
+                                 "Content-Length: ", body.size(), "\r\n\r\n",
+                                 body)] {
+          if (IsOpen(to)) WriteText(*to, text);
+        });
+}
+
+// Answers that the request was not run.
+void soak_upstream::impl::RefuseToRun(QTcpSocket& socket,
+                                      const raw_request& request, int status) {
+  const std::string marks = status == 421
+                                ? "HTTP/1.1 421 Other\r\n"
+                                : platform_scene::Head(request, status);
+  const QPointer<QTcpSocket> to = &socket;
+  After(absl::ZeroDuration(), platform_scene::Field(request, "request-id"),
+        [to, text = absl::StrCat(marks,
+                                 "Not-Run: 1\r\nContent-Length: 0\r\n\r\n")] {
+          if (IsOpen(to)) WriteText(*to, text);
+        });
+}
+
 void soak_upstream::impl::Handle(QTcpSocket& socket,
                                  const raw_request& request) {
   if (platform_scene::Field(request, "expect-instance") != id) {
     if (!absl::StartsWith(request.target, "/api/")) RecordArrival(request);
-    return WriteText(socket,
-                     "HTTP/1.1 421 Other\r\nNot-Run: 1\r\n"
-                     "Content-Length: 0\r\n\r\n");
+    return RefuseToRun(socket, request, 421);
   }
   if (absl::StartsWith(request.target, "/api/report")) {
     const absl::string_view name =
         stage == upstream_stage::prefill ? "prefill" : "decode";
-    return AnswerWhole(socket, request, 200,
-                       absl::StrCat(R"({"Busy":false,"Seq":)", orders,
-                                    R"(,"Stage":")", name, R"("})"));
+    return Answer(socket, request, 200,
+                  absl::StrCat(R"({"Busy":false,"Seq":)", orders,
+                               R"(,"Stage":")", name, R"("})"));
   }
   if (absl::StartsWith(request.target, "/api/order")) {
     // Stages stay as they are.
-    return AnswerWhole(socket, request, 409, "{}");
+    return Answer(socket, request, 409, "{}");
   }
   if (request.method == "DELETE") {
-    return AnswerWhole(socket, request, 200, "{}");
+    return Answer(socket, request, 200, "{}");
   }
   if (fault == upstream_fault::refuse) {
     RecordArrival(request);
-    return WriteText(socket,
-                     absl::StrCat(platform_scene::Head(request, 503),
-                                  "Not-Run: 1\r\nContent-Length: 0\r\n\r\n"));
+    return RefuseToRun(socket, request, 503);
   }
   if (platform_scene::Field(request, "stage") == "prefill") {
     return Prefill(socket, request);
@@ -119,13 +153,14 @@
   if (std::exchange(RecordOf(request).prefilled, true)) RecordArrival(request);
   const QPointer<QTcpSocket> to = &socket;
   const absl::Duration work = fault == upstream_fault::late ? kLate : kWork;
-  RunAfter(&context, work, [this, to, request] {
+  const std::string request_id = platform_scene::Field(request, "request-id");
+  if (fault != upstream_fault::none) records[request_id].failed = true;
+  After(work, request_id, [this, to, request] {
     if (!IsOpen(to)) return;
     if (fault == upstream_fault::lose) return raw_server::Reset(*to);
     const int status = fault == upstream_fault::fail ? 500 : 200;
-    AnswerWhole(
-        *to, request, status,
-        absl::StrCat(R"({"Handle":"h)", ++handles, R"(","Tokens":100})"));
+    Answer(*to, request, status,
+           absl::StrCat(R"({"Handle":"h)", ++handles, R"(","Tokens":100})"));
   });
 }
 
@@ -145,18 +180,19 @@
   records[request_id].runs.push_back(MonotonicNow());
   const QPointer<QTcpSocket> to = &socket;
   const upstream_fault spoilt = NextFault();
+  if (spoilt != upstream_fault::none) records[request_id].failed = true;
   if (spoilt == upstream_fault::lose) return raw_server::Reset(socket);
   const absl::Duration work = spoilt == upstream_fault::late ? kLate : kWork;
-  RunAfter(&context, work, [this, to, request, request_id, spoilt] {
+  After(work, request_id, [this, to, request, request_id, spoilt] {
     if (!IsOpen(to)) {
       records[request_id].stops.push_back(MonotonicNow());
       return;
     }
     if (spoilt == upstream_fault::fail) {
-      return AnswerWhole(*to, request, 500, "failed");
+      return Answer(*to, request, 500, "failed");
     }
     if (stage == upstream_stage::service) {
-      return AnswerWhole(*to, request, 200, absl::StrCat("done ", request_id));
+      return Answer(*to, request, 200, absl::StrCat("done ", request_id));
     }
     Stream(*to, request);
   });
@@ -169,7 +205,11 @@
   int last = 0;
   (void)absl::SimpleAtoi(platform_scene::Field(request, "last-event-id"),
                          &last);
-  NextEvent(&socket, platform_scene::Field(request, "request-id"), last + 1);
+  const QPointer<QTcpSocket> to = &socket;
+  const std::string request_id = platform_scene::Field(request, "request-id");
+  After(kEventGap, request_id, [this, to, request_id, first = last + 1] {
+    NextEvent(to, request_id, first);
+  });
 }
 
 void soak_upstream::impl::NextEvent(const QPointer<QTcpSocket>& socket,
@@ -181,8 +221,8 @@
     return;
   }
   raw_server::Chunk(*socket, StreamEvent(id, number));
-  RunAfter(&context, kEventGap,
-           [this, socket, id, number] { NextEvent(socket, id, number + 1); });
+  After(kEventGap, id,
+        [this, socket, id, number] { NextEvent(socket, id, number + 1); });
 }
 
 soak_upstream::soak_upstream(std::string id, upstream_stage stage,
@@ -216,6 +256,11 @@
 
 void soak_upstream::SetFault(upstream_fault fault) { impl_->fault = fault; }
 
+void soak_upstream::FallSilent(absl::Duration lasts) {
+  const absl::Time now = MonotonicNow();
+  if (now >= impl_->silent_until + kTalk) impl_->silent_until = now + lasts;
+}
+
 void soak_upstream::SpoilEach(int period) { impl_->spoil_period = period; }
 
 fault_proxy& soak_upstream::Link() { return *impl_->link; }
--- a/tests/soak/soak_upstreams.h
+++ b/tests/soak/soak_upstreams.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "absl/strings/string_view.h"
+#include "absl/time/time.h"
 #include "soak/fault_proxy.h"
 #include "soak/soak_record.h"
 
@@ -45,6 +46,9 @@
   void Renew(std::string id);
 
   void SetFault(upstream_fault fault);
+  /// Falls silent for `lasts` and goes on then, unless it has been silent so
+  /// lately that callers would see one silence.
+  void FallSilent(absl::Duration lasts);
   /// Besides, loses or fails each `period`th run; 0 for none.
   void SpoilEach(int period);
   fault_proxy& Link();
