--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -1,5 +1,6 @@
 // A short soak for each verdict, the seeds that ever failed, and planted faults
 // that must be caught.
+#include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "base/testing/run_loop.h"
 #include "gmock/gmock.h"
@@ -83,7 +84,13 @@
 
 INSTANTIATE_TEST_SUITE_P(short_runs, soak_silence_test,
                          testing::Values(silence_run{1, true},
-                                         silence_run{2, false}));
+                                         silence_run{2, false}),
+                         [](const auto& run) {
+                           return absl::StrCat("seed_", run.param.seed,
+                                               run.param.has_budget
+                                                   ? "_with_budget"
+                                                   : "_without_budget");
+                         });
 
 soak_options Planted(const char* fault) {
   soak_options options;
