Await a silent transfer unless the retry budget allows another attempt

What callers saw, at the product's own interface: a request whose engine was silent for a second or two amid a transfer was answered with an error before its first token, where no retry was left.

Cause: after 0.2 to 2 s an import was cancelled first, and the retry budget was asked then. A silent decode engine confirms the cancel of a stalled import only when it goes on, and by then the result of the prefill is forgotten.

Change: an import goes on for up to 4 s. After the time that its transfer should take, the decode engine is asked for its load; if it answers within 200 ms, the transfer alone has stalled and is ordered again as before. Otherwise a retry is taken from the budget before the import is cancelled, and without one the import goes on.

Why it works: nothing is cancelled any more for silence alone, only for an attempt that the budget has granted. The import may still end with its engine, or after 4 s of silence.

--- a/src/requests/completion_attempt.cc
+++ b/src/requests/completion_attempt.cc
@@ -1,6 +1,8 @@
 #include "requests/completion_attempt.h"
 
+#include <algorithm>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -24,6 +26,10 @@
 constexpr absl::Duration kImportRetryPause = absl::Milliseconds(20);
 // How long an engine may take to confirm the cancel of a stalled import.
 constexpr absl::Duration kCancelTimeout = absl::Milliseconds(200);
+// An engine may be silent for this long and go on.
+constexpr absl::Duration kLongestSilence = absl::Seconds(4);
+// Interval at which a silent import is looked at again.
+constexpr absl::Duration kSilenceCheckInterval = absl::Milliseconds(500);
 // Attempts over different engines before the request is given up.
 constexpr int kMaxAttempts = 3;
 
@@ -92,6 +98,80 @@
       });
 }
 
+// Takes a further attempt from the number of attempts and the retry budget.
+// Returns the pause before it, or nullopt if there is none.
+std::optional<absl::Duration> TakeAttempt(completion_state& flow) {
+  // Who resumes a stream knows neither its prompt nor its earlier text.
+  if (flow.attempts >= kMaxAttempts || flow.resumed) return std::nullopt;
+  const auto pause = TakeRetry(flow.context, flow.request.route, flow.attempts);
+  LogEvent(log_level::info, "retry",
+           {{"request_id", QtText(flow.request.request_id)},
+            {"route", QtText(flow.request.route)},
+            {"result", pause ? "paused" : "budget used up"}});
+  return pause;
+}
+
+// Ends the current attempt at its engines.
+void GiveUpAttempt(completion_state& flow, const absl::Status& why,
+                   absl::string_view engine) {
+  LogEvent(log_level::warn, "attempt_failed",
+           {{"request_id", QtText(flow.request.request_id)},
+            {"stage", QtText(flow.stage)},
+            {"upstream", QtText(engine)},
+            {"kind", QtText(AnswerFor(KindOf(why)).name)},
+            {"detail", QtText(why.message())}});
+  CancelAtEngines(flow);
+  FinishPlacement(flow);
+  if (!engine.empty()) flow.avoid.emplace_back(engine);
+}
+
+void BeginAttemptAfter(const completion_ptr& flow, absl::Duration pause) {
+  ServicesOf(*flow).metrics.retried(flow->request.route);
+  RunAfter(flow->context.thread, pause, [flow] { BeginAttempt(flow); });
+}
+
+absl::Status SilentImport() {
+  return MakeError(error_kind::upstream_stalled, "the import made no progress");
+}
+
+void CheckSilentImport(const completion_ptr& flow, http_client::call_id call);
+
+// Starts over if the retry budget allows it. The import may still succeed, so
+// it goes on otherwise.
+void MoveOrAwaitImport(const completion_ptr& flow, http_client::call_id call) {
+  const auto pause = TakeAttempt(*flow);
+  if (!pause) {
+    return RunAfter(flow->context.thread, kSilenceCheckInterval,
+                    [flow, call] { CheckSilentImport(flow, call); });
+  }
+  flow->outcome.stalled = true;
+  flow->outcome.decode_failed = true;
+  flow->outcome.transfer_stalled = true;
+  GiveUpAttempt(*flow, SilentImport(), flow->grant.decode.name);
+  BeginAttemptAfter(flow, *pause);
+}
+
+// Handles an import that takes longer than its transfer should. If the decode
+// engine answers other calls, the transfer alone has stalled.
+void CheckSilentImport(const completion_ptr& flow, http_client::call_id call) {
+  if (flow->over || flow->call != call) return;
+  if (LeaseLost(*flow)) return StartOver(flow);
+  if (!MayRepeatImport(*flow, SilentImport())) {
+    return MoveOrAwaitImport(flow, call);
+  }
+  GetEngineLoad(*flow->context.client, flow->grant.decode.address,
+                [flow, call, asked = MonotonicNow()](const auto& load) {
+                  if (flow->over || flow->call != call) return;
+                  const bool answers =
+                      load.ok() && MonotonicNow() - asked < kCancelTimeout;
+                  if (!answers || !MayRepeatImport(*flow, SilentImport())) {
+                    return MoveOrAwaitImport(flow, call);
+                  }
+                  StopCall(*flow);
+                  RepeatImport(flow);
+                });
+}
+
 void TakeImport(const completion_ptr& flow, const absl::Status& result) {
   if (LeaseLost(*flow)) return StartOver(flow);
   if (result.ok()) {
@@ -126,10 +206,13 @@
   flow->call = StartImport(
       *flow->context.client, flow->grant.decode.address,
       MakeImportCall(flow->request, flow->writer, flow->grant, flow->prefill),
-      timeout, [flow](const absl::StatusOr<std::string>& result) {
+      std::max(timeout, kLongestSilence),
+      [flow](const absl::StatusOr<std::string>& result) {
         flow->call = 0;
         if (!flow->over) TakeImport(flow, result.status());
       });
+  RunAfter(flow->context.thread, timeout,
+           [flow, call = flow->call] { CheckSilentImport(flow, call); });
 }
 
 void TakePrefill(const completion_ptr& flow,
@@ -211,28 +294,10 @@
 
 void RetryElsewhere(const completion_ptr& flow, const absl::Status& why,
                     absl::string_view engine) {
-  LogEvent(log_level::warn, "attempt_failed",
-           {{"request_id", QtText(flow->request.request_id)},
-            {"stage", QtText(flow->stage)},
-            {"upstream", QtText(engine)},
-            {"kind", QtText(AnswerFor(KindOf(why)).name)},
-            {"detail", QtText(why.message())}});
-  CancelAtEngines(*flow);
-  FinishPlacement(*flow);
-  if (!engine.empty()) flow->avoid.emplace_back(engine);
-  // Who resumes a stream knows neither its prompt nor its earlier text.
-  if (flow->attempts >= kMaxAttempts || flow->resumed) {
-    return FailCompletion(*flow, why);
-  }
-  const auto pause =
-      TakeRetry(flow->context, flow->request.route, flow->attempts);
-  LogEvent(log_level::info, "retry",
-           {{"request_id", QtText(flow->request.request_id)},
-            {"route", QtText(flow->request.route)},
-            {"result", pause ? "paused" : "budget used up"}});
+  GiveUpAttempt(*flow, why, engine);
+  const auto pause = TakeAttempt(*flow);
   if (!pause) return FailCompletion(*flow, why);
-  ServicesOf(*flow).metrics.retried(flow->request.route);
-  RunAfter(flow->context.thread, *pause, [flow] { BeginAttempt(flow); });
+  BeginAttemptAfter(flow, *pause);
 }
 
 }  // namespace anvilridge
