Ask a silent engine again for the stream that a caller comes back for

What callers saw, at the product's own interface: a caller that came back through another daemon was refused with upstream_stalled because the engine of its stream was silent for more than 2 s then, although the engine went on and still held the stream.

Cause: the engine's list of requests was fetched once, within 2 s; the adoption behind it is tried three times.

Change: the list is asked for up to three times as well while the engine is silent.

Measured: paused_engine_test.AStreamIsTakenOverBehindAPauseOfItsEngine (engine silent for 2.5 s) failed on the code before and passes now.

Why it works: a list changes nothing, so it can be asked for again; an engine that is unreachable is still given up at once.

--- a/src/requests/request_adoption.cc
+++ b/src/requests/request_adoption.cc
@@ -18,6 +18,10 @@
          status.message() == reason;
 }
 
+bool Stalled(const absl::Status& status) {
+  return !status.ok() && KindOf(status) == error_kind::upstream_stalled;
+}
+
 absl::Status Fenced() {
   return MakeError(error_kind::resume_fenced,
                    "another daemon has taken this stream over");
@@ -45,6 +49,10 @@
       *context.client, source.engine.address,
       [&context, source, tries, done = std::move(done)](
           const absl::StatusOr<std::vector<engine_request>>& listed) {
+        // The engine may be silent for a while and go on.
+        if (Stalled(listed.status()) && tries > 1) {
+          return TryAdoptAny(context, source, tries - 1, done);
+        }
         if (!listed.ok()) return done(listed.status());
         const auto row = std::find_if(
             listed->begin(), listed->end(), [&source](const engine_request& r) {
--- a/tests/paused_engine_test.cc
+++ b/tests/paused_engine_test.cc
@@ -115,6 +115,22 @@
   ExpectWhole(*stream);
 }
 
+// Guards against a caller that comes back and is refused because the engine of
+// its stream was silent at that time.
+TEST_F(paused_engine_test, AStreamIsTakenOverBehindAPauseOfItsEngine) {
+  const auto first = Open(kPrompt);
+  ASSERT_TRUE(first->WaitForEvents(3, kBound));
+  fleet_.decode[0].process->Freeze();
+  fleet_.daemons[0].process->Kill();
+  ASSERT_TRUE(first->WaitForEnd(kBound));
+  const std::vector<test_event> read = first->Events();
+  ASSERT_FALSE(read.empty());
+  const auto second = Open(kPrompt, 1, read.back().id);
+  Pause(kPause);
+  fleet_.decode[0].process->Thaw();
+  ExpectWhole(*second, kPrompt, StreamedText(read));
+}
+
 TEST_F(paused_engine_test, APausedServiceIsAwaited) {
   fleet_.services[0].process->Freeze();
   std::thread thaw([this] {
