Take every counted send of a stream from the send budget before it is made

Cause: a prefill that its engine had not accepted, because it was lost, was taken for the free first one. When the budget refused its replacement, or no other prefill engine was left, the request went to a decode engine all the same, and nothing was counted. The class: a limit that is checked where a send is decided on, not where it is made, so that another name passes it by.

Change: request_sends counts the sends of a request as the limit does; each prefill, decode and resumed run passes ClaimSend before it is made. A request whose prefill failed and that may not be sent again is rejected at once as not run.

Why it works: no path sends to an engine without the count, and the count is the rule's own.

--- /dev/null
+++ b/src/dispatch/request_sends.h
@@ -0,0 +1,34 @@
+#ifndef ANVILRIDGE_DISPATCH_REQUEST_SENDS_H_
+#define ANVILRIDGE_DISPATCH_REQUEST_SENDS_H_
+
+#include "dispatch/fleet_protocol.h"
+
+namespace anvilridge {
+
+/// Sends of one request that reached upstreams, as the send budget counts them.
+struct request_sends {
+  int prefills = 0;
+  /// Whether an engine has accepted one of the prefills.
+  bool prefill_accepted = false;
+  /// Sends of the request itself: calls and decodes.
+  int runs = 0;
+  /// Extra sends that were taken from the budget.
+  int budgeted = 0;
+};
+
+/// Returns the number of sends after the first one. The first prefill that an
+/// engine accepts isn't counted; one that was refused or lost is.
+int ExtraSends(const request_sends& sends);
+
+/// Returns whether another send must be taken from the budget.
+bool NeedsBudget(const request_sends& sends, send_purpose purpose);
+
+/// Counts a send before it is made.
+void CountSend(request_sends& sends, send_purpose purpose);
+
+/// Takes back a send that reached no upstream.
+void UncountSend(request_sends& sends, send_purpose purpose);
+
+}  // namespace anvilridge
+
+#endif  // ANVILRIDGE_DISPATCH_REQUEST_SENDS_H_
--- a/src/dispatch/stream_flow.cc
+++ b/src/dispatch/stream_flow.cc
@@ -13,6 +13,7 @@
 #include "base/qt_text.h"
 #include "dispatch/decode_admission.h"
 #include "dispatch/kv_lease.h"
+#include "dispatch/request_sends.h"
 #include "dispatch/stream_demand.h"
 #include "dispatch/stream_limits.h"
 #include "dispatch/stream_record.h"
@@ -23,11 +24,13 @@
 namespace anvilridge {
 namespace {
 
-// Number of sends that must be left to replace a prefill that failed or got
-// lost: it counts as a send because it may have run, and the decode after its
-// replacement is one.
+// Number of attempts that must be left to replace a prefill that failed or got
+// lost: its replacement is one, and so is the decode after it.
 constexpr int kSendsForReplacementPrefill = 2;
 constexpr int kOk = 200;
+// Time after which callers may retry a request whose prefill failed: the next
+// daemon that they reach has a part of the budget of its own.
+constexpr absl::Duration kLostPrefillRetryAfter = absl::Milliseconds(250);
 // Interval at which a silent stream or prefill is looked at again.
 constexpr absl::Duration kSilenceCheckInterval = absl::Milliseconds(500);
 
@@ -173,6 +176,7 @@
         SlowPrefillTime(tokens, backlog, state_.ledger.prefill_tokens_per_ms);
     prefill_backlog_ = backlog;
     tried_prefills_.push_back(engine.id);
+    CountSend(counted_, send_purpose::prefill);
     BeginPrefill(state_.ledger, request_.id, engine.id, tokens);
     NotifyLoadChange();
     const auto self = shared_from_this();
@@ -199,12 +203,12 @@
     const absl::Duration elapsed = MonotonicNow() - prefill_start_;
     const bool lost =
         elapsed >= std::max(prefill_slow_after_, kLongestSoundSilence);
-    const auto other = ChooseOtherPrefill();
+    const auto other = ChooseReplacementPrefill();
     const bool replaces =
-        (other && MayReplacePrefill() &&
-         ConsumeBudget("prefill_slow", lost ? extra_send_need::replacement
-                                            : extra_send_need::alternative)) ||
-        (!other && lost && ConsumeBudget("prefill_lost"));
+        other ? ClaimSend(send_purpose::prefill, "prefill_slow",
+                          lost ? extra_send_need::replacement
+                               : extra_send_need::alternative)
+              : lost && ClaimSend(send_purpose::decode, "prefill_lost");
     if (!replaces) return SchedulePrefillCheck(kSilenceCheckInterval);
     LogEvent(log_level::warn, "prefill_replaced",
              {{"request", QtText(request_.id)},
@@ -233,6 +237,7 @@
     const absl::Duration elapsed = MonotonicNow() - prefill_start_;
     record_.prefill = elapsed;
     if (prefill.ok()) {
+      counted_.prefill_accepted = true;
       record_.prefill_tokens = prefill->tokens;
       UpdatePrefillSpeed(
           state_.ledger,
@@ -248,16 +253,46 @@
               {"status", result.http_status},
               {"why", QtText(result.status.message())},
               {"ms", ToMilliseconds(elapsed)}});
-    // A refused prefill counts as a send. One that the engine accepted, or may
-    // have accepted, is not counted here but when its replacement is sent.
-    if (outcome == send_outcome::refused) {
-      ++sends_;
-      if (sends_ >= route_.attempts || !ConsumeBudget("prefill_refused")) {
-        return Refuse(MakeError(error_kind::upstream_refused,
-                                "the prefill engine refused the request"));
-      }
+    ReplaceFailedPrefill(outcome);
+  }
+
+  // Sends the request on after a prefill that ended with `outcome`: to another
+  // prefill engine, or else to a decode engine.
+  void ReplaceFailedPrefill(send_outcome outcome) {
+    std::optional<fleet_upstream> other;
+    absl::string_view reason = "prefill_lost";
+    switch (outcome) {
+      case send_outcome::unsent:
+        UncountSend(counted_, send_purpose::prefill);
+        other = ChooseOtherPrefill();
+        reason = "prefill_unsent";
+        break;
+      case send_outcome::refused:
+        // A refused prefill counts as an attempt. One that the engine may have
+        // accepted counts as one when another is sent in its place.
+        if (++sends_ >= route_.attempts) {
+          return Refuse(MakeError(error_kind::upstream_refused,
+                                  "the prefill engine refused the request"));
+        }
+        other = ChooseOtherPrefill();
+        reason = "prefill_refused";
+        break;
+      case send_outcome::answered:
+        reason = "prefill_failed";
+        [[fallthrough]];
+      case send_outcome::unknown:
+        other = ChooseReplacementPrefill();
+        if (other) ++sends_;
+        break;
+    }
+    if (!ClaimSend(other ? send_purpose::prefill : send_purpose::decode,
+                   reason)) {
+      return Refuse(MakeError(error_kind::upstream_refused,
+                              "the prefill failed, and the send budget allows "
+                              "no other send",
+                              run_state::not_run, kLostPrefillRetryAfter));
     }
-    if (SendOtherPrefill(outcome)) return;
+    if (other) return SendPrefill(*other);
     PrefillAtDecode();
   }
 
@@ -289,28 +324,13 @@
         decode_.failure_domain, tried_prefills_, MonotonicNow());
   }
 
-  // Returns whether the attempts allow to replace a prefill that an engine may
-  // have accepted.
-  bool MayReplacePrefill() const {
-    return sends_ + kSendsForReplacementPrefill <= route_.attempts;
-  }
-
-  // Sends the request to a prefill engine that was not tried yet, after a
-  // prefill that ended with `outcome`. Returns false if there is no such
-  // engine, or if the attempts or the budget don't allow the send.
-  bool SendOtherPrefill(send_outcome outcome) {
-    const auto other = ChooseOtherPrefill();
-    if (!other) return false;
-    const bool failed = outcome == send_outcome::answered;
-    if (failed || outcome == send_outcome::unknown) {
-      if (!MayReplacePrefill() ||
-          !ConsumeBudget(failed ? "prefill_failed" : "prefill_lost")) {
-        return false;
-      }
-      ++sends_;
+  // Returns an engine that may replace a prefill which its engine may have
+  // accepted, if the attempts allow another send.
+  std::optional<fleet_upstream> ChooseReplacementPrefill() {
+    if (sends_ + kSendsForReplacementPrefill > route_.attempts) {
+      return std::nullopt;
     }
-    SendPrefill(*other);
-    return true;
+    return ChooseOtherPrefill();
   }
 
   // Returns the outcome of a prefill, and sets `prefill` to its result if there
@@ -372,6 +392,7 @@
     call.connect_timeout = kUpstreamConnectTimeout;
     tried_decodes_.push_back(run.engine.id);
     ++sends_;
+    CountSend(counted_, send_purpose::decode);
     const auto self = shared_from_this();
     http_handler handler;
     handler.on_headers = [self, number = run.number](
@@ -501,7 +522,7 @@
     const waiting_stream waiting = MakeWaitingStream();
     const auto engine =
         ChooseLocalPrefillEngine(state_, waiting, tried_decodes_, now);
-    if (!engine || !ConsumeBudget("stalled", need)) return;
+    if (!engine || !ClaimSend(send_purpose::decode, "stalled", need)) return;
     ReserveDecodeMemory(*engine, waiting);
     AccountLocalPrefill();
     successor_ = StartRun(DecodeParameters(*engine, now));
@@ -546,7 +567,7 @@
     const send_outcome outcome = ClassifySend(result, info);
     state_.metrics->CountSend(service_.name, SendOutcomeName(outcome));
     ReportSend(state_, successor_->engine, outcome, info.other_instance);
-    if (outcome == send_outcome::unsent) --sends_;
+    if (outcome == send_outcome::unsent) UncountDecode();
     DropSuccessor(SendOutcomeName(outcome));
   }
 
@@ -576,7 +597,7 @@
               {"why", QtText(result.status.message())},
               {"events", record_.events},
               {"ms", ToMilliseconds(MonotonicNow() - run_->start)}});
-    if (outcome == send_outcome::unsent) --sends_;
+    if (outcome == send_outcome::unsent) UncountDecode();
     if (successor_) return ContinueWithSuccessor("failed");
     HandleFailure(outcome, result);
   }
@@ -594,17 +615,19 @@
         outcome == send_outcome::unknown || outcome == send_outcome::answered;
     if (outcome == send_outcome::unsent && !relay_.HeadersSent() &&
         !may_have_run_) {
-      // Nothing was sent, so this counts neither as a send nor against the
-      // budget.
-      if (ReserveOtherEngine()) return SendDecode();
+      if (ReserveOtherEngine() && ClaimSend(send_purpose::decode, "unsent")) {
+        return SendDecode();
+      }
     } else if (outcome == send_outcome::refused && !relay_.HeadersSent() &&
                !may_have_run_) {
       if (sends_ < route_.attempts && ReserveOtherEngine() &&
-          ConsumeBudget("refused")) {
+          ClaimSend(send_purpose::decode, "refused")) {
         return SendDecode();
       }
     } else if (MayResume() && ReserveOtherEngine()) {
-      if (ConsumeBudget(SendOutcomeName(outcome))) return SendDecode();
+      if (ClaimSend(send_purpose::decode, SendOutcomeName(outcome))) {
+        return SendDecode();
+      }
     }
     may_have_run_ = may_have_run_ || may_have_run;
     if (relay_.HeadersSent()) return Abort(unfinished_reason::upstream_failed);
@@ -632,9 +655,22 @@
     return true;
   }
 
-  bool ConsumeBudget(absl::string_view reason,
-                     extra_send_need need = extra_send_need::replacement) {
-    return TakeBudgetedSend(state_, service_.name, request_.id, reason, need);
+  // Takes the next send from the budget if it is an extra one. Every send but
+  // the first one of a request passes here.
+  bool ClaimSend(send_purpose purpose, absl::string_view reason,
+                 extra_send_need need = extra_send_need::replacement) {
+    if (!NeedsBudget(counted_, purpose)) return true;
+    if (!TakeBudgetedSend(state_, service_.name, request_.id, reason, need)) {
+      return false;
+    }
+    ++counted_.budgeted;
+    return true;
+  }
+
+  // Takes back a decode that reached no engine.
+  void UncountDecode() {
+    --sends_;
+    UncountSend(counted_, send_purpose::decode);
   }
 
   // ---- End of the request
@@ -659,7 +695,7 @@
   void ReportUnfinished(unfinished_reason reason) {
     unfinished_request unfinished;
     unfinished.reason = reason;
-    if (run_) unfinished.upstream = run_->engine.id;
+    unfinished.upstream = run_->engine.id;
     unfinished.call_in_progress = call_ != 0;
     unfinished.silence = MonotonicNow() - last_progress_;
     unfinished.sends = sends_;
@@ -678,12 +714,16 @@
   void OnTimeout() {
     if (ended_) return;
     if (relay_.HeadersSent()) return Abort(unfinished_reason::time_limit);
-    if (sends_ > 0) ReportUnfinished(unfinished_reason::time_limit);
-    Refuse(sends_ > 0
-               ? MakeError(error_kind::upstream_stalled,
-                           "no event within the time limit", run_state::unknown)
-               : MakeError(error_kind::overloaded,
-                           "no engine had capacity within the time limit"));
+    if (run_) {
+      ReportUnfinished(unfinished_reason::time_limit);
+      return Refuse(MakeError(error_kind::upstream_stalled,
+                              "no event within the time limit",
+                              run_state::unknown));
+    }
+    Refuse(MakeError(error_kind::overloaded,
+                     prefill_
+                         ? "no prefill within the time limit"
+                         : "no engine had capacity within the time limit"));
   }
 
   void OnCallerLeft() {
@@ -758,7 +798,10 @@
   // The engine that is reserved for the decode, and then the one of `run_`.
   fleet_upstream decode_;
   std::vector<std::string> tried_decodes_;
+  // Sends that count as attempts.
   int sends_ = 0;
+  // Sends as the budget counts them.
+  request_sends counted_;
   // Whether an engine may have run the request.
   bool may_have_run_ = false;
   // The decode that generates the stream.
