Order a transfer again only if its prefill engine answers, too

What callers saw, at the product's own interface: with no retry left, a request whose prefill engine was silent for 2.5 s amid a transfer was answered with an error before its first token.

Cause: the decode engine answered, so the transfer counted as stalled alone and was called back. The prefill engine had forgotten its result when the transfer was ordered again.

Why it works: a transfer is called back only where neither of its engines is silent, so that the transfer itself has stalled.

--- a/src/requests/completion_attempt.cc
+++ b/src/requests/completion_attempt.cc
@@ -1,6 +1,7 @@
 #include "requests/completion_attempt.h"
 
 #include <algorithm>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -151,25 +152,38 @@
   BeginAttemptAfter(flow, *pause);
 }
 
-// Handles an import that takes longer than its transfer should. If the decode
-// engine answers other calls, the transfer alone has stalled.
+// Calls `done` with whether the engine at `address` answers soon.
+void ProbeEngine(const completion_ptr& flow, absl::string_view address,
+                 std::function<void(bool answers)> done) {
+  GetEngineLoad(
+      *flow->context.client, address,
+      [asked = MonotonicNow(), done = std::move(done)](const auto& load) {
+        done(load.ok() && MonotonicNow() - asked < kCancelTimeout);
+      });
+}
+
+// Handles an import that takes longer than its transfer should. If both engines
+// answer other calls, the transfer alone has stalled.
 void CheckSilentImport(const completion_ptr& flow, http_client::call_id call) {
   if (flow->over || flow->call != call) return;
   if (LeaseLost(*flow)) return StartOver(flow);
   if (!MayRepeatImport(*flow, SilentImport())) {
     return MoveOrAwaitImport(flow, call);
   }
-  GetEngineLoad(*flow->context.client, flow->grant.decode.address,
-                [flow, call, asked = MonotonicNow()](const auto& load) {
-                  if (flow->over || flow->call != call) return;
-                  const bool answers =
-                      load.ok() && MonotonicNow() - asked < kCancelTimeout;
-                  if (!answers || !MayRepeatImport(*flow, SilentImport())) {
-                    return MoveOrAwaitImport(flow, call);
-                  }
-                  StopCall(*flow);
-                  RepeatImport(flow);
-                });
+  const auto after_both = [flow, call](bool answers) {
+    if (flow->over || flow->call != call) return;
+    if (!answers || !MayRepeatImport(*flow, SilentImport())) {
+      return MoveOrAwaitImport(flow, call);
+    }
+    StopCall(*flow);
+    RepeatImport(flow);
+  };
+  ProbeEngine(flow, flow->grant.prefill.address,
+              [flow, call, after_both](bool answers) {
+                if (flow->over || flow->call != call) return;
+                if (!answers) return after_both(false);
+                ProbeEngine(flow, flow->grant.decode.address, after_both);
+              });
 }
 
 void TakeImport(const completion_ptr& flow, const absl::Status& result) {
--- a/tests/paused_engine_test.cc
+++ b/tests/paused_engine_test.cc
@@ -22,6 +22,8 @@
 // As many transfers as a daemon must have seen before it trusts their times.
 constexpr int kLearned = 12;
 
+enum class pool { prefill, decode };
+
 class paused_engine_test : public testing::Test {
  protected:
   static fleet_options Options() {
@@ -63,6 +65,13 @@
     return Get(engine.port, "/standin/calls").Json()[call].toInt();
   }
 
+  // Transfers that a prefill engine has begun; each has a path of its own.
+  static int Exports(const standin& engine) {
+    const QStringList calls =
+        Get(engine.port, "/standin/calls").Json().keys().filter("/v1/kv/");
+    return static_cast<int>(calls.size());
+  }
+
   static void Pause(absl::Duration pause) {
     std::this_thread::sleep_for(absl::ToChronoMilliseconds(pause));
   }
@@ -95,9 +104,12 @@
   EXPECT_EQ(Calls(fleet_.decode[0], "POST /v1/import"), 1);
 }
 
-// Guards against a transfer that is called back from a silent engine, and finds
-// the result of its prefill gone when it is ordered again.
-TEST_F(paused_engine_test, ATransferIsNotCalledBackFromASilentEngine) {
+// Guards against a transfer that is called back because one of its engines is
+// silent, and finds the result of its prefill gone when it is ordered again.
+class silent_transfer_test : public paused_engine_test,
+                             public testing::WithParamInterface<pool> {};
+
+TEST_P(silent_transfer_test, IsNotCalledBack) {
   for (int i = 0; i < kLearned; ++i) {
     const std::string prompt = absl::StrCat("book ", i);
     ExpectWhole(*Open(prompt), prompt);
@@ -106,15 +118,23 @@
   SetFault(fleet_.prefill[0].port, "stall_transfer",
            {{"count", 1}, {"ms", 150}});
   const auto stream = Open(kPrompt);
-  ASSERT_TRUE(Eventually(kBound, [&] {
-    return Calls(fleet_.decode[0], "POST /v1/import") == kLearned + 1;
-  }));
-  fleet_.decode[0].process->Freeze();
+  ASSERT_TRUE(Eventually(
+      kBound, [&] { return Exports(fleet_.prefill[0]) == kLearned + 1; }));
+  const standin& silent =
+      GetParam() == pool::prefill ? fleet_.prefill[0] : fleet_.decode[0];
+  silent.process->Freeze();
   Pause(kPause);
-  fleet_.decode[0].process->Thaw();
+  silent.process->Thaw();
   ExpectWhole(*stream);
 }
 
+INSTANTIATE_TEST_SUITE_P(engines, silent_transfer_test,
+                         testing::Values(pool::prefill, pool::decode),
+                         [](const auto& test) {
+                           return test.param == pool::prefill ? "Prefill"
+                                                              : "Decode";
+                         });
+
 // Guards against a caller that comes back and is refused because the engine of
 // its stream was silent at that time.
 TEST_F(paused_engine_test, AStreamIsTakenOverBehindAPauseOfItsEngine) {
