Keep a silent transfer, whether or not a retry is left

What callers saw, at the product's own interface: a request whose engine was silent amid a transfer was answered with an error although a retry was left, because the engine asked next refused it.

Cause: the budget was asked before the import was cancelled, but the next engine only behind it.

Change: an import that can't be ordered again goes on for 4 s, with or without a retry left; the branch that took a retry from the budget meanwhile is gone.

An engine that stays silent costs 4 s before the next attempt, not 2.

Why it works: nothing is given up for a silence of less than 4 s, so nothing depends on what could take its place.

--- a/src/requests/completion_attempt.cc
+++ b/src/requests/completion_attempt.cc
@@ -1,9 +1,7 @@
 #include "requests/completion_attempt.h"
 
-#include <algorithm>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 #include <utility>
 
@@ -29,8 +27,6 @@
 constexpr absl::Duration kCancelTimeout = absl::Milliseconds(200);
 // An engine may be silent for this long and go on.
 constexpr absl::Duration kLongestSilence = absl::Seconds(4);
-// Interval at which a silent import is looked at again.
-constexpr absl::Duration kSilenceCheckInterval = absl::Milliseconds(500);
 // Attempts over different engines before the request is given up.
 constexpr int kMaxAttempts = 3;
 
@@ -99,59 +95,10 @@
       });
 }
 
-// Takes a further attempt from the number of attempts and the retry budget.
-// Returns the pause before it, or nullopt if there is none.
-std::optional<absl::Duration> TakeAttempt(completion_state& flow) {
-  // Who resumes a stream knows neither its prompt nor its earlier text.
-  if (flow.attempts >= kMaxAttempts || flow.resumed) return std::nullopt;
-  const auto pause = TakeRetry(flow.context, flow.request.route, flow.attempts);
-  LogEvent(log_level::info, "retry",
-           {{"request_id", QtText(flow.request.request_id)},
-            {"route", QtText(flow.request.route)},
-            {"result", pause ? "paused" : "budget used up"}});
-  return pause;
-}
-
-// Ends the current attempt at its engines.
-void GiveUpAttempt(completion_state& flow, const absl::Status& why,
-                   absl::string_view engine) {
-  LogEvent(log_level::warn, "attempt_failed",
-           {{"request_id", QtText(flow.request.request_id)},
-            {"stage", QtText(flow.stage)},
-            {"upstream", QtText(engine)},
-            {"kind", QtText(AnswerFor(KindOf(why)).name)},
-            {"detail", QtText(why.message())}});
-  CancelAtEngines(flow);
-  FinishPlacement(flow);
-  if (!engine.empty()) flow.avoid.emplace_back(engine);
-}
-
-void BeginAttemptAfter(const completion_ptr& flow, absl::Duration pause) {
-  ServicesOf(*flow).metrics.retried(flow->request.route);
-  RunAfter(flow->context.thread, pause, [flow] { BeginAttempt(flow); });
-}
-
 absl::Status SilentImport() {
   return MakeError(error_kind::upstream_stalled, "the import made no progress");
 }
 
-void CheckSilentImport(const completion_ptr& flow, http_client::call_id call);
-
-// Starts over if the retry budget allows it. The import may still succeed, so
-// it goes on otherwise.
-void MoveOrAwaitImport(const completion_ptr& flow, http_client::call_id call) {
-  const auto pause = TakeAttempt(*flow);
-  if (!pause) {
-    return RunAfter(flow->context.thread, kSilenceCheckInterval,
-                    [flow, call] { CheckSilentImport(flow, call); });
-  }
-  flow->outcome.stalled = true;
-  flow->outcome.decode_failed = true;
-  flow->outcome.transfer_stalled = true;
-  GiveUpAttempt(*flow, SilentImport(), flow->grant.decode.name);
-  BeginAttemptAfter(flow, *pause);
-}
-
 // Calls `done` with whether the engine at `address` answers soon.
 void ProbeEngine(const completion_ptr& flow, absl::string_view address,
                  std::function<void(bool answers)> done) {
@@ -163,26 +110,22 @@
 }
 
 // Handles an import that takes longer than its transfer should. If both engines
-// answer other calls, the transfer alone has stalled.
-void CheckSilentImport(const completion_ptr& flow, http_client::call_id call) {
+// answer other calls, the transfer alone has stalled. A silent engine may go on
+// with it.
+void CheckSlowImport(const completion_ptr& flow, http_client::call_id call) {
   if (flow->over || flow->call != call) return;
   if (LeaseLost(*flow)) return StartOver(flow);
-  if (!MayRepeatImport(*flow, SilentImport())) {
-    return MoveOrAwaitImport(flow, call);
-  }
-  const auto after_both = [flow, call](bool answers) {
-    if (flow->over || flow->call != call) return;
-    if (!answers || !MayRepeatImport(*flow, SilentImport())) {
-      return MoveOrAwaitImport(flow, call);
-    }
+  if (!MayRepeatImport(*flow, SilentImport())) return;
+  const auto both_answer = [flow, call](bool answers) {
+    if (flow->over || flow->call != call || !answers) return;
+    if (!MayRepeatImport(*flow, SilentImport())) return;
     StopCall(*flow);
     RepeatImport(flow);
   };
   ProbeEngine(flow, flow->grant.prefill.address,
-              [flow, call, after_both](bool answers) {
-                if (flow->over || flow->call != call) return;
-                if (!answers) return after_both(false);
-                ProbeEngine(flow, flow->grant.decode.address, after_both);
+              [flow, call, both_answer](bool answers) {
+                if (flow->over || flow->call != call || !answers) return;
+                ProbeEngine(flow, flow->grant.decode.address, both_answer);
               });
 }
 
@@ -220,13 +163,12 @@
   flow->call = StartImport(
       *flow->context.client, flow->grant.decode.address,
       MakeImportCall(flow->request, flow->writer, flow->grant, flow->prefill),
-      std::max(timeout, kLongestSilence),
-      [flow](const absl::StatusOr<std::string>& result) {
+      kLongestSilence, [flow](const absl::StatusOr<std::string>& result) {
         flow->call = 0;
         if (!flow->over) TakeImport(flow, result.status());
       });
   RunAfter(flow->context.thread, timeout,
-           [flow, call = flow->call] { CheckSilentImport(flow, call); });
+           [flow, call = flow->call] { CheckSlowImport(flow, call); });
 }
 
 void TakePrefill(const completion_ptr& flow,
@@ -308,10 +250,28 @@
 
 void RetryElsewhere(const completion_ptr& flow, const absl::Status& why,
                     absl::string_view engine) {
-  GiveUpAttempt(*flow, why, engine);
-  const auto pause = TakeAttempt(*flow);
+  LogEvent(log_level::warn, "attempt_failed",
+           {{"request_id", QtText(flow->request.request_id)},
+            {"stage", QtText(flow->stage)},
+            {"upstream", QtText(engine)},
+            {"kind", QtText(AnswerFor(KindOf(why)).name)},
+            {"detail", QtText(why.message())}});
+  CancelAtEngines(*flow);
+  FinishPlacement(*flow);
+  if (!engine.empty()) flow->avoid.emplace_back(engine);
+  // Who resumes a stream knows neither its prompt nor its earlier text.
+  if (flow->attempts >= kMaxAttempts || flow->resumed) {
+    return FailCompletion(*flow, why);
+  }
+  const auto pause =
+      TakeRetry(flow->context, flow->request.route, flow->attempts);
+  LogEvent(log_level::info, "retry",
+           {{"request_id", QtText(flow->request.request_id)},
+            {"route", QtText(flow->request.route)},
+            {"result", pause ? "paused" : "budget used up"}});
   if (!pause) return FailCompletion(*flow, why);
-  BeginAttemptAfter(flow, *pause);
+  ServicesOf(*flow).metrics.retried(flow->request.route);
+  RunAfter(flow->context.thread, *pause, [flow] { BeginAttempt(flow); });
 }
 
 }  // namespace anvilridge
--- a/tests/paused_engine_test.cc
+++ b/tests/paused_engine_test.cc
@@ -3,6 +3,7 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "common/token_text.h"
@@ -26,6 +27,9 @@
 
 class paused_engine_test : public testing::Test {
  protected:
+  explicit paused_engine_test(fleet_options options = Options())
+      : fleet_(std::move(options)) {}
+
   static fleet_options Options() {
     fleet_options options;
     options.services = 1;
@@ -76,7 +80,7 @@
     std::this_thread::sleep_for(absl::ToChronoMilliseconds(pause));
   }
 
-  fleet fleet_{Options()};
+  fleet fleet_;
 };
 
 TEST_F(paused_engine_test, AStreamGoesOnBehindAPauseOfItsEngine) {
@@ -135,6 +139,32 @@
                                                               : "Decode";
                          });
 
+// Guards against a request that is refused because the engine asked in place of
+// a silent one did not accept it.
+class refused_retry_test : public paused_engine_test {
+ protected:
+  refused_retry_test() : paused_engine_test(TwoEnginesAndOneRetry()) {}
+
+  static fleet_options TwoEnginesAndOneRetry() {
+    fleet_options options = Options();
+    options.decode_engines = 2;
+    options.settings.back() = {"retries", {{"percent", "1"}, {"burst", "1"}}};
+    return options;
+  }
+};
+
+TEST_F(refused_retry_test, ASilentTransferIsKeptWhileTheOtherEngineRefuses) {
+  SetFault(fleet_.prefill[0].port, "stall_transfer",
+           {{"count", 1}, {"ms", absl::ToDoubleMilliseconds(kPause)}});
+  const auto stream = Open(kPrompt);
+  ASSERT_TRUE(
+      Eventually(kBound, [&] { return Exports(fleet_.prefill[0]) == 1; }));
+  for (const standin& engine : fleet_.decode) {
+    SetFault(engine.port, "refuse_import");
+  }
+  ExpectWhole(*stream);
+}
+
 // Guards against a caller that comes back and is refused because the engine of
 // its stream was silent at that time.
 TEST_F(paused_engine_test, AStreamIsTakenOverBehindAPauseOfItsEngine) {
