Keep a silent prefill, and a silent stream's engine, until another one has begun

What callers saw: a request whose prefill engine was silent for 0.4 s was refused when the engine that was asked instead rejected it, although the first would have answered. A silent stream was moved as soon as another engine had sent its head, and was cut when that one then broke off.

The silent prefill was cancelled before its replacement was accepted, and a head alone says little. An error's body could be taken for the stream's after a promotion.

Change: up to two prefills are in progress, and the first result counts; a decode engine that prefills the prompt itself is asked beside a silent prefill as well. A prefill counts as silent after 1.5 s, not 0.4 s, so that a pause neither takes sends from the budget nor attempts from a later failure. A stream moves on the other engine's first whole event, or 0.3 s after its head, since two engines must not generate for long. What a rejected successor sends is dropped. The ledger holds both engines meanwhile, and a refusal by both is told as one.

Why it works: nothing is cancelled for silence alone any more, neither a stream nor a prefill.

--- a/src/dispatch/stream_flow.cc
+++ b/src/dispatch/stream_flow.cc
@@ -2,6 +2,7 @@
 
 #include <QJsonObject>
 #include <algorithm>
+#include <map>
 #include <utility>
 #include <vector>
 
@@ -12,6 +13,7 @@
 #include "base/event_loop.h"
 #include "base/qt_text.h"
 #include "dispatch/decode_admission.h"
+#include "dispatch/event_splitter.h"
 #include "dispatch/kv_lease.h"
 #include "dispatch/request_sends.h"
 #include "dispatch/stream_demand.h"
@@ -31,13 +33,30 @@
 // Time after which callers may retry a request whose prefill failed: the next
 // daemon that they reach has a part of the budget of its own.
 constexpr absl::Duration kLostPrefillRetryAfter = absl::Milliseconds(250);
-// Interval at which a silent stream or prefill is looked at again.
+// Time after which a silent stream or prefill is first checked again.
 constexpr absl::Duration kSilenceCheckInterval = absl::Milliseconds(500);
+// Longest time for which two engines generate for one stream.
+constexpr absl::Duration kMaxRunOverlap = absl::Milliseconds(300);
 
 double ToMilliseconds(absl::Duration duration) {
   return static_cast<double>(absl::ToInt64Milliseconds(duration));
 }
 
+// A prefill whose response is pending.
+struct prefill_in_progress {
+  channel_client::call_id call = 0;
+  fleet_upstream engine;
+  absl::Time start;
+  // Time from its start after which it counts as slow.
+  absl::Duration slow_after;
+  // Tokens that the engine had to prefill before.
+  double backlog = 0;
+  // Identifies the prefill in the ledger.
+  std::string ledger_id;
+  // Whether it was sent in place of another one, which counts as an attempt.
+  bool replaces_other = false;
+};
+
 // A decode whose response is pending or being received.
 struct run_in_progress {
   // Identifies the run within its flow.
@@ -47,6 +66,17 @@
   absl::Time start;
 };
 
+// A decode that was asked to continue the stream of a silent one, and what has
+// arrived of it so far.
+struct successor_run {
+  run_in_progress run;
+  // Whether its engine has begun to generate.
+  bool accepted = false;
+  http_headers headers;
+  std::string data;
+  event_splitter splitter;
+};
+
 // Serves one streamed request.
 class stream_flow : public std::enable_shared_from_this<stream_flow> {
  public:
@@ -151,7 +181,7 @@
               {"resume_after", QtText(request_.resume_after)},
               {"waited_ms", ToMilliseconds(waited)}});
     if (reservation->prefill) {
-      SendPrefill(*reservation->prefill);
+      SendPrefill(*reservation->prefill, /*replaces_other=*/false);
     } else {
       SendDecode();
     }
@@ -159,10 +189,8 @@
 
   // ---- Prefill
 
-  void SendPrefill(const fleet_upstream& engine) {
-    prefill_ = engine;
+  void SendPrefill(const fleet_upstream& engine, bool replaces_other) {
     const absl::Time now = MonotonicNow();
-    prefill_start_ = now;
     send_parameters parameters;
     parameters.upstream = engine;
     parameters.purpose = send_purpose::prefill;
@@ -170,110 +198,147 @@
     parameters.resume_after = relay_.ResumeAfter();
     http_call call = state_.protocol.build_send_call(request_, parameters);
     call.connect_timeout = kUpstreamConnectTimeout;
-    const double backlog = PrefillBacklog(state_.ledger, engine.id, now);
+    prefill_in_progress prefill;
+    prefill.engine = engine;
+    prefill.start = now;
+    prefill.backlog = PrefillBacklog(state_.ledger, engine.id, now);
     const double tokens = static_cast<double>(request_.prompt_tokens);
-    prefill_slow_after_ =
-        SlowPrefillTime(tokens, backlog, state_.ledger.prefill_tokens_per_ms);
-    prefill_backlog_ = backlog;
+    prefill.slow_after = SlowPrefillTime(tokens, prefill.backlog,
+                                         state_.ledger.prefill_tokens_per_ms);
+    prefill.ledger_id = prefills_.empty() ? request_.id : SecondLedgerId();
+    prefill.replaces_other = replaces_other;
     tried_prefills_.push_back(engine.id);
     CountSend(counted_, send_purpose::prefill);
-    BeginPrefill(state_.ledger, request_.id, engine.id, tokens);
+    BeginPrefill(state_.ledger, prefill.ledger_id, engine.id, tokens);
     NotifyLoadChange();
+    const uint64_t number = ++last_send_number_;
     const auto self = shared_from_this();
     http_handler handler;
-    handler.on_done = [self](const http_result& result) {
-      self->OnPrefillDone(result);
+    handler.on_done = [self, number](const http_result& result) {
+      self->OnPrefillDone(number, result);
     };
-    call_ = state_.client.Start(std::move(call), std::move(handler));
-    SchedulePrefillCheck(prefill_slow_after_);
-  }
-
-  void SchedulePrefillCheck(absl::Duration delay) {
-    RunAfter(state_.context, delay, [weak = weak_from_this(), call = call_] {
-      const auto flow = weak.lock();
-      if (!flow || flow->ended_ || flow->call_ != call) return;
-      flow->CheckSlowPrefill();
-    });
+    prefill.call = state_.client.Start(std::move(call), std::move(handler));
+    SchedulePrefillCheck(number, prefill.slow_after, kSilenceCheckInterval);
+    prefills_.emplace(number, std::move(prefill));
+  }
+
+  // Checks prefill `number` after `delay`, and then at intervals that begin
+  // with `next_delay` and grow.
+  void SchedulePrefillCheck(uint64_t number, absl::Duration delay,
+                            absl::Duration next_delay) {
+    RunAfter(state_.context, delay,
+             [weak = weak_from_this(), number, next_delay] {
+               const auto flow = weak.lock();
+               if (!flow || !flow->prefills_.contains(number)) return;
+               flow->CheckSlowPrefill(flow->prefills_.at(number));
+               flow->SchedulePrefillCheck(number, next_delay, 2 * next_delay);
+             });
   }
 
-  // Replaces a prefill whose engine is silent. The engine may still answer, so
-  // the prefill is kept while the budget or the engines don't allow another
-  // send.
-  void CheckSlowPrefill() {
-    const absl::Duration elapsed = MonotonicNow() - prefill_start_;
-    const bool lost =
-        elapsed >= std::max(prefill_slow_after_, kLongestSoundSilence);
+  // Sends the request to another engine beside a prefill whose engine is
+  // silent, if the budget allows it. The silent one may still answer first.
+  void CheckSlowPrefill(const prefill_in_progress& silent) {
+    if (prefills_.size() > 1 || call_ != 0) return;
+    if (sends_ >= route_.attempts) return;
     const auto other = ChooseReplacementPrefill();
-    const bool replaces =
-        other ? ClaimSend(send_purpose::prefill, "prefill_slow",
-                          lost ? extra_send_need::replacement
-                               : extra_send_need::alternative)
-              : lost && ClaimSend(send_purpose::decode, "prefill_lost");
-    if (!replaces) return SchedulePrefillCheck(kSilenceCheckInterval);
-    LogEvent(log_level::warn, "prefill_replaced",
+    if (!other && IsTried(decode_)) return;
+    if (!ClaimSend(other ? send_purpose::prefill : send_purpose::decode,
+                   "prefill_slow")) {
+      return;
+    }
+    LogEvent(log_level::warn, "prefill_stalled",
              {{"request", QtText(request_.id)},
-              {"upstream", QtText(prefill_->id)},
-              {"by", QtText(other ? other->id : decode_.id)},
-              {"silent_ms", ToMilliseconds(elapsed)}});
-    ReportStall(state_, *prefill_);
-    state_.client.Cancel(std::exchange(call_, 0));
-    EndPrefill(state_.ledger, request_.id);
+              {"upstream", QtText(silent.engine.id)},
+              {"also_sent_to", QtText(other ? other->id : decode_.id)},
+              {"silent_ms", ToMilliseconds(MonotonicNow() - silent.start)}});
+    ReportStall(state_, silent.engine);
     if (!other) return PrefillAtDecode();
     ++sends_;
-    SendPrefill(*other);
+    SendPrefill(*other, /*replaces_other=*/true);
   }
 
-  void OnPrefillDone(const http_result& result) {
-    call_ = 0;
-    EndPrefill(state_.ledger, request_.id);
-    if (ended_) return;
+  void OnPrefillDone(uint64_t number, const http_result& result) {
+    const auto found = prefills_.find(number);
+    if (found == prefills_.end()) return;
+    const prefill_in_progress sent = std::move(found->second);
+    prefills_.erase(found);
+    EndPrefill(state_.ledger, sent.ledger_id);
     const response_info info =
         state_.protocol.parse_response(result.http_status, result.headers);
     absl::StatusOr<completed_prefill> prefill =
         absl::UnavailableError("no response");
     const send_outcome outcome = ClassifyPrefill(result, info, prefill);
     state_.metrics->CountSend(service_.name, SendOutcomeName(outcome));
-    ReportSend(state_, *prefill_, outcome, info.other_instance);
-    const absl::Duration elapsed = MonotonicNow() - prefill_start_;
+    ReportSend(state_, sent.engine, outcome, info.other_instance);
+    const absl::Duration elapsed = MonotonicNow() - sent.start;
     record_.prefill = elapsed;
     if (prefill.ok()) {
       counted_.prefill_accepted = true;
       record_.prefill_tokens = prefill->tokens;
-      UpdatePrefillSpeed(
-          state_.ledger,
-          static_cast<double>(prefill->tokens) + prefill_backlog_, elapsed);
+      UpdatePrefillSpeed(state_.ledger,
+                         static_cast<double>(prefill->tokens) + sent.backlog,
+                         elapsed);
+      CancelPrefills();
       lease_ =
-          MakeLease(*prefill_, prefill->handle, service_.engine.handle_ttl);
-      return SendDecode();
+          MakeLease(sent.engine, prefill->handle, service_.engine.handle_ttl);
+      // A decode engine may be prefilling the prompt itself.
+      if (call_ == 0) SendDecodeAfterPrefill();
+      return;
     }
     LogEvent(log_level::warn, "prefill_failed",
              {{"request", QtText(request_.id)},
-              {"upstream", QtText(prefill_->id)},
+              {"upstream", QtText(sent.engine.id)},
               {"fate", QtText(SendOutcomeName(outcome))},
               {"status", result.http_status},
               {"why", QtText(result.status.message())},
               {"ms", ToMilliseconds(elapsed)}});
-    ReplaceFailedPrefill(outcome);
+    if (outcome == send_outcome::unsent) {
+      UncountSend(counted_, send_purpose::prefill);
+      if (sent.replaces_other) --sends_;
+    }
+    // A refused prefill counts as an attempt. One that the engine may have
+    // accepted counts as one when another is sent in its place.
+    if (outcome == send_outcome::refused && !sent.replaces_other) ++sends_;
+    if (prefills_.empty() && call_ == 0) ReplaceFailedPrefill(outcome);
+  }
+
+  // Sends the request to `decode_`, or to another engine if that one has
+  // rejected it.
+  void SendDecodeAfterPrefill() {
+    if (IsTried(decode_)) ReserveOtherEngine();
+    if (!ClaimSend(send_purpose::decode, "refused")) {
+      return Refuse(MakeError(error_kind::upstream_refused,
+                              "no decode engine accepted the request"));
+    }
+    SendDecode();
+  }
+
+  bool IsTried(const fleet_upstream& decode) const {
+    return std::find(tried_decodes_.begin(), tried_decodes_.end(), decode.id) !=
+           tried_decodes_.end();
+  }
+
+  // Cancels the prefills whose results are no longer needed.
+  void CancelPrefills() {
+    for (const auto& [number, prefill] : prefills_) {
+      state_.client.Cancel(prefill.call);
+      EndPrefill(state_.ledger, prefill.ledger_id);
+    }
+    prefills_.clear();
   }
 
   // Sends the request on after a prefill that ended with `outcome`: to another
   // prefill engine, or else to a decode engine.
   void ReplaceFailedPrefill(send_outcome outcome) {
     std::optional<fleet_upstream> other;
+    bool replaces_other = false;
     absl::string_view reason = "prefill_lost";
     switch (outcome) {
       case send_outcome::unsent:
-        UncountSend(counted_, send_purpose::prefill);
         other = ChooseOtherPrefill();
         reason = "prefill_unsent";
         break;
       case send_outcome::refused:
-        // A refused prefill counts as an attempt. One that the engine may have
-        // accepted counts as one when another is sent in its place.
-        if (++sends_ >= route_.attempts) {
-          return Refuse(MakeError(error_kind::upstream_refused,
-                                  "the prefill engine refused the request"));
-        }
         other = ChooseOtherPrefill();
         reason = "prefill_refused";
         break;
@@ -282,9 +347,13 @@
         [[fallthrough]];
       case send_outcome::unknown:
         other = ChooseReplacementPrefill();
-        if (other) ++sends_;
+        replaces_other = other.has_value();
         break;
     }
+    if (sends_ >= route_.attempts || (!other && IsTried(decode_))) {
+      return Refuse(MakeError(error_kind::upstream_refused,
+                              "no engine prefilled the prompt"));
+    }
     if (!ClaimSend(other ? send_purpose::prefill : send_purpose::decode,
                    reason)) {
       return Refuse(MakeError(error_kind::upstream_refused,
@@ -292,8 +361,9 @@
                               "no other send",
                               run_state::not_run, kLostPrefillRetryAfter));
     }
-    if (other) return SendPrefill(*other);
-    PrefillAtDecode();
+    if (!other) return PrefillAtDecode();
+    if (replaces_other) ++sends_;
+    SendPrefill(*other, replaces_other);
   }
 
   // Lets a decode engine prefill the prompt itself, which delays its other
@@ -357,7 +427,7 @@
       parameters.kv_handle = std::exchange(lease_.handle, {});
     } else {
       ReleaseLease(state_, request_.id, lease_);
-      AccountLocalPrefill();
+      AccountLocalPrefill(request_.id);
     }
     run_ = StartRun(std::move(parameters));
     BeginRun();
@@ -373,10 +443,14 @@
     return parameters;
   }
 
+  // Returns the id under which the ledger holds the second of two sends that
+  // are in progress.
+  std::string SecondLedgerId() const { return request_.id + "/2"; }
+
   // Accounts in the ledger for a decode engine that prefills the prompt itself.
-  void AccountLocalPrefill() {
+  void AccountLocalPrefill(absl::string_view ledger_id) {
     SetTokensToPrefill(
-        state_.ledger, request_.id,
+        state_.ledger, ledger_id,
         kDecodePrefillCost *
             (static_cast<double>(request_.prompt_tokens) + Generated()));
     NotifyLoadChange();
@@ -387,7 +461,7 @@
     run_in_progress run;
     run.engine = parameters.upstream;
     run.start = MonotonicNow();
-    run.number = ++last_run_number_;
+    run.number = ++last_send_number_;
     http_call call = state_.protocol.build_send_call(request_, parameters);
     call.connect_timeout = kUpstreamConnectTimeout;
     tried_decodes_.push_back(run.engine.id);
@@ -412,15 +486,14 @@
   // Prepares for the response of `run_`.
   void BeginRun() {
     call_ = run_->call;
-    last_progress_ = run_->start;
+    last_progress_ = MonotonicNow();
     relay_.BeginRun();
     run_events_ = 0;
-    stall_reported_ = false;
-    ScheduleStallCheck(last_progress_ + StallTimeout(route_) - MonotonicNow());
+    ScheduleStallCheck(StallTimeout(route_), kSilenceCheckInterval);
   }
 
   bool IsSuccessor(uint64_t number) const {
-    return successor_ && successor_->number == number;
+    return successor_ && successor_->run.number == number;
   }
 
   void OnHeaders(uint64_t number, int status, const http_headers& headers) {
@@ -428,16 +501,16 @@
     const response_info info = state_.protocol.parse_response(status, headers);
     const bool is_stream = status == kOk && info.authentic;
     if (IsSuccessor(number)) {
-      if (!is_stream) return;
-      ContinueWithSuccessor("accepted");
+      return OnSuccessorHeaders(is_stream, status, headers);
     }
+    if (is_stream) CancelPrefills();
     relay_.OnHeaders(is_stream, headers);
   }
 
   void OnData(uint64_t number, absl::string_view bytes) {
-    // The body of an error; the silent run goes on.
-    if (IsSuccessor(number)) return;
-    if (ended_ || relay_.OnData(bytes)) return;
+    if (ended_) return;
+    if (IsSuccessor(number)) return OnSuccessorData(bytes);
+    if (relay_.OnData(bytes)) return;
     state_.client.Cancel(call_);
     http_result result;
     result.status = MakeError(
@@ -469,8 +542,11 @@
     }
     last_event_ = now;
     last_progress_ = now;
-    stall_reported_ = false;
-    if (successor_) DropSuccessor("progress");
+    if (successor_) {
+      // It may have run by now.
+      may_have_run_ = true;
+      DropSuccessor("progress");
+    }
     ++run_events_;
     ++record_.events;
     const double generated = Generated();
@@ -481,93 +557,138 @@
 
   // ---- A silent decode engine
 
-  void ScheduleStallCheck(absl::Duration delay) {
+  // Checks the current run after `delay`, and then at intervals that begin with
+  // `next_delay` and grow while it is silent.
+  void ScheduleStallCheck(absl::Duration delay, absl::Duration next_delay) {
     if (!route_.resumable) return;
-    RunAfter(state_.context, delay, [weak = weak_from_this(), call = call_] {
-      const auto flow = weak.lock();
-      if (!flow || flow->ended_ || flow->call_ != call) return;
-      flow->CheckForStall();
-    });
+    RunAfter(state_.context, delay,
+             [weak = weak_from_this(), number = run_->number, next_delay] {
+               const auto flow = weak.lock();
+               if (!flow || flow->call_ == 0) return;
+               if (flow->run_->number == number)
+                 flow->CheckForStall(next_delay);
+             });
   }
 
   // Asks another engine to continue a stream whose engine is silent. The silent
   // one may be sound, so it keeps the stream until another one has accepted it.
-  void CheckForStall() {
-    const absl::Time now = MonotonicNow();
-    const absl::Duration silence = now - last_progress_;
-    if (silence < StallTimeout(route_)) {
-      return ScheduleStallCheck(StallTimeout(route_) - silence);
-    }
-    if (!std::exchange(stall_reported_, true)) {
-      LogEvent(log_level::warn, "stream_stalled",
-               {{"request", QtText(request_.id)},
-                {"upstream", QtText(decode_.id)},
-                {"events", record_.events},
-                {"silent_ms", ToMilliseconds(silence)}});
-      ReportStall(state_, service_.name, decode_.id);
-    }
-    if (!MayResume()) return;
+  void CheckForStall(absl::Duration next_delay) {
+    const absl::Duration timeout = StallTimeout(route_);
+    const absl::Duration silence = MonotonicNow() - last_progress_;
+    if (silence < timeout) {
+      return ScheduleStallCheck(timeout - silence, kSilenceCheckInterval);
+    }
     // An engine that stays silent has probably failed.
-    const bool failed = silence >= StallTimeout(route_) + kSilenceCheckInterval;
-    if (!successor_) {
-      StartSuccessor(now, failed ? extra_send_need::replacement
-                                 : extra_send_need::alternative);
+    const bool failed = silence >= timeout + kSilenceCheckInterval;
+    LogEvent(log_level::warn, "stream_stalled",
+             {{"request", QtText(request_.id)},
+              {"upstream", QtText(decode_.id)},
+              {"events", record_.events},
+              {"asked", QtText(successor_ ? successor_->run.engine.id : "")},
+              {"silent_ms", ToMilliseconds(silence)}});
+    if (failed) ReportStall(state_, service_.name, decode_.id);
+    if (!successor_ && MayResume()) {
+      StartSuccessor(failed ? extra_send_need::replacement
+                            : extra_send_need::alternative);
     }
-    ScheduleStallCheck(kSilenceCheckInterval);
+    ScheduleStallCheck(next_delay, 2 * next_delay);
   }
 
   // Sends the request to another engine beside the silent one, if there is one
   // with capacity and the budget allows it.
-  void StartSuccessor(absl::Time now, extra_send_need need) {
+  void StartSuccessor(extra_send_need need) {
+    const absl::Time now = MonotonicNow();
     const waiting_stream waiting = MakeWaitingStream();
     const auto engine =
         ChooseLocalPrefillEngine(state_, waiting, tried_decodes_, now);
     if (!engine || !ClaimSend(send_purpose::decode, "stalled", need)) return;
-    ReserveDecodeMemory(*engine, waiting);
-    AccountLocalPrefill();
-    successor_ = StartRun(DecodeParameters(*engine, now));
+    ReserveRun(state_.ledger, SecondLedgerId(), engine->id,
+               waiting.prompt + waiting.generated, waiting.output, now);
+    AccountLocalPrefill(SecondLedgerId());
+    successor_.emplace().run = StartRun(DecodeParameters(*engine, now));
+  }
+
+  void OnSuccessorHeaders(bool is_stream, int status,
+                          const http_headers& headers) {
+    if (!is_stream) {
+      http_result result;
+      result.http_status = status;
+      result.headers = headers;
+      return OnSuccessorDone(result);
+    }
+    successor_->accepted = true;
+    successor_->headers = headers;
+    // Two engines may not go on with one stream for longer.
+    RunAfter(state_.context, kMaxRunOverlap,
+             [weak = weak_from_this(), number = successor_->run.number] {
+               const auto flow = weak.lock();
+               if (!flow || flow->ended_ || !flow->IsSuccessor(number)) return;
+               flow->ContinueWithSuccessor("accepted");
+             });
+  }
+
+  // Keeps the successor's data until it has sent a whole event.
+  void OnSuccessorData(absl::string_view bytes) {
+    bool has_event = false;
+    absl::StrAppend(&successor_->data, bytes);
+    SplitEvents(successor_->splitter, bytes,
+                [&has_event](absl::string_view, std::optional<int64_t>) {
+                  has_event = true;
+                });
+    if (has_event || successor_->data.size() > stream_relay::kMaxKeptBytes) {
+      ContinueWithSuccessor("event");
+    }
   }
 
-  // Continues the stream at the successor and cancels the silent run. Both
+  // Continues the stream at the successor and cancels the silent run, which
   // would otherwise generate the same events.
   void ContinueWithSuccessor(absl::string_view reason) {
     LogEvent(log_level::info, "stream_moved",
              {{"request", QtText(request_.id)},
               {"from", QtText(decode_.id)},
-              {"to", QtText(successor_->engine.id)},
+              {"to", QtText(successor_->run.engine.id)},
               {"reason", QtText(reason)},
               {"events", record_.events}});
-    state_.client.Cancel(call_);
-    may_have_run_ = true;
-    run_ = *std::exchange(successor_, std::nullopt);
+    if (call_ != 0) {
+      state_.client.Cancel(std::exchange(call_, 0));
+      may_have_run_ = true;
+    }
+    successor_run next = *std::exchange(successor_, std::nullopt);
+    run_ = std::move(next.run);
     decode_ = run_->engine;
+    EndRun(state_.ledger, SecondLedgerId());
+    ReserveDecodeMemory(decode_, MakeWaitingStream());
+    AccountLocalPrefill(request_.id);
     BeginRun();
+    if (!next.accepted) return;
+    relay_.OnHeaders(true, next.headers);
+    if (!next.data.empty()) OnData(run_->number, next.data);
   }
 
-  // Cancels the successor, if it is still in progress, and stays at the engine
-  // that was silent.
+  // Stays at the engine that was silent, and cancels the successor if it is
+  // still in progress.
   void DropSuccessor(absl::string_view reason) {
     LogEvent(log_level::info, "stream_kept",
              {{"request", QtText(request_.id)},
               {"upstream", QtText(decode_.id)},
-              {"not_moved_to", QtText(successor_->engine.id)},
+              {"not_moved_to", QtText(successor_->run.engine.id)},
               {"reason", QtText(reason)},
               {"events", record_.events}});
-    state_.client.Cancel(successor_->call);
-    may_have_run_ = true;
+    state_.client.Cancel(successor_->run.call);
     successor_.reset();
-    ReserveDecodeMemory(decode_, MakeWaitingStream());
+    EndRun(state_.ledger, SecondLedgerId());
     NotifyLoadChange();
   }
 
-  // Handles the end of a successor that has not continued the stream.
+  // Handles a successor that has failed or rejected the request.
   void OnSuccessorDone(const http_result& result) {
     const response_info info =
         state_.protocol.parse_response(result.http_status, result.headers);
     const send_outcome outcome = ClassifySend(result, info);
     state_.metrics->CountSend(service_.name, SendOutcomeName(outcome));
-    ReportSend(state_, successor_->engine, outcome, info.other_instance);
+    ReportSend(state_, successor_->run.engine, outcome, info.other_instance);
     if (outcome == send_outcome::unsent) UncountDecode();
+    if (MayHaveRun(outcome)) may_have_run_ = true;
     DropSuccessor(SendOutcomeName(outcome));
   }
 
@@ -598,10 +719,20 @@
               {"events", record_.events},
               {"ms", ToMilliseconds(MonotonicNow() - run_->start)}});
     if (outcome == send_outcome::unsent) UncountDecode();
-    if (successor_) return ContinueWithSuccessor("failed");
+    if (successor_) {
+      if (MayHaveRun(outcome)) may_have_run_ = true;
+      return ContinueWithSuccessor("failed");
+    }
+    // The prefill may still be answered.
+    if (!prefills_.empty() && !MayHaveRun(outcome)) return run_.reset();
     HandleFailure(outcome, result);
   }
 
+  static bool MayHaveRun(send_outcome outcome) {
+    return outcome == send_outcome::unknown ||
+           outcome == send_outcome::answered;
+  }
+
   // Returns whether the stream may be resumed at another engine, apart from the
   // budget.
   bool MayResume() const {
@@ -611,8 +742,6 @@
   // After a failed decode, sends the request to another engine if that is
   // allowed, and otherwise ends it.
   void HandleFailure(send_outcome outcome, const http_result& result) {
-    const bool may_have_run =
-        outcome == send_outcome::unknown || outcome == send_outcome::answered;
     if (outcome == send_outcome::unsent && !relay_.HeadersSent() &&
         !may_have_run_) {
       if (ReserveOtherEngine() && ClaimSend(send_purpose::decode, "unsent")) {
@@ -629,7 +758,7 @@
         return SendDecode();
       }
     }
-    may_have_run_ = may_have_run_ || may_have_run;
+    if (MayHaveRun(outcome)) may_have_run_ = true;
     if (relay_.HeadersSent()) return Abort(unfinished_reason::upstream_failed);
     if (outcome == send_outcome::answered) return Deliver(result);
     if (may_have_run_) {
@@ -721,7 +850,7 @@
                               run_state::unknown));
     }
     Refuse(MakeError(error_kind::overloaded,
-                     prefill_
+                     !prefills_.empty()
                          ? "no prefill within the time limit"
                          : "no engine had capacity within the time limit"));
   }
@@ -756,10 +885,11 @@
     if (std::exchange(ended_, true)) return;
     RemoveFromQueues(state_, request_.id);
     if (call_ != 0) state_.client.Cancel(std::exchange(call_, 0));
-    if (successor_) state_.client.Cancel(successor_->call);
+    if (successor_) state_.client.Cancel(successor_->run.call);
+    CancelPrefills();
     ReleaseLease(state_, request_.id, lease_);
-    EndPrefill(state_.ledger, request_.id);
     EndRun(state_.ledger, request_.id);
+    EndRun(state_.ledger, SecondLedgerId());
     relay_.Close();
     exchange_.reset();
     NotifyLoadChange();
@@ -785,13 +915,10 @@
 
   // Estimated distribution of the output length.
   length_distribution length_;
+  // The call of `run_`; 0 if it is not in progress.
   channel_client::call_id call_ = 0;
-  std::optional<fleet_upstream> prefill_;
-  absl::Time prefill_start_;
-  // Time from its start after which the prefill counts as slow.
-  absl::Duration prefill_slow_after_;
-  // Tokens that the prefill engine had to prefill before this prompt.
-  double prefill_backlog_ = 0;
+  // At most two: a silent one, and the one that was sent in its place.
+  std::map<uint64_t, prefill_in_progress> prefills_;
   kv_lease lease_;
   // Ids of the engines that the request was sent to.
   std::vector<std::string> tried_prefills_;
@@ -806,14 +933,12 @@
   bool may_have_run_ = false;
   // The decode that generates the stream.
   std::optional<run_in_progress> run_;
-  // A decode that was asked to continue the stream of a silent one.
-  std::optional<run_in_progress> successor_;
-  uint64_t last_run_number_ = 0;
+  std::optional<successor_run> successor_;
+  uint64_t last_send_number_ = 0;
   // Time of the last event that was passed on.
   absl::Time last_event_;
   // Time of the last event of the current run, or of its start.
   absl::Time last_progress_;
-  bool stall_reported_ = false;
   // Events of the current run.
   int run_events_ = 0;
   bool ended_ = false;
--- a/src/dispatch/stream_limits.cc
+++ b/src/dispatch/stream_limits.cc
@@ -10,10 +10,8 @@
 // Number of latency targets after its arrival for which a late stream may wait.
 // Callers abandon a stream without a first event after four latency targets.
 constexpr double kLateWaitLatencyTargets = 3;
-// Multiple of its expected duration after which a prefill is slow, and the
-// shortest such time.
+// Multiple of its expected duration after which a prefill is slow.
 constexpr double kSlowPrefillFactor = 3;
-constexpr absl::Duration kMinSlowPrefill = absl::Milliseconds(400);
 // Bounds of callers' patience: they abandon a stream after the longest of these
 // pauses.
 constexpr absl::Duration kMinCallerPatience = absl::Seconds(2);
@@ -42,7 +40,7 @@
 
 absl::Duration SlowPrefillTime(double tokens, double backlog,
                                double tokens_per_ms) {
-  return std::max(kMinSlowPrefill,
+  return std::max(kLongestSoundSilence,
                   absl::Milliseconds(kSlowPrefillFactor * (backlog + tokens) /
                                      tokens_per_ms));
 }
--- a/tests/engine_silence_test.cc
+++ b/tests/engine_silence_test.cc
@@ -1,5 +1,6 @@
 // Engines of a fleet that fall silent and go on, over a real daemon process.
 #include <QTimer>
+#include <atomic>
 #include <functional>
 #include <ostream>
 #include <string>
@@ -25,7 +26,17 @@
 // What an engine is about to send when it falls silent.
 enum class silent_before { head, first_event, third_event };
 // What a silent engine's stream finds at the other engine.
-enum class other_engine { none, no_budget, refuses, unreachable, fails };
+enum class other_engine {
+  none,
+  no_budget,
+  refuses,
+  unreachable,
+  fails,
+  // Accepts and then breaks off before its first event.
+  breaks_off,
+  // Answers with an error whose end comes late.
+  errs_slowly,
+};
 
 struct silence_case {
   std::string name;
@@ -39,10 +50,11 @@
 
 class engine_silence_test : public testing::Test {
  protected:
-  test_answer Draft() {
+  test_answer Draft() { return Draft(scene_); }
+  static test_answer Draft(const platform_scene& scene) {
     test_request request;
     request.method = "POST";
-    request.port = scene_.CallerPort();
+    request.port = scene.CallerPort();
     request.target = "/draft/1";
     request.headers = {{"Host", "a.example"},
                        {"Request-Id", "q1"},
@@ -54,18 +66,27 @@
 
   void AddEngine(const std::string& id, const std::string& address,
                  const std::string& stage) {
-    scene_.Put("keyed.servers", id,
-               absl::StrCat(R"({"Service":"model","Addr":")", address,
-                            R"(","Zone":"z","Slots":4,"State":"ready",)",
-                            R"("Stage":")", stage, R"(","Seq":0})"));
-    ASSERT_TRUE(Eventually(kBound, [&] { return Logged(id); }));
-    // A daemon has no extra sends at its start.
+    AddEngine(scene_, id, address, stage);
+  }
+  static void AddEngine(platform_scene& scene, const std::string& id,
+                        const std::string& address, const std::string& stage) {
+    scene.Put("keyed.servers", id,
+              absl::StrCat(R"({"Service":"model","Addr":")", address,
+                           R"(","Zone":"z","Slots":4,"State":"ready",)",
+                           R"("Stage":")", stage, R"(","Seq":0})"));
+    ASSERT_TRUE(Eventually(kBound, [&] { return Logged(scene, id); }));
+    WaitForBudget();
+  }
+
+  // A daemon has no extra sends at its start.
+  static void WaitForBudget() {
     std::this_thread::sleep_for(absl::ToChronoMilliseconds(kCountSettleTime) +
                                 std::chrono::milliseconds(500));
   }
 
-  bool Logged(const std::string& text) {
-    return scene_.Daemon().Out().find(absl::StrCat("\"", text, "\"")) !=
+  bool Logged(const std::string& text) { return Logged(scene_, text); }
+  static bool Logged(platform_scene& scene, const std::string& text) {
+    return scene.Daemon().Out().find(absl::StrCat("\"", text, "\"")) !=
            std::string::npos;
   }
 
@@ -76,7 +97,8 @@
                            public testing::WithParamInterface<silence_case> {};
 
 constexpr char kNoBudget[] = "ratio = 0\nslack = 0";
-constexpr char kSomeBudget[] = "slack = 50";
+// Earned within a second or two.
+constexpr char kSomeBudget[] = "slack = 50\nwindow = 1s";
 constexpr char kWholeStream[] =
     "id: 1\ndata: t1\n\nid: 2\ndata: t2\n\nid: 3\ndata: t3\n\n";
 
@@ -91,6 +113,19 @@
                      [to, task = std::move(task)] { task(*to); });
 }
 
+std::string PrefillAnswer(const raw_request& request) {
+  const std::string body = R"({"Handle":"h1","Tokens":100})";
+  return absl::StrCat(platform_scene::Head(request, 200),
+                      "Content-Length: ", body.size(), "\r\n\r\n", body);
+}
+
+void StreamAtOnce(QTcpSocket& socket, const raw_request& request) {
+  Write(socket, platform_scene::Head(request, 200) +
+                    "Transfer-Encoding: chunked\r\n\r\n");
+  platform_scene::Events(socket, 1, 3);
+  Write(socket, "0\r\n\r\n");
+}
+
 // Streams three events, and is silent before one of its parts.
 void StreamWithSilence(QTcpSocket& socket, const raw_request& request,
                        silent_before place) {
@@ -124,6 +159,17 @@
       return StreamWithSilence(socket, request, tried.place);
     }
     if (tried.other == other_engine::fails) return raw_server::Reset(socket);
+    if (tried.other == other_engine::breaks_off) {
+      Write(socket, platform_scene::Head(request, 200) +
+                        "Transfer-Encoding: chunked\r\n\r\n");
+      return After(absl::Milliseconds(100), socket, raw_server::Reset);
+    }
+    if (tried.other == other_engine::errs_slowly) {
+      Write(socket, platform_scene::Head(request, 500) +
+                        "Content-Length: 20\r\n\r\n0123456789");
+      return After(kSilence, socket,
+                   [](QTcpSocket& to) { Write(to, "0123456789"); });
+    }
     Write(socket, platform_scene::Head(request, 503) +
                       "Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
   });
@@ -137,6 +183,12 @@
   EXPECT_EQ(answer.status, 200);
   EXPECT_EQ(answer.body, kWholeStream);
   EXPECT_FALSE(Logged("request_unfinished"));
+  if (tried.other == other_engine::refuses ||
+      tried.other == other_engine::fails ||
+      tried.other == other_engine::breaks_off ||
+      tried.other == other_engine::errs_slowly) {
+    EXPECT_EQ(scene_.AtDecode().size(), 2u);
+  }
 }
 
 std::vector<silence_case> AllCases() {
@@ -150,7 +202,9 @@
           std::pair("WithoutBudget", other_engine::no_budget),
           std::pair("OtherRefuses", other_engine::refuses),
           std::pair("OtherUnreachable", other_engine::unreachable),
-          std::pair("OtherFails", other_engine::fails)}) {
+          std::pair("OtherFails", other_engine::fails),
+          std::pair("OtherBreaksOff", other_engine::breaks_off),
+          std::pair("OtherErrsSlowly", other_engine::errs_slowly)}) {
       cases.push_back(
           {absl::StrCat("Before", place_name, other_name), place, other});
     }
@@ -162,21 +216,117 @@
                          testing::ValuesIn(AllCases()),
                          [](const auto& test) { return test.param.name; });
 
-// A dead engine is silent as well, so the stream goes on elsewhere in time.
+// A dead engine is silent as well, so the stream goes on elsewhere in time,
+// once and with the marks of the engine that sends it.
 TEST_F(engine_silence_test, AStreamGoesOnBehindAnEngineThatStaysSilent) {
-  ASSERT_TRUE(scene_.Start());
-  scene_.OnDecode([](QTcpSocket& socket, const raw_request& request) {
-    Write(socket, platform_scene::Head(request, 200) +
-                      "Transfer-Encoding: chunked\r\n\r\n");
-    if (platform_scene::Field(request, "last-event-id").empty()) {
-      return platform_scene::Events(socket, 1, 2);
+  for (const int sent : {-1, 0, 2}) {
+    platform_scene scene;
+    ASSERT_TRUE(scene.Start(kSomeBudget));
+    std::atomic<bool> closed = false;
+    scene.OnDecode([first = true, sent, &closed](
+                       QTcpSocket& socket, const raw_request& request) mutable {
+      const bool silent = std::exchange(first, false);
+      if (silent) {
+        QObject::connect(&socket, &QTcpSocket::disconnected,
+                         [&closed] { closed = true; });
+        if (sent < 0) return;
+      }
+      Write(socket, platform_scene::Head(request, 200) +
+                        (silent ? "X-Engine: 1\r\n" : "X-Engine: 2\r\n") +
+                        "Transfer-Encoding: chunked\r\n\r\n");
+      if (silent) return platform_scene::Events(socket, 1, sent);
+      const std::string last = platform_scene::Field(request, "last-event-id");
+      platform_scene::Events(socket, last.empty() ? 1 : std::stoi(last) + 1, 3);
+      Write(socket, "0\r\n\r\n");
+    });
+    ASSERT_NO_FATAL_FAILURE(
+        AddEngine(scene, "d2", scene.DecodeAddress(), "decode"));
+    const test_answer answer = Draft(scene);
+    EXPECT_EQ(answer.body, kWholeStream);
+    EXPECT_EQ(answer.Header("x-engine"), sent > 0 ? "1" : "2");
+    EXPECT_EQ(scene.AtDecode().size(), 2u);
+    EXPECT_TRUE(Eventually(kBound, [&] { return closed.load(); }));
+  }
+}
+
+// Guards against events that come twice or an engine that works on for nobody
+// when a silent engine goes on while another one has been asked.
+TEST_F(engine_silence_test, AnEngineThatWasAskedIsStoppedWhenTheSilentGoesOn) {
+  ASSERT_TRUE(scene_.Start(kSomeBudget));
+  std::atomic<bool> closed = false;
+  scene_.OnDecode([first = true, &closed](QTcpSocket& socket,
+                                          const raw_request& request) mutable {
+    if (std::exchange(first, false)) {
+      return StreamWithSilence(socket, request, silent_before::third_event);
     }
-    platform_scene::Events(socket, 3, 3);
-    Write(socket, "0\r\n\r\n");
+    // Still prefilling when the silent one goes on.
+    QObject::connect(&socket, &QTcpSocket::disconnected,
+                     [&closed] { closed = true; });
   });
   ASSERT_NO_FATAL_FAILURE(AddEngine("d2", scene_.DecodeAddress(), "decode"));
   EXPECT_EQ(Draft().body, kWholeStream);
   EXPECT_EQ(scene_.AtDecode().size(), 2u);
+  EXPECT_TRUE(Eventually(kBound, [&] { return closed.load(); }));
+}
+
+// Guards against a stream that is answered as if it may have run although both
+// engines have rejected it.
+TEST_F(engine_silence_test, ARejectionBySilentAndOtherEngineIsTold) {
+  ASSERT_TRUE(scene_.Start(kSomeBudget));
+  scene_.OnDecode([first = true](QTcpSocket& socket,
+                                 const raw_request& request) mutable {
+    const std::string refusal = platform_scene::Head(request, 503) +
+                                "Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    if (!std::exchange(first, false)) return Write(socket, refusal);
+    After(kSilence, socket, [refusal](QTcpSocket& to) { Write(to, refusal); });
+  });
+  ASSERT_NO_FATAL_FAILURE(AddEngine("d2", scene_.DecodeAddress(), "decode"));
+  EXPECT_EQ(Draft().status, 503);
+  EXPECT_EQ(scene_.AtDecode().size(), 2u);
+}
+
+// Guards against a request that is refused because its prefill engine was
+// silent and another one rejects the prompt.
+TEST_F(engine_silence_test, ASilentPrefillIsWaitedForWhenTheOtherFails) {
+  for (const other_engine other :
+       {other_engine::refuses, other_engine::fails}) {
+    platform_scene scene;
+    ASSERT_TRUE(scene.Start(kSomeBudget));
+    scene.OnPrefill([first = true, other](QTcpSocket& socket,
+                                          const raw_request& request) mutable {
+      if (std::exchange(first, false)) {
+        return After(kSilence, socket, [request](QTcpSocket& to) {
+          Write(to, PrefillAnswer(request));
+        });
+      }
+      if (other == other_engine::fails) return raw_server::Reset(socket);
+      Write(socket, platform_scene::Head(request, 503) +
+                        "Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+    });
+    ASSERT_NO_FATAL_FAILURE(
+        AddEngine(scene, "p2", scene.PrefillAddress(), "prefill"));
+    EXPECT_EQ(Draft(scene).body, kWholeStream);
+    EXPECT_EQ(scene.AtPrefill().size(), 2u);
+  }
+}
+
+// As above, with a decode engine that rejects the prompt instead.
+TEST_F(engine_silence_test, ASilentPrefillIsWaitedForWhenADecodeIsRefused) {
+  ASSERT_TRUE(scene_.Start(kSomeBudget));
+  scene_.OnPrefill([](QTcpSocket& socket, const raw_request& request) {
+    After(kSilence, socket,
+          [request](QTcpSocket& to) { Write(to, PrefillAnswer(request)); });
+  });
+  scene_.OnDecode([](QTcpSocket& socket, const raw_request& request) {
+    if (platform_scene::Field(request, "kv-source").empty()) {
+      return Write(socket, platform_scene::Head(request, 503) +
+                               "Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+    }
+    StreamAtOnce(socket, request);
+  });
+  ASSERT_NO_FATAL_FAILURE(WaitForBudget());
+  EXPECT_EQ(Draft().body, kWholeStream);
+  EXPECT_EQ(scene_.AtDecode().size(), 2u);
 }
 
 // Guards against a request that is ended or sent elsewhere without budget
@@ -184,11 +334,8 @@
 TEST_F(engine_silence_test, ASilentPrefillIsWaitedForWithoutBudget) {
   ASSERT_TRUE(scene_.Start(kNoBudget));
   scene_.OnPrefill([](QTcpSocket& socket, const raw_request& request) {
-    const std::string body = R"({"Handle":"h1","Tokens":100})";
-    const std::string answer =
-        absl::StrCat(platform_scene::Head(request, 200),
-                     "Content-Length: ", body.size(), "\r\n\r\n", body);
-    After(kSilence, socket, [answer](QTcpSocket& to) { Write(to, answer); });
+    After(kSilence, socket,
+          [request](QTcpSocket& to) { Write(to, PrefillAnswer(request)); });
   });
   EXPECT_EQ(Draft().body, kWholeStream);
   EXPECT_EQ(scene_.AtPrefill().size(), 1u);
