Stop using an engine at once when its entry can't be read

Requests could go on to an engine for 1 to 2.2 s, or during a whole outage of the store, after another writer had replaced its entry: an unreadable entry counted as a removal, so several of them, or one around an outage, got the grace period of entries that lapse in an outage. They also made real removals of the same batch look like an outage, so that engines that had left stayed in use.

An unreadable entry now replaces the engine's entry at once and isn't counted among the removals. The engine is used again when it registers the next time; the other entries hold.

upstream_registry_test.UnreadableEntriesReplaceUpstreamsAtOnce and .UnreadableEntriesDoNotDelayARemoval failed before (with the new member in place) and pass now.

--- a/src/fleet/upstream_registry.cc
+++ b/src/fleet/upstream_registry.cc
@@ -15,12 +15,18 @@
   return is_mass_removal ? now + kMassRemovalGrace : now;
 }
 
+// Records that the record at `offset` removed `id`.
+void RecordRemoval(upstream_registry& registry, absl::string_view id,
+                   int64_t offset) {
+  int64_t& newest_removal = registry.removed[std::string(id)];
+  newest_removal = std::max(newest_removal, offset);
+}
+
 // Records the removal of `id` by the record at `offset`, and removes its entry
 // now or after a grace period.
 void RemoveEntry(upstream_registry& registry, absl::string_view id,
                  int64_t offset, bool is_mass_removal, absl::Time now) {
-  int64_t& newest_removal = registry.removed[std::string(id)];
-  newest_removal = std::max(newest_removal, offset);
+  RecordRemoval(registry, id, offset);
   const auto found = registry.upstreams.find(id);
   if (found == registry.upstreams.end() || found->second.expires_at) return;
   const absl::Time expires_at = ExpiryTime(registry, is_mass_removal, now);
@@ -44,6 +50,18 @@
   entry = {*change.upstream, change.offset, std::nullopt};
 }
 
+// Removes the entry that an unreadable one has replaced, unless `change` is
+// outdated.
+void ReplaceByUnreadable(upstream_registry& registry,
+                         const upstream_change& change) {
+  const auto found = registry.upstreams.find(change.id);
+  if (found != registry.upstreams.end()) {
+    if (found->second.offset >= change.offset) return;
+    registry.upstreams.erase(found);
+  }
+  RecordRemoval(registry, change.id, change.offset);
+}
+
 // Returns whether the removals of one batch are so many that they were probably
 // caused by an outage of the store.
 bool IsMassRemoval(const upstream_registry& registry, size_t removals) {
@@ -80,7 +98,10 @@
                   const std::vector<upstream_change>& changes, absl::Time now) {
   size_t removals = 0;
   for (const upstream_change& change : changes) {
-    if (!change.upstream && UpdatesEntry(registry, change)) ++removals;
+    if (!change.upstream && !change.unreadable &&
+        UpdatesEntry(registry, change)) {
+      ++removals;
+    }
   }
   const bool is_mass_removal = IsMassRemoval(registry, removals);
   for (const upstream_change& change : changes) {
@@ -88,6 +109,10 @@
       PutEntry(registry, change);
       continue;
     }
+    if (change.unreadable) {
+      ReplaceByUnreadable(registry, change);
+      continue;
+    }
     const auto found = registry.upstreams.find(change.id);
     if (found != registry.upstreams.end() &&
         found->second.offset > change.offset) {
@@ -104,6 +129,7 @@
   for (const upstream_change& change : listing) {
     listed.insert(change.id);
     if (change.upstream) PutEntry(registry, change);
+    if (change.unreadable) ReplaceByUnreadable(registry, change);
   }
   std::vector<std::string> missing_ids;
   for (const auto& [id, entry] : registry.upstreams) {
@@ -116,7 +142,8 @@
   }
   for (const upstream_change& change : listing) {
     const auto found = registry.upstreams.find(change.id);
-    if (!change.upstream && found != registry.upstreams.end() &&
+    if (!change.upstream && !change.unreadable &&
+        found != registry.upstreams.end() &&
         found->second.offset < change.offset) {
       RemoveEntry(registry, change.id, change.offset, is_mass_removal, now);
     }
--- a/src/fleet/upstream_registry.h
+++ b/src/fleet/upstream_registry.h
@@ -61,10 +61,12 @@
 /// Change of one entry in the store.
 struct upstream_change {
   std::string id;
-  /// Nullopt for a removal, and for an entry that can't be parsed, which counts
-  /// as a removal.
+  /// Nullopt for a removal, and for an entry that can't be parsed.
   std::optional<fleet_upstream> upstream;
   int64_t offset = 0;
+  /// Whether the entry can't be parsed. It replaces the entry of an upstream at
+  /// once: unlike a removal, it can't be caused by an outage.
+  bool unreadable = false;
 };
 
 /// Applies a batch of changes in order.
--- a/src/fleet/upstream_registry_test.cc
+++ b/src/fleet/upstream_registry_test.cc
@@ -13,6 +13,9 @@
     upstream.draining = draining;
     return {std::move(id), upstream, offset_++};
   }
+  upstream_change Unreadable(std::string id) {
+    return {std::move(id), std::nullopt, offset_++, /*unreadable=*/true};
+  }
   upstream_change Removal(std::string id) {
     return {std::move(id), std::nullopt, offset_++};
   }
@@ -87,6 +90,52 @@
   EXPECT_TRUE(HasUpstream("a"));
 }
 
+// Guards against requests to engines whose entry another writer has replaced:
+// such entries counted as a mass removal or as lapsed in an outage, and the
+// engines stayed in use.
+TEST_F(upstream_registry_test, UnreadableEntriesReplaceUpstreamsAtOnce) {
+  Apply({Entry("a"), Entry("b"), Entry("c")});
+  Apply({Unreadable("a"), Unreadable("b"), Unreadable("other")});
+  EXPECT_FALSE(HasUpstream("a"));
+  EXPECT_FALSE(HasUpstream("b"));
+  EXPECT_TRUE(HasUpstream("c"));
+  EXPECT_FALSE(HasUpstream("other"));
+  RecordStoreLost(registry_);
+  Apply({Unreadable("c")});
+  EXPECT_FALSE(HasUpstream("c"));
+  Apply({Entry("a")});
+  EXPECT_TRUE(HasUpstream("a"));
+}
+
+// Guards against engines that stay in use after they have left, because
+// unreadable entries beside their removal made it look like an outage.
+TEST_F(upstream_registry_test, UnreadableEntriesDoNotDelayARemoval) {
+  Apply({Entry("a"), Entry("b"), Entry("c"), Entry("d")});
+  Apply({Unreadable("a"), Unreadable("b"), Removal("c")});
+  EXPECT_FALSE(HasUpstream("c"));
+  EXPECT_TRUE(HasUpstream("d"));
+}
+
+TEST_F(upstream_registry_test, OlderUnreadableEntryChangesNothing) {
+  const upstream_change old = Unreadable("a");
+  Apply({Entry("a"), old});
+  EXPECT_TRUE(HasUpstream("a"));
+  const upstream_change older = Entry("b");
+  Apply({Unreadable("b"), older});
+  EXPECT_FALSE(HasUpstream("b"));
+}
+
+TEST_F(upstream_registry_test, UnreadableEntryInAListingReplacesAnUpstream) {
+  Apply({Entry("a"), Entry("b"), Entry("c")});
+  const upstream_change a = Unreadable("a");
+  const upstream_change b = Unreadable("b");
+  const upstream_change c = Entry("c");
+  ApplyListing(registry_, {a, b, c}, offset_, now_);
+  EXPECT_FALSE(HasUpstream("a"));
+  EXPECT_FALSE(HasUpstream("b"));
+  EXPECT_TRUE(HasUpstream("c"));
+}
+
 TEST_F(upstream_registry_test, ListingRemovesMissingEntries) {
   Apply({Entry("a"), Entry("b"), Entry("c"), Entry("d")});
   const upstream_change a = Entry("a");
--- a/src/fleet_daemon/fleet_control.cc
+++ b/src/fleet_daemon/fleet_control.cc
@@ -36,8 +36,7 @@
   // Adopts the newest configuration among `records` if its version is higher
   // than the current one.
   void ApplyConfig(const std::vector<keyed_record>& records);
-  // Converts a record of the upstream topic. A record that can't be parsed
-  // counts as a removal.
+  // Converts a record of the upstream topic.
   upstream_change ParseChange(const keyed_record& record) const;
   std::vector<upstream_change> ParseChanges(
       const std::vector<keyed_record>& records) const;
@@ -99,6 +98,7 @@
              {{"upstream", QtText(record.key)},
               {"offset", static_cast<double>(record.offset)},
               {"why", QtText(upstream.status().message())}});
+    change.unreadable = true;
     return change;
   }
   LogEvent(log_level::info, "upstream_entry",
