Tell an earlier answer from the one due on a kept connection

Callers could be told "not run, try again" for a request that an upstream had run: a second copy of an earlier refusal on a kept connection was taken for the answer to the next request when it bore no id, when the same request had been sent on that connection before, or when it had arrived before the next request was written.

On a connection that was used before, a call with an answer mark now takes only an answer with that mark; one without any fails the call as unknown. A call isn't written to a connection that has carried its mark, and a kept connection on which bytes, an end or an error have arrived is closed instead of used. On a new connection an answer without a mark counts as before. To keep the marks few, a connection is closed after 1,000 calls. The log line answer_not_matched tells of such answers.

Tests that use a connection again now give each call an id of its own, and the test server echoes it: with one id for all calls they would no longer reach the connection that they are about. They check no less than before.

--- a/src/http1/channel_client.cc
+++ b/src/http1/channel_client.cc
@@ -9,6 +9,8 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
+#include "absl/hash/hash.h"
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
@@ -35,6 +37,9 @@
 // A connection that had been dropped before a call was written to it breaks
 // within a round trip; one that breaks later had reached its upstream.
 constexpr absl::Duration kDroppedWithin = absl::Milliseconds(40);
+// Calls after which a connection is closed, so that the marks it has carried
+// stay few.
+constexpr int kMaxCallsPerChannel = 1000;
 // Most idle connections to one address.
 constexpr size_t kMaxIdlePerAddress = 32;
 
@@ -79,12 +84,24 @@
   // The call in progress; 0 for none.
   uint64_t call = 0;
   bool connected = false;
+  // Calls written, the one in progress included, and hashes of their marks.
+  int calls = 0;
+  absl::flat_hash_set<size_t> marks;
   absl::Duration idle_time = kDefaultIdle;
   absl::Time idle_since = absl::InfinitePast();
   // How long it had rested before the call in progress; none for a new one.
   absl::Duration rested = absl::ZeroDuration();
 };
 
+size_t MarkHash(const http_call& call) {
+  return absl::HashOf(call.answer_mark.second);
+}
+
+// Returns whether `used` has carried a call with the mark of `call`.
+bool HasCarried(const channel& used, const http_call& call) {
+  return !call.answer_mark.first.empty() && used.marks.contains(MarkHash(call));
+}
+
 struct call_state {
   http_call call;
   http_handler handler;
@@ -123,7 +140,7 @@
     return found == calls.end() ? nullptr : found->second.get();
   }
 
-  channel* TakeIdle(absl::string_view address);
+  channel* TakeIdle(const http_call& call);
   channel* Open(const http_call& call);
   void Write(channel& used, call_id id);
   void BeginResponse(channel& used);
@@ -142,24 +159,28 @@
   void Close(uint64_t id);
 };
 
-channel* channel_client::impl::TakeIdle(absl::string_view address) {
-  const auto found = idle.find(address);
+channel* channel_client::impl::TakeIdle(const http_call& call) {
+  const auto found = idle.find(call.address);
   if (found == idle.end()) return nullptr;
   const absl::Time now = MonotonicNow();
-  std::vector<uint64_t>& ids = found->second;
-  while (!ids.empty()) {
-    const uint64_t id = ids.back();
-    channel* kept = Find(id);
-    if (kept != nullptr &&
-        now - kept->idle_since <
-            IdleTime(idle_limits, address, kept->idle_time, now)) {
-      ids.pop_back();
-      idle_deadlines.Remove(id);
-      kept->rested = now - kept->idle_since;
-      return kept;
+  // Closing a connection changes the list.
+  const std::vector<uint64_t> ids = found->second;
+  for (auto id = ids.rbegin(); id != ids.rend(); ++id) {
+    channel* kept = Find(*id);
+    if (kept == nullptr) continue;
+    // A second copy of the answer to the earlier call would pass for this
+    // one's.
+    if (HasCarried(*kept, call)) continue;
+    const absl::Duration rested = now - kept->idle_since;
+    if (rested >= IdleTime(idle_limits, call.address, kept->idle_time, now) ||
+        kept->stream->HasUnread()) {
+      Close(*id);
+      continue;
     }
-    Close(id);
-    std::erase(ids, id);
+    std::erase(found->second, *id);
+    idle_deadlines.Remove(*id);
+    kept->rested = rested;
+    return kept;
   }
   return nullptr;
 }
@@ -194,6 +215,10 @@
   if (state == nullptr) return;
   state->last_progress = MonotonicNow();
   ArmDeadline(id, *state);
+  ++used.calls;
+  if (!state->call.answer_mark.first.empty()) {
+    used.marks.insert(MarkHash(state->call));
+  }
   BeginResponse(used);
   used.stream->Write(Serialized(state->call));
 }
@@ -222,7 +247,21 @@
   const absl::string_view mark =
       name.empty() ? absl::string_view() : HeaderValue(head, name);
   state->passing_over = !mark.empty() && mark != value;
+  const bool unmatched = !name.empty() && mark.empty() && used.calls > 1;
+  if (state->passing_over || unmatched) {
+    LogEvent(log_level::warn, "answer_not_matched",
+             {{"upstream", QtText(used.address)},
+              {"status", status},
+              {"due", QtText(value)},
+              {"arrived", QtText(mark)}});
+  }
   if (state->passing_over) return;
+  if (unmatched) {
+    return Fail(id, MakeError(error_kind::upstream_failed,
+                              absl::StrCat("an answer without ", name,
+                                           " on a connection used before"),
+                              run_state::unknown));
+  }
   state->result.http_status = status;
   state->result.headers = head;
   if (state->handler.on_headers) state->handler.on_headers(status, head);
@@ -285,7 +324,7 @@
   const absl::Duration idle_time = used.idle_time;
   std::vector<uint64_t>& ids = idle[used.address];
   if (reusable && idle_time > absl::ZeroDuration() &&
-      ids.size() < kMaxIdlePerAddress) {
+      used.calls < kMaxCallsPerChannel && ids.size() < kMaxIdlePerAddress) {
     used.idle_since = MonotonicNow();
     ids.push_back(used.id);
     idle_deadlines.Set(used.id, used.idle_since + idle_time);
@@ -401,7 +440,7 @@
   state.started = MonotonicNow();
   state.last_progress = state.started;
   impl_->calls.emplace(id, std::move(made));
-  channel* used = impl_->TakeIdle(state.call.address);
+  channel* used = impl_->TakeIdle(state.call);
   if (used != nullptr) {
     ++impl_->counts.reused;
     used->call = id;
--- a/src/http1/channel_client.h
+++ b/src/http1/channel_client.h
@@ -21,6 +21,11 @@
 /// connection breaks, and takes whatever answer comes next for the one that is
 /// due; neither may happen to a request that must run at most once.
 ///
+/// A connection that has carried other calls may bring a second copy of an
+/// earlier answer. There, a call with an answer mark takes only an answer with
+/// that mark, fails as `unknown` on one without any, and is never written to a
+/// connection that has carried its mark before.
+///
 /// Used on the thread that made it, which must run a Qt event loop. Handlers
 /// are called from the event loop, never from `Start` or `Cancel`; they may
 /// start and cancel calls, but not destroy the client.
--- a/src/http1/channel_client_test.cc
+++ b/src/http1/channel_client_test.cc
@@ -1,8 +1,11 @@
 #include "http1/channel_client.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 
+#include "absl/strings/str_split.h"
+#include "absl/strings/strip.h"
 #include "base/clock.h"
 #include "base/error_kind.h"
 #include "base/testing/run_loop.h"
@@ -18,17 +21,45 @@
                       "\r\nContent-Length: ", body.size(), "\r\n\r\n", body);
 }
 
+// A refusal that bears no mark of the request that it belongs to.
+constexpr char kUnmarkedRefusal[] =
+    "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+
+// Returns the mark that `request` asks for.
+std::string MarkOf(const raw_request& request) {
+  constexpr absl::string_view kField = "x-id: ";
+  for (absl::string_view line : absl::StrSplit(request.head, "\r\n")) {
+    if (absl::ConsumePrefix(&line, kField)) return std::string(line);
+  }
+  return "";
+}
+
+void WriteText(QTcpSocket& socket, absl::string_view text) {
+  socket.write(text.data(), static_cast<qint64>(text.size()));
+}
+
+// Returns a handler that answers each request with its mark.
+raw_server::handler Echo() {
+  return [](QTcpSocket& socket, const raw_request& request) {
+    WriteText(socket, Answer(MarkOf(request), MarkOf(request)));
+  };
+}
+
 // After which the upstream of a test forgets an idle connection.
 constexpr absl::Duration kForgets = absl::Milliseconds(150);
 
 class channel_client_test : public event_loop_test {
  protected:
+  // Runs a call with the mark `id`, or without one if it is empty.
   http_result Run(const raw_server& server, absl::string_view id = "1") {
     http_call call;
     call.method = "POST";
     call.address = server.Address();
     call.body = "fee";
-    call.answer_mark = {"x-id", std::string(id)};
+    if (!id.empty()) {
+      call.headers = {{"x-id", std::string(id)}};
+      call.answer_mark = {"x-id", std::string(id)};
+    }
     call.stall_timeout = stall_timeout_;
     std::optional<http_result> result;
     http_handler handler;
@@ -43,9 +74,9 @@
 };
 
 TEST_F(channel_client_test, UsesAConnectionAgain) {
-  raw_server server(raw_server::Always(200, "done"));
-  EXPECT_EQ(Run(server).body, "done");
-  EXPECT_EQ(Run(server).body, "done");
+  raw_server server(Echo());
+  EXPECT_EQ(Run(server, "1").body, "1");
+  EXPECT_EQ(Run(server, "2").body, "2");
   EXPECT_EQ(server.Connections(), 1);
   EXPECT_EQ(client_.Counts().reused, 1);
 }
@@ -56,8 +87,9 @@
     if (++requests == 1) return raw_server::Answer(socket, 200, "done");
     raw_server::Reset(socket);
   });
-  EXPECT_TRUE(Run(server).status.ok());
-  const http_result broken = Run(server);
+  EXPECT_TRUE(Run(server, "1").status.ok());
+  const http_result broken = Run(server, "2");
+  EXPECT_EQ(server.Connections(), 1);
   EXPECT_EQ(KindOf(broken.status), error_kind::upstream_failed);
   EXPECT_EQ(RunStateOf(broken.status), run_state::unknown);
   EXPECT_EQ(requests, 2);
@@ -79,12 +111,12 @@
     last[&socket] = now;
     raw_server::Answer(socket, 200, "done");
   });
-  EXPECT_TRUE(Run(server).status.ok());
+  EXPECT_TRUE(Run(server, "1").status.ok());
   rest();
-  EXPECT_EQ(RunStateOf(Run(server).status), run_state::unknown);
-  EXPECT_TRUE(Run(server).status.ok());
+  EXPECT_EQ(RunStateOf(Run(server, "2").status), run_state::unknown);
+  EXPECT_TRUE(Run(server, "3").status.ok());
   rest();
-  EXPECT_TRUE(Run(server).status.ok());
+  EXPECT_TRUE(Run(server, "4").status.ok());
   EXPECT_EQ(server.Connections(), 3);
 }
 
@@ -115,13 +147,82 @@
 }
 
 TEST_F(channel_client_test, DoesNotKeepAConnectionWithExtraBytes) {
-  raw_server server([&](QTcpSocket& socket, const raw_request&) {
-    const std::string text = Answer("1", "a") + Answer("1", "b");
-    socket.write(text.data(), static_cast<qint64>(text.size()));
+  raw_server server([&](QTcpSocket& socket, const raw_request& request) {
+    const std::string id = MarkOf(request);
+    WriteText(socket, Answer(id, "a") + Answer(id, "b"));
+  });
+  EXPECT_EQ(Run(server, "1").body, "a");
+  EXPECT_EQ(Run(server, "2").body, "a");
+  EXPECT_EQ(server.Connections(), 2);
+}
+
+// Guards against callers that are told "not run" for a request that runs: an
+// engine writes an earlier refusal once more, without the id of its request.
+TEST_F(channel_client_test, AnAnswerWithoutMarkOnAUsedConnectionIsUnknown) {
+  raw_server server(
+      [requests = 0](QTcpSocket& socket, const raw_request& request) mutable {
+        if (++requests == 2) WriteText(socket, kUnmarkedRefusal);
+        WriteText(socket, Answer(MarkOf(request), "ran"));
+      });
+  EXPECT_EQ(Run(server, "1").body, "ran");
+  const http_result result = Run(server, "2");
+  EXPECT_EQ(server.Connections(), 1);
+  EXPECT_EQ(KindOf(result.status), error_kind::upstream_failed);
+  EXPECT_EQ(RunStateOf(result.status), run_state::unknown);
+  EXPECT_EQ(result.http_status, 0);
+  EXPECT_TRUE(result.headers.empty());
+  EXPECT_EQ(Run(server, "3").body, "ran");
+  EXPECT_EQ(server.Connections(), 2);
+}
+
+TEST_F(channel_client_test, AnAnswerWithoutMarkOnANewConnectionCounts) {
+  raw_server server([](QTcpSocket& socket, const raw_request&) {
+    WriteText(socket, kUnmarkedRefusal);
   });
-  EXPECT_EQ(Run(server).body, "a");
-  EXPECT_EQ(Run(server).body, "a");
+  EXPECT_EQ(Run(server, "1").http_status, 503);
+}
+
+// Guards against the same when one request is sent twice to an engine, as a
+// prefill and then as a decode: both answers bear the same id.
+TEST_F(channel_client_test, ACallIsNotWrittenToAConnectionThatCarriedItsMark) {
+  std::map<const QTcpSocket*, int> requests;
+  raw_server server([&](QTcpSocket& socket, const raw_request& request) {
+    const std::string id = MarkOf(request);
+    const int count = ++requests[&socket];
+    if (count > 1 && id == "1") WriteText(socket, Answer(id, "earlier"));
+    WriteText(socket, Answer(id, absl::StrCat(id, " of ", count)));
+  });
+  EXPECT_EQ(Run(server, "1").body, "1 of 1");
+  EXPECT_EQ(Run(server, "2").body, "2 of 2");
+  EXPECT_EQ(Run(server, "1").body, "1 of 1");
   EXPECT_EQ(server.Connections(), 2);
+  // Other calls still use both.
+  EXPECT_TRUE(Run(server, "3").status.ok());
+  EXPECT_EQ(server.Connections(), 2);
+}
+
+// Guards against bytes that arrived before a call was written and are taken for
+// its answer, and against calls that get lost on a connection that has ended.
+TEST_F(channel_client_test, DoesNotUseAConnectionOnWhichAnythingHasArrived) {
+  const std::function<void(QTcpSocket&)> arrivals[] = {
+      [](QTcpSocket& socket) { WriteText(socket, Answer("2", "earlier")); },
+      [](QTcpSocket& socket) { WriteText(socket, kUnmarkedRefusal); },
+      [](QTcpSocket& socket) { socket.disconnectFromHost(); },
+      [](QTcpSocket& socket) { raw_server::Reset(socket); }};
+  for (const absl::string_view id : {"2", ""}) {
+    for (const auto& arrive : arrivals) {
+      QTcpSocket* last = nullptr;
+      raw_server server([&](QTcpSocket& socket, const raw_request& request) {
+        last = &socket;
+        WriteText(socket, Answer(MarkOf(request), "ran"));
+      });
+      EXPECT_EQ(Run(server, "1").body, "ran");
+      arrive(*last);
+      last->flush();
+      EXPECT_EQ(Run(server, id).body, "ran");
+      EXPECT_EQ(server.Connections(), 2);
+    }
+  }
 }
 
 // An answer without a length ends with an orderly close, not with a reset.
--- a/src/http1/tcp_stream.cc
+++ b/src/http1/tcp_stream.cc
@@ -164,4 +164,12 @@
 
 size_t tcp_stream::UnsentBytes() const { return impl_->unsent.size(); }
 
+bool tcp_stream::HasUnread() const {
+  if (impl_->ended) return true;
+  char byte = 0;
+  const ssize_t read =
+      ::recv(impl_->descriptor, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+  return read >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 }  // namespace anvilridge
--- a/src/http1/tcp_stream.h
+++ b/src/http1/tcp_stream.h
@@ -37,6 +37,10 @@
   /// Bytes that the kernel has not taken yet.
   size_t UnsentBytes() const;
 
+  /// Returns whether bytes, the end or an error of the connection have arrived
+  /// that were not told yet.
+  bool HasUnread() const;
+
  private:
   struct impl;
   std::shared_ptr<impl> impl_;
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -3,6 +3,7 @@
 
 #include <QTimer>
 #include <atomic>
+#include <map>
 #include <thread>
 #include <utility>
 
@@ -170,6 +171,44 @@
   EXPECT_FALSE(answer.Header("retry-after").empty());
 }
 
+// Guards against callers that are told "not run" for a request that runs: the
+// upstream writes an earlier refusal once more on a kept connection, where the
+// answer to the next request is due.
+TEST_F(platform_path_test, ARepeatedRefusalIsNotTheAnswerToTheNextRequest) {
+  constexpr absl::string_view kRefusal =
+      "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n";
+  std::atomic<bool> has_id = true;
+  scene_.OnService([&has_id, requests = std::map<const QTcpSocket*, int>()](
+                       QTcpSocket& socket, const raw_request& request) mutable {
+    std::string text;
+    if (++requests[&socket] > 1) {
+      absl::StrAppend(&text, kRefusal, has_id ? "Request-Id: q1\r\n" : "",
+                      "\r\n");
+    }
+    absl::StrAppend(&text, platform_scene::Head(request, 200),
+                    "Content-Length: 4\r\n\r\ndone");
+    socket.write(text.data(), static_cast<qint64>(text.size()));
+  });
+  const auto post = [this](const std::string& id) {
+    test_request request;
+    request.method = "POST";
+    request.port = scene_.CallerPort();
+    request.target = "/post/1";
+    request.headers = {{"Host", "a.example"}, {"Request-Id", id}};
+    return Send(request).status;
+  };
+  EXPECT_EQ(post("q1"), 200);
+  EXPECT_EQ(post("q2"), 200);
+  EXPECT_EQ(post("q1"), 200);
+  has_id = false;
+  EXPECT_EQ(post("q3"), 502);
+  EXPECT_EQ(scene_.AtService().size(), 4u);
+  EXPECT_TRUE(Eventually(kBound, [&] {
+    return scene_.Daemon().Out().find(R"("answer_not_matched")") !=
+           std::string::npos;
+  }));
+}
+
 TEST_F(platform_path_test, UnknownPathsAndBadFieldsAreTold) {
   EXPECT_EQ(Ask("GET", "/nowhere/").status, 404);
   EXPECT_EQ(Ask("POST", "/draft/1", {{"Token-Count", "many"}}).status, 400);
