Keep an engine's error out of a stream that another engine had begun

Callers could find an error's text, or its whole head, in the middle of their stream, or see a broken stream end as complete, when the engine that was to continue it answered with status 200 and its own mark but with an error of another media type, with an error as an event without id, with a head behind its events, or ended without any event.

A response that continues a stream must now have the media type of the first one, otherwise it is kept apart like any failure, and a silent engine isn't left for it. Once events have had ids, bytes without one that are no comment end the run like a gap does. A run that continues a stream is complete only if it has brought an event. The id that is due is compared without computing the one after the largest, which overflowed.

--- a/src/dispatch/stream_flow.cc
+++ b/src/dispatch/stream_flow.cc
@@ -405,7 +405,8 @@
   void OnHeaders(uint64_t number, int status, const http_headers& headers) {
     if (ended_) return;
     const response_info info = state_.protocol.parse_response(status, headers);
-    const bool is_stream = status == kOk && info.authentic;
+    const bool is_stream =
+        status == kOk && info.authentic && relay_.IsPartOfStream(headers);
     if (IsSuccessor(number)) {
       if (!is_stream) return;
       ContinueWithSuccessor("accepted");
--- a/src/dispatch/stream_relay.h
+++ b/src/dispatch/stream_relay.h
@@ -30,6 +30,9 @@
 
   /// Starts another run; the headers and data that follow belong to it.
   void BeginRun();
+  /// Returns whether a response with `headers` can be a part of the stream: one
+  /// that continues it must have the media type of the first.
+  bool IsPartOfStream(const http_headers& headers) const;
   /// Handles the response headers of a run.
   /// @param authentic_stream whether the response is an event stream that comes
   ///     from the engine itself.
@@ -39,8 +42,9 @@
   ///     longer than `kMaxKeptBytes`.
   bool OnData(absl::string_view bytes);
 
-  /// Returns whether the run's response is an authentic stream that has no gap
-  /// and doesn't end within an event.
+  /// Returns whether the run's response is an authentic stream of events in
+  /// sequence that doesn't end within an event. A run that continues the stream
+  /// must also have brought an event: one without any may be a failure.
   bool IsRunComplete() const;
   /// Returns the response body of a run that returned no authentic stream.
   const std::string& ErrorBody() const { return error_body_; }
@@ -77,7 +81,11 @@
   // State of the current run. `headers_` are only replaced before the caller's
   // response begins.
   bool authentic_stream_ = false;
-  bool has_gap_ = false;
+  // Whether the run continues a stream that an earlier one began.
+  bool continues_ = false;
+  bool has_new_event_ = false;
+  // Whether the run has left the sequence of events.
+  bool out_of_sequence_ = false;
   http_headers headers_;
   event_splitter splitter_;
   std::string error_body_;
--- a/src/dispatch/stream_relay_test.cc
+++ b/src/dispatch/stream_relay_test.cc
@@ -4,6 +4,7 @@
 #include <string>
 #include <utility>
 
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "gtest/gtest.h"
 
@@ -83,6 +84,86 @@
   EXPECT_EQ(exchange_->log, absl::StrCat("(", Event(1), Event(2), Event(3)));
 }
 
+// Guards against an error that callers find in the middle of their stream, or
+// against a stream that ends as complete, when the engine that is to continue
+// it answers with an error or with nothing.
+TEST_F(stream_relay_test, ARunThatBringsNoEventDoesNotCompleteABrokenStream) {
+  const http_headers stream = {
+      {"content-type", "Text/event-stream; charset=utf-8"}};
+  const struct {
+    const char* name;
+    bool authentic;
+    http_headers headers;
+    std::string body;
+  } answers[] = {
+      {"nothing", true, stream, ""},
+      {"a repeated event", true, stream, Event(2)},
+      {"a comment", true, stream, ": wait\n\n"},
+      {"an error as an event", true, stream,
+       "event: error\ndata: no capacity\n\n"},
+      {"a head", true, stream,
+       "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"},
+      {"an error behind an event", true, stream,
+       "data: no capacity\n\nid: 3\n\n"},
+      {"text", true, stream, "no capacity"},
+      {"another type", true, {{"content-type", "application/json"}}, Event(3)},
+      {"no type", true, {}, Event(3)},
+      {"a failure", false, stream, Event(3)},
+  };
+  for (const auto& answer : answers) {
+    exchange_->log.clear();
+    stream_relay relay = Make();
+    relay.BeginRun();
+    relay.OnHeaders(true, {{"content-type", "text/event-stream"}});
+    relay.OnData(absl::StrCat(Event(1), Event(2), "id: 3\nda"));
+    relay.BeginRun();
+    relay.OnHeaders(answer.authentic, answer.headers);
+    relay.OnData(answer.body);
+    EXPECT_FALSE(relay.IsRunComplete()) << answer.name;
+    EXPECT_EQ(relay.ResumeAfter(), "2") << answer.name;
+    const std::string comment =
+        absl::StartsWith(answer.body, ":") ? answer.body : "";
+    EXPECT_EQ(exchange_->log, absl::StrCat("(", Event(1), Event(2), comment))
+        << answer.name;
+    relay.BeginRun();
+    relay.OnHeaders(true, stream);
+    relay.OnData(Event(3));
+    EXPECT_TRUE(relay.IsRunComplete()) << answer.name;
+  }
+}
+
+// Guards against a head or an error that an engine writes behind its events.
+TEST_F(stream_relay_test, BytesThatAreNoEventDoNotCompleteARun) {
+  for (const char* bytes :
+       {"HTTP/1.1 500 Error\r\n\r\n", "data: no capacity\n\n",
+        "id: none\ndata: no capacity\n\n",
+        "id: 9223372036854775807\ndata: x\n\n"}) {
+    exchange_->log.clear();
+    stream_relay relay = Make();
+    relay.BeginRun();
+    relay.OnHeaders(true, {});
+    relay.OnData(absl::StrCat(Event(1), bytes, Event(2)));
+    EXPECT_FALSE(relay.IsRunComplete()) << bytes;
+    EXPECT_EQ(exchange_->log, absl::StrCat("(", Event(1))) << bytes;
+  }
+}
+
+// The id after the largest one can't be computed.
+TEST_F(stream_relay_test, EventsMayHaveAnyId) {
+  stream_relay relay = Make();
+  relay.OnHeaders(true, {});
+  relay.OnData("id: 9223372036854775807\n\nid: -9223372036854775808\n\n");
+  EXPECT_EQ(exchange_->log, "(id: 9223372036854775807\n\n");
+}
+
+TEST_F(stream_relay_test, PassesOnEventsOfAStreamWithoutIds) {
+  stream_relay relay = Make();
+  relay.OnHeaders(true, {});
+  relay.OnData("data: a\n\n: wait\n\ndata: b\n\n");
+  EXPECT_TRUE(relay.IsRunComplete());
+  EXPECT_EQ(exchange_->log, "(data: a\n\n: wait\n\ndata: b\n\n");
+}
+
 TEST_F(stream_relay_test, KeepsTheBodyOfAFailureAndDoesNotPassItOn) {
   stream_relay relay = Make();
   relay.OnHeaders(false, {});
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -4,6 +4,7 @@
 #include <QTimer>
 #include <atomic>
 #include <map>
+#include <ostream>
 #include <thread>
 #include <utility>
 
@@ -316,5 +317,70 @@
   }));
 }
 
+// What the next engine answers after a stream broke off.
+struct next_answer {
+  const char* name;
+  // Whether `text` begins with the status line, and else behind the head of an
+  // engine's own answer with status 200.
+  bool has_head = false;
+  const char* text = "";
+};
+
+void PrintTo(const next_answer& answer, std::ostream* out) {
+  *out << answer.name;
+}
+
+class broken_stream_test : public platform_path_test,
+                           public testing::WithParamInterface<next_answer> {};
+
+// Guards against an error that callers find in the middle of their stream, or a
+// stream that ends as complete, when the next engine answers with an error.
+TEST_P(broken_stream_test, AnErrorOfTheNextEngineIsNoPartOfIt) {
+  scene_.OnDecode([](QTcpSocket& socket, const raw_request& request) {
+    std::string text = platform_scene::Head(request, 200);
+    if (platform_scene::Field(request, "last-event-id").empty()) {
+      text +=
+          "Content-Type: text/event-stream\r\n"
+          "Transfer-Encoding: chunked\r\n\r\n";
+      socket.write(text.data(), static_cast<qint64>(text.size()));
+      platform_scene::Events(socket, 1, 2);
+      return raw_server::Reset(socket);
+    }
+    if (GetParam().has_head) text.clear();
+    text += GetParam().text;
+    socket.write(text.data(), static_cast<qint64>(text.size()));
+    socket.disconnectFromHost();
+  });
+  ASSERT_NO_FATAL_FAILURE(AddEngine("d2", scene_.DecodeAddress(), "decode"));
+  const test_answer answer = Draft();
+  EXPECT_EQ(answer.body, "id: 1\ndata: t1\n\nid: 2\ndata: t2\n\n");
+  EXPECT_NE(answer.error, "");
+  EXPECT_EQ(scene_.AtDecode().size(), 2u);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    answers, broken_stream_test,
+    testing::Values(next_answer{"refusal", true,
+                                "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n"
+                                "Content-Length: 0\r\n\r\n"},
+                    next_answer{
+                        "sealed_failure_without_length", true,
+                        "HTTP/1.1 500 Error\r\nResponse-Seal: s1\r\n\r\n"
+                        "id: 3\ndata: no\n\n"},
+                    next_answer{"other_type", false,
+                                "Content-Type: application/json\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n"
+                                "4\r\nno\n\n\r\n0\r\n\r\n"},
+                    next_answer{"nothing", false,
+                                "Content-Type: text/event-stream\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
+                    next_answer{"head_as_body", false,
+                                "Content-Type: text/event-stream\r\n\r\n"
+                                "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n\r\n"},
+                    next_answer{"error_as_event", false,
+                                "Content-Type: text/event-stream\r\n\r\n"
+                                "event: error\ndata: no\n\n"}),
+    [](const auto& answer) { return std::string(answer.param.name); });
+
 }  // namespace
 }  // namespace anvilridge
