Look at the socket before a late timer refuses or cuts a caller

What callers saw: 408 for a request that had arrived in time, or a whole answer cut off although they had made room for it, when the router was held up meanwhile.

Cause: the timers of a request and of an answer act before the socket events of the time in which the thread was held up.

Change: a request whose bytes lie unread gets one more look, an answer one more try to be sent.

Measured: ARequestWhoseRestArrivedDuringAStallIsAnswered got 408 before, and AnAnswerThatIsTakenDuringAStallIsSentWhole was cut (flushing/slow_reader); both pass now. ARequestThatTricklesInIsRefusedInTime holds the bound, before and after.

--- a/src/caller/caller_connection.cc
+++ b/src/caller/caller_connection.cc
@@ -156,6 +156,7 @@
   }
   if (phase_ == phase::idle && scanner_.InRequest()) {
     SetPhase(phase::receiving);
+    read_late_ = false;
     SetTimer(context_.limits.request_timeout);
   }
   if (scanner_.TakeExpectContinue()) Send("HTTP/1.1 100 Continue\r\n\r\n");
@@ -282,11 +283,22 @@
 void caller_connection::OnTimeout() {
   switch (phase_) {
     case phase::receiving:
+      // Once, so that a caller that sends on and on is still refused.
+      if (!read_late_ && UnreadBytes() > 0) {
+        read_late_ = true;
+        SetTimer(kLateRead);
+        break;
+      }
       Refuse(MakeError(error_kind::request_timeout,
                        "the request did not arrive in time"));
       break;
     case phase::answering:
     case phase::flushing:
+      // The caller may have made room that was not seen yet.
+      if (socket_->flush()) {
+        OnBytesWritten();
+        break;
+      }
       ReportCutOfRequest(cut_reason::slow_reader);
       Break(/*reset=*/true);
       break;
--- a/src/caller/caller_connection.h
+++ b/src/caller/caller_connection.h
@@ -105,6 +105,8 @@
   // Of the request in progress.
   int64_t received_bytes_ = 0;
   std::string request_id_;
+  // Whether the request got more time because bytes of it lay unread.
+  bool read_late_ = false;
   bool close_after_answer_ = false;
   std::weak_ptr<caller_exchange> exchange_;
 };
--- a/src/caller/unread_request_test.cc
+++ b/src/caller/unread_request_test.cc
@@ -83,6 +83,55 @@
   EXPECT_EQ(cuts_.Text(), "");
 }
 
+// Guards against refusing a request that arrived in time and was read late.
+TEST_F(caller_port_stall_thread_test,
+       ARequestWhoseRestArrivedDuringAStallIsAnswered) {
+  limits_.request_timeout = absl::Milliseconds(100);
+  Start();
+  raw_caller caller(port_->Port());
+  caller.Send("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nha");
+  ASSERT_TRUE(WaitFor([this] { return port_->RequestsInProgress() == 1; }));
+  SendWhileStalled(caller, "lf", kShortStall);
+  EXPECT_TRUE(caller.WaitForText("POST /a?  half")) << caller.Text();
+}
+
+// Guards against an endless wait for a request that goes on arriving.
+TEST_F(caller_port_thread_test, ARequestThatTricklesInIsRefusedInTime) {
+  limits_.request_timeout = absl::Milliseconds(200);
+  Start();
+  raw_caller caller(port_->Port());
+  caller.Send("GET / HTTP/1.1\r\nA: ");
+  QElapsedTimer clock;
+  clock.start();
+  EXPECT_TRUE(WaitFor([&] {
+    absl::SleepFor(absl::Milliseconds(2));
+    caller.Send("a");
+    caller.Socket().flush();
+    return absl::StrContains(caller.Text(), "HTTP/1.1 408 ");
+  }));
+  EXPECT_LT(clock.elapsed(), 2000);
+}
+
+// Guards against cutting off a caller that took its answer during a stall.
+TEST_F(caller_port_stall_thread_test,
+       AnAnswerThatIsTakenDuringAStallIsSentWhole) {
+  limits_.request_timeout = absl::Milliseconds(100);
+  Start();
+  raw_caller caller(port_->Port());
+  caller.Socket().setReadBufferSize(1024);
+  caller.Send(Get("/large"));
+  ASSERT_TRUE(WaitFor([this] { return seen_.requests == 1; }));
+  // Until no more of the answer fits into the sockets.
+  absl::SleepFor(kArrival);
+  {
+    const thread_stall stall(threads_, kShortStall);
+    caller.Socket().setReadBufferSize(0);
+    EXPECT_TRUE(WaitFor([&] { return caller.Text().size() > 64 << 10; }));
+  }
+  EXPECT_TRUE(WaitFor([&] { return caller.Text().size() > 8 << 20; }))
+      << cuts_.Text();
+}
+
 // Guards against closing connections that have just been used.
 TEST_F(caller_port_stall_thread_test, AFreezeOfTheProcessLosesNoRequest) {
   limits_.idle_timeout = absl::Milliseconds(50);
