Give no work to upstreams that leave or name a pause

Callers saw refusals and broken streams at engines that had said that they leave, and engines got requests within the time for which they had asked for none: the router read neither statement, and only the registration or its own short pause after a refusal kept an engine out.

Every response of an upstream is now read for both statements as soon as its head arrives: of calls, prefills, decodes, released handles, reports and orders, whatever its status, also when it breaks off later. A leaving instance gets nothing new until another start is registered under its id; a pause can be extended but not shortened. Such upstreams aren't used as a last resort either. A stream whose reserved decode engine has become absent is placed before all queued ones, with its prefilled prompt. If all upstreams of a service are absent, streams wait in their queue until the first returns and calls within their latency target; requests that can't are refused at once with the time of return.

--- a/src/dispatch/call_flow.cc
+++ b/src/dispatch/call_flow.cc
@@ -57,14 +57,44 @@
              [weak = weak_from_this()] {
                if (const auto flow = weak.lock()) flow->OnTimeout();
              });
-    if (!Send()) {
-      Refuse(MakeError(error_kind::no_upstream,
-                       "no upstream of the service is registered",
-                       run_state::not_run, kRetryAfter));
-    }
+    SendOrWait();
   }
 
  private:
+  // Sends the request. If all upstreams are absent and the first one returns
+  // within the latency target, sends it then; refuses it otherwise.
+  void SendOrWait() {
+    if (Send()) return;
+    const absl::Time now = MonotonicNow();
+    const auto back =
+        EarliestReturn(state_, service_.name, engine_stage::none, now);
+    if (!back || *back == absl::InfiniteFuture()) {
+      return Refuse(MakeError(error_kind::no_upstream,
+                              "no upstream of the service is available",
+                              run_state::not_run, kRetryAfter));
+    }
+    if (*back > std::min(request_.received + route_.latency_target,
+                         ResponseDeadline(request_, route_))) {
+      return Refuse(MakeError(error_kind::overloaded,
+                              "all upstreams have asked for a pause",
+                              run_state::not_run, RetryAfter()));
+    }
+    RunAfter(state_.context, *back - now, [weak = weak_from_this()] {
+      const auto flow = weak.lock();
+      if (flow && !flow->ended_) flow->SendOrWait();
+    });
+  }
+
+  // Returns the time after which a refused request may be retried: when the
+  // first upstream returns, if all are absent.
+  absl::Duration RetryAfter() {
+    const absl::Time now = MonotonicNow();
+    const auto back =
+        EarliestReturn(state_, service_.name, engine_stage::none, now);
+    if (!back || *back == absl::InfiniteFuture()) return kRetryAfter;
+    return std::max(kRetryAfter, *back - now);
+  }
+
   // Sends the request to the best upstream that was not tried yet. Returns
   // false if there is none.
   bool Send() {
@@ -86,7 +116,8 @@
     handler.on_done = [self, id = best->id](const http_result& result) {
       self->OnSendDone(id, result);
     };
-    send.call = state_.client.Start(std::move(call), std::move(handler));
+    send.call = StartUpstreamCall(state_, *best, "call", std::move(call),
+                                  std::move(handler));
     in_progress_.push_back(std::move(send));
     if (route_.rule == run_rule::repeatable) ScheduleHedge();
     return true;
@@ -204,7 +235,7 @@
       case next_step::refuse:
         return Refuse(MakeError(error_kind::upstream_refused,
                                 "no upstream accepted the request",
-                                run_state::not_run, kRetryAfter));
+                                run_state::not_run, RetryAfter()));
       case next_step::fail:
         ReportUnfinished(unfinished_reason::upstream_failed);
         return Refuse(MakeError(error_kind::upstream_failed,
@@ -251,7 +282,7 @@
                 : MakeError(
                       error_kind::overloaded,
                       "no upstream accepted the request within the time limit",
-                      run_state::not_run, kRetryAfter));
+                      run_state::not_run, RetryAfter()));
   }
 
   void ReportUnfinished(unfinished_reason reason) {
--- a/src/dispatch/decode_admission.cc
+++ b/src/dispatch/decode_admission.cc
@@ -36,6 +36,49 @@
       std::min(std::max(kMinRetryAfter, wait) + spread, kMaxRetryAfter));
 }
 
+// Spread of the retry time behind the return of an absent engine.
+constexpr absl::Duration kReturnSpread = absl::Milliseconds(150);
+
+// Returns the error for a stream whose decode engines are all absent for
+// `wait`.
+absl::Status EnginesAbsentError(dispatch_state& state, absl::Duration wait) {
+  return MakeError(
+      error_kind::overloaded, "all engines have asked for a pause",
+      run_state::not_run,
+      wait + kReturnSpread * absl::Uniform(state.random, 0.0, 1.0));
+}
+
+// Returns the error for a stream that can't begin in time.
+// @param wait expected time until it could begin.
+absl::Status CannotBeginError(dispatch_state& state,
+                              const waiting_stream& stream, absl::Duration wait,
+                              absl::Time now) {
+  const auto back =
+      EarliestReturn(state, stream.service, engine_stage::decode, now);
+  return back && *back < absl::InfiniteFuture()
+             ? EnginesAbsentError(state, *back - now)
+             : NoCapacityError(state, wait);
+}
+
+// Refuses the streams of `list` whose decode engines are all absent until after
+// the latest start of the stream.
+void RefuseStreamsOfAbsentEngines(dispatch_state& state,
+                                  std::list<waiting_stream>& list,
+                                  absl::Time now) {
+  std::list<waiting_stream> refused;
+  for (auto it = list.begin(); it != list.end();) {
+    const auto stream = it++;
+    const auto back =
+        EarliestReturn(state, stream->service, engine_stage::decode, now);
+    if (!back || *back == absl::InfiniteFuture()) continue;
+    if (*back <= stream->latest_start) continue;
+    refused.splice(refused.end(), list, stream);
+  }
+  for (const waiting_stream& stream : refused) {
+    stream.done(CannotBeginError(state, stream, absl::ZeroDuration(), now));
+  }
+}
+
 // Removes from `engines` the decode engines without capacity for `run`, and
 // those whose capacity other daemons may use first: when few engines have
 // capacity, all daemons observe the same ones at the same moment.
@@ -202,7 +245,11 @@
       FindEngineCandidates(state, stream.service, {}, kReservableMemoryShare,
                            now)
           .decodes;
-  if (engines.empty()) return absl::InfiniteDuration();
+  if (engines.empty()) {
+    const auto back =
+        EarliestReturn(state, stream.service, engine_stage::decode, now);
+    return back ? *back - now : absl::InfiniteDuration();
+  }
   const double speed = state.ledger.tokens_per_ms;
   const decode_run run = ExpectedRun(stream, now);
   std::vector<absl::Duration> waits;
@@ -255,12 +302,28 @@
   const absl::Duration wait =
       ForecastWait(state, stream, ahead + state.late.size(), now);
   if (now + wait > stream.latest_start || !ShouldQueueLate(state)) {
-    return stream.done(NoCapacityError(state, wait));
+    return stream.done(CannotBeginError(state, stream, wait, now));
   }
   state.late.push_back(std::move(stream));
   if (state.on_ledger_change) state.on_ledger_change();
 }
 
+void AdmitOrQueueFirst(dispatch_state& state, waiting_stream stream,
+                       absl::Time now) {
+  // A stream that has been admitted before stays ahead even once it is late.
+  stream.latest_on_time_start = stream.latest_start;
+  if (const auto reservation = ChooseEnginesInTurn(
+          state, stream, 1, false, kReservableMemoryShare, now)) {
+    return AdmitStream(state, stream, *reservation, now);
+  }
+  const absl::Duration wait = ForecastWait(state, stream, 0, now);
+  if (now + wait > stream.latest_start) {
+    return stream.done(CannotBeginError(state, stream, wait, now));
+  }
+  state.waiting.push_front(std::move(stream));
+  if (state.on_ledger_change) state.on_ledger_change();
+}
+
 void RemoveFromQueues(dispatch_state& state, absl::string_view request_id) {
   const auto has_id = [request_id](const waiting_stream& stream) {
     return stream.request_id == request_id;
@@ -271,6 +334,8 @@
 }
 
 void AdmitWaiting(dispatch_state& state, absl::Time now) {
+  RefuseStreamsOfAbsentEngines(state, state.waiting, now);
+  RefuseStreamsOfAbsentEngines(state, state.late, now);
   DemoteLateStreams(state, now);
   AdmitResuming(state, now);
   AdmitList(state, state.waiting, false, kReservableMemoryShare, now);
--- a/src/dispatch/decode_admission.h
+++ b/src/dispatch/decode_admission.h
@@ -23,6 +23,13 @@
 void AdmitOrQueueStream(dispatch_state& state, waiting_stream stream,
                         absl::Time now);
 
+/// Admits a stream whose reserved decode engine has become absent, before all
+/// queued streams: at once if there is capacity, otherwise as the first of the
+/// queue. Refuses it at once if it is not expected to begin by its latest
+/// start. May call `stream.done` before it returns.
+void AdmitOrQueueFirst(dispatch_state& state, waiting_stream stream,
+                       absl::Time now);
+
 /// Records `reservation` for a stream that is not queued, and calls
 /// `stream.done` with it.
 void AdmitStream(dispatch_state& state, const waiting_stream& stream,
@@ -53,7 +60,9 @@
     absl::Time now);
 
 /// Returns how long `stream` is expected to wait when `ahead` other streams are
-/// queued before it; infinite when no engine can ever hold it.
+/// queued before it; infinite when no engine can ever hold it. When all decode
+/// engines are absent by their own statement, this is the time until the first
+/// of them returns.
 absl::Duration ForecastWait(dispatch_state& state, const waiting_stream& stream,
                             size_t ahead, absl::Time now);
 
--- a/src/dispatch/decode_admission_test.cc
+++ b/src/dispatch/decode_admission_test.cc
@@ -4,6 +4,7 @@
 #include <map>
 
 #include "absl/strings/str_cat.h"
+#include "base/error_kind.h"
 #include "base/testing/run_loop.h"
 #include "gtest/gtest.h"
 
@@ -78,6 +79,22 @@
     AdmitOrQueueStream(state_, ResumedStream("second", state_), now_);
   }
 
+  // Records what the engine `id` states about itself.
+  void State(const std::string& id, const upstream_statement& statement) {
+    fleet_upstream engine;
+    engine.id = id;
+    RecordStatement(state_.absences, engine, statement, now_);
+  }
+
+  std::vector<std::string> UsableIds() {
+    std::vector<std::string> ids;
+    for (const fleet_upstream* engine :
+         UsableUpstreams(state_, "model", {}, now_)) {
+      ids.push_back(engine->id);
+    }
+    return ids;
+  }
+
   void Run(const std::string& id, const std::string& engine, double context) {
     ReserveRun(state_.ledger, id, engine, context, 4000, now_);
   }
@@ -207,5 +224,64 @@
   EXPECT_EQ(last_admitted_, "first");
 }
 
+// Guards against work for engines that are absent by their own statement when
+// no other engine is left: engines that merely fail are used then.
+TEST_F(decode_admission_test, AbsentEnginesAreNoLastResort) {
+  State("a", {.leaving = true});
+  State("b", {.pause = absl::Seconds(1)});
+  RecordConnectFailure(state_.unavailable_upstreams, EngineKey("c"), now_);
+  EXPECT_EQ(UsableIds(), std::vector<std::string>{"c"});
+  State("c", {.pause = absl::Seconds(2)});
+  // Neither the end of the router's own pause nor an accepted request counts.
+  RecordAccepted(state_.unavailable_upstreams, EngineKey("b"));
+  EXPECT_TRUE(UsableIds().empty());
+  EXPECT_EQ(EarliestReturn(state_, "model", engine_stage::decode, now_),
+            now_ + absl::Seconds(1));
+  now_ += absl::Seconds(1);
+  EXPECT_EQ(UsableIds(), std::vector<std::string>{"b"});
+  EXPECT_FALSE(EarliestReturn(state_, "model", engine_stage::decode, now_));
+}
+
+// Guards against a stream behind all queued ones since the engine that it had
+// reserved has left.
+TEST_F(decode_admission_test, AStreamWhoseEngineLeavesKeepsItsTurn) {
+  state_.view = OneDecodeEngine();
+  State("a", {.pause = absl::Milliseconds(400)});
+  for (const char* id : {"second", "third"}) {
+    waiting_stream stream = ResumedStream(id, state_, 0);
+    AdmitOrQueueStream(state_, std::move(stream), now_);
+  }
+  EXPECT_EQ(state_.waiting.size(), 2u);
+  AdmitOrQueueFirst(state_, ResumedStream("first", state_, 0), now_);
+  EXPECT_EQ(state_.waiting.size(), 3u);
+  EXPECT_EQ(state_.waiting.front().request_id, "first");
+  AdmitWaiting(state_, now_ + absl::Milliseconds(300));
+  EXPECT_EQ(last_admitted_, "");
+  now_ += absl::Milliseconds(400);
+  AdmitWaiting(state_, now_);
+  EXPECT_EQ(chosen_[&state_].size(), 3u);
+}
+
+// Guards against streams that wait in vain: queued ones too are refused at
+// once, with the time of return, when their engines return too late.
+TEST_F(decode_admission_test, StreamsThatCannotWaitForAReturnAreRefused) {
+  state_.view = OneDecodeEngine();
+  State("a", {.pause = absl::Milliseconds(400)});
+  absl::Status error;
+  waiting_stream stream = ResumedStream("queued", state_, 0);
+  stream.done = [&error](const absl::StatusOr<engine_reservation>& result) {
+    error = result.status();
+  };
+  AdmitOrQueueStream(state_, stream, now_);
+  EXPECT_EQ(state_.waiting.size(), 1u);
+  State("a", {.pause = absl::Seconds(9)});
+  AdmitWaiting(state_, now_ + absl::Milliseconds(20));
+  EXPECT_TRUE(state_.waiting.empty());
+  EXPECT_GT(RetryAfterOf(error), absl::Milliseconds(8900));
+  error = absl::OkStatus();
+  AdmitOrQueueStream(state_, stream, now_);
+  EXPECT_GT(RetryAfterOf(error), absl::Milliseconds(8900));
+}
+
 }  // namespace
 }  // namespace anvilridge
--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -2,6 +2,7 @@
 
 #include <QJsonObject>
 #include <algorithm>
+#include <utility>
 
 #include "base/clock.h"
 #include "base/error_kind.h"
@@ -20,11 +21,17 @@
 // reaches the caller in time.
 constexpr absl::Duration kResponseMargin = absl::Milliseconds(20);
 
-health_pools GroupIntoHealthPools(const fleet_view& view) {
+bool IsLeaving(const dispatch_state& state, const fleet_upstream& upstream,
+               absl::Time now) {
+  return upstream.draining ||
+         AbsenceOf(state.absences, upstream, now) == absence_reason::leaving;
+}
+
+health_pools GroupIntoHealthPools(const dispatch_state& state, absl::Time now) {
   health_pools pools;
-  for (const auto& [service, upstreams] : view.upstreams) {
+  for (const auto& [service, upstreams] : state.view->upstreams) {
     for (const fleet_upstream& upstream : upstreams) {
-      if (upstream.draining) continue;
+      if (IsLeaving(state, upstream, now)) continue;
       // Prefill engines are a pool of their own: engines of one stage can't do
       // the work of the other.
       std::string pool = service;
@@ -37,7 +44,7 @@
 
 void RefreshHealth(dispatch_state& state, absl::Time now) {
   state.assessed_health =
-      JudgeHealth(state.health, GroupIntoHealthPools(*state.view),
+      JudgeHealth(state.health, GroupIntoHealthPools(state, now),
                   state.settings.health, now);
   state.assessed_health_until = now + kHealthViewLifetime;
 }
@@ -59,6 +66,20 @@
   return upstream.stage != engine_stage::none;
 }
 
+bool IsInOwnCell(const dispatch_state& state, const fleet_upstream& upstream) {
+  return !IsModelEngine(upstream) ||
+         CellOf(upstream.id, state.cells) == CellOf(state.name, state.cells);
+}
+
+void LogStatement(const fleet_upstream& upstream, absl::string_view event,
+                  absl::string_view source, QJsonObject fields) {
+  fields["upstream"] = QtText(upstream.id);
+  fields["service"] = QtText(upstream.service);
+  fields["started_ms"] = static_cast<double>(upstream.started_ms);
+  fields["source"] = QtText(source);
+  LogEvent(log_level::warn, event, fields);
+}
+
 void ReportResult(dispatch_state& state, const fleet_upstream& upstream,
                   call_result result) {
   const absl::Time now = MonotonicNow();
@@ -100,12 +121,9 @@
   if (found == state.view->upstreams.end()) return usable;
   if (now >= state.assessed_health_until) RefreshHealth(state, now);
   std::vector<const fleet_upstream*> avoided;
-  const int cell = CellOf(state.name, state.cells);
   for (const fleet_upstream& upstream : found->second) {
-    if (upstream.draining) continue;
-    if (IsModelEngine(upstream) && CellOf(upstream.id, state.cells) != cell) {
-      continue;
-    }
+    if (upstream.draining || !IsInOwnCell(state, upstream)) continue;
+    if (IsAbsent(state, upstream, now)) continue;
     if (std::find(tried.begin(), tried.end(), upstream.id) != tried.end()) {
       continue;
     }
@@ -115,6 +133,68 @@
   return usable.empty() ? avoided : usable;
 }
 
+std::optional<absl::Time> EarliestReturn(dispatch_state& state,
+                                         absl::string_view service,
+                                         engine_stage stage, absl::Time now) {
+  if (!state.view) return std::nullopt;
+  const auto found = state.view->upstreams.find(service);
+  if (found == state.view->upstreams.end()) return std::nullopt;
+  std::optional<absl::Time> earliest;
+  for (const fleet_upstream& upstream : found->second) {
+    if (upstream.draining || !IsInOwnCell(state, upstream)) continue;
+    if (upstream.stage != stage) continue;
+    if (!IsAbsent(state, upstream, now)) return std::nullopt;
+    const absl::Time until = AbsentUntil(state.absences, upstream);
+    earliest = std::min(earliest.value_or(until), until);
+  }
+  return earliest;
+}
+
+bool IsAbsent(const dispatch_state& state, const fleet_upstream& upstream,
+              absl::Time now) {
+  return AbsenceOf(state.absences, upstream, now) != absence_reason::none;
+}
+
+void ReportStatement(dispatch_state& state, const fleet_upstream& upstream,
+                     const upstream_statement& statement,
+                     absl::string_view source) {
+  const absl::Time now = MonotonicNow();
+  const statement_news news =
+      RecordStatement(state.absences, upstream, statement, now);
+  for (const std::string& field : news.unreadable) {
+    LogStatement(upstream, "statement_unreadable", source,
+                 {{"why", QtText(field)}});
+  }
+  if (news.leaving) {
+    state.assessed_health_until = absl::InfinitePast();
+    LogStatement(upstream, "upstream_leaving", source, {});
+  }
+  if (news.paused) {
+    LogStatement(
+        upstream, "upstream_paused", source,
+        {{"for_ms",
+          static_cast<double>(absl::ToInt64Milliseconds(*statement.pause))}});
+  }
+  const bool changed = statement.pause || news.leaving;
+  if (changed && state.on_absence_change) state.on_absence_change();
+}
+
+channel_client::call_id StartUpstreamCall(dispatch_state& state,
+                                          const fleet_upstream& upstream,
+                                          absl::string_view source,
+                                          http_call call,
+                                          http_handler handler) {
+  handler.on_headers = [&state, upstream, source = std::string(source),
+                        next = std::move(handler.on_headers)](
+                           int http_status, const http_headers& headers) {
+    ReportStatement(
+        state, upstream,
+        state.protocol.parse_response(http_status, headers).statement, source);
+    if (next) next(http_status, headers);
+  };
+  return state.client.Start(std::move(call), std::move(handler));
+}
+
 void ReportStall(dispatch_state& state, const fleet_upstream& upstream) {
   ReportResult(state, upstream, call_result::stalled);
 }
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -7,6 +7,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,7 @@
 #include "dispatch/send_budget.h"
 #include "dispatch/send_outcome.h"
 #include "dispatch/stage_plan.h"
+#include "dispatch/upstream_statement.h"
 #include "dispatch/upstream_unavailability.h"
 #include "fleet/fleet_view.h"
 #include "http1/channel_client.h"
@@ -80,6 +82,9 @@
   /// Upstreams that are not healthy, as last computed from `health`.
   health_view assessed_health;
   unavailability_table unavailable_upstreams;
+  /// What the upstreams have stated about themselves in responses to this
+  /// daemon.
+  stated_absences absences;
   /// When `assessed_health` must be computed again.
   absl::Time assessed_health_until = absl::InfinitePast();
   /// Calls in progress at plain services, by upstream id.
@@ -109,6 +114,8 @@
   QObject* context = nullptr;
   /// Called after this daemon has changed its own load, if set.
   std::function<void()> on_ledger_change;
+  /// Called after `absences` has changed, if set.
+  std::function<void()> on_absence_change;
 };
 
 /// Replaces the view of the deployment and updates the number of cells.
@@ -118,11 +125,38 @@
 /// Returns the upstreams of `service` that may receive new work: available, not
 /// draining, not ejected, not in `tried` and, for model engines, in this
 /// daemon's cell. When there are none, returns those that are excluded only as
-/// unavailable or ejected.
+/// unavailable or ejected, but never those that are absent by their own
+/// statement.
 std::vector<const fleet_upstream*> UsableUpstreams(
     dispatch_state& state, absl::string_view service,
     const std::vector<std::string>& tried, absl::Time now);
 
+/// Returns when the first upstream of `service` returns if all those that could
+/// receive work are absent by their own statement. Returns nothing if one isn't
+/// absent, and infinitely far in the future if all are leaving.
+/// @param stage consider upstreams with this stage only.
+std::optional<absl::Time> EarliestReturn(dispatch_state& state,
+                                         absl::string_view service,
+                                         engine_stage stage, absl::Time now);
+
+/// Returns whether `upstream` must get nothing new by its own statement.
+bool IsAbsent(const dispatch_state& state, const fleet_upstream& upstream,
+              absl::Time now);
+
+/// Records and logs what `upstream` has stated in a response to this daemon.
+/// @param source kind of the call that it responded to, for the log.
+void ReportStatement(dispatch_state& state, const fleet_upstream& upstream,
+                     const upstream_statement& statement,
+                     absl::string_view source);
+
+/// Starts `call` to `upstream`. Records what the upstream states about itself
+/// as soon as the headers of its response arrive.
+/// @param source kind of the call, for the log.
+channel_client::call_id StartUpstreamCall(dispatch_state& state,
+                                          const fleet_upstream& upstream,
+                                          absl::string_view source,
+                                          http_call call, http_handler handler);
+
 /// Records the outcome of a send in the upstream's health and availability.
 /// @param misdirected whether the upstream responded that it is another
 ///     instance than the addressed one or doesn't have the addressed stage.
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -84,6 +84,7 @@
     }
     return true;
   });
+  RemoveGoneInstances(state.absences, state.view->upstreams, MonotonicNow());
   AdmitWaiting(state, MonotonicNow());
 }
 
@@ -185,6 +186,20 @@
   RecordDaemonCount(impl_->state.budget.daemons, daemons, MonotonicNow());
 }
 
+void dispatcher::RecordStatement(const fleet_upstream& upstream,
+                                 const upstream_statement& statement,
+                                 absl::string_view source) {
+  ReportStatement(impl_->state, upstream, statement, source);
+}
+
+const stated_absences& dispatcher::Absences() const {
+  return impl_->state.absences;
+}
+
+void dispatcher::OnAbsenceChange(std::function<void()> listener) {
+  impl_->state.on_absence_change = std::move(listener);
+}
+
 void dispatcher::OnLoadChange(std::function<void()> listener) {
   impl_->state.on_ledger_change = std::move(listener);
 }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -13,6 +13,7 @@
 #include "dispatch/engine_ledger.h"
 #include "dispatch/fleet_protocol.h"
 #include "dispatch/stage_plan.h"
+#include "dispatch/upstream_statement.h"
 #include "fleet/fleet_view.h"
 
 namespace anvilridge {
@@ -64,6 +65,16 @@
   /// Sets the number of daemons, including this one, that share the budget for
   /// extra sends.
   void SetDaemonCount(int daemons);
+  /// Records what `upstream` has stated in a response to a call that this
+  /// daemon made elsewhere.
+  /// @param source kind of the call, for the log.
+  void RecordStatement(const fleet_upstream& upstream,
+                       const upstream_statement& statement,
+                       absl::string_view source);
+  /// Returns what the upstreams have stated about themselves.
+  const stated_absences& Absences() const;
+  /// Sets the function that is called when `Absences` has changed.
+  void OnAbsenceChange(std::function<void()> listener);
   /// Sets the function that is called when `OwnLoad` has changed.
   void OnLoadChange(std::function<void()> listener);
 
--- a/src/dispatch/fleet_protocol.h
+++ b/src/dispatch/fleet_protocol.h
@@ -9,6 +9,7 @@
 #include "absl/time/time.h"
 #include "caller/caller_port.h"
 #include "dispatch/fleet_request.h"
+#include "dispatch/upstream_statement.h"
 #include "fleet/fleet_upstream.h"
 #include "upstreams/http_client.h"
 
@@ -39,7 +40,7 @@
   std::string resume_after;
 };
 
-/// Information on a request from the headers of an upstream's response.
+/// Information from the headers of an upstream's response.
 struct response_info {
   /// Whether the response comes from the upstream itself and not from an
   /// intermediary.
@@ -50,6 +51,8 @@
   /// Whether the address now belongs to another instance than the one that the
   /// request was meant for.
   bool other_instance = false;
+  /// What the upstream states about itself.
+  upstream_statement statement = {};
 };
 
 /// Result of a prefill.
--- a/src/dispatch/kv_lease.cc
+++ b/src/dispatch/kv_lease.cc
@@ -27,6 +27,12 @@
 void ReleaseLease(dispatch_state& state, absl::string_view request_id,
                   kv_lease& lease) {
   if (lease.handle.empty()) return;
+  if (AbsenceOf(state.absences, lease.engine, MonotonicNow()) ==
+      absence_reason::paused) {
+    // The engine drops the handle by itself at the end of its lifetime.
+    lease.handle.clear();
+    return;
+  }
   http_call call =
       state.protocol.build_release_call(lease.engine, lease.handle);
   lease.handle.clear();
@@ -39,7 +45,8 @@
         log_level::info, "handle_not_released",
         {{"request", QtText(id)}, {"why", QtText(result.status.message())}});
   };
-  state.client.Start(std::move(call), std::move(handler));
+  StartUpstreamCall(state, lease.engine, "release", std::move(call),
+                    std::move(handler));
 }
 
 }  // namespace anvilridge
--- a/src/dispatch/stream_flow.cc
+++ b/src/dispatch/stream_flow.cc
@@ -77,7 +77,8 @@
              [weak = weak_from_this()] {
                if (const auto flow = weak.lock()) flow->OnTimeout();
              });
-    if (UsableUpstreams(state_, service_.name, {}, now).empty()) {
+    if (UsableUpstreams(state_, service_.name, {}, now).empty() &&
+        !EarliestReturn(state_, service_.name, engine_stage::decode, now)) {
       return Refuse(MakeError(error_kind::no_upstream,
                               "no engine of the service is registered"));
     }
@@ -180,7 +181,8 @@
     handler.on_done = [self](const http_result& result) {
       self->OnPrefillDone(result);
     };
-    call_ = state_.client.Start(std::move(call), std::move(handler));
+    call_ = StartUpstreamCall(state_, engine, "prefill", std::move(call),
+                              std::move(handler));
     SchedulePrefillCheck(prefill_slow_after_);
   }
 
@@ -327,9 +329,11 @@
 
   // ---- Decode
 
-  // Sends the request to `decode_`.
+  // Sends the request to `decode_`, or to another engine if that one has become
+  // absent since it was reserved.
   void SendDecode() {
     const absl::Time now = MonotonicNow();
+    if (IsAbsent(state_, decode_, now)) return PlaceAgain(now);
     send_parameters parameters = DecodeParameters(decode_, now);
     // Without a usable KV cache the decode engine prefills the prompt itself.
     if (!lease_.handle.empty() && now < lease_.usable_until) {
@@ -339,10 +343,27 @@
       ReleaseLease(state_, request_.id, lease_);
       AccountLocalPrefill();
     }
-    run_ = StartRun(std::move(parameters));
+    run_ = StartRun(parameters);
     BeginRun();
   }
 
+  // Has another decode engine reserved in place of `decode_`.
+  void PlaceAgain(absl::Time now) {
+    LogEvent(
+        log_level::info, "reserved_engine_absent",
+        {{"request", QtText(request_.id)}, {"upstream", QtText(decode_.id)}});
+    EndRun(state_.ledger, request_.id);
+    waiting_stream waiting = MakeWaitingStream();
+    waiting.done = [self = shared_from_this()](
+                       const absl::StatusOr<engine_reservation>& reservation) {
+      if (self->ended_) return;
+      if (!reservation.ok()) return self->Refuse(reservation.status());
+      self->decode_ = reservation->decode;
+      self->SendDecode();
+    };
+    AdmitOrQueueFirst(state_, std::move(waiting), now);
+  }
+
   send_parameters DecodeParameters(const fleet_upstream& engine,
                                    absl::Time now) const {
     send_parameters parameters;
@@ -363,7 +384,7 @@
   }
 
   // Sends the request to a decode engine.
-  run_in_progress StartRun(send_parameters parameters) {
+  run_in_progress StartRun(const send_parameters& parameters) {
     run_in_progress run;
     run.engine = parameters.upstream;
     run.start = MonotonicNow();
@@ -384,7 +405,8 @@
     handler.on_done = [self, number = run.number](const http_result& result) {
       self->OnRunDone(number, result);
     };
-    run.call = state_.client.Start(std::move(call), std::move(handler));
+    run.call = StartUpstreamCall(state_, run.engine, "decode", std::move(call),
+                                 std::move(handler));
     return run;
   }
 
--- a/src/fleet_daemon/fleet_daemon.cc
+++ b/src/fleet_daemon/fleet_daemon.cc
@@ -198,6 +198,20 @@
         if (dispatcher_) dispatcher_->RecordStageOrder(engine, max_delay);
       });
     };
+    sources.absence = [this](const fleet_upstream& engine, absl::Time now) {
+      const auto absences = absences_.Get();
+      return absences ? AbsenceOf(*absences, engine, now)
+                      : absence_reason::none;
+    };
+    sources.on_statement = [this](const fleet_upstream& engine,
+                                  const upstream_statement& statement,
+                                  absl::string_view call) {
+      PostTo(traffic_.Context(),
+             [this, engine, statement, call = std::string(call)] {
+               if (!dispatcher_) return;
+               dispatcher_->RecordStatement(engine, statement, call);
+             });
+    };
     return sources;
   }
 
@@ -212,6 +226,10 @@
       dispatcher_->SetDaemonCount(daemons);
     };
     load_exchange_ = std::make_unique<load_exchange>(std::move(handler));
+    dispatcher_->OnAbsenceChange([this] {
+      absences_.Set(
+          std::make_shared<const stated_absences>(dispatcher_->Absences()));
+    });
     dispatcher_->OnLoadChange([this] { load_exchange_->ScheduleSend(); });
   }
 
@@ -256,6 +274,8 @@
   // traffic thread.
   std::unique_ptr<dispatcher> dispatcher_;
   std::unique_ptr<load_exchange> load_exchange_;
+  // Copied on the traffic thread after each change.
+  published<stated_absences> absences_;
   const fleet_sources sources_;
   fleet_control control_;
   group_member group_member_;
--- a/src/fleet_daemon/stage_steering_service.cc
+++ b/src/fleet_daemon/stage_steering_service.cc
@@ -10,6 +10,7 @@
 #include "base/clock.h"
 #include "base/event_loop.h"
 #include "base/qt_text.h"
+#include "dispatch/dispatch_state.h"
 #include "dispatch/stage_plan.h"
 #include "http1/channel_client.h"
 #include "log/decision_log.h"
@@ -52,6 +53,9 @@
   std::map<std::string, stage_steering, std::less<>> services;
   // By id of the engine.
   std::map<std::string, recent_order, std::less<>> recent_orders;
+  // What engines have stated in responses to this service's own calls. It is
+  // known here before `sources.absence` returns it.
+  stated_absences own_absences;
   // Whether a call to an engine is in flight. Meanwhile `SteerAll` plans no
   // change.
   bool call_in_flight = false;
@@ -62,6 +66,12 @@
   // Plans a change of one engine's stage, if needed, and begins it.
   void SteerService(const fleet_service& service, const fleet_view& view,
                     const stream_workload& workload);
+  // Returns whether `engine` must get no calls by its own statement.
+  bool IsAbsent(const fleet_upstream& engine) const;
+  // Returns a handler that records what `engine` states about itself in the
+  // response to `call`.
+  std::function<void(int, const http_headers&)> StatementReader(
+      const fleet_upstream& engine, absl::string_view call);
   // Fetches the engine's report, then sends the order unless the engine is busy
   // or already in the planned stage.
   void FetchReport(const stage_change& change, absl::Duration switch_time);
@@ -78,6 +88,7 @@
   const auto view = sources.view();
   const auto workload = sources.workload();
   if (call_in_flight || !view || !view->config || !workload) return;
+  RemoveGoneInstances(own_absences, view->upstreams, now);
   if (!sources.right(now)) return;
   std::erase_if(recent_orders,
                 [now](const auto& entry) { return entry.second.until <= now; });
@@ -95,6 +106,9 @@
   if (found == view.upstreams.end()) return;
   std::vector<fleet_upstream> engines = found->second;
   for (fleet_upstream& engine : engines) {
+    if (sources.absence(engine, MonotonicNow()) == absence_reason::leaving) {
+      engine.draining = true;
+    }
     const auto order = recent_orders.find(engine.id);
     if (order == recent_orders.end()) continue;
     engine.stage = order->second.stage;
@@ -103,6 +117,7 @@
       PlanStageChange(services[service.name], workload, engines,
                       service.engine.stage_switch, MonotonicNow());
   if (!change || recent_orders.contains(change->engine.id)) return;
+  if (IsAbsent(change->engine)) return;
   LogEvent(log_level::info, "stage_change_planned",
            {{"upstream", QtText(change->engine.id)},
             {"stage", static_cast<int>(change->stage)},
@@ -115,11 +130,32 @@
   FetchReport(*change, service.engine.stage_switch);
 }
 
+bool stage_steering_service::impl::IsAbsent(
+    const fleet_upstream& engine) const {
+  const absl::Time now = MonotonicNow();
+  return AbsenceOf(own_absences, engine, now) != absence_reason::none ||
+         sources.absence(engine, now) != absence_reason::none;
+}
+
+std::function<void(int, const http_headers&)>
+stage_steering_service::impl::StatementReader(const fleet_upstream& engine,
+                                              absl::string_view call) {
+  return [this, engine, call = std::string(call)](int http_status,
+                                                  const http_headers& headers) {
+    const upstream_statement statement =
+        protocol.parse_response(http_status, headers).statement;
+    RecordStatement(own_absences, engine, statement, MonotonicNow());
+    sources.on_statement(engine, statement, call);
+  };
+}
+
 void stage_steering_service::impl::FetchReport(const stage_change& change,
                                                absl::Duration switch_time) {
   http_call call = protocol.build_report_call(change.engine);
+  call.connect_timeout = kUpstreamConnectTimeout;
   call.timeout = kResponseTimeout;
   http_handler handler;
+  handler.on_headers = StatementReader(change.engine, "report");
   handler.on_done = [this, change, switch_time](const http_result& result) {
     call_in_flight = false;
     if (!result.status.ok() || result.http_status != kHttpOk) {
@@ -148,13 +184,14 @@
                                              absl::Duration switch_time) {
   // This daemon may have lost the right while it waited for the report.
   const auto right = sources.right(MonotonicNow());
-  if (!right) return;
+  if (!right || IsAbsent(change.engine)) return;
   stage_order order;
   order.stage = change.stage;
   order.holder = right->holder;
   order.fencing_token = right->fencing_token;
   order.expected_order_count = report.order_count;
   http_call call = protocol.build_stage_order_call(change.engine, order);
+  call.connect_timeout = kUpstreamConnectTimeout;
   call.timeout = kResponseTimeout;
   recent_orders[change.engine.id] = {change.stage,
                                      MonotonicNow() + kLostOrderLifetime};
@@ -166,6 +203,7 @@
   sources.on_stage_order(change.engine, kLostOrderLifetime);
   call_in_flight = true;
   http_handler handler;
+  handler.on_headers = StatementReader(change.engine, "order");
   handler.on_done = [this, change, switch_time](const http_result& result) {
     call_in_flight = false;
     HandleOrderResult(change, switch_time, result);
--- a/src/fleet_daemon/stage_steering_service.h
+++ b/src/fleet_daemon/stage_steering_service.h
@@ -7,6 +7,7 @@
 
 #include "dispatch/dispatcher.h"
 #include "dispatch/fleet_protocol.h"
+#include "dispatch/upstream_statement.h"
 #include "fleet/fleet_view.h"
 #include "fleet/group_member.h"
 
@@ -26,6 +27,12 @@
   /// after a rejected order.
   std::function<void(const fleet_upstream&, absl::Duration max_delay)>
       on_stage_order;
+  /// Returns why an engine must get no calls at `now` by its own statement.
+  std::function<absence_reason(const fleet_upstream&, absl::Time now)> absence;
+  /// Called with what an engine has stated in a response to `call`.
+  std::function<void(const fleet_upstream&, const upstream_statement&,
+                     absl::string_view call)>
+      on_statement;
 };
 
 /// Switches engines between the prefill and the decode stage to match the
