Tell other daemons which upstreams leave, and count absent ones

Each daemon had to send a request of its own to find out that an upstream leaves. The load messages now repeat the instances that have told their sender so: one byte a message and four for each. Other daemons avoid them but keep them as a last resort, since they were told nothing themselves. The gauge anvil_fleet_upstreams_absent counts them by reason.

--- a/src/dispatch/decode_admission_test.cc
+++ b/src/dispatch/decode_admission_test.cc
@@ -242,6 +242,26 @@
   EXPECT_FALSE(EarliestReturn(state_, "model", engine_stage::decode, now_));
 }
 
+// Guards against each daemon sending a request of its own to find out that an
+// engine leaves. Such an engine remains the last resort: it has told this
+// daemon nothing.
+TEST_F(decode_admission_test, EnginesThatPeersReportAsLeavingAreAvoided) {
+  stated_absences told;
+  fleet_upstream engine;
+  engine.id = "a";
+  RecordStatement(told, engine, {.leaving = true}, now_);
+  for (const uint32_t key : LeavingInstances(told)) {
+    RecordReportedDeparture(state_.reported_leaving, key, now_);
+  }
+  EXPECT_EQ(UsableIds(), (std::vector<std::string>{"b", "c"}));
+  State("b", {.leaving = true});
+  State("c", {.leaving = true});
+  EXPECT_EQ(UsableIds(), std::vector<std::string>{"a"});
+  // Another start under the same id.
+  engine.started_ms = 7;
+  EXPECT_FALSE(IsReportedLeaving(state_.reported_leaving, engine, now_));
+}
+
 // Guards against a stream behind all queued ones since the engine that it had
 // reserved has left.
 TEST_F(decode_admission_test, AStreamWhoseEngineLeavesKeepsItsTurn) {
--- a/src/dispatch/dispatch_metrics.cc
+++ b/src/dispatch/dispatch_metrics.cc
@@ -26,6 +26,9 @@
 constexpr metric_name kUnfinished{
     "anvil_fleet_unfinished_total",
     "Requests that were sent to an upstream and ended without a whole answer"};
+constexpr metric_name kAbsent{
+    "anvil_fleet_upstreams_absent",
+    "Upstreams without new work by their own statement, by reason"};
 constexpr metric_name kInProgress{"anvil_fleet_requests_in_progress",
                                   "Requests in progress"};
 constexpr metric_name kWaiting{"anvil_fleet_streams_waiting",
@@ -84,6 +87,11 @@
       .Increment();
 }
 
+void dispatch_metrics::SetAbsentUpstreams(int leaving, int paused) {
+  registry_.Gauge(kAbsent, {{"reason", "leaving"}}).Set(leaving);
+  registry_.Gauge(kAbsent, {{"reason", "paused"}}).Set(paused);
+}
+
 void dispatch_metrics::SetInProgress(int requests, int waiting) {
   registry_.Gauge(kInProgress).Set(requests);
   registry_.Gauge(kWaiting).Set(waiting);
--- a/src/dispatch/dispatch_metrics.h
+++ b/src/dispatch/dispatch_metrics.h
@@ -33,6 +33,8 @@
   /// @param call_in_progress whether the upstream was still at work on it.
   void CountUnfinished(absl::string_view route, absl::string_view reason,
                        bool call_in_progress);
+  /// Sets how many registered upstreams get no work by their own statement.
+  void SetAbsentUpstreams(int leaving, int paused);
   /// Sets the number of requests in progress, and that of streams that wait for
   /// decode memory.
   void SetInProgress(int requests, int waiting);
--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -55,6 +55,7 @@
                             upstream.stage, now)) {
     return false;
   }
+  if (IsReportedLeaving(state.reported_leaving, upstream, now)) return false;
   const auto health = state.assessed_health.find(upstream.id);
   if (health == state.assessed_health.end()) return true;
   if (health->second.phase == health_phase::ejected) return false;
@@ -168,6 +169,7 @@
   if (news.leaving) {
     state.assessed_health_until = absl::InfinitePast();
     LogStatement(upstream, "upstream_leaving", source, {});
+    if (state.on_ledger_change) state.on_ledger_change();
   }
   if (news.paused) {
     LogStatement(
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -85,6 +85,9 @@
   /// What the upstreams have stated about themselves in responses to this
   /// daemon.
   stated_absences absences;
+  /// Upstreams that have stated to other daemons that they are leaving. They
+  /// are used only when there are no others.
+  reported_departures reported_leaving;
   /// When `assessed_health` must be computed again.
   absl::Time assessed_health_until = absl::InfinitePast();
   /// Calls in progress at plain services, by upstream id.
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -33,11 +33,30 @@
 // message may be lost; this time is long enough for several.
 constexpr absl::Duration kStageOrderAnnouncement = absl::Seconds(2);
 
+// Interval at which the number of absent upstreams is updated.
+constexpr absl::Duration kAbsenceMetricsInterval = absl::Milliseconds(500);
+
+void UpdateAbsenceMetrics(const dispatch_state& state) {
+  if (!state.view) return;
+  const absl::Time now = MonotonicNow();
+  int leaving = 0;
+  int paused = 0;
+  for (const auto& [service, upstreams] : state.view->upstreams) {
+    for (const fleet_upstream& upstream : upstreams) {
+      const absence_reason reason = AbsenceOf(state.absences, upstream, now);
+      if (reason == absence_reason::leaving) ++leaving;
+      if (reason == absence_reason::paused) ++paused;
+    }
+  }
+  state.metrics->SetAbsentUpstreams(leaving, paused);
+}
+
 }  // namespace
 
 struct dispatcher::impl {
   dispatch_state state;
   std::unique_ptr<QTimer> admit_timer;
+  std::unique_ptr<QTimer> absence_metrics_timer;
   // For each engine that this daemon ordered to change its stage, the time
   // until which it may remain registered with the old one; by `EngineKey`.
   std::map<uint32_t, absl::Time> stage_orders;
@@ -58,6 +77,8 @@
     }
     AdmitWaiting(impl_->state, MonotonicNow());
   });
+  impl_->absence_metrics_timer = RunEvery(
+      kAbsenceMetricsInterval, [this] { UpdateAbsenceMetrics(impl_->state); });
 }
 
 dispatcher::~dispatcher() = default;
@@ -150,6 +171,7 @@
   share.late = static_cast<int>(impl_->state.late.size());
   share.unreachable =
       UnreachableUpstreams(impl_->state.unavailable_upstreams, now);
+  share.leaving = LeavingInstances(impl_->state.absences);
   return share;
 }
 
@@ -172,6 +194,9 @@
   for (const uint32_t key : share.unreachable) {
     RecordPeerReport(impl_->state.unavailable_upstreams, key, peer, now);
   }
+  for (const uint32_t instance : share.leaving) {
+    RecordReportedDeparture(impl_->state.reported_leaving, instance, now);
+  }
   impl_->state.ledger.peers[std::string(peer)] = {std::move(share),
                                                   MonotonicNow()};
 }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -50,7 +50,7 @@
 
   /// Returns the load of this daemon, to be announced to the other daemons: its
   /// requests in flight, waiting streams, engines that change their stage, and
-  /// unreachable upstreams.
+  /// unreachable and leaving upstreams.
   daemon_load OwnLoad() const;
   /// Returns the workload of each service's streams, measured by this daemon.
   service_workloads Workload() const;
--- a/src/dispatch/engine_ledger.h
+++ b/src/dispatch/engine_ledger.h
@@ -40,6 +40,9 @@
   std::map<uint32_t, stage_departure> stage_departures;
   /// Keys of upstreams to which the daemon recently failed to connect.
   std::vector<uint32_t> unreachable;
+  /// `InstanceKey`s of the upstreams that have stated to the daemon that they
+  /// are leaving.
+  std::vector<uint32_t> leaving;
 };
 
 /// The load of another daemon as received last.
--- a/src/dispatch/upstream_statement.cc
+++ b/src/dispatch/upstream_statement.cc
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <iterator>
 
+#include "absl/strings/str_cat.h"
+#include "dispatch/engine_ledger.h"
+
 namespace anvilridge {
 namespace {
 
@@ -10,6 +13,10 @@
 // disappeared. Longer than an upstream serves after that.
 constexpr absl::Duration kGoneInstanceMemory = absl::Minutes(10);
 
+// How long a report of another daemon counts. It is repeated in each of that
+// daemon's load messages, of which some may be lost.
+constexpr absl::Duration kReportLifetime = absl::Seconds(2);
+
 // Returns what the registered instance of `upstream` has stated, or null.
 // Registrations without a start time count as the known instance.
 const stated_absence* FindAbsence(const stated_absences& absences,
@@ -97,4 +104,35 @@
   }
 }
 
+uint32_t InstanceKey(absl::string_view upstream_id, int64_t started_ms) {
+  return EngineKey(absl::StrCat(upstream_id, "@", started_ms));
+}
+
+std::vector<uint32_t> LeavingInstances(const stated_absences& absences) {
+  std::vector<uint32_t> keys;
+  for (const auto& [id, absence] : absences) {
+    if (!absence.leaving || absence.gone_since < absl::InfiniteFuture()) {
+      continue;
+    }
+    keys.push_back(InstanceKey(id, absence.started_ms));
+  }
+  return keys;
+}
+
+void RecordReportedDeparture(reported_departures& reports, uint32_t instance,
+                             absl::Time now) {
+  std::erase_if(reports, [now](const auto& report) {
+    return now - report.second >= kReportLifetime;
+  });
+  reports[instance] = now;
+}
+
+bool IsReportedLeaving(const reported_departures& reports,
+                       const fleet_upstream& upstream, absl::Time now) {
+  if (reports.empty()) return false;
+  const auto found =
+      reports.find(InstanceKey(upstream.id, upstream.started_ms));
+  return found != reports.end() && now - found->second < kReportLifetime;
+}
+
 }  // namespace anvilridge
--- a/src/dispatch/upstream_statement.h
+++ b/src/dispatch/upstream_statement.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "fleet/fleet_upstream.h"
 
@@ -79,6 +80,25 @@
         upstreams,
     absl::Time now);
 
+/// Returns the hash by which daemons identify an instance in messages.
+uint32_t InstanceKey(absl::string_view upstream_id, int64_t started_ms);
+
+/// Returns the keys of the registered instances that have stated to this daemon
+/// that they are leaving.
+std::vector<uint32_t> LeavingInstances(const stated_absences& absences);
+
+/// Instances that other daemons report as leaving, by `InstanceKey`, with the
+/// time of the last report.
+using reported_departures = std::map<uint32_t, absl::Time>;
+
+/// Records that another daemon reports an instance as leaving.
+void RecordReportedDeparture(reported_departures& reports, uint32_t instance,
+                             absl::Time now);
+
+/// Returns whether another daemon has recently reported `upstream` as leaving.
+bool IsReportedLeaving(const reported_departures& reports,
+                       const fleet_upstream& upstream, absl::Time now);
+
 }  // namespace anvilridge
 
 #endif  // ANVILRIDGE_DISPATCH_UPSTREAM_STATEMENT_H_
--- a/src/fleet_daemon/stage_steering_service.cc
+++ b/src/fleet_daemon/stage_steering_service.cc
@@ -66,8 +66,8 @@
   // Plans a change of one engine's stage, if needed, and begins it.
   void SteerService(const fleet_service& service, const fleet_view& view,
                     const stream_workload& workload);
-  // Returns whether `engine` must get no calls by its own statement.
-  bool IsAbsent(const fleet_upstream& engine) const;
+  // Returns why `engine` must get no calls by its own statement.
+  absence_reason Absence(const fleet_upstream& engine) const;
   // Returns a handler that records what `engine` states about itself in the
   // response to `call`.
   std::function<void(int, const http_headers&)> StatementReader(
@@ -106,9 +106,7 @@
   if (found == view.upstreams.end()) return;
   std::vector<fleet_upstream> engines = found->second;
   for (fleet_upstream& engine : engines) {
-    if (sources.absence(engine, MonotonicNow()) == absence_reason::leaving) {
-      engine.draining = true;
-    }
+    if (Absence(engine) == absence_reason::leaving) engine.draining = true;
     const auto order = recent_orders.find(engine.id);
     if (order == recent_orders.end()) continue;
     engine.stage = order->second.stage;
@@ -117,7 +115,7 @@
       PlanStageChange(services[service.name], workload, engines,
                       service.engine.stage_switch, MonotonicNow());
   if (!change || recent_orders.contains(change->engine.id)) return;
-  if (IsAbsent(change->engine)) return;
+  if (Absence(change->engine) != absence_reason::none) return;
   LogEvent(log_level::info, "stage_change_planned",
            {{"upstream", QtText(change->engine.id)},
             {"stage", static_cast<int>(change->stage)},
@@ -130,11 +128,11 @@
   FetchReport(*change, service.engine.stage_switch);
 }
 
-bool stage_steering_service::impl::IsAbsent(
+absence_reason stage_steering_service::impl::Absence(
     const fleet_upstream& engine) const {
   const absl::Time now = MonotonicNow();
-  return AbsenceOf(own_absences, engine, now) != absence_reason::none ||
-         sources.absence(engine, now) != absence_reason::none;
+  const absence_reason own = AbsenceOf(own_absences, engine, now);
+  return own == absence_reason::none ? sources.absence(engine, now) : own;
 }
 
 std::function<void(int, const http_headers&)>
@@ -184,7 +182,7 @@
                                              absl::Duration switch_time) {
   // This daemon may have lost the right while it waited for the report.
   const auto right = sources.right(MonotonicNow());
-  if (!right || IsAbsent(change.engine)) return;
+  if (!right || Absence(change.engine) != absence_reason::none) return;
   stage_order order;
   order.stage = change.stage;
   order.holder = right->holder;
--- a/src/sharing/load_message.cc
+++ b/src/sharing/load_message.cc
@@ -10,16 +10,16 @@
 namespace {
 
 // First byte of a message; identifies its format and version.
-constexpr quint8 kFormatVersion = 0xA7;
+constexpr quint8 kFormatVersion = 0xA8;
 // Limit on the runs of one engine, and on the engines that leave a stage, in a
 // message: each count is sent as one byte. An engine has a few dozen slots.
 constexpr size_t kMaxRunsOrLeavers = 255;
 // Limit on the addresses of live daemons in a message: their count is sent as
 // one byte.
 constexpr size_t kMaxLivePeers = 255;
-// Limit on the unreachable upstreams in a message: their count is sent as one
-// byte.
-constexpr size_t kMaxUnreachable = 255;
+// Limit on the unreachable upstreams in a message, and on the leaving ones:
+// each count is sent as one byte.
+constexpr size_t kMaxUpstreamKeys = 255;
 // Limit on the engines in a message, so that it fits into one datagram.
 constexpr size_t kMaxEngines = 400;
 
@@ -30,6 +30,24 @@
 
 double ToTokens(quint16 units) { return kTokensPerUnit * units; }
 
+void WriteKeys(QDataStream& stream, const std::vector<uint32_t>& keys) {
+  const size_t count = std::min(keys.size(), kMaxUpstreamKeys);
+  stream << static_cast<quint8>(count);
+  for (size_t i = 0; i < count; ++i) stream << keys[i];
+}
+
+std::vector<uint32_t> ReadKeys(QDataStream& stream) {
+  std::vector<uint32_t> keys;
+  quint8 count = 0;
+  stream >> count;
+  for (quint8 i = 0; i < count && stream.status() == QDataStream::Ok; ++i) {
+    quint32 key = 0;
+    stream >> key;
+    keys.push_back(key);
+  }
+  return keys;
+}
+
 }  // namespace
 
 QByteArray EncodeLoadMessage(const load_message& message) {
@@ -54,12 +72,8 @@
            << static_cast<quint16>(std::clamp<int64_t>(
                   absl::ToInt64Milliseconds(leaver.left), 0, 65535));
   }
-  const size_t unreachable =
-      std::min(message.load.unreachable.size(), kMaxUnreachable);
-  stream << static_cast<quint8>(unreachable);
-  for (size_t i = 0; i < unreachable; ++i) {
-    stream << message.load.unreachable[i];
-  }
+  WriteKeys(stream, message.load.unreachable);
+  WriteKeys(stream, message.load.leaving);
   const size_t engines = std::min(message.load.engines.size(), kMaxEngines);
   stream << static_cast<quint16>(engines);
   size_t written = 0;
@@ -112,14 +126,8 @@
             : engine_stage::decode,
         absl::Milliseconds(left_ms)};
   }
-  quint8 unreachable = 0;
-  stream >> unreachable;
-  for (quint8 i = 0; i < unreachable && stream.status() == QDataStream::Ok;
-       ++i) {
-    quint32 key = 0;
-    stream >> key;
-    message.load.unreachable.push_back(key);
-  }
+  message.load.unreachable = ReadKeys(stream);
+  message.load.leaving = ReadKeys(stream);
   stream >> engines;
   message.kind = static_cast<load_message_kind>(kind);
   message.incarnation = incarnation;
--- a/src/sharing/load_message_test.cc
+++ b/src/sharing/load_message_test.cc
@@ -21,6 +21,7 @@
   message.load.waiting = 4;
   message.load.late = 2;
   message.load.unreachable = {11, 12};
+  message.load.leaving = {13};
   message.load.stage_departures[9] = {engine_stage::prefill,
                                       absl::Milliseconds(800)};
   message.load.engines[3].prefill_tokens = 5200;
@@ -40,6 +41,7 @@
   EXPECT_EQ(decoded->load.waiting, 4);
   EXPECT_EQ(decoded->load.late, 2);
   EXPECT_EQ(decoded->load.unreachable, (std::vector<uint32_t>{11, 12}));
+  EXPECT_EQ(decoded->load.leaving, std::vector<uint32_t>{13});
   EXPECT_EQ(decoded->load.stage_departures.at(9).stage, engine_stage::prefill);
   EXPECT_EQ(decoded->load.stage_departures.at(9).left, absl::Milliseconds(800));
   const engine_usage& engine = decoded->load.engines.at(3);
@@ -60,6 +62,14 @@
   EXPECT_LT(EncodeLoadMessage(message).size(), 1400);
 }
 
+// A leaving upstream must cost next to nothing, since every message repeats it.
+TEST(load_message_test, ALeavingUpstreamTakesFourBytes) {
+  load_message message;
+  const auto empty = EncodeLoadMessage(message).size();
+  message.load.leaving = {13};
+  EXPECT_EQ(EncodeLoadMessage(message).size(), empty + 4);
+}
+
 TEST(load_message_test, TruncatedMessagesAreRejected) {
   const QByteArray encoded = EncodeLoadMessage(ExampleMessage());
   for (qsizetype size = 0; size < encoded.size(); ++size) {
