Refuse streams at once, with the time of return, when all engines pause

A resumed stream waited up to a second before it was refused although all engines had named a longer pause, and a stream that the only engine had just refused was asked back within that engine's pause. Both are told the time of return at once.

decode_admission_test.StreamsThatCannotWaitForAReturnAreRefused, upstream_statement_test.AStreamWaitsForThePauseOfTheOnlyEngine. Beside it upstream_statement_test.SendsUnderWayDoNotArriveWithinThePause: 16 callers at once.

--- a/src/dispatch/decode_admission.cc
+++ b/src/dispatch/decode_admission.cc
@@ -60,18 +60,23 @@
              : NoCapacityError(state, wait);
 }
 
-// Refuses the streams of `list` whose decode engines are all absent until after
-// the latest start of the stream.
+// Returns whether the decode engines of `stream` are all absent until after its
+// latest start.
+bool EnginesReturnTooLate(dispatch_state& state, const waiting_stream& stream,
+                          absl::Time now) {
+  const auto back =
+      EarliestReturn(state, stream.service, engine_stage::decode, now);
+  return back && *back < absl::InfiniteFuture() && *back > stream.latest_start;
+}
+
+// Refuses the streams of `list` whose decode engines return too late.
 void RefuseStreamsOfAbsentEngines(dispatch_state& state,
                                   std::list<waiting_stream>& list,
                                   absl::Time now) {
   std::list<waiting_stream> refused;
   for (auto it = list.begin(); it != list.end();) {
     const auto stream = it++;
-    const auto back =
-        EarliestReturn(state, stream->service, engine_stage::decode, now);
-    if (!back || *back == absl::InfiniteFuture()) continue;
-    if (*back <= stream->latest_start) continue;
+    if (!EnginesReturnTooLate(state, *stream, now)) continue;
     refused.splice(refused.end(), list, stream);
   }
   for (const waiting_stream& stream : refused) {
@@ -239,6 +244,16 @@
   return *engines.prefills[*prefill].upstream;
 }
 
+absl::Status DecodesRefusedError(dispatch_state& state,
+                                 absl::string_view service, absl::Time now) {
+  const auto back = EarliestReturn(state, service, engine_stage::decode, now);
+  if (back && *back < absl::InfiniteFuture()) {
+    return EnginesAbsentError(state, *back - now);
+  }
+  return MakeError(error_kind::upstream_refused,
+                   "no decode engine accepted the request");
+}
+
 absl::Duration ForecastWait(dispatch_state& state, const waiting_stream& stream,
                             size_t ahead, absl::Time now) {
   std::vector<decode_candidate> engines =
@@ -280,6 +295,10 @@
 
 void AdmitOrQueueStream(dispatch_state& state, waiting_stream stream,
                         absl::Time now) {
+  if (EnginesReturnTooLate(state, stream, now)) {
+    return stream.done(
+        CannotBeginError(state, stream, absl::ZeroDuration(), now));
+  }
   if (stream.resumed_wait_until == absl::InfinitePast() &&
       state.waiting.empty() && AdmitOrQueueResumed(state, stream, now)) {
     return;
@@ -336,6 +355,7 @@
 void AdmitWaiting(dispatch_state& state, absl::Time now) {
   RefuseStreamsOfAbsentEngines(state, state.waiting, now);
   RefuseStreamsOfAbsentEngines(state, state.late, now);
+  RefuseStreamsOfAbsentEngines(state, state.resuming, now);
   DemoteLateStreams(state, now);
   AdmitResuming(state, now);
   AdmitList(state, state.waiting, false, kReservableMemoryShare, now);
--- a/src/dispatch/decode_admission.h
+++ b/src/dispatch/decode_admission.h
@@ -59,6 +59,11 @@
     absl::string_view decode_domain, const std::vector<std::string>& tried,
     absl::Time now);
 
+/// Returns the error for a stream that no decode engine of `service` accepted,
+/// with the time of the first one's return if all have asked for a pause.
+absl::Status DecodesRefusedError(dispatch_state& state,
+                                 absl::string_view service, absl::Time now);
+
 /// Returns how long `stream` is expected to wait when `ahead` other streams are
 /// queued before it; infinite when no engine can ever hold it. When all decode
 /// engines are absent by their own statement, this is the time until the first
--- a/src/dispatch/decode_admission_test.cc
+++ b/src/dispatch/decode_admission_test.cc
@@ -298,9 +298,12 @@
   AdmitWaiting(state_, now_ + absl::Milliseconds(20));
   EXPECT_TRUE(state_.waiting.empty());
   EXPECT_GT(RetryAfterOf(error), absl::Milliseconds(8900));
-  error = absl::OkStatus();
-  AdmitOrQueueStream(state_, stream, now_);
-  EXPECT_GT(RetryAfterOf(error), absl::Milliseconds(8900));
+  for (const double generated : {0, 3000}) {
+    error = absl::OkStatus();
+    stream.generated = generated;
+    AdmitOrQueueStream(state_, stream, now_);
+    EXPECT_GT(RetryAfterOf(error), absl::Milliseconds(8900));
+  }
 }
 
 }  // namespace
--- a/src/dispatch/stream_flow.cc
+++ b/src/dispatch/stream_flow.cc
@@ -637,8 +637,7 @@
                               "no complete response from the decode engine",
                               run_state::unknown));
     }
-    Refuse(MakeError(error_kind::upstream_refused,
-                     "no decode engine accepted the request"));
+    Refuse(DecodesRefusedError(state_, service_.name, MonotonicNow()));
   }
 
   // Reserves a decode engine that was not tried yet. Returns false if none has
--- a/tests/upstream_statement_test.cc
+++ b/tests/upstream_statement_test.cc
@@ -1,12 +1,13 @@
 // What an upstream states about itself in its responses, over a real daemon
 // process.
 #include <QTimer>
-#include <atomic>
+#include <algorithm>
 #include <future>
 #include <map>
+#include <mutex>
 #include <string>
-#include <thread>
 #include <utility>
+#include <vector>
 
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
@@ -294,6 +295,39 @@
   EXPECT_EQ(LogCount("upstream_paused"), 1u);
 }
 
+// Guards against requests that were under way when an upstream named its pause
+// and reach it late: half a second after that, none may arrive.
+TEST_F(upstream_statement_test, SendsUnderWayDoNotArriveWithinThePause) {
+  std::mutex mutex;
+  std::vector<absl::Time> arrivals;
+  absl::Time named = absl::InfiniteFuture();
+  scene_.OnService([&](QTcpSocket& socket, const raw_request& request) {
+    const std::lock_guard lock(mutex);
+    arrivals.push_back(absl::Now());
+    QTimer::singleShot(50, &socket, [&, request] {
+      Answer(socket, request, 503, kBusy);
+      const std::lock_guard naming(mutex);
+      named = std::min(named, absl::Now());
+    });
+  });
+  std::vector<std::future<void>> callers;
+  callers.reserve(16);
+  for (int i = 0; i < 16; ++i) {
+    callers.push_back(std::async(std::launch::async, [this] {
+      const absl::Time end = absl::Now() + absl::Milliseconds(1300);
+      while (absl::Now() < end) Post();
+    }));
+  }
+  for (auto& caller : callers) caller.get();
+  const std::lock_guard lock(mutex);
+  EXPECT_GE(arrivals.size(), 1u);
+  EXPECT_EQ(std::count_if(arrivals.begin(), arrivals.end(),
+                          [named](absl::Time arrival) {
+                            return arrival > named + absl::Milliseconds(500);
+                          }),
+            0);
+}
+
 // Guards against streams that are refused, or that break the pause, while the
 // only engine asks for one: one that can wait does so.
 TEST_F(upstream_statement_test, AStreamWaitsForThePauseOfTheOnlyEngine) {
@@ -304,7 +338,11 @@
     BeginStream(socket, request);
     EndStream(socket);
   });
-  EXPECT_EQ(Draft("refused").status, 503);
+  const test_answer refused = Draft("refused");
+  EXPECT_EQ(refused.status, 503);
+  double retry_after = 0;
+  ASSERT_TRUE(absl::SimpleAtod(refused.Header("retry-after"), &retry_after));
+  EXPECT_GT(retry_after, 1.4);
   const absl::Time begin = absl::Now();
   EXPECT_EQ(Draft("waits").status, 200);
   EXPECT_GT(absl::Now() - begin, absl::Milliseconds(1300));
