Count each prefill that no engine accepted in the soak's check of the budget

The soak passed over the first prefill of each request, also where it was refused, lost, failed or not answered, though only the first one that an engine accepts is free. Nor did a plan of it lose prefills with a small slack. Arrivals are now recorded as they are, with whether a prefill's result was sent, and the check leaves out the first accepted one. `--failing-prefills` lets prefill engines refuse, fail, lose and not answer in turn.

--- a/tests/soak/soak_checks.cc
+++ b/tests/soak/soak_checks.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <set>
+#include <utility>
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
@@ -53,6 +54,20 @@
       std::upper_bound(times.begin(), times.end(), end - kSendWindow));
 }
 
+// Returns the arrivals that count against the send budget: all but the first
+// prefill that an engine accepted.
+std::vector<absl::Time> CountedArrivals(const upstream_record& upstream) {
+  std::vector<absl::Time> counted;
+  bool prefill_accepted = false;
+  for (const upstream_arrival& arrival : upstream.arrivals) {
+    if (arrival.accepted_prefill && !std::exchange(prefill_accepted, true)) {
+      continue;
+    }
+    counted.push_back(arrival.at);
+  }
+  return counted;
+}
+
 bool PromisesNotRun(const caller_record& caller) {
   return std::find(kNotRunStatuses.begin(), kNotRunStatuses.end(),
                    caller.status) != kNotRunStatuses.end();
@@ -223,11 +238,13 @@
     }
     std::vector<absl::Time> extra_sends;
     for (const auto& [id, upstream] : record_.upstreams) {
-      if (upstream.service != service || upstream.arrivals.empty()) continue;
-      const auto first = upstream.arrivals.begin();
+      if (upstream.service != service) continue;
+      const std::vector<absl::Time> arrivals = CountedArrivals(upstream);
+      if (arrivals.empty()) continue;
       // Questions for the configuration in force.
-      if (!asked.contains(id)) requests.push_back(*first);
-      extra_sends.insert(extra_sends.end(), first + 1, upstream.arrivals.end());
+      if (!asked.contains(id)) requests.push_back(arrivals.front());
+      extra_sends.insert(extra_sends.end(), arrivals.begin() + 1,
+                         arrivals.end());
     }
     std::sort(requests.begin(), requests.end());
     std::sort(extra_sends.begin(), extra_sends.end());
--- a/tests/soak/soak_checks_test.cc
+++ b/tests/soak/soak_checks_test.cc
@@ -57,15 +57,33 @@
     upstream_record& upstream = record_.upstreams["r1"];
     upstream.service = "ledger";
     // Ten requests and the slack allow four; the first arrival is none.
-    if (i < 5) upstream.arrivals.push_back(kStart + absl::Milliseconds(i));
+    if (i < 5) upstream.arrivals.push_back({kStart + absl::Milliseconds(i)});
   }
   EXPECT_EQ(Broken(), "");
-  record_.upstreams["r1"].arrivals.push_back(kStart + absl::Seconds(9));
+  record_.upstreams["r1"].arrivals.push_back({kStart + absl::Seconds(9)});
   EXPECT_THAT(Broken(), HasSubstr("more extra sends than the budget"));
-  record_.upstreams["r1"].arrivals.back() += absl::Seconds(2);
+  record_.upstreams["r1"].arrivals.back().at += absl::Seconds(2);
   EXPECT_EQ(Broken(), "");
 }
 
+// Guards against a soak that passes over prefills which no engine accepted:
+// only the first accepted one is free, whatever arrived before it.
+TEST_F(soak_checks_test, OnlyTheFirstAcceptedPrefillIsFree) {
+  record_.send_slack = 1;
+  Caller(request_kind::stream, 503, "").retry_after = "1";
+  upstream_record& upstream = record_.upstreams["r1"];
+  upstream.service = "model";
+  // A lost prefill, an accepted one and the decode are one extra send.
+  upstream.arrivals = {{kStart}, {kStart, true}, {kStart}};
+  EXPECT_EQ(Broken(), "");
+  upstream.arrivals = {{kStart}, {kStart}, {kStart}};
+  EXPECT_THAT(Broken(), HasSubstr("more extra sends than the budget"));
+  upstream.arrivals = {{kStart, true}, {kStart, true}, {kStart}};
+  EXPECT_EQ(Broken(), "");
+  upstream.arrivals.push_back({kStart, true});
+  EXPECT_THAT(Broken(), HasSubstr("more extra sends than the budget"));
+}
+
 TEST_F(soak_checks_test, APostingRunsOnce) {
   Caller(request_kind::posting, 200, "done r1");
   Runs(2);
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -18,6 +18,7 @@
   options.decode_engines = parsed["decode-engines"].as<int>();
   options.slack = parsed["slack"].as<int>();
   options.herds = parsed["herds"].as<bool>();
+  options.failing_prefills = parsed["failing-prefills"].as<bool>();
   if (const auto plant = parsed["plant"].as<std::string>();
       plant == "lost_cancel") {
     options.hide_close = true;
@@ -66,6 +67,7 @@
   add("slack", "Slack of the send budget",
       cxxopts::value<int>()->default_value("200"));
   add("herds", "End all daemons together while all upstreams refuse");
+  add("failing-prefills", "Prefill engines fail all the time in all forms");
   add("logs", "Folder for the daemons' logs",
       cxxopts::value<std::string>()->default_value(""));
   add("plant",
--- a/tests/soak/soak_plan.cc
+++ b/tests/soak/soak_plan.cc
@@ -15,6 +15,10 @@
 // up what they may send. One in so many is a planned stop.
 constexpr absl::Duration kHerdInterval = absl::Milliseconds(1800);
 constexpr int kHerdsPerStop = 4;
+// Time between two failures of a prefill engine, and how long one lasts: a step
+// must have ended before the next one of its upstream.
+constexpr absl::Duration kPrefillFailureInterval = absl::Seconds(2);
+constexpr absl::Duration kPrefillFailureLasts = absl::Milliseconds(1900);
 
 struct action_name {
   soak_action action;
@@ -67,6 +71,20 @@
   return plan;
 }
 
+std::vector<soak_step> MakeFailingPrefillPlan(const soak_options& options) {
+  std::mt19937_64 random(options.seed);
+  std::vector<soak_step> plan;
+  for (absl::Duration at; at < options.disturbed;
+       at += kPrefillFailureInterval) {
+    for (int engine = 0; engine < options.prefill_engines; ++engine) {
+      plan.push_back({at, soak_action::upset_upstream,
+                      options.services + engine, Draw(random, 1 << 20),
+                      kPrefillFailureLasts});
+    }
+  }
+  return plan;
+}
+
 }  // namespace
 
 absl::string_view ActionName(soak_action action) {
@@ -75,6 +93,7 @@
 
 std::vector<soak_step> MakePlan(const soak_options& options) {
   if (options.herds) return MakeHerdPlan(options);
+  if (options.failing_prefills) return MakeFailingPrefillPlan(options);
   std::mt19937_64 random(options.seed);
   const int span_ms =
       static_cast<int>(absl::ToInt64Milliseconds(options.disturbed));
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -25,6 +25,9 @@
   /// Ends or stops all daemons together, again and again, while all upstreams
   /// refuse, in place of single disturbances.
   bool herds = false;
+  /// Prefill engines refuse, fail, lose or don't answer prefills all the time,
+  /// in place of other disturbances.
+  bool failing_prefills = false;
   /// Program of the daemons, and what it is given besides its settings.
   std::string program = "anvilridge_fleet";
   std::vector<std::string> arguments;
--- a/tests/soak/soak_record.h
+++ b/tests/soak/soak_record.h
@@ -28,13 +28,18 @@
   std::string body;
 };
 
+/// One arrival of a request at an upstream.
+struct upstream_arrival {
+  absl::Time at;
+  /// Whether it was a prefill whose result the engine sent.
+  bool accepted_prefill = false;
+};
+
 /// What happened to one request at the upstreams.
 struct upstream_record {
   std::string service;
-  /// Times at which it arrived at an upstream, also where it was refused, but
-  /// for the first prefill that an engine accepted.
-  std::vector<absl::Time> arrivals;
-  bool prefilled = false;
+  /// In order of time, also where it was refused, lost or not answered.
+  std::vector<upstream_arrival> arrivals;
   /// Times at which an upstream began to run it.
   std::vector<absl::Time> runs;
   /// Times at which an engine stopped generating it: its end or its caller's.
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -75,8 +75,10 @@
     }
     result_.record.send_slack = std::max(
         options.slack, *std::max_element(kSlacks.begin(), kSlacks.end()));
-    // Herd plans change no settings.
-    if (options.herds) result_.record.send_slack = options.slack;
+    // These plans change no settings.
+    if (options.herds || options.failing_prefills) {
+      result_.record.send_slack = options.slack;
+    }
   }
 
   soak_result Run(const std::string& log_folder) {
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -56,6 +56,24 @@
 
 INSTANTIATE_TEST_SUITE_P(short_runs, soak_herd_test, testing::Values(1, 2));
 
+// Guards against decodes that the send budget doesn't know behind prefills that
+// were lost.
+class soak_prefill_test : public testing::TestWithParam<uint64_t> {};
+
+TEST_P(soak_prefill_test, FailingPrefillsKeepTheBudget) {
+  soak_options options;
+  options.seed = GetParam();
+  options.failing_prefills = true;
+  options.decode_engines = 8;
+  options.rate = 80;
+  options.slack = 10;
+  EXPECT_EQ(Broken(options), "");
+}
+
+// 1, 4: decodes behind lost prefills were beyond the budget.
+INSTANTIATE_TEST_SUITE_P(failed_before, soak_prefill_test,
+                         testing::Values(1, 4));
+
 soak_options Planted(const char* fault) {
   soak_options options;
   options.program = "planted_daemon";
--- a/tests/soak/soak_upstreams.cc
+++ b/tests/soak/soak_upstreams.cc
@@ -2,6 +2,7 @@
 
 #include <QPointer>
 #include <utility>
+#include <vector>
 
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
@@ -60,7 +61,8 @@
 
   upstream_fault NextFault();
   upstream_record& RecordOf(const raw_request& request);
-  void RecordArrival(const raw_request& request);
+  // Returns the index of the arrival among those of the request.
+  size_t RecordArrival(const raw_request& request);
   void Handle(QTcpSocket& socket, const raw_request& request);
   void Run(QTcpSocket& socket, const raw_request& request);
   void Prefill(QTcpSocket& socket, const raw_request& request);
@@ -76,8 +78,10 @@
   return record;
 }
 
-void soak_upstream::impl::RecordArrival(const raw_request& request) {
-  RecordOf(request).arrivals.push_back(MonotonicNow());
+size_t soak_upstream::impl::RecordArrival(const raw_request& request) {
+  std::vector<upstream_arrival>& arrivals = RecordOf(request).arrivals;
+  arrivals.push_back({MonotonicNow()});
+  return arrivals.size() - 1;
 }
 
 void soak_upstream::impl::Handle(QTcpSocket& socket,
@@ -116,13 +120,14 @@
 
 void soak_upstream::impl::Prefill(QTcpSocket& socket,
                                   const raw_request& request) {
-  if (std::exchange(RecordOf(request).prefilled, true)) RecordArrival(request);
+  const size_t arrival = RecordArrival(request);
   const QPointer<QTcpSocket> to = &socket;
   const absl::Duration work = fault == upstream_fault::late ? kLate : kWork;
-  RunAfter(&context, work, [this, to, request] {
+  RunAfter(&context, work, [this, to, request, arrival] {
     if (!IsOpen(to)) return;
     if (fault == upstream_fault::lose) return raw_server::Reset(*to);
     const int status = fault == upstream_fault::fail ? 500 : 200;
+    RecordOf(request).arrivals[arrival].accepted_prefill = status == 200;
     AnswerWhole(
         *to, request, status,
         absl::StrCat(R"({"Handle":"h)", ++handles, R"(","Tokens":100})"));
