--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -31,6 +31,9 @@
   /// their store and of what is registered. No upstream and no link fails but
   /// for single runs.
   bool silences = false;
+  /// Prefill engines refuse, fail, lose or don't answer prefills all the time,
+  /// in place of other disturbances.
+  bool failing_prefills = false;
   /// Program of the daemons, and what it is given besides its settings.
   std::string program = "anvilridge_fleet";
   std::vector<std::string> arguments;
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -75,8 +75,8 @@
     }
     result_.record.send_slack = std::max(
         options.slack, *std::max_element(kSlacks.begin(), kSlacks.end()));
-    // Herd plans change no settings, and an empty budget stays empty.
-    if (options.herds || options.slack == 0) {
+    // These plans change no settings, and an empty budget stays empty.
+    if (options.herds || options.failing_prefills || options.slack == 0) {
       result_.record.send_slack = options.slack;
     }
     result_.record.send_ratio = options.ratio;
