Let upstreams of the soak leave and name pauses in their answers

Checked from what the stand-ins receive: nothing from a daemon that was told of a departure half a second before, at most two requests within a pause.

--- a/tests/soak/planted_daemon.cc
+++ b/tests/soak/planted_daemon.cc
@@ -73,6 +73,17 @@
       };
 }
 
+// Ignores what upstreams state about themselves.
+void PlantDeafness(fleet_platform& platform) {
+  platform.protocol.parse_response = [read = platform.protocol.parse_response](
+                                         int status,
+                                         const http_headers& headers) {
+    response_info info = read(status, headers);
+    info.statement = {};
+    return info;
+  };
+}
+
 bool Plant(fleet_platform& platform, const std::string& fault) {
   if (fault == "resend") {
     PlantResend(platform);
@@ -82,6 +93,8 @@
     PlantFalseRefusal(platform);
   } else if (fault == "no_patience") {
     PlantNoPatience(platform);
+  } else if (fault == "deafness") {
+    PlantDeafness(platform);
   } else {
     return false;
   }
--- a/tests/soak/soak_checks.cc
+++ b/tests/soak/soak_checks.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <map>
 #include <set>
 #include <utility>
 
@@ -24,6 +25,10 @@
 constexpr absl::Duration kConfigBound = absl::Seconds(3);
 constexpr int kOk = 200;
 constexpr int kFirstFailure = 300;
+// Within which a daemon must heed what an upstream states about itself, and the
+// requests that may reach it afterwards while it wants none.
+constexpr absl::Duration kWordBound = absl::Milliseconds(500);
+constexpr int kMostWithinPause = 2;
 // Window of the send budget, by the daemons' default.
 constexpr absl::Duration kSendWindow = absl::Seconds(10);
 constexpr std::array kNotRunStatuses = {408, 421, 429, 503};
@@ -108,6 +113,7 @@
     }
     CheckStops();
     CheckConfigs();
+    CheckWords();
     CheckSendBudget("model", {request_kind::stream});
     CheckSendBudget("ledger", {request_kind::posting, request_kind::read});
     return broken_;
@@ -189,6 +195,42 @@
                        absl::FormatDuration(caller.ended - caller.began)));
   }
 
+  // Nothing reaches an instance from a daemon that was told that it leaves, and
+  // no more than a few requests while it wants nothing.
+  void CheckWords() {
+    std::map<std::string, int> daemons;
+    for (const caller_record& caller : record_.callers) {
+      daemons[caller.id] = caller.daemon;
+    }
+    std::map<std::pair<int, std::string>, std::vector<absl::Time>> arrivals;
+    for (const auto& [id, daemon] : daemons) {
+      for (const upstream_arrival& arrival : UpstreamOf(record_, id).arrivals) {
+        arrivals[{daemon, arrival.upstream}].push_back(arrival.at);
+      }
+    }
+    for (const auto& [id, daemon] : daemons) {
+      for (const upstream_word& word : UpstreamOf(record_, id).words) {
+        CheckWord(word, daemon, arrivals[{daemon, word.upstream}]);
+      }
+    }
+  }
+
+  void CheckWord(const upstream_word& word, int daemon,
+                 const std::vector<absl::Time>& arrivals) {
+    const auto against = std::count_if(
+        arrivals.begin(), arrivals.end(), [&](absl::Time arrival) {
+          return arrival > word.told + kWordBound && arrival < word.until &&
+                 !Disturbed(record_, fault_place::daemon, daemon, word.told,
+                            arrival);
+        });
+    const bool leaves = word.until == absl::InfiniteFuture();
+    if (against <= (leaves ? 0 : kMostWithinPause)) return;
+    Break(
+        leaves ? "requests to an upstream that leaves"
+               : "requests to an upstream that wants none",
+        absl::StrCat(against, " from daemon ", daemon, " to ", word.upstream));
+  }
+
   void CheckStops() {
     int gone = 0;
     std::vector<std::string> late;
--- a/tests/soak/soak_checks_test.cc
+++ b/tests/soak/soak_checks_test.cc
@@ -199,5 +199,41 @@
   EXPECT_THAT(Broken(), HasSubstr("behind a newer one"));
 }
 
+TEST_F(soak_checks_test, NothingReachesAnUpstreamThatLeaves) {
+  Caller(request_kind::posting, 200, "done r1");
+  Runs(1);
+  upstream_record& upstream = record_.upstreams["r1"];
+  upstream.words.push_back({"u", kStart, absl::InfiniteFuture()});
+  upstream.arrivals.push_back(
+      {.at = kStart + absl::Milliseconds(400), .upstream = "u"});
+  upstream.arrivals.push_back(
+      {.at = kStart + absl::Seconds(1), .upstream = "other"});
+  EXPECT_EQ(Broken(), "");
+  upstream.arrivals.push_back(
+      {.at = kStart + absl::Milliseconds(600), .upstream = "u"});
+  record_.send_slack = 9;
+  EXPECT_THAT(Broken(), HasSubstr("an upstream that leaves"));
+  record_.faults.push_back({fault_place::daemon, 0,
+                            kStart + absl::Milliseconds(100),
+                            kStart + absl::Milliseconds(200)});
+  EXPECT_EQ(Broken(), "");
+}
+
+TEST_F(soak_checks_test, FewRequestsReachAnUpstreamThatWantsNone) {
+  Caller(request_kind::posting, 200, "done r1");
+  Runs(1);
+  record_.send_slack = 9;
+  upstream_record& upstream = record_.upstreams["r1"];
+  upstream.words.push_back({"u", kStart, kStart + absl::Seconds(2)});
+  for (const int ms : {600, 700, 2100}) {
+    upstream.arrivals.push_back(
+        {.at = kStart + absl::Milliseconds(ms), .upstream = "u"});
+  }
+  EXPECT_EQ(Broken(), "");
+  upstream.arrivals.push_back(
+      {.at = kStart + absl::Milliseconds(1900), .upstream = "u"});
+  EXPECT_THAT(Broken(), HasSubstr("an upstream that wants none"));
+}
+
 }  // namespace
 }  // namespace anvilridge
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -20,6 +20,7 @@
   options.ratio = parsed["ratio"].as<double>();
   options.herds = parsed["herds"].as<bool>();
   options.silences = parsed["silences"].as<bool>();
+  options.statements = parsed["statements"].as<bool>();
   options.failing_prefills = parsed["failing-prefills"].as<bool>();
   if (const auto plant = parsed["plant"].as<std::string>();
       plant == "lost_cancel") {
@@ -71,13 +72,16 @@
   add("ratio", "Ratio of the send budget",
       cxxopts::value<double>()->default_value("0.2"));
   add("silences", "Upstreams fall silent and go on, beside other disturbances");
+  add("statements",
+      "Upstreams state that they leave or want nothing for a time, beside "
+      "other disturbances");
   add("herds", "End all daemons together while all upstreams refuse");
   add("failing-prefills", "Prefill engines fail all the time in all forms");
   add("logs", "Folder for the daemons' logs",
       cxxopts::value<std::string>()->default_value(""));
   add("plant",
-      "Fault to plant: resend, stale_view, false_refusal, no_patience or "
-      "lost_cancel",
+      "Fault to plant: resend, stale_view, false_refusal, no_patience, "
+      "deafness or lost_cancel",
       cxxopts::value<std::string>()->default_value(""));
   add("help", "Show this text");
   try {
--- a/tests/soak/soak_plan.cc
+++ b/tests/soak/soak_plan.cc
@@ -39,11 +39,13 @@
     action_name{soak_action::refuse_at_store, "refuse_at_store"},
     action_name{soak_action::change_config, "change_config"},
     action_name{soak_action::silence_upstreams, "silence_upstreams"},
+    action_name{soak_action::state_absence, "state_absence"},
 };
 
 // What is drawn without a plan of its own: the first ones.
 constexpr int kMixedActions = 12;
-// What is drawn beside silences, which are every other disturbance.
+// What is drawn beside silences or statements, which are every other
+// disturbance.
 constexpr std::array kBesideSilences = {
     soak_action::kill_daemon,     soak_action::stop_daemon,
     soak_action::freeze_daemon,   soak_action::hang_up_daemon,
@@ -85,7 +87,9 @@
   return plan;
 }
 
-std::vector<soak_step> MakeSilencePlan(const soak_options& options) {
+// Every other disturbance is an `action`, which concerns upstreams.
+std::vector<soak_step> MakePairedPlan(const soak_options& options,
+                                      soak_action action) {
   std::mt19937_64 random(options.seed);
   const int span_ms =
       static_cast<int>(absl::ToInt64Milliseconds(options.disturbed));
@@ -94,14 +98,14 @@
                                    kStepsPerSecond));
   std::vector<soak_step> plan;
   for (int i = 0; i < pairs; ++i) {
-    soak_step silence;
-    silence.at = absl::Milliseconds(Draw(random, span_ms));
-    silence.action = soak_action::silence_upstreams;
-    silence.target = Draw(random, 1 << 20);
-    silence.form = Draw(random, kSilenceForms);
-    silence.lasts = absl::Milliseconds(
+    soak_step absence;
+    absence.at = absl::Milliseconds(Draw(random, span_ms));
+    absence.action = action;
+    absence.target = Draw(random, 1 << 20);
+    absence.form = Draw(random, kSilenceForms);
+    absence.lasts = absl::Milliseconds(
         kShortestSilenceMs + Draw(random, kLongestMs - kShortestSilenceMs));
-    plan.push_back(silence);
+    plan.push_back(absence);
     soak_step other;
     other.at = absl::Milliseconds(Draw(random, span_ms));
     other.action = kBesideSilences.at(
@@ -142,7 +146,12 @@
 
 std::vector<soak_step> MakePlan(const soak_options& options) {
   if (options.herds) return MakeHerdPlan(options);
-  if (options.silences) return MakeSilencePlan(options);
+  if (options.silences) {
+    return MakePairedPlan(options, soak_action::silence_upstreams);
+  }
+  if (options.statements) {
+    return MakePairedPlan(options, soak_action::state_absence);
+  }
   if (options.failing_prefills) return MakeFailingPrefillPlan(options);
   std::mt19937_64 random(options.seed);
   const int span_ms =
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -31,6 +31,9 @@
   /// their store and of what is registered. No upstream and no link fails but
   /// for single runs.
   bool silences = false;
+  /// As `silences`, but upstreams state that they leave or that they want
+  /// nothing for a time.
+  bool statements = false;
   /// Prefill engines refuse, fail, lose or don't answer prefills all the time,
   /// in place of other disturbances.
   bool failing_prefills = false;
@@ -57,6 +60,8 @@
   change_config,
   /// Forms: one upstream, every other one, all of them.
   silence_upstreams,
+  /// Forms: it leaves, it names a time.
+  state_absence,
 };
 
 absl::string_view ActionName(soak_action action);
--- a/tests/soak/soak_record.h
+++ b/tests/soak/soak_record.h
@@ -33,6 +33,16 @@
   absl::Time at;
   /// Whether it was a prefill whose result the engine sent.
   bool accepted_prefill = false;
+  /// Instance that it arrived at.
+  std::string upstream = {};
+};
+
+/// What an instance stated about itself in its answer to a request.
+struct upstream_word {
+  std::string upstream;
+  absl::Time told;
+  /// Until when it wants nothing; infinite if it is leaving.
+  absl::Time until;
 };
 
 /// What happened to one request at the upstreams.
@@ -44,6 +54,7 @@
   /// broke off or failed it.
   bool silenced = false;
   bool failed = false;
+  std::vector<upstream_word> words;
   /// Times at which an upstream began to run it.
   std::vector<absl::Time> runs;
   /// Times at which an engine stopped generating it: its end or its caller's.
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -265,6 +265,8 @@
         return ChangeConfig();
       case soak_action::silence_upstreams:
         return SilenceUpstreams(upstream, step);
+      case soak_action::state_absence:
+        return StateAbsence(upstream, step);
     }
   }
 
@@ -352,6 +354,17 @@
     DisturbFor(fault_place::upstream, -1, step.lasts, [] {});
   }
 
+  void StateAbsence(size_t index, const soak_step& step) {
+    soak_upstream& upstream = *upstreams_[index];
+    if (step.form % 2 == 0) {
+      upstream.Leave();
+      return DisturbFor(fault_place::upstream, -1, step.lasts,
+                        [this, index] { RenewUpstream(index); });
+    }
+    upstream.Pause(step.lasts);
+    DisturbFor(fault_place::upstream, -1, step.lasts, [] {});
+  }
+
   // Another instance at the same address: requests that are meant for the one
   // before must not reach it.
   void RenewUpstream(size_t index) {
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -110,6 +110,20 @@
 INSTANTIATE_TEST_SUITE_P(failed_before, soak_prefill_test,
                          testing::Values(1, 4));
 
+// Guards against requests to upstreams that have said that they leave or for
+// how long they want nothing, beside ends, freezes and changes of the daemons.
+class soak_statement_test : public testing::TestWithParam<uint64_t> {};
+
+TEST_P(soak_statement_test, AbsentUpstreamsGetNothing) {
+  soak_options options;
+  options.seed = GetParam();
+  options.statements = true;
+  EXPECT_EQ(Broken(options), "");
+}
+
+INSTANTIATE_TEST_SUITE_P(short_runs, soak_statement_test,
+                         testing::Values(1, 2));
+
 soak_options Planted(const char* fault) {
   soak_options options;
   options.program = "planted_daemon";
@@ -143,6 +157,14 @@
   EXPECT_THAT(Broken(options), HasSubstr("its upstream was silent"));
 }
 
+TEST(soak_planted_test, DeafnessIsCaught) {
+  soak_options options = Planted("deafness");
+  options.statements = true;
+  const std::string broken = Broken(options);
+  EXPECT_THAT(broken, HasSubstr("to an upstream that leaves"));
+  EXPECT_THAT(broken, HasSubstr("to an upstream that wants none"));
+}
+
 TEST(soak_planted_test, ALostCancelIsCaught) {
   soak_options options;
   options.hide_close = true;
--- a/tests/soak/soak_upstreams.cc
+++ b/tests/soak/soak_upstreams.cc
@@ -48,6 +48,8 @@
   int spoil_period = 0;
   int runs = 0;
   absl::Time silent_until = absl::InfinitePast();
+  bool leaving = false;
+  absl::Time paused_until = absl::InfinitePast();
   int64_t orders = 0;
   int handles = 0;
   // Also drops what its timers still hold, when it is destroyed.
@@ -60,6 +62,7 @@
              std::function<void()> act);
   void Answer(QTcpSocket& socket, const raw_request& request, int status,
               absl::string_view body);
+  std::string Head(const raw_request& request, int status);
   void RefuseToRun(QTcpSocket& socket, const raw_request& request, int status);
   upstream_record& RecordOf(const raw_request& request);
   // Returns the index of the arrival among those of the request.
@@ -81,7 +84,7 @@
 
 size_t soak_upstream::impl::RecordArrival(const raw_request& request) {
   std::vector<upstream_arrival>& arrivals = RecordOf(request).arrivals;
-  arrivals.push_back({MonotonicNow()});
+  arrivals.push_back({.at = MonotonicNow(), .upstream = id});
   return arrivals.size() - 1;
 }
 
@@ -101,24 +104,43 @@
                                  int status, absl::string_view body) {
   const QPointer<QTcpSocket> to = &socket;
   After(absl::ZeroDuration(), platform_scene::Field(request, "request-id"),
-        [to, text = absl::StrCat(platform_scene::Head(request, status),
-                                 "Content-Length: ", body.size(), "\r\n\r\n",
-                                 body)] {
-          if (IsOpen(to)) WriteText(*to, text);
+        [this, to, request, status, body = std::string(body)] {
+          if (!IsOpen(to)) return;
+          WriteText(*to, absl::StrCat(Head(request, status), "Content-Length: ",
+                                      body.size(), "\r\n\r\n", body));
         });
 }
 
+// Returns the head of an answer with what this upstream states about itself,
+// and records the statement.
+std::string soak_upstream::impl::Head(const raw_request& request, int status) {
+  std::string head = platform_scene::Head(request, status);
+  std::vector<upstream_word>& words = RecordOf(request).words;
+  const absl::Time now = MonotonicNow();
+  if (leaving) {
+    head += "Server-Leaving: 1\r\n";
+    words.push_back({id, now, absl::InfiniteFuture()});
+  }
+  if (status == 503 && now < paused_until) {
+    absl::StrAppend(&head,
+                    "Retry-After: ", absl::ToDoubleSeconds(paused_until - now),
+                    "\r\n");
+    words.push_back({id, now, paused_until});
+  }
+  return head;
+}
+
 // Answers that the request was not run.
 void soak_upstream::impl::RefuseToRun(QTcpSocket& socket,
                                       const raw_request& request, int status) {
-  const std::string marks = status == 421
-                                ? "HTTP/1.1 421 Other\r\n"
-                                : platform_scene::Head(request, status);
   const QPointer<QTcpSocket> to = &socket;
   After(absl::ZeroDuration(), platform_scene::Field(request, "request-id"),
-        [to, text = absl::StrCat(marks,
-                                 "Not-Run: 1\r\nContent-Length: 0\r\n\r\n")] {
-          if (IsOpen(to)) WriteText(*to, text);
+        [this, to, request, status] {
+          if (!IsOpen(to)) return;
+          const std::string head =
+              status == 421 ? "HTTP/1.1 421 Other\r\n" : Head(request, status);
+          WriteText(*to, absl::StrCat(
+                             head, "Not-Run: 1\r\nContent-Length: 0\r\n\r\n"));
         });
 }
 
@@ -142,7 +164,7 @@
   if (request.method == "DELETE") {
     return Answer(socket, request, 200, "{}");
   }
-  if (fault == upstream_fault::refuse) {
+  if (fault == upstream_fault::refuse || MonotonicNow() < paused_until) {
     RecordArrival(request);
     return RefuseToRun(socket, request, 503);
   }
@@ -205,7 +227,7 @@
 
 void soak_upstream::impl::Stream(QTcpSocket& socket,
                                  const raw_request& request) {
-  WriteText(socket, absl::StrCat(platform_scene::Head(request, 200),
+  WriteText(socket, absl::StrCat(Head(request, 200),
                                  "Transfer-Encoding: chunked\r\n\r\n"));
   int last = 0;
   (void)absl::SimpleAtoi(platform_scene::Field(request, "last-event-id"),
@@ -257,7 +279,16 @@
 
 const std::string& soak_upstream::Id() const { return impl_->id; }
 
-void soak_upstream::Renew(std::string id) { impl_->id = std::move(id); }
+void soak_upstream::Renew(std::string id) {
+  impl_->id = std::move(id);
+  impl_->leaving = false;
+}
+
+void soak_upstream::Leave() { impl_->leaving = true; }
+
+void soak_upstream::Pause(absl::Duration lasts) {
+  impl_->paused_until = std::max(impl_->paused_until, MonotonicNow() + lasts);
+}
 
 void soak_upstream::SetFault(upstream_fault fault) { impl_->fault = fault; }
 
--- a/tests/soak/soak_upstreams.h
+++ b/tests/soak/soak_upstreams.h
@@ -45,6 +45,11 @@
   /// Comes back as another instance at the same address.
   void Renew(std::string id);
 
+  /// States in all its answers that it leaves, until it is renewed.
+  void Leave();
+  /// Refuses all requests for `lasts` and states so.
+  void Pause(absl::Duration lasts);
+
   void SetFault(upstream_fault fault);
   /// Falls silent for `lasts` and goes on then, unless it has been silent so
   /// lately that callers would see one silence.
