Take no token whose index is no whole number

Callers could get a wrong first token: an index beyond the range of int, or one with a fraction, was read as 0, so that such a message at the beginning of a stream counted as the first token and the real one was dropped as a repetition. It is now malformed and dropped.

decode_stream_test.ATokenWithoutAUsableIndexIsNoToken failed before (1e300, 0.5, ) and passes now. The other tests of the new file passed before: in the product's own interface an engine's error isn't found in a stream that had begun, nor does it end the stream as complete, because tokens have an index and the last message tells their number.

--- a/src/requests/decode_stream.cc
+++ b/src/requests/decode_stream.cc
@@ -44,9 +44,10 @@
   } else if (object["done"].toBool()) {
     message.kind = decode_message::kinds::done;
     message.index = object["tokens"].toInt(-1);
-  } else if (object["token"].isString() && object["index"].isDouble()) {
+  } else if (const int index = object["index"].toInt(-1);
+             object["token"].isString() && index >= 0) {
     message.kind = decode_message::kinds::token;
-    message.index = object["index"].toInt();
+    message.index = index;
     message.token = object["token"].toString().toStdString();
   }
   return message;
