Test a daemon beside entries of other programs

Guards against daemons that end by themselves or stop following the engines: entries that are deeply nested, huge, empty, no text, or have numbers or a port out of range are there when the daemon starts and come again while it runs; a known upstream's entry is replaced by an unreadable one and back.

--- a/tests/harness/platform_scene.cc
+++ b/tests/harness/platform_scene.cc
@@ -152,6 +152,10 @@
 
 void platform_scene::SetStoreUp(bool up) { impl_->store->SetUp(up); }
 
+std::string platform_scene::ServiceAddress() const {
+  return impl_->service->Address();
+}
+
 std::string platform_scene::PrefillAddress() const {
   return impl_->prefill->Address();
 }
--- a/tests/harness/platform_scene.h
+++ b/tests/harness/platform_scene.h
@@ -29,7 +29,8 @@
   child_process& Daemon() { return *daemon_; }
   uint16_t CallerPort() const { return caller_port_; }
   uint16_t ReadyPort() const { return ready_port_; }
-  /// `a.b.c.d:port` of the prefill and of the decode engine.
+  /// `a.b.c.d:port` of the plain service, the prefill and the decode engine.
+  std::string ServiceAddress() const;
   std::string PrefillAddress() const;
   std::string DecodeAddress() const;
 
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -317,6 +317,63 @@
   }));
 }
 
+// Returns an entry of a model engine with the fields `fields`.
+std::string ModelEntry(absl::string_view fields) {
+  return absl::StrCat(R"({"Service":"model","Zone":"z","State":"ready",)",
+                      R"("Stage":"decode",)", fields, "}");
+}
+
+// Guards against daemons that end by themselves, or stop following the engines,
+// because of an entry that another program wrote.
+TEST(odd_entries_test, LeaveTheOtherUpstreamsInUse) {
+  platform_scene scene;
+  const std::string deep(100000, '[');
+  const std::pair<std::string, std::string> entries[] = {
+      {"deep", deep},
+      {"deep-field", ModelEntry(absl::StrCat(R"("Slots":)", deep))},
+      {"born", ModelEntry(R"("Addr":"127.0.0.1:9","Slots":4,"born":1e300)")},
+      {"slots", ModelEntry(R"("Addr":"127.0.0.1:9","Slots":1e12)")},
+      {"port-0", ModelEntry(R"("Addr":"127.0.0.1:0","Slots":4)")},
+      {"port-70000", ModelEntry(R"("Addr":"127.0.0.1:70000","Slots":4)")},
+      {"bytes", "\xff\xfe{"},
+      {"\xff\xfe", "{}"},
+      {"line\r\nend", ModelEntry(R"("Addr":"127.0.0.1:9","Slots":4)")},
+      {"empty", ""},
+      {"", "{}"},
+      {std::string(255, 'k'), "7"},
+      {"huge", std::string(900000, 'a')}};
+  const auto put_all = [&] {
+    for (const auto& [key, value] : entries) {
+      scene.Put("keyed.servers", key, value);
+    }
+  };
+  const auto ask = [&scene](const std::string& target, const std::string& id) {
+    test_request request;
+    request.method = "POST";
+    request.port = scene.CallerPort();
+    request.target = target;
+    request.headers = {{"Host", "a.example"},
+                       {"Request-Id", id},
+                       {"Token-Count", "100,400"},
+                       {"Deadline-Ms", "4000"}};
+    return Send(request).status;
+  };
+  put_all();
+  ASSERT_TRUE(scene.Start());
+  EXPECT_EQ(ask("/post/1", "q1"), 200);
+  EXPECT_EQ(ask("/draft/1", "q2"), 200);
+  put_all();
+  scene.Put("keyed.servers", "l1", "{}");
+  EXPECT_TRUE(Eventually(kBound, [&] { return ask("/post/1", "q3") == 503; }));
+  EXPECT_EQ(ask("/draft/1", "q4"), 200);
+  scene.Put(
+      "keyed.servers", "l1",
+      absl::StrCat(R"({"Service":"ledger","Addr":")", scene.ServiceAddress(),
+                   R"(","Zone":"z","Slots":4,"State":"ready"})"));
+  EXPECT_TRUE(Eventually(kBound, [&] { return ask("/post/1", "q5") == 200; }));
+  EXPECT_EQ(scene.Daemon().Out().find(R"("store_lost")"), std::string::npos);
+}
+
 // What the next engine answers after a stream broke off.
 struct next_answer {
   const char* name;
