--- a/src/upstreams/http_client.h
+++ b/src/upstreams/http_client.h
@@ -38,7 +38,9 @@
   size_t max_body_bytes = 16 << 20;
   /// Header field that marks the answer to this call, with its value. Answers
   /// that carry another value were due to an earlier call and are passed over.
-  /// Empty for none; `http_client` does not look at it.
+  /// On a connection that was used before, an answer without the field can't be
+  /// matched and fails the call. Empty for none; `http_client` does not look at
+  /// it.
   std::pair<std::string, std::string> answer_mark;
 };
 
