Capture nothing in the test of a repeated refusal

clang rejects the implicit capture of a constant that is used by address; the constant is static now. The test is otherwise the same and passes.

--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -176,7 +176,7 @@
 // upstream writes an earlier refusal once more on a kept connection, where the
 // answer to the next request is due.
 TEST_F(platform_path_test, ARepeatedRefusalIsNotTheAnswerToTheNextRequest) {
-  constexpr absl::string_view kRefusal =
+  static constexpr absl::string_view kRefusal =
       "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n";
   std::atomic<bool> has_id = true;
   scene_.OnService([&has_id, requests = std::map<const QTcpSocket*, int>()](
