Apply the operators' limits on callers

What callers and operators saw: MaxHeaderBytes, MaxBodyBytes, HeaderTimeoutMs and IdleTimeoutMs of a configuration had no effect. A connection that the operators' idle time keeps could be closed by the settings' one, and one beyond it stayed open.

Cause: config_record read no limits, and the caller port took those of the settings at its start.

Change: the limits are parsed, carried in fleet_config and applied when a configuration comes into force: the idle time at once to connections that idle, the others from a connection's next request, so that none in progress is cut. The settings' sizes remain upper bounds for memory. Values that can't be used leave the settings' value in force and are logged once.

--- a/src/caller/caller_connection.cc
+++ b/src/caller/caller_connection.cc
@@ -73,7 +73,7 @@
   }
   feed_ = std::make_unique<request_feed>(socket_->peerAddress());
   context_.server->Add(feed_.get());
-  SetTimer(context.limits.idle_timeout);
+  BecomeIdle();
   if (refuse) {
     Refuse(MakeError(error_kind::too_many_connections,
                      "no more connections are accepted"));
@@ -117,6 +117,11 @@
   if (phase_ == phase::idle) SetTimer(kStopGrace);
 }
 
+void caller_connection::OnLimitsChanged() {
+  if (phase_ != phase::idle || close_after_answer_) return;
+  SetTimer(idle_since_ + context_.limits.idle_timeout - MonotonicNow());
+}
+
 void caller_connection::OnReadyRead() {
   const QByteArray bytes = socket_->readAll();
   switch (phase_) {
@@ -143,6 +148,8 @@
   if (phase_ == phase::idle) {
     received_ = MonotonicNow();
     received_bytes_ = 0;
+    const limit_settings& limits = context_.limits;
+    scanner_.SetBounds(limits.max_header_bytes, limits.max_body_bytes);
   }
   received_bytes_ += static_cast<int64_t>(bytes.size());
   const auto progress = scanner_.Take(bytes);
@@ -154,12 +161,23 @@
     Dispatch();
     return;
   }
+  SetReceiveTimer();
+  if (scanner_.TakeExpectContinue()) Send("HTTP/1.1 100 Continue\r\n\r\n");
+}
+
+void caller_connection::SetReceiveTimer() {
   if (phase_ == phase::idle && scanner_.InRequest()) {
     SetPhase(phase::receiving);
+    const limit_settings& limits = context_.limits;
+    deadline_ = received_ + limits.request_timeout;
     read_late_ = false;
-    SetTimer(context_.limits.request_timeout);
+    awaits_fields_ = true;
+    SetTimer(limits.header_timeout.value_or(limits.request_timeout));
+  }
+  if (phase_ == phase::receiving && awaits_fields_ && scanner_.FieldsRead()) {
+    awaits_fields_ = false;
+    SetTimer(deadline_ - MonotonicNow());
   }
-  if (scanner_.TakeExpectContinue()) Send("HTTP/1.1 100 Continue\r\n\r\n");
 }
 
 std::shared_ptr<caller_exchange> caller_connection::StartAnswer(
@@ -230,6 +248,7 @@
 }
 
 void caller_connection::SetTimer(absl::Duration delay) {
+  delay = std::max(delay, absl::ZeroDuration());
   timer_.start(std::chrono::milliseconds(
       absl::ToInt64Milliseconds(absl::Ceil(delay, absl::Milliseconds(1)))));
 }
@@ -265,7 +284,12 @@
     Linger();
     return;
   }
+  BecomeIdle();
+}
+
+void caller_connection::BecomeIdle() {
   SetPhase(phase::idle);
+  idle_since_ = MonotonicNow();
   SetTimer(context_.limits.idle_timeout);
 }
 
--- a/src/caller/caller_connection.h
+++ b/src/caller/caller_connection.h
@@ -64,6 +64,10 @@
   /// Closes after the answer in progress; an idle connection soon.
   void CloseWhenDone();
 
+  /// Applies changed limits of the context to an idle connection; others keep
+  /// theirs until their next request.
+  void OnLimitsChanged();
+
  private:
   friend class caller_exchange;
 
@@ -74,6 +78,8 @@
   void OnBytesWritten();
   void OnTimeout();
   void Receive(absl::string_view bytes);
+  void SetReceiveTimer();
+  void BecomeIdle();
   void Dispatch();
   void Refuse(const absl::Status& error);
   void RefuseRequest(const absl::Status& error, const scanned_request& request,
@@ -105,6 +111,12 @@
   // Of the request in progress.
   int64_t received_bytes_ = 0;
   std::string request_id_;
+  // When the whole request must have arrived.
+  absl::Time deadline_;
+  // When the connection became idle.
+  absl::Time idle_since_;
+  // Whether the timer runs for the header fields.
+  bool awaits_fields_ = false;
   // Whether the request got more time because bytes of it lay unread.
   bool read_late_ = false;
   bool close_after_answer_ = false;
--- a/src/caller/caller_port.cc
+++ b/src/caller/caller_port.cc
@@ -163,6 +163,15 @@
   impl_->counters->request_id_field = std::move(request_id_field);
 }
 
+void caller_port::SetLimits(const limit_settings& limits) {
+  impl_->limits = limits;
+  for (const auto& slot : impl_->slots) {
+    PostTo(slot->thread, [slot, limits] {
+      if (slot->worker) slot->worker->SetLimits(limits);
+    });
+  }
+}
+
 int caller_port::Connections() const {
   return impl_->counters->connections.load();
 }
--- a/src/caller/caller_port.h
+++ b/src/caller/caller_port.h
@@ -88,6 +88,10 @@
   /// @param request_id_field header field, in lower case, with a request's id.
   void OnCut(cut_listener listener, std::string request_id_field);
 
+  /// Changes the limits of open and new connections; to be called on the thread
+  /// that listens. A request in progress keeps those that it began with.
+  void SetLimits(const limit_settings& limits);
+
   uint16_t Port() const;
 
   /// Asks callers to leave: each answer from now on closes its connection, idle
--- a/src/caller/port_worker.cc
+++ b/src/caller/port_worker.cc
@@ -54,6 +54,13 @@
   impl_->connections.emplace(connection.get(), std::move(connection));
 }
 
+void port_worker::SetLimits(const limit_settings& limits) {
+  impl_->context.limits = limits;
+  for (auto& [key, connection] : impl_->connections) {
+    connection->OnLimitsChanged();
+  }
+}
+
 void port_worker::CloseWhenDone() {
   impl_->stopping = true;
   for (auto& [key, connection] : impl_->connections) {
--- a/src/caller/port_worker.h
+++ b/src/caller/port_worker.h
@@ -36,6 +36,9 @@
   /// that there are too many.
   void Adopt(int descriptor, bool refuse);
 
+  /// Changes the limits of all connections.
+  void SetLimits(const limit_settings& limits);
+
   /// Closes every connection behind its answer in progress.
   void CloseWhenDone();
 
--- a/src/caller/request_scanner.cc
+++ b/src/caller/request_scanner.cc
@@ -98,6 +98,12 @@
                                  int64_t max_body_bytes)
     : max_header_bytes_(max_header_bytes), max_body_bytes_(max_body_bytes) {}
 
+void request_scanner::SetBounds(int64_t max_header_bytes,
+                                int64_t max_body_bytes) {
+  max_header_bytes_ = max_header_bytes;
+  max_body_bytes_ = max_body_bytes;
+}
+
 absl::StatusOr<scan_progress> request_scanner::Take(absl::string_view bytes) {
   pending_.append(bytes.data(), bytes.size());
   starved_ = false;
--- a/src/caller/request_scanner.h
+++ b/src/caller/request_scanner.h
@@ -41,6 +41,9 @@
   /// `max_body_bytes` the body without chunk framing.
   request_scanner(int64_t max_header_bytes, int64_t max_body_bytes);
 
+  /// Changes the bounds; to be called between two requests.
+  void SetBounds(int64_t max_header_bytes, int64_t max_body_bytes);
+
   /// Takes the next bytes of the connection. Fails with `malformed_request`,
   /// `headers_too_large` or `body_too_large`; the connection can't be framed
   /// any more then.
@@ -56,6 +59,9 @@
   /// have not been read whole may.
   bool MayHaveKey() const;
 
+  /// Whether the header fields of the request that arrives have been read.
+  bool FieldsRead() const { return fields_read_; }
+
   /// Returns the value of a header field, whose name is given in lower case, of
   /// the request that arrives; empty until the header fields have been read.
   absl::string_view HeaderField(absl::string_view name) const;
--- a/src/fleet/fleet_config.h
+++ b/src/fleet/fleet_config.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -79,11 +80,27 @@
   engine_traits engine;
 };
 
+/// Limits on callers. Those that are absent are left to each daemon's settings.
+struct caller_limits {
+  /// Largest request line and header fields together.
+  std::optional<int64_t> max_header_bytes;
+  std::optional<int64_t> max_body_bytes;
+  /// From the first byte of a request to the end of its header fields.
+  std::optional<absl::Duration> header_timeout;
+  /// How long a connection may stay open without a request.
+  std::optional<absl::Duration> idle_timeout;
+  /// Limits whose values can't be used, with these, for the log.
+  std::vector<std::string> unusable;
+
+  bool operator==(const caller_limits&) const = default;
+};
+
 /// One version of the configuration.
 struct fleet_config {
   int64_t version = 0;
   std::vector<fleet_route> routes;
   std::map<std::string, fleet_service, std::less<>> services;
+  caller_limits limits;
 };
 
 /// Returns the route of `host` with the longest path prefix that matches
--- a/src/fleet_daemon/fleet_control.cc
+++ b/src/fleet_daemon/fleet_control.cc
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "absl/algorithm/container.h"
 #include "base/clock.h"
 #include "base/error_kind.h"
 #include "base/event_loop.h"
@@ -33,6 +34,8 @@
 
   // Returns the handlers of store outages; `topic` is the name in the log.
   topic_events MakeOutageHandlers(const char* topic);
+  // Logs the unusable limits of `next` that the current configuration lacks.
+  void LogUnusableLimits(const fleet_config& next) const;
   // Adopts the newest configuration among `records` if its version is higher
   // than the current one.
   void ApplyConfig(const std::vector<keyed_record>& records);
@@ -58,6 +61,17 @@
   return events;
 }
 
+void fleet_control::impl::LogUnusableLimits(const fleet_config& next) const {
+  for (const std::string& limit : next.limits.unusable) {
+    const bool logged =
+        config && absl::c_linear_search(config->limits.unusable, limit);
+    if (logged) continue;
+    LogEvent(log_level::warn, "config_limit_unusable",
+             {{"version", static_cast<double>(next.version)},
+              {"limit", QtText(limit)}});
+  }
+}
+
 void fleet_control::impl::ApplyConfig(
     const std::vector<keyed_record>& records) {
   // Each record holds the whole configuration, so only the last one matters.
@@ -74,6 +88,7 @@
     return;
   }
   if (config && parsed->version <= config->version) return;
+  LogUnusableLimits(*parsed);
   LogEvent(log_level::info, "config_in_force",
            {{"version", static_cast<double>(parsed->version)},
             {"before", config ? static_cast<double>(config->version) : 0},
--- a/src/fleet_daemon/fleet_daemon.cc
+++ b/src/fleet_daemon/fleet_daemon.cc
@@ -21,6 +21,7 @@
 #include "caller/caller_port.h"
 #include "dispatch/dispatcher.h"
 #include "fleet_daemon/connection_cut_report.h"
+#include "fleet_daemon/effective_limits.h"
 #include "fleet_daemon/stage_steering_service.h"
 #include "log/decision_log.h"
 #include "metrics/health_port.h"
@@ -233,7 +234,27 @@
     return control_.Ready();
   }
 
+  // Applies the limits on callers of a new configuration.
+  void ApplyLimits(const fleet_config& config) {
+    if (config.limits == configured_limits_) return;
+    configured_limits_ = config.limits;
+    const limit_settings limits =
+        EffectiveLimits(settings_.limits, config.limits);
+    LogEvent(
+        log_level::info, "caller_limits_in_force",
+        {{"version", static_cast<double>(config.version)},
+         {"max_header_bytes", static_cast<double>(limits.max_header_bytes)},
+         {"max_body_bytes", static_cast<double>(limits.max_body_bytes)},
+         {"header_ms",
+          static_cast<double>(absl::ToInt64Milliseconds(
+              limits.header_timeout.value_or(limits.request_timeout)))},
+         {"idle_ms", static_cast<double>(
+                         absl::ToInt64Milliseconds(limits.idle_timeout))}});
+    caller_port_->SetLimits(limits);
+  }
+
   void PublishView(std::shared_ptr<const fleet_view> view) {
+    if (view->config) ApplyLimits(*view->config);
     PostTo(traffic_.Context(), [this, view = std::move(view)] {
       if (!dispatcher_) return;
       dispatcher_->SetView(view);
@@ -270,6 +291,8 @@
   std::unique_ptr<QTimer> workload_timer_;
   stage_steering_service steering_;
   std::unique_ptr<caller_port> caller_port_;
+  // Those of the configuration in force.
+  caller_limits configured_limits_;
   health_port readiness_port_;
   health_port metrics_port_;
   std::unique_ptr<QTimer> stop_timer_;
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -2,6 +2,7 @@
 #define ANVILRIDGE_SETTINGS_DAEMON_SETTINGS_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,9 @@
   int max_requests = 1000;
   /// From the first byte of a request to its last.
   absl::Duration request_timeout = absl::Seconds(10);
+  /// From the first byte of a request to the end of its header fields;
+  /// `request_timeout` if absent. No key of its own.
+  std::optional<absl::Duration> header_timeout;
   absl::Duration idle_timeout = absl::Seconds(60);
   /// Unsent bytes of one answer past which its reader is cut off.
   int64_t max_unsent_bytes = 256 << 10;
--- a/src/settings/settings_reference.cc
+++ b/src/settings/settings_reference.cc
@@ -12,7 +12,11 @@
     "`key = value`. A line that begins with `#` or `;` is a comment, a value\n"
     "may stand in double quotes, and each section and key may occur once.\n"
     "`--check-config` prints every finding of a file and exits with 2 when\n"
-    "there is one. This page is the output of `--settings-reference`.\n";
+    "there is one. This page is the output of `--settings-reference`.\n\n"
+    "`anvilridge_fleet` reads `[limits]` too. Its operators' configuration\n"
+    "may lower `max_body_bytes` and `max_header_bytes`, but not raise them;\n"
+    "its idle time goes before `idle_timeout`, and its time for header\n"
+    "fields before `request_timeout`. What it lacks is left to the file.\n";
 
 std::string DefaultText(const settings_key& row) {
   if (row.required) return "required";
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -1,6 +1,7 @@
 // The whole path on the users' platform, over a real daemon process.
 #include <signal.h>
 
+#include <QTcpSocket>
 #include <QTimer>
 #include <atomic>
 #include <thread>
@@ -192,6 +193,22 @@
   EXPECT_EQ(Ask("GET", "/read/1").status, 404);
 }
 
+// Guards against limits of the operators that have no effect on callers.
+TEST_F(platform_path_test, ANewConfigurationLimitsItsCallers) {
+  EXPECT_EQ(Ask("POST", "/post/1").status, 200);
+  QTcpSocket idle;
+  idle.connectToHost("127.0.0.1", scene_.CallerPort());
+  ASSERT_TRUE(idle.waitForConnected());
+  scene_.Put("keyed.op", "config",
+             R"({"Version":5,"Routes":[{"Name":"post","Host":"a.example",)"
+             R"("PathPrefix":"/post/","Kind":"unsafe","Service":"ledger"}],)"
+             R"("Services":[{"Name":"ledger","MaxConns":9}],)"
+             R"("Limits":{"MaxBodyBytes":2,"IdleTimeoutMs":300}})");
+  EXPECT_TRUE(
+      Eventually(kBound, [&] { return Ask("POST", "/post/1").status == 413; }));
+  EXPECT_TRUE(idle.waitForDisconnected());
+}
+
 // The default effect of SIGHUP would end the daemon.
 TEST_F(platform_path_test, AHangupReloadsTheSettings) {
   scene_.Daemon().Signal(SIGHUP);
