Answer requests that arrive before the answer ahead of them is done

What callers saw: a request sent while another one was being answered, or right behind a stream that a stop met, got neither an answer nor a refusal; its connection closed.

Cause: bytes that arrived in the phases answering and flushing were read and dropped. After a stop began, a connection closed behind its answer even if the answer's head, written before, had not said so.

--- a/src/caller/caller_connection.cc
+++ b/src/caller/caller_connection.cc
@@ -113,44 +113,54 @@
 }
 
 void caller_connection::CloseWhenDone() {
-  close_after_answer_ = true;
+  draining_ = true;
   if (phase_ == phase::idle) SetTimer(kStopGrace);
 }
 
 void caller_connection::OnLimitsChanged() {
-  if (phase_ != phase::idle || close_after_answer_) return;
+  if (phase_ != phase::idle || draining_) return;
   SetTimer(idle_since_ + context_.limits.idle_timeout - MonotonicNow());
 }
 
 void caller_connection::OnReadyRead() {
-  const QByteArray bytes = socket_->readAll();
   switch (phase_) {
     case phase::idle:
     case phase::receiving:
-      Receive(View(bytes));
+      Receive(View(socket_->readAll()));
       break;
     case phase::answering:
     case phase::flushing:
-      // A pipelined request is not run: the caller sees the connection close
-      // behind the answer and may send it again.
-      if (!IsBlank(View(bytes))) {
-        close_after_answer_ = true;
-        ReportCut(cut_phase::unread, cut_reason::closing, bytes.size());
-      }
+      // A pipelined request stays in the socket, whose buffer is bounded.
+      if (!next_received_) next_received_ = MonotonicNow();
       break;
     case phase::lingering:
+      DropRequest(View(socket_->readAll()));
+      break;
     case phase::gone:
       break;
   }
 }
 
+void caller_connection::DropRequest(absl::string_view bytes) {
+  if (!draining_ || scanner_.InRequest() || IsBlank(bytes)) return;
+  ReportCut(cut_phase::unread, cut_reason::closing,
+            static_cast<int64_t>(bytes.size()));
+}
+
+void caller_connection::BeginRequest() {
+  const absl::Time now = MonotonicNow();
+  const limit_settings& limits = context_.limits;
+  scanner_.SetBounds(limits.max_header_bytes, limits.max_body_bytes);
+  received_ = next_received_.value_or(now);
+  next_received_.reset();
+  received_bytes_ = 0;
+  deadline_ = now + limits.request_timeout;
+  read_late_ = false;
+  awaits_fields_ = true;
+}
+
 void caller_connection::Receive(absl::string_view bytes) {
-  if (phase_ == phase::idle) {
-    received_ = MonotonicNow();
-    received_bytes_ = 0;
-    const limit_settings& limits = context_.limits;
-    scanner_.SetBounds(limits.max_header_bytes, limits.max_body_bytes);
-  }
+  if (phase_ == phase::idle) BeginRequest();
   received_bytes_ += static_cast<int64_t>(bytes.size());
   const auto progress = scanner_.Take(bytes);
   if (!progress.ok()) {
@@ -169,11 +179,9 @@
   if (phase_ == phase::idle && scanner_.InRequest()) {
     SetPhase(phase::receiving);
     const limit_settings& limits = context_.limits;
-    deadline_ = received_ + limits.request_timeout;
-    read_late_ = false;
-    awaits_fields_ = true;
     SetTimer(limits.header_timeout.value_or(limits.request_timeout));
   }
+  if (phase_ == phase::receiving && !scanner_.InRequest()) BecomeIdle();
   if (phase_ == phase::receiving && awaits_fields_ && scanner_.FieldsRead()) {
     awaits_fields_ = false;
     SetTimer(deadline_ - MonotonicNow());
@@ -194,11 +202,11 @@
 }
 
 void caller_connection::Dispatch() {
-  const bool pipelined = scanner_.HasExcess();
   request_id_ =
       std::string(scanner_.HeaderField(context_.counters->request_id_field));
   const scanned_request request = scanner_.Release();
-  if (pipelined || !request.keep_alive) close_after_answer_ = true;
+  if (scanner_.HasExcess()) next_received_ = received_;
+  if (!request.keep_alive) close_after_answer_ = true;
   const bool full =
       context_.counters->answering.load() >= context_.limits.max_requests;
   const bool keyed = HasIdempotencyKey(request);
@@ -285,12 +293,32 @@
     return;
   }
   BecomeIdle();
+  if (!RequestWaits()) return;
+  BeginRequest();
+  const limit_settings& limits = context_.limits;
+  SetPhase(phase::receiving);
+  SetTimer(limits.header_timeout.value_or(limits.request_timeout));
+  // Not from here: its handler may answer at once and end up here again.
+  PostTo(&timer_, [this] {
+    if (phase_ == phase::receiving) OnReadyRead();
+  });
 }
 
 void caller_connection::BecomeIdle() {
   SetPhase(phase::idle);
   idle_since_ = MonotonicNow();
-  SetTimer(context_.limits.idle_timeout);
+  SetTimer(draining_ ? kStopGrace : context_.limits.idle_timeout);
+}
+
+bool caller_connection::RequestWaits() const {
+  return scanner_.HasExcess() || socket_->bytesAvailable() > 0;
+}
+
+bool caller_connection::ClosesAfterAnswer() {
+  if (draining_ && !scanner_.HasExcess() && UnreadBytes() == 0) {
+    close_after_answer_ = true;
+  }
+  return close_after_answer_;
 }
 
 void caller_connection::Linger() {
@@ -302,6 +330,8 @@
     return;
   }
   ::shutdown(static_cast<int>(socket_->socketDescriptor()), SHUT_WR);
+  // A full buffer would keep the socket from being read.
+  OnReadyRead();
 }
 
 void caller_connection::OnTimeout() {
--- a/src/caller/caller_connection.h
+++ b/src/caller/caller_connection.h
@@ -78,8 +78,15 @@
   void OnBytesWritten();
   void OnTimeout();
   void Receive(absl::string_view bytes);
+  // Reports what arrives on a connection that a stop has closed.
+  void DropRequest(absl::string_view bytes);
+  void BeginRequest();
   void SetReceiveTimer();
   void BecomeIdle();
+  // Whether bytes of a further request have arrived.
+  bool RequestWaits() const;
+  // Whether the answer is the last one; decided as its head is written.
+  bool ClosesAfterAnswer();
   void Dispatch();
   void Refuse(const absl::Status& error);
   void RefuseRequest(const absl::Status& error, const scanned_request& request,
@@ -119,7 +126,10 @@
   bool awaits_fields_ = false;
   // Whether the request got more time because bytes of it lay unread.
   bool read_late_ = false;
+  // When the first byte behind that request arrived, if any has.
+  std::optional<absl::Time> next_received_;
   bool close_after_answer_ = false;
+  bool draining_ = false;
   std::weak_ptr<caller_exchange> exchange_;
 };
 
--- a/src/caller/caller_exchange.cc
+++ b/src/caller/caller_exchange.cc
@@ -100,7 +100,7 @@
     if (name.empty() || IsFramingField(name)) continue;
     absl::StrAppend(&head, name, ": ", WithoutControls(value), "\r\n");
   }
-  if (connection_->close_after_answer_) {
+  if (connection_->ClosesAfterAnswer()) {
     absl::StrAppend(&head, "connection: close\r\n");
   }
   return head;
--- a/src/caller/caller_world_for_test.h
+++ b/src/caller/caller_world_for_test.h
@@ -162,6 +162,14 @@
            [=] { Await(exchange, thread, seen); });
 }
 
+inline void EndOnRelease(const std::shared_ptr<inbound_exchange>& exchange,
+                         QObject* thread, observed* seen) {
+  if (seen->released) return exchange->End();
+  if (exchange->Closed()) return;
+  RunAfter(thread, absl::Milliseconds(1),
+           [=] { EndOnRelease(exchange, thread, seen); });
+}
+
 inline void HandleByPath(const inbound_request& request,
                          const std::shared_ptr<inbound_exchange>& exchange,
                          QObject* thread, observed* seen) {
@@ -181,6 +189,10 @@
     exchange->Begin(200, {});
     exchange->Write("open");
     Await(exchange, thread, seen);
+  } else if (request.path == "/finish") {
+    exchange->Begin(200, {});
+    exchange->Write("open");
+    EndOnRelease(exchange, thread, seen);
   } else if (request.path == "/break") {
     exchange->Begin(200, {});
     exchange->Write("one");
--- a/src/caller/request_scanner.cc
+++ b/src/caller/request_scanner.cc
@@ -117,7 +117,6 @@
 scanned_request request_scanner::Release() {
   scanned_request request = std::move(request_);
   request_ = {};
-  pending_.clear();
   part_ = part::head;
   framing_bytes_ = 0;
   expects_continue_ = false;
--- a/src/caller/request_scanner.h
+++ b/src/caller/request_scanner.h
@@ -49,7 +49,8 @@
   /// any more then.
   absl::StatusOr<scan_progress> Take(absl::string_view bytes);
 
-  /// Returns the complete request and starts on the next one.
+  /// Returns the complete request and starts on the next one, with the bytes
+  /// that arrived beyond it.
   scanned_request Release();
 
   /// Whether a part of a request has arrived.
@@ -66,7 +67,7 @@
   /// the request that arrives; empty until the header fields have been read.
   absl::string_view HeaderField(absl::string_view name) const;
 
-  /// Whether bytes beyond the complete request have arrived.
+  /// Whether bytes have arrived that are not scanned yet.
   bool HasExcess() const { return !pending_.empty(); }
 
   /// Whether the caller waits for `100 Continue`; true once a request.
