Refuse a flood of connections with a time to return

What callers saw: their connection closed without a byte, its request unread, when there were more than 64 connections beyond the limit.

Cause: the caller port told at most 64 callers at a time why they were refused, and closed the others at accept.

Change: at 64 beyond the limit the port accepts no more until some have left. The others wait in the kernel's queue, so work and memory stay bounded, and all get 503 with Retry-After.

--- a/src/caller/caller_port.cc
+++ b/src/caller/caller_port.cc
@@ -15,10 +15,13 @@
 namespace anvilridge {
 namespace {
 
-/// Connections past the cap that are still told why they are refused; any
-/// more are closed unanswered.
+/// Connections past the cap that are told at a time why they are refused; any
+/// more wait in the kernel's queue.
 constexpr int kMaxRefusals = 64;
 
+/// Time between two checks whether connections can be accepted again.
+constexpr absl::Duration kResumeInterval = absl::Milliseconds(10);
+
 /// The kernel's queue of connections that are not accepted yet.
 constexpr int kListenBacklog = 512;
 
@@ -28,6 +31,16 @@
   explicit accepting_server(std::function<void(int descriptor)> on_connection)
       : on_connection_(std::move(on_connection)) {}
 
+  /// Accepts no more until `Resume`, also within the present round of accepts.
+  void Pause() {
+    setMaxPendingConnections(0);
+    pauseAccepting();
+  }
+  void Resume() {
+    setMaxPendingConnections(kListenBacklog);
+    resumeAccepting();
+  }
+
  protected:
   void incomingConnection(qintptr descriptor) override {
     on_connection_(static_cast<int>(descriptor));
@@ -53,26 +66,39 @@
   std::shared_ptr<port_counters> counters = std::make_shared<port_counters>();
   size_t next_slot = 0;
   std::unique_ptr<accepting_server> listener;
+  /// Runs while no connections are accepted.
+  std::unique_ptr<QTimer> resume_timer;
 
+  bool Full() const {
+    return counters->connections.load() >=
+           limits.max_connections + kMaxRefusals;
+  }
+  void PauseAccepting();
   void HandOver(int descriptor);
   void MakeWorkers(
       const std::optional<QSslConfiguration>& tls,
       const std::function<inbound_handler(size_t thread)>& handler_for);
 };
 
+void caller_port::impl::PauseAccepting() {
+  listener->Pause();
+  if (resume_timer) {
+    if (!resume_timer->isActive()) resume_timer->start();
+    return;
+  }
+  resume_timer = RunEvery(kResumeInterval, [this] {
+    if (!listener->isListening()) return resume_timer->stop();
+    if (Full()) return;
+    resume_timer->stop();
+    listener->Resume();
+  });
+}
+
 void caller_port::impl::HandOver(int descriptor) {
   auto owned = std::make_shared<owned_descriptor>(descriptor);
   const int open = counters->connections.load();
-  if (open >= limits.max_connections + kMaxRefusals) {
-    if (counters->on_cut) {
-      connection_cut cut;
-      cut.phase = cut_phase::accepting;
-      cut.reason = cut_reason::too_many_connections;
-      counters->on_cut(cut);
-    }
-    return;
-  }
   ++counters->connections;
+  if (Full()) PauseAccepting();
   const bool refuse = open >= limits.max_connections;
   const std::shared_ptr<worker_slot> slot = slots[next_slot];
   next_slot = (next_slot + 1) % slots.size();
@@ -106,6 +132,7 @@
 }
 
 caller_port::~caller_port() {
+  impl_->resume_timer.reset();
   impl_->listener.reset();
   for (const auto& slot : impl_->slots) {
     RunAndWait(slot->thread, [&slot] { slot->worker.reset(); });
--- a/src/caller/caller_refusal_test.cc
+++ b/src/caller/caller_refusal_test.cc
@@ -1,5 +1,7 @@
+#include <algorithm>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "absl/strings/match.h"
 #include "absl/strings/string_view.h"
@@ -94,6 +96,37 @@
   }));
 }
 
+// Guards against connections that are closed without a byte.
+TEST_F(caller_port_thread_test, AFloodOfConnectionsIsRefusedWithATimeToReturn) {
+  limits_.max_connections = 1;
+  Start();
+  raw_caller first(port_->Port());
+  first.Send(Get("/a"));
+  ASSERT_TRUE(first.WaitForText("GET /a"));
+  constexpr int kCallers = 200;
+  std::vector<std::unique_ptr<raw_caller>> callers;
+  for (int i = 0; i < kCallers; ++i) {
+    callers.push_back(std::make_unique<raw_caller>(port_->Port()));
+    callers.back()->Send(Get("/b"));
+  }
+  int most = 0;
+  int refused = 0;
+  for (auto& caller : callers) {
+    WaitFor([&] {
+      most = std::max(most, port_->Connections());
+      caller->Text();
+      return caller->Socket().state() == QAbstractSocket::UnconnectedState;
+    });
+    if (absl::StrContains(caller->Text(), "retry-after: 1\r\n")) ++refused;
+  }
+  EXPECT_EQ(refused, kCallers);
+  EXPECT_LE(most, 1 + 64);
+  EXPECT_EQ(seen_.requests, 1);
+  EXPECT_EQ(cuts_.Text(), "");
+  first.Send(Get("/c"));
+  EXPECT_TRUE(first.WaitForText("GET /c"));
+}
+
 TEST_F(caller_port_thread_test, RefusesRequestsPastTheCap) {
   limits_.max_requests = 1;
   Start();
--- a/src/caller/connection_cut.cc
+++ b/src/caller/connection_cut.cc
@@ -28,8 +28,6 @@
       return "aborted";
     case cut_reason::port_closed:
       return "port_closed";
-    case cut_reason::too_many_connections:
-      return "too_many_connections";
     case cut_reason::accept_failed:
       return "accept_failed";
   }
--- a/src/caller/connection_cut.h
+++ b/src/caller/connection_cut.h
@@ -32,7 +32,6 @@
   /// The handler gave the answer up.
   aborted,
   port_closed,
-  too_many_connections,
   accept_failed,
 };
 
