Accept connections again after file descriptors ran out

What callers saw: no connection was accepted any more after the process had run out of file descriptors once, also when there were some again.

Cause: QTcpServer pauses when an accept fails, and leaves it to its user to resume.

Change: the caller port resumes by the same timer as after too many connections.

--- a/src/caller/caller_port.cc
+++ b/src/caller/caller_port.cc
@@ -151,6 +151,9 @@
   auto listener = std::make_unique<accepting_server>(
       [this](int descriptor) { impl_->HandOver(descriptor); });
   listener->setListenBacklogSize(kListenBacklog);
+  // Qt accepts no more once file descriptors have run out.
+  QObject::connect(listener.get(), &QTcpServer::acceptError,
+                   [this] { impl_->PauseAccepting(); });
   const QHostAddress address(QString::fromStdString(listen.address));
   if (!listener->listen(address, listen.port)) {
     return MakeError(
