--- a/src/caller/caller_connection.h
+++ b/src/caller/caller_connection.h
@@ -64,6 +64,10 @@
   /// Closes after the answer in progress; an idle connection soon.
   void CloseWhenDone();
 
+  /// Applies changed limits of the context to an idle connection; others keep
+  /// theirs until their next request.
+  void OnLimitsChanged();
+
  private:
   friend class caller_exchange;
 
@@ -74,6 +78,15 @@
   void OnBytesWritten();
   void OnTimeout();
   void Receive(absl::string_view bytes);
+  // Reports what arrives on a connection that a stop has closed.
+  void DropRequest(absl::string_view bytes);
+  void BeginRequest();
+  void SetReceiveTimer();
+  void BecomeIdle();
+  // Whether bytes of a further request have arrived.
+  bool RequestWaits() const;
+  // Whether the answer is the last one; decided as its head is written.
+  bool ClosesAfterAnswer();
   void Dispatch();
   void Refuse(const absl::Status& error);
   void RefuseRequest(const absl::Status& error, const scanned_request& request,
@@ -105,9 +118,18 @@
   // Of the request in progress.
   int64_t received_bytes_ = 0;
   std::string request_id_;
+  // When the whole request must have arrived.
+  absl::Time deadline_;
+  // When the connection became idle.
+  absl::Time idle_since_;
+  // Whether the timer runs for the header fields.
+  bool awaits_fields_ = false;
   // Whether the request got more time because bytes of it lay unread.
   bool read_late_ = false;
+  // When the first byte behind that request arrived, if any has.
+  std::optional<absl::Time> next_received_;
   bool close_after_answer_ = false;
+  bool draining_ = false;
   std::weak_ptr<caller_exchange> exchange_;
 };
 
--- a/src/caller/request_scanner.cc
+++ b/src/caller/request_scanner.cc
@@ -98,6 +98,12 @@
                                  int64_t max_body_bytes)
     : max_header_bytes_(max_header_bytes), max_body_bytes_(max_body_bytes) {}
 
+void request_scanner::SetBounds(int64_t max_header_bytes,
+                                int64_t max_body_bytes) {
+  max_header_bytes_ = max_header_bytes;
+  max_body_bytes_ = max_body_bytes;
+}
+
 absl::StatusOr<scan_progress> request_scanner::Take(absl::string_view bytes) {
   pending_.append(bytes.data(), bytes.size());
   starved_ = false;
@@ -111,7 +117,6 @@
 scanned_request request_scanner::Release() {
   scanned_request request = std::move(request_);
   request_ = {};
-  pending_.clear();
   part_ = part::head;
   framing_bytes_ = 0;
   expects_continue_ = false;
--- a/src/caller/request_scanner.h
+++ b/src/caller/request_scanner.h
@@ -41,12 +41,16 @@
   /// `max_body_bytes` the body without chunk framing.
   request_scanner(int64_t max_header_bytes, int64_t max_body_bytes);
 
+  /// Changes the bounds; to be called between two requests.
+  void SetBounds(int64_t max_header_bytes, int64_t max_body_bytes);
+
   /// Takes the next bytes of the connection. Fails with `malformed_request`,
   /// `headers_too_large` or `body_too_large`; the connection can't be framed
   /// any more then.
   absl::StatusOr<scan_progress> Take(absl::string_view bytes);
 
-  /// Returns the complete request and starts on the next one.
+  /// Returns the complete request and starts on the next one, with the bytes
+  /// that arrived beyond it.
   scanned_request Release();
 
   /// Whether a part of a request has arrived.
@@ -56,11 +60,14 @@
   /// have not been read whole may.
   bool MayHaveKey() const;
 
+  /// Whether the header fields of the request that arrives have been read.
+  bool FieldsRead() const { return fields_read_; }
+
   /// Returns the value of a header field, whose name is given in lower case, of
   /// the request that arrives; empty until the header fields have been read.
   absl::string_view HeaderField(absl::string_view name) const;
 
-  /// Whether bytes beyond the complete request have arrived.
+  /// Whether bytes have arrived that are not scanned yet.
   bool HasExcess() const { return !pending_.empty(); }
 
   /// Whether the caller waits for `100 Continue`; true once a request.
