Test what alternatives leave of the send budget to replacements

Sends beside one that is in progress leave half of what a daemon saves up to replacements of failed sends, and where its part is below one send, wait until it is full. Nothing held that, nor the bound over all daemons with both kinds.

--- a/src/dispatch/send_budget_test.cc
+++ b/src/dispatch/send_budget_test.cc
@@ -1,6 +1,7 @@
 #include "dispatch/send_budget.h"
 
 #include <random>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -27,14 +28,14 @@
 
   // Runs until `duration` has passed. Each request that is refused is sent
   // again if the budget allows it.
-  void Run(absl::Duration duration, bool refused) {
+  void Run(absl::Duration duration, bool refused,
+           extra_send_need need = extra_send_need::replacement) {
     for (const absl::Time end = now_ + duration; now_ < end; now_ += kStep) {
       send_budget& budget = budgets_[requests_.size() % budgets_.size()];
       RecordRequest(budget, kService, limits_, now_);
       requests_.push_back(now_);
       if (refused &&
-          ConsumeExtraSend(budget, kService, limits_,
-                           extra_send_need::replacement, random_, now_)) {
+          ConsumeExtraSend(budget, kService, limits_, need, random_, now_)) {
         extra_sends_.push_back(now_);
       }
     }
@@ -285,6 +286,79 @@
                                extra_send_need::replacement, random, now));
 }
 
+// Returns how many extra sends for `need` are granted in a row at `now`.
+int ConsumeAll(send_budget& budget, const send_budget_limits& limits,
+               extra_send_need need, absl::BitGenRef random, absl::Time now) {
+  int granted = 0;
+  while (ConsumeExtraSend(budget, kService, limits, need, random, now)) {
+    ++granted;
+  }
+  return granted;
+}
+
+// Guards against requests that can't be replaced because others were sent a
+// second time only for being slow.
+TEST(send_budget_test, AlternativesLeaveHalfOfWhatIsSavedToReplacements) {
+  std::mt19937_64 random(1);
+  for (const auto& [slack, alternatives, replacements] :
+       {std::tuple(2, 1, 0), std::tuple(4, 1, 1), std::tuple(8, 2, 2),
+        std::tuple(16, 4, 4), std::tuple(80, 20, 20)}) {
+    SCOPED_TRACE(slack);
+    send_budget budget;
+    const send_budget_limits limits{0, slack, absl::Seconds(10)};
+    absl::Time now = absl::FromUnixSeconds(1000);
+    RecordDaemonCount(budget.daemons, 1, now);
+    ConsumeAll(budget, limits, extra_send_need::replacement, random, now);
+    now += absl::Hours(1);
+    EXPECT_EQ(
+        ConsumeAll(budget, limits, extra_send_need::alternative, random, now),
+        alternatives);
+    EXPECT_EQ(
+        ConsumeAll(budget, limits, extra_send_need::replacement, random, now),
+        replacements);
+  }
+}
+
+// Guards against an alternative that uses up, by chance, the part of a send
+// that a replacement could still have had.
+TEST(send_budget_test, AlternativesWaitUntilAPartOfASendIsSavedUp) {
+  std::mt19937_64 random(1);
+  const send_budget_limits limits{0, 2, absl::Seconds(10)};
+  absl::Time now = absl::FromUnixSeconds(1000);
+  send_budget budget;
+  // A tenth of a send can be saved up.
+  RecordDaemonCount(budget.daemons, 10, now);
+  ConsumeExtraSend(budget, kService, limits, extra_send_need::replacement,
+                   random, now);
+  now += absl::Seconds(15);
+  const double part = SendCredit(budget, kService, limits, now).available;
+  EXPECT_GT(part, 0);
+  EXPECT_LT(part, 0.1);
+  EXPECT_EQ(
+      ConsumeAll(budget, limits, extra_send_need::alternative, random, now), 0);
+  EXPECT_EQ(SendCredit(budget, kService, limits, now).available, part);
+  now += absl::Hours(1);
+  ConsumeExtraSend(budget, kService, limits, extra_send_need::alternative,
+                   random, now);
+  EXPECT_EQ(SendCredit(budget, kService, limits, now).available, 0);
+}
+
+// Guards against alternatives beyond the budget, alone and with replacements.
+TEST(send_budget_test, AlternativesKeepTheBoundInEveryWindow) {
+  for (const int daemons : {1, 4, 29, 100, 400}) {
+    SCOPED_TRACE(daemons);
+    simulated_fleet fleet(daemons);
+    fleet.Run(absl::Minutes(1), false);
+    fleet.Run(absl::Seconds(30), true, extra_send_need::alternative);
+    EXPECT_GT(fleet.ExtraSends(), 0u);
+    for (int i = 0; i < 20; ++i) {
+      fleet.Run(absl::Seconds(1), true, extra_send_need::replacement);
+      fleet.Run(absl::Seconds(1), true, extra_send_need::alternative);
+    }
+    fleet.ExpectLimitInEveryWindow();
+  }
+}
+
 // A deployment without slack has the ratio alone.
 TEST(send_budget_test, RequestsEarnExtraSendsWithoutSlack) {
   send_budget budget;
