--- a/src/dispatch/stream_flow.cc
+++ b/src/dispatch/stream_flow.cc
@@ -244,15 +244,20 @@
     if (sends_ >= route_.attempts) return;
     const auto other = ChooseReplacementPrefill();
     if (!other && IsTried(decode_)) return;
+    const absl::Duration silence = MonotonicNow() - silent.start;
+    // An engine that stays silent has probably failed.
+    const bool failed = silence >= silent.slow_after + kSilenceCheckInterval;
     if (!ClaimSend(other ? send_purpose::prefill : send_purpose::decode,
-                   "prefill_slow")) {
+                   "prefill_slow",
+                   failed ? extra_send_need::replacement
+                          : extra_send_need::alternative)) {
       return;
     }
     LogEvent(log_level::warn, "prefill_stalled",
              {{"request", QtText(request_.id)},
               {"upstream", QtText(silent.engine.id)},
               {"also_sent_to", QtText(other ? other->id : decode_.id)},
-              {"silent_ms", ToMilliseconds(MonotonicNow() - silent.start)}});
+              {"silent_ms", ToMilliseconds(silence)}});
     ReportStall(state_, silent.engine);
     if (!other) return PrefillAtDecode();
     ++sends_;
@@ -304,8 +309,8 @@
     if (prefills_.empty() && call_ == 0) ReplaceFailedPrefill(outcome);
   }
 
-  // Sends the request to `decode_`, or to another engine if that one has
-  // rejected it.
+  // Sends the request to `decode_`. If that engine has rejected it, prefers
+  // another one; it may also accept it by now.
   void SendDecodeAfterPrefill() {
     if (IsTried(decode_)) ReserveOtherEngine();
     if (!ClaimSend(send_purpose::decode, "refused")) {
@@ -588,8 +593,8 @@
              [weak = weak_from_this(), number = run_->number, next_delay] {
                const auto flow = weak.lock();
                if (!flow || flow->call_ == 0) return;
-               if (flow->run_->number == number)
-                 flow->CheckForStall(next_delay);
+               if (flow->run_->number != number) return;
+               flow->CheckForStall(next_delay);
              });
   }
 
