Move the prefills of a prompt out of the stream flow

Nothing that they do has changed: 85 tests of the paths over real daemons and of their modules pass as before.

--- a/src/dispatch/stream_flow.cc
+++ b/src/dispatch/stream_flow.cc
@@ -2,7 +2,6 @@
 
 #include <QJsonObject>
 #include <algorithm>
-#include <map>
 #include <utility>
 #include <vector>
 
@@ -15,6 +14,7 @@
 #include "dispatch/decode_admission.h"
 #include "dispatch/event_splitter.h"
 #include "dispatch/kv_lease.h"
+#include "dispatch/prompt_prefill.h"
 #include "dispatch/request_sends.h"
 #include "dispatch/stream_demand.h"
 #include "dispatch/stream_limits.h"
@@ -33,8 +33,6 @@
 // Time after which callers may retry a request whose prefill failed: the next
 // daemon that they reach has a part of the budget of its own.
 constexpr absl::Duration kLostPrefillRetryAfter = absl::Milliseconds(250);
-// Time after which a silent stream or prefill is first checked again.
-constexpr absl::Duration kSilenceCheckInterval = absl::Milliseconds(500);
 // Longest time for which two engines generate for one stream.
 constexpr absl::Duration kMaxRunOverlap = absl::Milliseconds(300);
 
@@ -42,21 +40,6 @@
   return static_cast<double>(absl::ToInt64Milliseconds(duration));
 }
 
-// A prefill whose response is pending.
-struct prefill_in_progress {
-  channel_client::call_id call = 0;
-  fleet_upstream engine;
-  absl::Time start;
-  // Time from its start after which it counts as slow.
-  absl::Duration slow_after;
-  // Tokens that the engine had to prefill before.
-  double backlog = 0;
-  // Identifies the prefill in the ledger.
-  std::string ledger_id;
-  // Whether it was sent in place of another one, which counts as an attempt.
-  bool replaces_other = false;
-};
-
 // A decode whose response is pending or being received.
 struct run_in_progress {
   // Identifies the run within its flow.
@@ -191,122 +174,72 @@
   // ---- Prefill
 
   void SendPrefill(const fleet_upstream& engine, bool replaces_other) {
-    const absl::Time now = MonotonicNow();
-    send_parameters parameters;
-    parameters.upstream = engine;
-    parameters.purpose = send_purpose::prefill;
-    parameters.time_left = TimeLeft(request_, route_, now);
-    parameters.resume_after = relay_.ResumeAfter();
-    http_call call = state_.protocol.build_send_call(request_, parameters);
-    call.connect_timeout = kUpstreamConnectTimeout;
-    prefill_in_progress prefill;
-    prefill.engine = engine;
-    prefill.start = now;
-    prefill.backlog = PrefillBacklog(state_.ledger, engine.id, now);
-    const double tokens = static_cast<double>(request_.prompt_tokens);
-    prefill.slow_after = SlowPrefillTime(tokens, prefill.backlog,
-                                         state_.ledger.prefill_tokens_per_ms);
-    prefill.ledger_id = prefills_.empty() ? request_.id : SecondLedgerId();
-    prefill.replaces_other = replaces_other;
-    tried_prefills_.push_back(engine.id);
+    if (!prefill_) {
+      prefill_listener listener;
+      listener.on_completed = [this](const prefill_result& result) {
+        OnPrefilled(result);
+      };
+      listener.on_failed = [this](const prefill_failure& failure) {
+        OnPrefillFailed(failure);
+      };
+      listener.on_silent = [this](const silent_prefill& silent) {
+        OnSilentPrefill(silent);
+      };
+      prefill_.emplace(state_, request_, route_, weak_from_this(),
+                       std::move(listener));
+    }
     CountSend(counted_, send_purpose::prefill);
-    BeginPrefill(state_.ledger, prefill.ledger_id, engine.id, tokens);
-    NotifyLoadChange();
-    const uint64_t number = ++last_send_number_;
-    const auto self = shared_from_this();
-    http_handler handler;
-    handler.on_done = [self, number](const http_result& result) {
-      self->OnPrefillDone(number, result);
-    };
-    prefill.call = StartUpstreamCall(state_, engine, "prefill", std::move(call),
-                                     std::move(handler));
-    SchedulePrefillCheck(number, prefill.slow_after, kSilenceCheckInterval);
-    prefills_.emplace(number, std::move(prefill));
+    prefill_->Send(engine, relay_.ResumeAfter(), replaces_other);
   }
 
-  // Checks prefill `number` after `delay`, and then at intervals that begin
-  // with `next_delay` and grow.
-  void SchedulePrefillCheck(uint64_t number, absl::Duration delay,
-                            absl::Duration next_delay) {
-    RunAfter(state_.context, delay,
-             [weak = weak_from_this(), number, next_delay] {
-               const auto flow = weak.lock();
-               if (!flow || !flow->prefills_.contains(number)) return;
-               flow->CheckSlowPrefill(flow->prefills_.at(number));
-               flow->SchedulePrefillCheck(number, next_delay, 2 * next_delay);
-             });
+  bool IsPrefillInProgress() const {
+    return prefill_ && prefill_->InProgress() > 0;
   }
 
   // Sends the request to another engine beside a prefill whose engine is
   // silent, if the budget allows it. The silent one may still answer first.
-  void CheckSlowPrefill(const prefill_in_progress& silent) {
-    if (prefills_.size() > 1 || call_ != 0) return;
+  void OnSilentPrefill(const silent_prefill& silent) {
+    if (prefill_->InProgress() > 1 || call_ != 0) return;
     if (sends_ >= route_.attempts) return;
     const auto other = ChooseReplacementPrefill();
     if (!other && IsTried(decode_)) return;
-    const absl::Duration silence = MonotonicNow() - silent.start;
-    // An engine that stays silent has probably failed.
-    const bool failed = silence >= silent.slow_after + kSilenceCheckInterval;
     if (!ClaimSend(other ? send_purpose::prefill : send_purpose::decode,
                    "prefill_slow",
-                   failed ? extra_send_need::replacement
-                          : extra_send_need::alternative)) {
+                   silent.failed ? extra_send_need::replacement
+                                 : extra_send_need::alternative)) {
       return;
     }
     LogEvent(log_level::warn, "prefill_stalled",
              {{"request", QtText(request_.id)},
               {"upstream", QtText(silent.engine.id)},
               {"also_sent_to", QtText(other ? other->id : decode_.id)},
-              {"silent_ms", ToMilliseconds(silence)}});
+              {"silent_ms", ToMilliseconds(silent.silence)}});
     ReportStall(state_, silent.engine);
     if (!other) return PrefillAtDecode();
     ++sends_;
     SendPrefill(*other, /*replaces_other=*/true);
   }
 
-  void OnPrefillDone(uint64_t number, const http_result& result) {
-    const auto found = prefills_.find(number);
-    if (found == prefills_.end()) return;
-    const prefill_in_progress sent = std::move(found->second);
-    prefills_.erase(found);
-    EndPrefill(state_.ledger, sent.ledger_id);
-    const response_info info =
-        state_.protocol.parse_response(result.http_status, result.headers);
-    absl::StatusOr<completed_prefill> prefill =
-        absl::UnavailableError("no response");
-    const send_outcome outcome = ClassifyPrefill(result, info, prefill);
-    state_.metrics->CountSend(service_.name, SendOutcomeName(outcome));
-    ReportSend(state_, sent.engine, outcome, info.other_instance);
-    const absl::Duration elapsed = MonotonicNow() - sent.start;
-    record_.prefill = elapsed;
-    if (prefill.ok()) {
-      counted_.prefill_accepted = true;
-      record_.prefill_tokens = prefill->tokens;
-      UpdatePrefillSpeed(state_.ledger,
-                         static_cast<double>(prefill->tokens) + sent.backlog,
-                         elapsed);
-      CancelPrefills();
-      lease_ =
-          MakeLease(sent.engine, prefill->handle, service_.engine.handle_ttl);
-      // A decode engine may be prefilling the prompt itself.
-      if (call_ == 0) SendDecodeAfterPrefill();
-      return;
-    }
-    LogEvent(log_level::warn, "prefill_failed",
-             {{"request", QtText(request_.id)},
-              {"upstream", QtText(sent.engine.id)},
-              {"fate", QtText(SendOutcomeName(outcome))},
-              {"status", result.http_status},
-              {"why", QtText(result.status.message())},
-              {"ms", ToMilliseconds(elapsed)}});
+  void OnPrefilled(const prefill_result& result) {
+    counted_.prefill_accepted = true;
+    record_.prefill = result.duration;
+    record_.prefill_tokens = result.prefill.tokens;
+    lease_ = MakeLease(result.engine, result.prefill.handle,
+                       service_.engine.handle_ttl);
+    // A decode engine may be prefilling the prompt itself.
+    if (call_ == 0) SendDecodeAfterPrefill();
+  }
+
+  void OnPrefillFailed(const prefill_failure& failure) {
+    const send_outcome outcome = failure.outcome;
     if (outcome == send_outcome::unsent) {
       UncountSend(counted_, send_purpose::prefill);
-      if (sent.replaces_other) --sends_;
+      if (failure.replaces_other) --sends_;
     }
     // A refused prefill counts as an attempt. One that the engine may have
     // accepted counts as one when another is sent in its place.
-    if (outcome == send_outcome::refused && !sent.replaces_other) ++sends_;
-    if (prefills_.empty() && call_ == 0) ReplaceFailedPrefill(outcome);
+    if (outcome == send_outcome::refused && !failure.replaces_other) ++sends_;
+    if (!IsPrefillInProgress() && call_ == 0) ReplaceFailedPrefill(outcome);
   }
 
   // Sends the request to `decode_`. If that engine has rejected it, prefers
@@ -325,15 +258,6 @@
            tried_decodes_.end();
   }
 
-  // Cancels the prefills whose results are no longer needed.
-  void CancelPrefills() {
-    for (const auto& [number, prefill] : prefills_) {
-      state_.client.Cancel(prefill.call);
-      EndPrefill(state_.ledger, prefill.ledger_id);
-    }
-    prefills_.clear();
-  }
-
   // Sends the request on after a prefill that ended with `outcome`: to another
   // prefill engine, or else to a decode engine.
   void ReplaceFailedPrefill(send_outcome outcome) {
@@ -398,7 +322,7 @@
   std::optional<fleet_upstream> ChooseOtherPrefill() {
     return ChoosePrefillEngine(
         state_, service_.name, static_cast<double>(request_.prompt_tokens),
-        decode_.failure_domain, tried_prefills_, MonotonicNow());
+        decode_.failure_domain, prefill_->Tried(), MonotonicNow());
   }
 
   // Returns an engine that may replace a prefill which its engine may have
@@ -410,18 +334,6 @@
     return ChooseOtherPrefill();
   }
 
-  // Returns the outcome of a prefill, and sets `prefill` to its result if there
-  // is a response with status 200.
-  send_outcome ClassifyPrefill(
-      const http_result& result, const response_info& info,
-      absl::StatusOr<completed_prefill>& prefill) const {
-    if (result.status.ok() && result.http_status == kOk) {
-      prefill = state_.protocol.parse_prefill(result.body);
-      return prefill.ok() ? send_outcome::answered : send_outcome::unknown;
-    }
-    return ClassifySend(result, info);
-  }
-
   // ---- Decode
 
   // Sends the request to `decode_`, or to another engine if that one has become
@@ -531,7 +443,7 @@
     if (IsSuccessor(number)) {
       return OnSuccessorHeaders(is_stream, status, headers);
     }
-    if (is_stream) CancelPrefills();
+    if (is_stream && prefill_) prefill_->Cancel();
     relay_.OnHeaders(is_stream, headers);
   }
 
@@ -752,7 +664,7 @@
       return ContinueWithSuccessor("failed");
     }
     // The prefill may still be answered.
-    if (!prefills_.empty() && !MayHaveRun(outcome)) return run_.reset();
+    if (IsPrefillInProgress() && !MayHaveRun(outcome)) return run_.reset();
     HandleFailure(outcome, result);
   }
 
@@ -877,7 +789,7 @@
                               run_state::unknown));
     }
     Refuse(MakeError(error_kind::overloaded,
-                     !prefills_.empty()
+                     IsPrefillInProgress()
                          ? "no prefill within the time limit"
                          : "no engine had capacity within the time limit"));
   }
@@ -913,7 +825,7 @@
     RemoveFromQueues(state_, request_.id);
     if (call_ != 0) state_.client.Cancel(std::exchange(call_, 0));
     if (successor_) state_.client.Cancel(successor_->run.call);
-    CancelPrefills();
+    if (prefill_) prefill_->Cancel();
     ReleaseLease(state_, request_.id, lease_);
     EndRun(state_.ledger, request_.id);
     EndRun(state_.ledger, SecondLedgerId());
@@ -944,13 +856,12 @@
   length_distribution length_;
   // The call of `run_`; 0 if it is not in progress.
   channel_client::call_id call_ = 0;
-  // At most two: a silent one, and the one that was sent in its place.
-  std::map<uint64_t, prefill_in_progress> prefills_;
+  // Prefills of the prompt at prefill engines; set once one was sent.
+  std::optional<prompt_prefill> prefill_;
   kv_lease lease_;
-  // Ids of the engines that the request was sent to.
-  std::vector<std::string> tried_prefills_;
   // The engine that is reserved for the decode, and then the one of `run_`.
   fleet_upstream decode_;
+  // Ids of the decode engines that the request was sent to.
   std::vector<std::string> tried_decodes_;
   // Sends that count as attempts.
   int sends_ = 0;
--- a/src/dispatch/stream_limits.h
+++ b/src/dispatch/stream_limits.h
@@ -30,6 +30,10 @@
 /// Engines that work may send nothing for this long.
 inline constexpr absl::Duration kLongestSoundSilence = absl::Milliseconds(1500);
 
+/// Time after which an engine that was found silent is checked again, and then
+/// counts as failed. The interval doubles with each further check.
+inline constexpr absl::Duration kSilenceCheckInterval = absl::Milliseconds(500);
+
 /// Returns how long a decode engine may be silent until another one is asked to
 /// continue its stream.
 absl::Duration StallTimeout(const fleet_route& route);
