--- a/src/dispatch/decode_admission.cc
+++ b/src/dispatch/decode_admission.cc
@@ -209,9 +209,8 @@
                                    PrefillBacklog(state.ledger,
                                                   reservation.prefill->id, now))
           : absl::ZeroDuration();
-  const decode_run run = ExpectedRun(stream, now);
-  ReserveRun(state.ledger, stream.request_id, reservation.decode.id,
-             run.context, run.remaining, now + prefill);
+  ReserveDecode(state, stream.request_id, reservation.decode, stream,
+                now + prefill);
   SetTokensToPrefill(
       state.ledger, stream.request_id,
       kDecodePrefillCost *
@@ -343,6 +342,14 @@
   if (state.on_ledger_change) state.on_ledger_change();
 }
 
+void ReserveDecode(dispatch_state& state, absl::string_view ledger_id,
+                   const fleet_upstream& engine, const waiting_stream& stream,
+                   absl::Time now) {
+  const decode_run run = ExpectedRun(stream, now);
+  ReserveRun(state.ledger, ledger_id, engine.id, run.context, run.remaining,
+             now);
+}
+
 void RemoveFromQueues(dispatch_state& state, absl::string_view request_id) {
   const auto has_id = [request_id](const waiting_stream& stream) {
     return stream.request_id == request_id;
--- a/src/dispatch/decode_admission.h
+++ b/src/dispatch/decode_admission.h
@@ -35,6 +35,12 @@
 void AdmitStream(dispatch_state& state, const waiting_stream& stream,
                  const engine_reservation& reservation, absl::Time now);
 
+/// Reserves memory for `stream` at a decode engine, from `now` on.
+/// @param ledger_id identifies the reservation, and replaces an earlier one.
+void ReserveDecode(dispatch_state& state, absl::string_view ledger_id,
+                   const fleet_upstream& engine, const waiting_stream& stream,
+                   absl::Time now);
+
 /// Removes a stream from all queues without calling its `done`. Does nothing if
 /// the stream is not queued.
 void RemoveFromQueues(dispatch_state& state, absl::string_view request_id);
--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -237,7 +237,7 @@
   const absl::Time now = MonotonicNow();
   const send_budget_limits& limits = state.settings.budget;
   const bool taken =
-      ConsumeExtraSend(state.budget, service, limits, need, state.random, now);
+      ConsumeExtraSend(state.budget, service, limits, state.random, now, need);
   const send_credit& credit = SendCredit(state.budget, service, limits, now);
   const std::optional<int> daemons =
       SettledDaemonCount(state.budget.daemons, now);
--- a/src/dispatch/request_sends.cc
+++ b/src/dispatch/request_sends.cc
@@ -17,11 +17,21 @@
 }
 
 void CountSend(request_sends& sends, send_purpose purpose) {
-  ++(purpose == send_purpose::prefill ? sends.prefills : sends.runs);
+  if (purpose == send_purpose::prefill) {
+    ++sends.prefills;
+    return;
+  }
+  ++sends.runs;
+  ++sends.attempts;
 }
 
 void UncountSend(request_sends& sends, send_purpose purpose) {
-  --(purpose == send_purpose::prefill ? sends.prefills : sends.runs);
+  if (purpose == send_purpose::prefill) {
+    --sends.prefills;
+    return;
+  }
+  --sends.runs;
+  --sends.attempts;
 }
 
 }  // namespace anvilridge
--- a/src/dispatch/request_sends.h
+++ b/src/dispatch/request_sends.h
@@ -5,8 +5,11 @@
 
 namespace anvilridge {
 
-/// Sends of one request that reached upstreams, as the send budget counts them.
+/// Sends of one request that reached upstreams.
 struct request_sends {
+  /// Sends that count against the route's number of attempts: calls, decodes,
+  /// prefills that were refused, and those sent in place of another one.
+  int attempts = 0;
   int prefills = 0;
   /// Whether an engine has accepted one of the prefills.
   bool prefill_accepted = false;
@@ -16,14 +19,15 @@
   int budgeted = 0;
 };
 
-/// Returns the number of sends after the first one. The first prefill that an
-/// engine accepts isn't counted; one that was refused or lost is.
+/// Returns the number of sends after the first one, as the send budget counts
+/// them. The first prefill that an engine accepts isn't counted; one that was
+/// refused or lost is.
 int ExtraSends(const request_sends& sends);
 
 /// Returns whether another send must be taken from the budget.
 bool NeedsBudget(const request_sends& sends, send_purpose purpose);
 
-/// Counts a send before it is made.
+/// Counts a send before it is made. A prefill is not counted as an attempt.
 void CountSend(request_sends& sends, send_purpose purpose);
 
 /// Takes back a send that reached no upstream.
--- a/src/dispatch/send_budget.cc
+++ b/src/dispatch/send_budget.cc
@@ -65,8 +65,8 @@
 }
 
 bool ConsumeExtraSend(send_budget& budget, absl::string_view service,
-                      const send_budget_limits& limits, extra_send_need need,
-                      absl::BitGenRef random, absl::Time now) {
+                      const send_budget_limits& limits, absl::BitGenRef random,
+                      absl::Time now, extra_send_need need) {
   send_credit& credit = AddCredit(budget, service, limits, now, 0);
   // Consumed even if chance is against the send: else a request could draw
   // again and again.
--- a/src/dispatch/send_budget.h
+++ b/src/dispatch/send_budget.h
@@ -57,8 +57,9 @@
 /// save up a whole one is granted it by chance, as often as its part allows.
 /// @return false if this daemon may not make the extra send.
 bool ConsumeExtraSend(send_budget& budget, absl::string_view service,
-                      const send_budget_limits& limits, extra_send_need need,
-                      absl::BitGenRef random, absl::Time now);
+                      const send_budget_limits& limits, absl::BitGenRef random,
+                      absl::Time now,
+                      extra_send_need need = extra_send_need::replacement);
 
 /// Returns this daemon's credit for `service` at `now`.
 const send_credit& SendCredit(send_budget& budget, absl::string_view service,
--- a/src/dispatch/send_budget_test.cc
+++ b/src/dispatch/send_budget_test.cc
@@ -35,7 +35,7 @@
       RecordRequest(budget, kService, limits_, now_);
       requests_.push_back(now_);
       if (refused &&
-          ConsumeExtraSend(budget, kService, limits_, need, random_, now_)) {
+          ConsumeExtraSend(budget, kService, limits_, random_, now_, need)) {
         extra_sends_.push_back(now_);
       }
     }
@@ -111,8 +111,7 @@
     RecordRequest(budget, kService, limits, now);
     events.emplace_back(now, false);
     // Every request fails and needs an extra send.
-    if (ConsumeExtraSend(budget, kService, limits, extra_send_need::replacement,
-                         random, now)) {
+    if (ConsumeExtraSend(budget, kService, limits, random, now)) {
       events.emplace_back(now, true);
     }
   }
@@ -221,12 +220,9 @@
   absl::Time now = absl::FromUnixSeconds(1000);
   RecordDaemonCount(budget.daemons, 1, now);
   now += absl::Minutes(1);
-  EXPECT_TRUE(ConsumeExtraSend(budget, "a", limits,
-                               extra_send_need::replacement, random, now));
-  EXPECT_FALSE(ConsumeExtraSend(budget, "a", limits,
-                                extra_send_need::replacement, random, now));
-  EXPECT_TRUE(ConsumeExtraSend(budget, "b", limits,
-                               extra_send_need::replacement, random, now));
+  EXPECT_TRUE(ConsumeExtraSend(budget, "a", limits, random, now));
+  EXPECT_FALSE(ConsumeExtraSend(budget, "a", limits, random, now));
+  EXPECT_TRUE(ConsumeExtraSend(budget, "b", limits, random, now));
 }
 
 TEST(send_budget_test, ExtraSendsAreAvailableAgainAfterTheWindow) {
@@ -238,18 +234,13 @@
   RecordDaemonCount(budget.daemons, 1, now);
   now += absl::Hours(1);
   // Half of the slack is saved up, however long nothing was sent.
-  EXPECT_TRUE(ConsumeExtraSend(budget, "a", limits,
-                               extra_send_need::replacement, random, now));
-  EXPECT_TRUE(ConsumeExtraSend(budget, "a", limits,
-                               extra_send_need::replacement, random, now));
-  EXPECT_FALSE(ConsumeExtraSend(budget, "a", limits,
-                                extra_send_need::replacement, random, now));
+  EXPECT_TRUE(ConsumeExtraSend(budget, "a", limits, random, now));
+  EXPECT_TRUE(ConsumeExtraSend(budget, "a", limits, random, now));
+  EXPECT_FALSE(ConsumeExtraSend(budget, "a", limits, random, now));
   now += absl::Seconds(9);
-  EXPECT_FALSE(ConsumeExtraSend(budget, "a", limits,
-                                extra_send_need::replacement, random, now));
+  EXPECT_FALSE(ConsumeExtraSend(budget, "a", limits, random, now));
   now += absl::Seconds(2);
-  EXPECT_TRUE(ConsumeExtraSend(budget, "a", limits,
-                               extra_send_need::replacement, random, now));
+  EXPECT_TRUE(ConsumeExtraSend(budget, "a", limits, random, now));
 }
 
 // A slack of which only one extra send can be saved up comes back later, but
@@ -261,14 +252,11 @@
   absl::Time now = absl::FromUnixSeconds(1000);
   RecordDaemonCount(budget.daemons, 1, now);
   now += absl::Hours(1);
-  EXPECT_TRUE(ConsumeExtraSend(budget, "a", limits,
-                               extra_send_need::replacement, random, now));
+  EXPECT_TRUE(ConsumeExtraSend(budget, "a", limits, random, now));
   now += absl::Seconds(9);
-  EXPECT_FALSE(ConsumeExtraSend(budget, "a", limits,
-                                extra_send_need::replacement, random, now));
+  EXPECT_FALSE(ConsumeExtraSend(budget, "a", limits, random, now));
   now += absl::Seconds(12);
-  EXPECT_TRUE(ConsumeExtraSend(budget, "a", limits,
-                               extra_send_need::replacement, random, now));
+  EXPECT_TRUE(ConsumeExtraSend(budget, "a", limits, random, now));
 }
 
 TEST(send_budget_test, ADaemonStartsWithoutExtraSends) {
@@ -276,21 +264,18 @@
   std::mt19937_64 random(1);
   absl::Time now = absl::FromUnixSeconds(1000);
   RecordDaemonCount(budget.daemons, 1, now);
-  EXPECT_FALSE(ConsumeExtraSend(budget, kService, kLimits,
-                                extra_send_need::replacement, random, now));
+  EXPECT_FALSE(ConsumeExtraSend(budget, kService, kLimits, random, now));
   now += kCountSettleTime - absl::Milliseconds(1);
-  EXPECT_FALSE(ConsumeExtraSend(budget, kService, kLimits,
-                                extra_send_need::replacement, random, now));
+  EXPECT_FALSE(ConsumeExtraSend(budget, kService, kLimits, random, now));
   now += absl::Seconds(1);
-  EXPECT_TRUE(ConsumeExtraSend(budget, kService, kLimits,
-                               extra_send_need::replacement, random, now));
+  EXPECT_TRUE(ConsumeExtraSend(budget, kService, kLimits, random, now));
 }
 
 // Returns how many extra sends for `need` are granted in a row at `now`.
 int ConsumeAll(send_budget& budget, const send_budget_limits& limits,
                extra_send_need need, absl::BitGenRef random, absl::Time now) {
   int granted = 0;
-  while (ConsumeExtraSend(budget, kService, limits, need, random, now)) {
+  while (ConsumeExtraSend(budget, kService, limits, random, now, need)) {
     ++granted;
   }
   return granted;
@@ -328,8 +313,7 @@
   send_budget budget;
   // A tenth of a send can be saved up.
   RecordDaemonCount(budget.daemons, 10, now);
-  ConsumeExtraSend(budget, kService, limits, extra_send_need::replacement,
-                   random, now);
+  ConsumeExtraSend(budget, kService, limits, random, now);
   now += absl::Seconds(15);
   const double part = SendCredit(budget, kService, limits, now).available;
   EXPECT_GT(part, 0);
@@ -338,8 +322,8 @@
       ConsumeAll(budget, limits, extra_send_need::alternative, random, now), 0);
   EXPECT_EQ(SendCredit(budget, kService, limits, now).available, part);
   now += absl::Hours(1);
-  ConsumeExtraSend(budget, kService, limits, extra_send_need::alternative,
-                   random, now);
+  ConsumeExtraSend(budget, kService, limits, random, now,
+                   extra_send_need::alternative);
   EXPECT_EQ(SendCredit(budget, kService, limits, now).available, 0);
 }
 
@@ -370,8 +354,7 @@
   int extra_sends = 0;
   for (int i = 0; i < 10000; ++i) {
     RecordRequest(budget, kService, limits, now);
-    extra_sends += ConsumeExtraSend(budget, kService, limits,
-                                    extra_send_need::replacement, random, now);
+    extra_sends += ConsumeExtraSend(budget, kService, limits, random, now);
   }
   EXPECT_GT(extra_sends, 1500);
   EXPECT_LT(extra_sends, 2000);
--- a/src/dispatch/stream_flow.cc
+++ b/src/dispatch/stream_flow.cc
@@ -12,10 +12,11 @@
 #include "base/event_loop.h"
 #include "base/qt_text.h"
 #include "dispatch/decode_admission.h"
-#include "dispatch/event_splitter.h"
+#include "dispatch/decode_runs.h"
 #include "dispatch/kv_lease.h"
 #include "dispatch/prompt_prefill.h"
 #include "dispatch/request_sends.h"
+#include "dispatch/send_claim.h"
 #include "dispatch/stream_demand.h"
 #include "dispatch/stream_limits.h"
 #include "dispatch/stream_record.h"
@@ -33,45 +34,22 @@
 // Time after which callers may retry a request whose prefill failed: the next
 // daemon that they reach has a part of the budget of its own.
 constexpr absl::Duration kLostPrefillRetryAfter = absl::Milliseconds(250);
-// Longest time for which two engines generate for one stream.
-constexpr absl::Duration kMaxRunOverlap = absl::Milliseconds(300);
 
 double ToMilliseconds(absl::Duration duration) {
   return static_cast<double>(absl::ToInt64Milliseconds(duration));
 }
 
-// A decode whose response is pending or being received.
-struct run_in_progress {
-  // Identifies the run within its flow.
-  uint64_t number = 0;
-  channel_client::call_id call = 0;
-  fleet_upstream engine;
-  absl::Time start;
-};
-
-// A decode that was asked to continue the stream of a silent one, and what has
-// arrived of it so far.
-struct successor_run {
-  run_in_progress run;
-  // Whether its engine has begun to generate.
-  bool accepted = false;
-  http_headers headers;
-  std::string data;
-  event_splitter splitter;
-};
-
 // Serves one streamed request.
 class stream_flow : public std::enable_shared_from_this<stream_flow> {
  public:
   stream_flow(dispatch_state& state, routed_request routed)
       : state_(state),
-        request_(std::move(routed.request)),
-        config_(std::move(routed.config)),
-        route_(*routed.route),
-        service_(*routed.service),
-        exchange_(std::move(routed.exchange)),
+        routed_(std::move(routed)),
+        request_(routed_.request),
+        route_(*routed_.route),
+        service_(*routed_.service),
         relay_(
-            exchange_, request_.resume_after, [this] { OnFirstEvent(); },
+            routed_.exchange, request_.resume_after, [this] { OnFirstEvent(); },
             [this] { OnEvent(); }) {}
 
   void Start() {
@@ -87,8 +65,10 @@
                              static_cast<double>(request_.output_estimate),
                              static_cast<double>(request_.max_output_tokens));
     RecordDemand(state_, request_, service_, ExpectedRemaining(0));
+    decodes_.emplace(state_, routed_, sends_, relay_, weak_from_this(),
+                     MakeDecodeListener());
     const auto self = shared_from_this();
-    exchange_->OnClosed([self] { self->OnCallerLeft(); });
+    routed_.exchange->OnClosed([self] { self->OnCallerLeft(); });
     RunAfter(state_.context, ResponseDeadline(request_, route_) - now,
              [weak = weak_from_this()] {
                if (const auto flow = weak.lock()) flow->OnTimeout();
@@ -188,7 +168,7 @@
       prefill_.emplace(state_, request_, route_, weak_from_this(),
                        std::move(listener));
     }
-    CountSend(counted_, send_purpose::prefill);
+    CountSend(sends_, send_purpose::prefill);
     prefill_->Send(engine, relay_.ResumeAfter(), replaces_other);
   }
 
@@ -199,11 +179,12 @@
   // Sends the request to another engine beside a prefill whose engine is
   // silent, if the budget allows it. The silent one may still answer first.
   void OnSilentPrefill(const silent_prefill& silent) {
-    if (prefill_->InProgress() > 1 || call_ != 0) return;
-    if (sends_ >= route_.attempts) return;
+    if (prefill_->InProgress() > 1 || decodes_->InProgress()) return;
+    if (sends_.attempts >= route_.attempts) return;
     const auto other = ChooseReplacementPrefill();
     if (!other && IsTried(decode_)) return;
-    if (!ClaimSend(other ? send_purpose::prefill : send_purpose::decode,
+    if (!ClaimSend(state_, routed_, sends_,
+                   other ? send_purpose::prefill : send_purpose::decode,
                    "prefill_slow",
                    silent.failed ? extra_send_need::replacement
                                  : extra_send_need::alternative)) {
@@ -216,37 +197,40 @@
               {"silent_ms", ToMilliseconds(silent.silence)}});
     ReportStall(state_, silent.engine);
     if (!other) return PrefillAtDecode();
-    ++sends_;
+    ++sends_.attempts;
     SendPrefill(*other, /*replaces_other=*/true);
   }
 
   void OnPrefilled(const prefill_result& result) {
-    counted_.prefill_accepted = true;
+    sends_.prefill_accepted = true;
     record_.prefill = result.duration;
     record_.prefill_tokens = result.prefill.tokens;
     lease_ = MakeLease(result.engine, result.prefill.handle,
                        service_.engine.handle_ttl);
     // A decode engine may be prefilling the prompt itself.
-    if (call_ == 0) SendDecodeAfterPrefill();
+    if (!decodes_->InProgress()) SendDecodeAfterPrefill();
   }
 
   void OnPrefillFailed(const prefill_failure& failure) {
     const send_outcome outcome = failure.outcome;
     if (outcome == send_outcome::unsent) {
-      UncountSend(counted_, send_purpose::prefill);
-      if (failure.replaces_other) --sends_;
+      UncountSend(sends_, send_purpose::prefill);
+      if (failure.replaces_other) --sends_.attempts;
     }
     // A refused prefill counts as an attempt. One that the engine may have
     // accepted counts as one when another is sent in its place.
-    if (outcome == send_outcome::refused && !failure.replaces_other) ++sends_;
-    if (!IsPrefillInProgress() && call_ == 0) ReplaceFailedPrefill(outcome);
+    if (outcome == send_outcome::refused && !failure.replaces_other) {
+      ++sends_.attempts;
+    }
+    if (IsPrefillInProgress() || decodes_->InProgress()) return;
+    ReplaceFailedPrefill(outcome);
   }
 
   // Sends the request to `decode_`. If that engine has rejected it, prefers
   // another one; it may also accept it by now.
   void SendDecodeAfterPrefill() {
     if (IsTried(decode_)) ReserveOtherEngine();
-    if (!ClaimSend(send_purpose::decode, "refused")) {
+    if (!ClaimSend(state_, routed_, sends_, send_purpose::decode, "refused")) {
       return Refuse(MakeError(error_kind::upstream_refused,
                               "no decode engine accepted the request"));
     }
@@ -254,8 +238,8 @@
   }
 
   bool IsTried(const fleet_upstream& decode) const {
-    return std::find(tried_decodes_.begin(), tried_decodes_.end(), decode.id) !=
-           tried_decodes_.end();
+    const std::vector<std::string>& tried = decodes_->Tried();
+    return std::find(tried.begin(), tried.end(), decode.id) != tried.end();
   }
 
   // Sends the request on after a prefill that ended with `outcome`: to another
@@ -281,11 +265,12 @@
         replaces_other = other.has_value();
         break;
     }
-    if (sends_ >= route_.attempts || (!other && IsTried(decode_))) {
+    if (sends_.attempts >= route_.attempts || (!other && IsTried(decode_))) {
       return Refuse(MakeError(error_kind::upstream_refused,
                               "no engine prefilled the prompt"));
     }
-    if (!ClaimSend(other ? send_purpose::prefill : send_purpose::decode,
+    if (!ClaimSend(state_, routed_, sends_,
+                   other ? send_purpose::prefill : send_purpose::decode,
                    reason)) {
       return Refuse(MakeError(error_kind::upstream_refused,
                               "the prefill failed, and the send budget allows "
@@ -293,7 +278,7 @@
                               run_state::not_run, kLostPrefillRetryAfter));
     }
     if (!other) return PrefillAtDecode();
-    if (replaces_other) ++sends_;
+    if (replaces_other) ++sends_.attempts;
     SendPrefill(*other, replaces_other);
   }
 
@@ -303,21 +288,13 @@
     const waiting_stream waiting = MakeWaitingStream();
     EndRun(state_.ledger, request_.id);
     if (const auto engine = ChooseLocalPrefillEngine(
-            state_, waiting, tried_decodes_, MonotonicNow())) {
+            state_, waiting, decodes_->Tried(), MonotonicNow())) {
       decode_ = *engine;
     }
-    ReserveDecodeMemory(decode_, waiting);
+    ReserveDecode(state_, request_.id, decode_, waiting, MonotonicNow());
     SendDecode();
   }
 
-  // Reserves memory at `engine`, and nowhere else.
-  void ReserveDecodeMemory(const fleet_upstream& engine,
-                           const waiting_stream& waiting) {
-    ReserveRun(state_.ledger, request_.id, engine.id,
-               waiting.prompt + waiting.generated, waiting.output,
-               MonotonicNow());
-  }
-
   // Returns a prefill engine that was not tried yet.
   std::optional<fleet_upstream> ChooseOtherPrefill() {
     return ChoosePrefillEngine(
@@ -328,7 +305,7 @@
   // Returns an engine that may replace a prefill which its engine may have
   // accepted, if the attempts allow another send.
   std::optional<fleet_upstream> ChooseReplacementPrefill() {
-    if (sends_ + kSendsForReplacementPrefill > route_.attempts) {
+    if (sends_.attempts + kSendsForReplacementPrefill > route_.attempts) {
       return std::nullopt;
     }
     return ChooseOtherPrefill();
@@ -341,17 +318,7 @@
   void SendDecode() {
     const absl::Time now = MonotonicNow();
     if (IsAbsent(state_, decode_, now)) return PlaceAgain(now);
-    send_parameters parameters = DecodeParameters(decode_, now);
-    // Without a usable KV cache the decode engine prefills the prompt itself.
-    if (!lease_.handle.empty() && now < lease_.usable_until) {
-      parameters.kv_address = lease_.engine.address;
-      parameters.kv_handle = std::exchange(lease_.handle, {});
-    } else {
-      ReleaseLease(state_, request_.id, lease_);
-      AccountLocalPrefill(request_.id);
-    }
-    run_ = StartRun(parameters);
-    BeginRun();
+    decodes_->Send(decode_, lease_);
   }
 
   // Has another decode engine reserved in place of `decode_`.
@@ -371,123 +338,37 @@
     AdmitOrQueueFirst(state_, std::move(waiting), now);
   }
 
-  send_parameters DecodeParameters(const fleet_upstream& engine,
-                                   absl::Time now) const {
-    send_parameters parameters;
-    parameters.upstream = engine;
-    parameters.purpose = send_purpose::decode;
-    parameters.time_left = TimeLeft(request_, route_, now);
-    parameters.resume_after = relay_.ResumeAfter();
-    return parameters;
-  }
-
-  // Returns the id under which the ledger holds the second of two sends that
-  // are in progress.
-  std::string SecondLedgerId() const { return request_.id + "/2"; }
-
-  // Accounts in the ledger for a decode engine that prefills the prompt itself.
-  void AccountLocalPrefill(absl::string_view ledger_id) {
-    SetTokensToPrefill(
-        state_.ledger, ledger_id,
-        kDecodePrefillCost *
-            (static_cast<double>(request_.prompt_tokens) + Generated()));
-    NotifyLoadChange();
-  }
-
-  // Sends the request to a decode engine.
-  run_in_progress StartRun(const send_parameters& parameters) {
-    run_in_progress run;
-    run.engine = parameters.upstream;
-    run.start = MonotonicNow();
-    run.number = ++last_send_number_;
-    http_call call = state_.protocol.build_send_call(request_, parameters);
-    call.connect_timeout = kUpstreamConnectTimeout;
-    tried_decodes_.push_back(run.engine.id);
-    ++sends_;
-    CountSend(counted_, send_purpose::decode);
-    const auto self = shared_from_this();
-    http_handler handler;
-    handler.on_headers = [self, number = run.number](
-                             int status, const http_headers& headers) {
-      self->OnHeaders(number, status, headers);
-    };
-    handler.on_data = [self, number = run.number](absl::string_view bytes) {
-      self->OnData(number, bytes);
+  decode_listener MakeDecodeListener() {
+    decode_listener listener;
+    listener.rest = [this] { return MakeWaitingStream(); };
+    listener.on_accepted = [this] {
+      if (prefill_) prefill_->Cancel();
     };
-    handler.on_done = [self, number = run.number](const http_result& result) {
-      self->OnRunDone(number, result);
+    listener.on_completed = [this] { Complete(); };
+    listener.on_failed = [this](send_outcome outcome,
+                                const http_result& result) {
+      OnDecodeFailed(outcome, result);
     };
-    run.call = StartUpstreamCall(state_, run.engine, "decode", std::move(call),
-                                 std::move(handler));
-    return run;
-  }
-
-  // Prepares for the response of `run_`.
-  void BeginRun() {
-    call_ = run_->call;
-    last_progress_ = MonotonicNow();
-    relay_.BeginRun();
-    run_events_ = 0;
-    ScheduleStallCheck(StallTimeout(route_), kSilenceCheckInterval);
-  }
-
-  bool IsSuccessor(uint64_t number) const {
-    return successor_ && successor_->run.number == number;
-  }
-
-  void OnHeaders(uint64_t number, int status, const http_headers& headers) {
-    if (ended_) return;
-    const response_info info = state_.protocol.parse_response(status, headers);
-    const bool is_stream =
-        status == kOk && info.authentic && relay_.IsPartOfStream(headers);
-    if (IsSuccessor(number)) {
-      return OnSuccessorHeaders(is_stream, status, headers);
-    }
-    if (is_stream && prefill_) prefill_->Cancel();
-    relay_.OnHeaders(is_stream, headers);
-  }
-
-  void OnData(uint64_t number, absl::string_view bytes) {
-    if (ended_) return;
-    if (IsSuccessor(number)) return OnSuccessorData(bytes);
-    if (relay_.OnData(bytes)) return;
-    state_.client.Cancel(call_);
-    http_result result;
-    result.status = MakeError(
-        error_kind::upstream_failed,
-        absl::StrCat("the engine sent more than ", stream_relay::kMaxKeptBytes,
-                     " bytes of an event or an error response without its end"),
-        run_state::unknown);
-    OnRunDone(number, result);
+    return listener;
   }
 
   void OnFirstEvent() {
     const absl::Time now = MonotonicNow();
     state_.metrics->ObserveFirstEventTime(route_.name, now - request_.received);
     record_.first_event = now - request_.received;
-    record_.decode_first = now - run_->start;
+    record_.decode_first = now - decodes_->StartTime();
   }
 
   void OnEvent() {
     const absl::Time now = MonotonicNow();
-    const double tokens = service_.engine.tokens_per_event;
-    if (run_events_ > 0) {
-      UpdateDecodeSpeed(state_.ledger, tokens, now - last_progress_);
-    }
     const absl::Duration gap =
-        now - (record_.events > 0 ? last_event_ : run_->start);
+        now - (record_.events > 0 ? last_event_ : decodes_->StartTime());
     if (gap > record_.longest_gap) {
       record_.longest_gap = gap;
       record_.longest_gap_end = now - request_.received;
     }
     last_event_ = now;
-    last_progress_ = now;
-    if (successor_) {
-      // It may have run by now.
-      may_have_run_ = true;
-      DropSuccessor("progress");
-    }
-    ++run_events_;
+    decodes_->OnEvent();
     ++record_.events;
     const double generated = Generated();
     AdvanceRun(state_.ledger, request_.id,
@@ -495,252 +376,51 @@
                ExpectedRemaining(generated), now);
   }
 
-  // ---- A silent decode engine
-
-  // Checks the current run after `delay`, and then at intervals that begin with
-  // `next_delay` and grow while it is silent.
-  void ScheduleStallCheck(absl::Duration delay, absl::Duration next_delay) {
-    if (!route_.resumable) return;
-    RunAfter(state_.context, delay,
-             [weak = weak_from_this(), number = run_->number, next_delay] {
-               const auto flow = weak.lock();
-               if (!flow || flow->call_ == 0) return;
-               if (flow->run_->number != number) return;
-               flow->CheckForStall(next_delay);
-             });
-  }
-
-  // Asks another engine to continue a stream whose engine is silent. The silent
-  // one may be sound, so it keeps the stream until another one has accepted it.
-  void CheckForStall(absl::Duration next_delay) {
-    const absl::Duration timeout = StallTimeout(route_);
-    const absl::Duration silence = MonotonicNow() - last_progress_;
-    if (silence < timeout) {
-      return ScheduleStallCheck(timeout - silence, kSilenceCheckInterval);
-    }
-    // An engine that stays silent has probably failed.
-    const bool failed = silence >= timeout + kSilenceCheckInterval;
-    LogEvent(log_level::warn, "stream_stalled",
-             {{"request", QtText(request_.id)},
-              {"upstream", QtText(decode_.id)},
-              {"events", record_.events},
-              {"asked", QtText(successor_ ? successor_->run.engine.id : "")},
-              {"silent_ms", ToMilliseconds(silence)}});
-    if (failed) ReportStall(state_, service_.name, decode_.id);
-    if (!successor_ && MayResume()) {
-      StartSuccessor(failed ? extra_send_need::replacement
-                            : extra_send_need::alternative);
-    }
-    ScheduleStallCheck(next_delay, 2 * next_delay);
-  }
-
-  // Sends the request to another engine beside the silent one, if there is one
-  // with capacity and the budget allows it.
-  void StartSuccessor(extra_send_need need) {
-    const absl::Time now = MonotonicNow();
-    const waiting_stream waiting = MakeWaitingStream();
-    const auto engine =
-        ChooseLocalPrefillEngine(state_, waiting, tried_decodes_, now);
-    if (!engine || !ClaimSend(send_purpose::decode, "stalled", need)) return;
-    ReserveRun(state_.ledger, SecondLedgerId(), engine->id,
-               waiting.prompt + waiting.generated, waiting.output, now);
-    AccountLocalPrefill(SecondLedgerId());
-    successor_.emplace().run = StartRun(DecodeParameters(*engine, now));
-  }
-
-  void OnSuccessorHeaders(bool is_stream, int status,
-                          const http_headers& headers) {
-    if (!is_stream) {
-      http_result result;
-      result.http_status = status;
-      result.headers = headers;
-      return OnSuccessorDone(result);
-    }
-    successor_->accepted = true;
-    successor_->headers = headers;
-    // Two engines may not go on with one stream for longer.
-    RunAfter(state_.context, kMaxRunOverlap,
-             [weak = weak_from_this(), number = successor_->run.number] {
-               const auto flow = weak.lock();
-               if (!flow || flow->ended_ || !flow->IsSuccessor(number)) return;
-               flow->ContinueWithSuccessor("accepted");
-             });
-  }
-
-  // Keeps the successor's data until it has sent a whole event.
-  void OnSuccessorData(absl::string_view bytes) {
-    bool has_event = false;
-    absl::StrAppend(&successor_->data, bytes);
-    SplitEvents(successor_->splitter, bytes,
-                [&has_event](absl::string_view, std::optional<int64_t>) {
-                  has_event = true;
-                });
-    if (has_event || successor_->data.size() > stream_relay::kMaxKeptBytes) {
-      ContinueWithSuccessor("event");
-    }
-  }
-
-  // Continues the stream at the successor and cancels the silent run, which
-  // would otherwise generate the same events.
-  void ContinueWithSuccessor(absl::string_view reason) {
-    LogEvent(log_level::info, "stream_moved",
-             {{"request", QtText(request_.id)},
-              {"from", QtText(decode_.id)},
-              {"to", QtText(successor_->run.engine.id)},
-              {"reason", QtText(reason)},
-              {"events", record_.events}});
-    if (call_ != 0) {
-      state_.client.Cancel(std::exchange(call_, 0));
-      may_have_run_ = true;
-    }
-    successor_run next = *std::exchange(successor_, std::nullopt);
-    run_ = std::move(next.run);
-    decode_ = run_->engine;
-    EndRun(state_.ledger, SecondLedgerId());
-    ReserveDecodeMemory(decode_, MakeWaitingStream());
-    AccountLocalPrefill(request_.id);
-    BeginRun();
-    if (!next.accepted) return;
-    relay_.OnHeaders(true, next.headers);
-    if (!next.data.empty()) OnData(run_->number, next.data);
-  }
-
-  // Stays at the engine that was silent, and cancels the successor if it is
-  // still in progress.
-  void DropSuccessor(absl::string_view reason) {
-    LogEvent(log_level::info, "stream_kept",
-             {{"request", QtText(request_.id)},
-              {"upstream", QtText(decode_.id)},
-              {"not_moved_to", QtText(successor_->run.engine.id)},
-              {"reason", QtText(reason)},
-              {"events", record_.events}});
-    state_.client.Cancel(successor_->run.call);
-    successor_.reset();
-    EndRun(state_.ledger, SecondLedgerId());
-    NotifyLoadChange();
-  }
-
-  // Handles a successor that has failed or rejected the request.
-  void OnSuccessorDone(const http_result& result) {
-    const response_info info =
-        state_.protocol.parse_response(result.http_status, result.headers);
-    const send_outcome outcome = ClassifySend(result, info);
-    state_.metrics->CountSend(service_.name, SendOutcomeName(outcome));
-    ReportSend(state_, successor_->run.engine, outcome, info.other_instance);
-    if (outcome == send_outcome::unsent) UncountDecode();
-    if (MayHaveRun(outcome)) may_have_run_ = true;
-    DropSuccessor(SendOutcomeName(outcome));
-  }
-
-  // ---- End of a decode
-
-  void OnRunDone(uint64_t number, const http_result& result) {
-    if (ended_) return;
-    if (IsSuccessor(number)) return OnSuccessorDone(result);
-    call_ = 0;
-    const response_info info =
-        state_.protocol.parse_response(result.http_status, result.headers);
-    send_outcome outcome = ClassifySend(result, info);
-    const bool complete =
-        outcome == send_outcome::answered && relay_.IsRunComplete();
-    if (outcome == send_outcome::answered && result.http_status == kOk &&
-        !complete) {
-      outcome = send_outcome::unknown;
-    }
-    state_.metrics->CountSend(service_.name, SendOutcomeName(outcome));
-    ReportSend(state_, decode_, outcome, info.other_instance);
-    if (complete) return Complete();
-    LogEvent(log_level::warn, "decode_failed",
-             {{"request", QtText(request_.id)},
-              {"upstream", QtText(decode_.id)},
-              {"fate", QtText(SendOutcomeName(outcome))},
-              {"status", result.http_status},
-              {"why", QtText(result.status.message())},
-              {"events", record_.events},
-              {"ms", ToMilliseconds(MonotonicNow() - run_->start)}});
-    if (outcome == send_outcome::unsent) UncountDecode();
-    if (successor_) {
-      if (MayHaveRun(outcome)) may_have_run_ = true;
-      return ContinueWithSuccessor("failed");
-    }
-    // The prefill may still be answered.
-    if (IsPrefillInProgress() && !MayHaveRun(outcome)) return run_.reset();
-    HandleFailure(outcome, result);
-  }
-
-  static bool MayHaveRun(send_outcome outcome) {
-    return outcome == send_outcome::unknown ||
-           outcome == send_outcome::answered;
-  }
-
-  // Returns whether the stream may be resumed at another engine, apart from the
-  // budget.
-  bool MayResume() const {
-    return route_.resumable && sends_ < route_.attempts && relay_.IsResumable();
-  }
-
   // After a failed decode, sends the request to another engine if that is
   // allowed, and otherwise ends it.
-  void HandleFailure(send_outcome outcome, const http_result& result) {
-    if (outcome == send_outcome::unsent && !relay_.HeadersSent() &&
-        !may_have_run_) {
-      if (ReserveOtherEngine() && ClaimSend(send_purpose::decode, "unsent")) {
-        return SendDecode();
-      }
-    } else if (outcome == send_outcome::refused && !relay_.HeadersSent() &&
-               !may_have_run_) {
-      if (sends_ < route_.attempts && ReserveOtherEngine() &&
-          ClaimSend(send_purpose::decode, "refused")) {
-        return SendDecode();
-      }
-    } else if (MayResume() && ReserveOtherEngine()) {
-      if (ClaimSend(send_purpose::decode, SendOutcomeName(outcome))) {
-        return SendDecode();
-      }
+  void OnDecodeFailed(send_outcome outcome, const http_result& result) {
+    const bool not_run = !decodes_->MayHaveRun();
+    // The prefill may still be answered.
+    if (IsPrefillInProgress() && not_run) return;
+    if (MaySendAgain(outcome) && ReserveOtherEngine() &&
+        ClaimSend(state_, routed_, sends_, send_purpose::decode,
+                  SendOutcomeName(outcome))) {
+      return SendDecode();
     }
-    if (MayHaveRun(outcome)) may_have_run_ = true;
     if (relay_.HeadersSent()) return Abort(unfinished_reason::upstream_failed);
     if (outcome == send_outcome::answered) return Deliver(result);
-    if (may_have_run_) {
-      ReportUnfinished(unfinished_reason::upstream_failed);
-      return Refuse(MakeError(error_kind::upstream_failed,
-                              "no complete response from the decode engine",
-                              run_state::unknown));
+    if (not_run) {
+      return Refuse(DecodesRefusedError(state_, service_.name, MonotonicNow()));
     }
-    Refuse(DecodesRefusedError(state_, service_.name, MonotonicNow()));
+    ReportUnfinished(unfinished_reason::upstream_failed);
+    Refuse(MakeError(error_kind::upstream_failed,
+                     "no complete response from the decode engine",
+                     run_state::unknown));
+  }
+
+  // Returns whether the request may be sent to another engine after a decode
+  // that ended with `outcome`, apart from the budget.
+  bool MaySendAgain(send_outcome outcome) const {
+    if (relay_.HeadersSent() || decodes_->MayHaveRun()) {
+      return decodes_->MayResume();
+    }
+    // An engine that was not reached counts as no attempt.
+    return outcome == send_outcome::unsent || sends_.attempts < route_.attempts;
   }
 
   // Reserves a decode engine that was not tried yet. Returns false if none has
   // capacity.
   bool ReserveOtherEngine() {
     const waiting_stream waiting = MakeWaitingStream();
-    const auto other = ChooseLocalPrefillEngine(state_, waiting, tried_decodes_,
-                                                MonotonicNow());
+    const auto other = ChooseLocalPrefillEngine(
+        state_, waiting, decodes_->Tried(), MonotonicNow());
     if (!other) return false;
     decode_ = *other;
-    ReserveDecodeMemory(decode_, waiting);
+    ReserveDecode(state_, request_.id, decode_, waiting, MonotonicNow());
     NotifyLoadChange();
     return true;
   }
 
-  // Takes the next send from the budget if it is an extra one. Every send but
-  // the first one of a request passes here.
-  bool ClaimSend(send_purpose purpose, absl::string_view reason,
-                 extra_send_need need = extra_send_need::replacement) {
-    if (!NeedsBudget(counted_, purpose)) return true;
-    if (!TakeBudgetedSend(state_, service_.name, request_.id, reason, need)) {
-      return false;
-    }
-    ++counted_.budgeted;
-    return true;
-  }
-
-  // Takes back a decode that reached no engine.
-  void UncountDecode() {
-    --sends_;
-    UncountSend(counted_, send_purpose::decode);
-  }
-
   // ---- End of the request
 
   void Complete() {
@@ -750,7 +430,8 @@
   }
 
   void Deliver(const http_result& result) {
-    exchange_->Respond(result.http_status, result.headers, relay_.ErrorBody());
+    routed_.exchange->Respond(result.http_status, result.headers,
+                              relay_.ErrorBody());
     LogAndEnd("request_answered", result.http_status);
   }
 
@@ -763,10 +444,10 @@
   void ReportUnfinished(unfinished_reason reason) {
     unfinished_request unfinished;
     unfinished.reason = reason;
-    unfinished.upstream = run_->engine.id;
-    unfinished.call_in_progress = call_ != 0;
-    unfinished.silence = MonotonicNow() - last_progress_;
-    unfinished.sends = sends_;
+    unfinished.upstream = decodes_->UpstreamId();
+    unfinished.call_in_progress = decodes_->InProgress();
+    unfinished.silence = decodes_->Silence();
+    unfinished.sends = sends_.attempts;
     unfinished.events = record_.events;
     anvilridge::ReportUnfinished(state_, request_, route_, service_,
                                  unfinished);
@@ -774,7 +455,7 @@
 
   void Refuse(const absl::Status& error) {
     if (ended_) return;
-    const auto exchange = exchange_;
+    const auto exchange = routed_.exchange;
     Release();
     RefuseRequest(state_, *exchange, request_, route_.name, error);
   }
@@ -782,7 +463,7 @@
   void OnTimeout() {
     if (ended_) return;
     if (relay_.HeadersSent()) return Abort(unfinished_reason::time_limit);
-    if (run_) {
+    if (decodes_->InProgress() || decodes_->MayHaveRun()) {
       ReportUnfinished(unfinished_reason::time_limit);
       return Refuse(MakeError(error_kind::upstream_stalled,
                               "no event within the time limit",
@@ -806,10 +487,10 @@
     state_.metrics->CountRequest(route_.name, http_status, elapsed);
     QJsonObject fields{{"request", QtText(request_.id)},
                        {"route", QtText(route_.name)},
-                       {"upstream", QtText(run_ ? run_->engine.id : "")},
+                       {"upstream", QtText(decodes_->UpstreamId())},
                        {"status", http_status},
-                       {"sends", sends_},
-                       {"config", static_cast<double>(config_->version)},
+                       {"sends", sends_.attempts},
+                       {"config", static_cast<double>(routed_.config->version)},
                        {"ms", ToMilliseconds(elapsed)}};
     const QJsonObject record = LogFields(record_);
     for (auto field = record.begin(); field != record.end(); ++field) {
@@ -823,14 +504,12 @@
   void Release() {
     if (std::exchange(ended_, true)) return;
     RemoveFromQueues(state_, request_.id);
-    if (call_ != 0) state_.client.Cancel(std::exchange(call_, 0));
-    if (successor_) state_.client.Cancel(successor_->run.call);
+    decodes_->Cancel();
     if (prefill_) prefill_->Cancel();
     ReleaseLease(state_, request_.id, lease_);
     EndRun(state_.ledger, request_.id);
-    EndRun(state_.ledger, SecondLedgerId());
     relay_.Close();
-    exchange_.reset();
+    routed_.exchange.reset();
     NotifyLoadChange();
     // Admits streams to the released capacity. This runs later from the event
     // loop, because this function may be called while a stream is being
@@ -844,41 +523,25 @@
   }
 
   dispatch_state& state_;
-  const fleet_request request_;
-  // Owns `route_` and `service_`.
-  const std::shared_ptr<const fleet_config> config_;
+  routed_request routed_;
+  const fleet_request& request_;
   const fleet_route& route_;
   const fleet_service& service_;
-  std::shared_ptr<inbound_exchange> exchange_;
   stream_relay relay_;
 
   // Estimated distribution of the output length.
   length_distribution length_;
-  // The call of `run_`; 0 if it is not in progress.
-  channel_client::call_id call_ = 0;
+  // Sends of the request to engines.
+  request_sends sends_;
   // Prefills of the prompt at prefill engines; set once one was sent.
   std::optional<prompt_prefill> prefill_;
   kv_lease lease_;
-  // The engine that is reserved for the decode, and then the one of `run_`.
+  // The decode engine that is reserved, or was reserved last.
   fleet_upstream decode_;
-  // Ids of the decode engines that the request was sent to.
-  std::vector<std::string> tried_decodes_;
-  // Sends that count as attempts.
-  int sends_ = 0;
-  // Sends as the budget counts them.
-  request_sends counted_;
-  // Whether an engine may have run the request.
-  bool may_have_run_ = false;
-  // The decode that generates the stream.
-  std::optional<run_in_progress> run_;
-  std::optional<successor_run> successor_;
-  uint64_t last_send_number_ = 0;
+  // Set by `Start`.
+  std::optional<decode_runs> decodes_;
   // Time of the last event that was passed on.
   absl::Time last_event_;
-  // Time of the last event of the current run, or of its start.
-  absl::Time last_progress_;
-  // Events of the current run.
-  int run_events_ = 0;
   bool ended_ = false;
   // Number of events that the caller had received before it sent this request.
   int events_before_resume_ = 0;
