--- a/src/caller/caller_port_test.cc
+++ b/src/caller/caller_port_test.cc
@@ -90,6 +90,24 @@
   }
 }
 
+TEST_F(caller_port_thread_test, RunsNoPipelinedRequestBeforeItsTurn) {
+  Start();
+  raw_caller caller(port_->Port());
+  caller.Send(absl::StrCat(Get("/hold"), Get("/b")));
+  EXPECT_TRUE(WaitFor([this] { return seen_.requests == 1; }));
+  caller.Send("GET /c HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+  caller.Socket().flush();
+  EXPECT_FALSE(caller.Socket().waitForReadyRead(50));
+  EXPECT_EQ(seen_.requests, 1);
+  seen_.released = true;
+  EXPECT_TRUE(caller.WaitForText("released"));
+  EXPECT_TRUE(caller.WaitForClose());
+  EXPECT_EQ(seen_.requests, 3);
+  const std::string text = caller.Text();
+  EXPECT_LT(text.find("released"), text.find("GET /b"));
+  EXPECT_LT(text.find("GET /b"), text.find("GET /c"));
+}
+
 TEST_F(caller_port_thread_test, AnswersARequestThatItsHandlerDropped) {
   Start();
   raw_caller caller(port_->Port());
