--- a/src/caller/caller_connection.cc
+++ b/src/caller/caller_connection.cc
@@ -298,7 +298,7 @@
   const limit_settings& limits = context_.limits;
   SetPhase(phase::receiving);
   SetTimer(limits.header_timeout.value_or(limits.request_timeout));
-  // Not from here: its handler may answer at once and end up here again.
+  // Deferred, since a handler that responds at once would recurse into here.
   PostTo(&timer_, [this] {
     if (phase_ == phase::receiving) OnReadyRead();
   });
@@ -337,7 +337,8 @@
 void caller_connection::OnTimeout() {
   switch (phase_) {
     case phase::receiving:
-      // Once, so that a caller that sends on and on is still refused.
+      // Extended only once, so that a caller that never stops sending is
+      // refused.
       if (!read_late_ && UnreadBytes() > 0) {
         read_late_ = true;
         SetTimer(kLateRead);
--- a/src/caller/caller_connection.h
+++ b/src/caller/caller_connection.h
@@ -115,7 +115,7 @@
   phase phase_ = phase::idle;
   // When the first byte of the request in progress arrived.
   absl::Time received_;
-  // Of the request in progress.
+  // Bytes read of the request in progress, and its id.
   int64_t received_bytes_ = 0;
   std::string request_id_;
   // When the whole request must have arrived.
--- a/src/dispatch/call_flow.cc
+++ b/src/dispatch/call_flow.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "base/clock.h"
 #include "base/error_kind.h"
 #include "base/event_loop.h"
@@ -69,15 +70,19 @@
     const auto back =
         EarliestReturn(state_, service_.name, engine_stage::none, now);
     if (!back || *back == absl::InfiniteFuture()) {
-      return Refuse(MakeError(error_kind::no_upstream,
-                              "no upstream of the service is available",
-                              run_state::not_run, kRetryAfter));
+      return Refuse(
+          MakeError(error_kind::no_upstream,
+                    "all registered upstreams of the service are leaving, "
+                    "or none is registered",
+                    run_state::not_run, kRetryAfter));
     }
     if (*back > std::min(request_.received + route_.latency_target,
                          ResponseDeadline(request_, route_))) {
-      return Refuse(MakeError(error_kind::overloaded,
-                              "all upstreams have asked for a pause",
-                              run_state::not_run, RetryAfter()));
+      return Refuse(MakeError(
+          error_kind::overloaded,
+          absl::StrCat("all upstreams have asked for a pause, the first for ",
+                       absl::FormatDuration(*back - now), " more"),
+          run_state::not_run, RetryAfter()));
     }
     RunAfter(state_.context, *back - now, [weak = weak_from_this()] {
       const auto flow = weak.lock();
--- a/src/dispatch/decode_admission.cc
+++ b/src/dispatch/decode_admission.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "base/error_kind.h"
 #include "dispatch/engine_candidates.h"
 #include "dispatch/resumed_admission.h"
@@ -43,7 +44,9 @@
 // `wait`.
 absl::Status EnginesAbsentError(dispatch_state& state, absl::Duration wait) {
   return MakeError(
-      error_kind::overloaded, "all engines have asked for a pause",
+      error_kind::overloaded,
+      absl::StrCat("all engines have asked for a pause, the first for ",
+                   absl::FormatDuration(wait), " more"),
       run_state::not_run,
       wait + kReturnSpread * absl::Uniform(state.random, 0.0, 1.0));
 }
--- a/src/dispatch/decode_admission_test.cc
+++ b/src/dispatch/decode_admission_test.cc
@@ -232,7 +232,8 @@
   RecordConnectFailure(state_.unavailable_upstreams, EngineKey("c"), now_);
   EXPECT_EQ(UsableIds(), std::vector<std::string>{"c"});
   State("c", {.pause = absl::Seconds(2)});
-  // Neither the end of the router's own pause nor an accepted request counts.
+  // Neither the end of the router's own pause nor an accepted request ends an
+  // absence.
   RecordAccepted(state_.unavailable_upstreams, EngineKey("b"));
   EXPECT_TRUE(UsableIds().empty());
   EXPECT_EQ(EarliestReturn(state_, "model", engine_stage::decode, now_),
@@ -257,7 +258,7 @@
   State("b", {.leaving = true});
   State("c", {.leaving = true});
   EXPECT_EQ(UsableIds(), std::vector<std::string>{"a"});
-  // Another start under the same id.
+  // Another instance that has started under the same id.
   engine.started_ms = 7;
   EXPECT_FALSE(IsReportedLeaving(state_.reported_leaving, engine, now_));
 }
--- a/src/dispatch/decode_runs.cc
+++ b/src/dispatch/decode_runs.cc
@@ -19,7 +19,8 @@
 namespace {
 
 constexpr int kOk = 200;
-// Longest time for which two engines generate for one stream.
+// Longest time for which two engines may generate for one stream: what both
+// generate is wasted at one of them.
 constexpr absl::Duration kMaxRunOverlap = absl::Milliseconds(300);
 
 double ToMilliseconds(absl::Duration duration) {
@@ -71,8 +72,8 @@
   stream_relay& relay;
   std::weak_ptr<void> owner;
   decode_listener listener;
-  // Under which the ledger holds the successor; the request's id is for the
-  // current run.
+  // Id of the successor's reservation in the ledger. That of the current run is
+  // the request's id.
   const std::string successor_ledger_id;
 
   // The run that the stream is received from. Kept after its end, then with
--- a/src/dispatch/stream_flow.cc
+++ b/src/dispatch/stream_flow.cc
@@ -266,8 +266,10 @@
         break;
     }
     if (sends_.attempts >= route_.attempts || (!other && IsTried(decode_))) {
-      return Refuse(MakeError(error_kind::upstream_refused,
-                              "no engine prefilled the prompt"));
+      return Refuse(MakeError(
+          error_kind::upstream_refused,
+          absl::StrCat("no engine prefilled the prompt within ",
+                       sends_.attempts, " of ", route_.attempts, " attempts")));
     }
     if (!ClaimSend(state_, routed_, sends_,
                    other ? send_purpose::prefill : send_purpose::decode,
@@ -466,13 +468,19 @@
     if (decodes_->InProgress() || decodes_->MayHaveRun()) {
       ReportUnfinished(unfinished_reason::time_limit);
       return Refuse(MakeError(error_kind::upstream_stalled,
-                              "no event within the time limit",
+                              absl::StrCat("no event within ", TimeLimitText()),
                               run_state::unknown));
     }
     Refuse(MakeError(error_kind::overloaded,
-                     IsPrefillInProgress()
-                         ? "no prefill within the time limit"
-                         : "no engine had capacity within the time limit"));
+                     absl::StrCat(IsPrefillInProgress()
+                                      ? "no prefill engine answered within "
+                                      : "no engine had capacity within ",
+                                  TimeLimitText())));
+  }
+
+  std::string TimeLimitText() const {
+    return absl::FormatDuration(ResponseDeadline(request_, route_) -
+                                request_.received);
   }
 
   void OnCallerLeft() {
--- a/src/dispatch/upstream_statement.cc
+++ b/src/dispatch/upstream_statement.cc
@@ -10,7 +10,7 @@
 namespace {
 
 // How long the statements of an instance are kept after its registration has
-// disappeared. Longer than an upstream serves after that.
+// disappeared: longer than an upstream may go on serving without one.
 constexpr absl::Duration kGoneInstanceMemory = absl::Minutes(10);
 
 // How long a report of another daemon counts. It is repeated in each of that
--- a/src/dispatch/upstream_statement_test.cc
+++ b/src/dispatch/upstream_statement_test.cc
@@ -40,7 +40,7 @@
   const absl::Time later = kNow + absl::Hours(2);
   EXPECT_EQ(AbsenceOf(absences, Engine(), later), absence_reason::leaving);
   EXPECT_EQ(AbsentUntil(absences, Engine()), absl::InfiniteFuture());
-  // Another start under the same id.
+  // Another instance that has started under the same id.
   EXPECT_EQ(AbsenceOf(absences, Engine(6), later), absence_reason::none);
   // A late response of the old instance doesn't concern the new one.
   RecordStatement(absences, Engine(6), Pause(absl::Seconds(1)), kNow);
--- a/src/fleet_daemon/fleet_daemon.cc
+++ b/src/fleet_daemon/fleet_daemon.cc
@@ -301,7 +301,7 @@
   // traffic thread.
   std::unique_ptr<dispatcher> dispatcher_;
   std::unique_ptr<load_exchange> load_exchange_;
-  // Copied on the traffic thread after each change.
+  // What upstreams have stated; copied on the traffic thread after each change.
   published<stated_absences> absences_;
   const fleet_sources sources_;
   fleet_control control_;
@@ -311,7 +311,7 @@
   std::unique_ptr<QTimer> workload_timer_;
   stage_steering_service steering_;
   std::unique_ptr<caller_port> caller_port_;
-  // Those of the configuration in force.
+  // Limits on callers of the configuration in force.
   caller_limits configured_limits_;
   health_port readiness_port_;
   health_port metrics_port_;
--- a/src/upstreams/json_reader.cc
+++ b/src/upstreams/json_reader.cc
@@ -11,9 +11,6 @@
 namespace anvilridge {
 namespace {
 
-/// Above this a JSON number is no exact integer for every reader.
-constexpr double kMaxExactInteger = 9007199254740992.0;
-
 constexpr absl::string_view kMalformed = "malformed answer: ";
 
 QJsonValue Find(const json_reader& reader, const char* name) {
--- a/src/upstreams/json_reader.h
+++ b/src/upstreams/json_reader.h
@@ -14,6 +14,9 @@
 
 namespace anvilridge {
 
+/// Largest number up to which JSON numbers are exact integers: 2^53.
+inline constexpr double kMaxExactInteger = 9007199254740992.0;
+
 /// Reads the fields of one JSON object that another process sent. The first
 /// field that is missing or of the wrong type is kept in `status`, so that a
 /// reader of many fields checks once, at the end.
--- a/tests/engine_silence_test.cc
+++ b/tests/engine_silence_test.cc
@@ -310,7 +310,8 @@
   }
 }
 
-// As above, with a decode engine that rejects the prompt instead.
+// Guards against a request that is refused because its prefill engine was
+// silent and a decode engine rejects the prompt.
 TEST_F(engine_silence_test, ASilentPrefillIsWaitedForWhenADecodeIsRefused) {
   ASSERT_TRUE(scene_.Start(kSomeBudget));
   scene_.OnPrefill([](QTcpSocket& socket, const raw_request& request) {
