--- a/src/dispatch/decode_runs.cc
+++ b/src/dispatch/decode_runs.cc
@@ -238,7 +238,12 @@
             {"status", result.http_status},
             {"why", QtText(result.status.message())},
             {"events", events},
+            {"run_events", run_events},
+            {"parts", QtText(PromptPartNames(routed.request.shared_parts))},
             {"ms", ToMilliseconds(MonotonicNow() - current->start)}});
+  if (outcome == send_outcome::unknown && run_events == 0) {
+    CheckForCrash(state, current->engine, [](engine_condition) {});
+  }
   if (outcome == send_outcome::unsent) UncountSend(sends, send_purpose::decode);
   if (MayHaveBeenRun(outcome)) may_have_run = true;
   if (successor) return ContinueWithSuccessor("failed");
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -16,6 +16,7 @@
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "dispatch/admission_turn.h"
+#include "dispatch/crash_check.h"
 #include "dispatch/dispatch_metrics.h"
 #include "dispatch/dispatch_settings.h"
 #include "dispatch/engine_ledger.h"
@@ -96,6 +97,7 @@
   /// Upstreams that have stated to other daemons that they are leaving. They
   /// are used only when there are no others.
   reported_departures reported_leaving;
+  crash_check_table crash_checks;
   /// When `assessed_health` must be computed again.
   absl::Time assessed_health_until = absl::InfinitePast();
   /// Requests that this daemon has accepted and not answered.
--- a/src/dispatch/fleet_request.h
+++ b/src/dispatch/fleet_request.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "absl/time/time.h"
+#include "quarantine/prompt_part.h"
 #include "upstreams/http_client.h"
 
 namespace anvilridge {
@@ -39,6 +40,9 @@
   /// Id of the last event of the stream that the caller has received; empty if
   /// the request doesn't resume a stream.
   std::string resume_after;
+  /// Parts of the prompt that other requests may share; empty if the request
+  /// doesn't state any.
+  prompt_parts shared_parts;
 };
 
 }  // namespace anvilridge
--- a/src/dispatch/stream_flow.cc
+++ b/src/dispatch/stream_flow.cc
@@ -182,6 +182,7 @@
               {"prompt", static_cast<double>(request_.prompt_tokens)},
               {"output", ExpectedRemaining(Generated())},
               {"resume_after", QtText(request_.resume_after)},
+              {"parts", QtText(PromptPartNames(request_.shared_parts))},
               {"waited_ms", ToMilliseconds(waited)}});
     if (reservation->prefill) {
       SendPrefill(*reservation->prefill, /*replaces_other=*/false);
