--- a/src/base/error_kind.h
+++ b/src/base/error_kind.h
@@ -33,6 +33,7 @@
   upstream_refused,
   upstream_failed,
   upstream_stalled,
+  prompt_quarantined,
   slow_reader,
   shutting_down,
   not_ready,
--- a/src/dispatch/decode_runs.cc
+++ b/src/dispatch/decode_runs.cc
@@ -11,6 +11,7 @@
 #include "base/qt_text.h"
 #include "dispatch/decode_admission.h"
 #include "dispatch/event_splitter.h"
+#include "dispatch/prompt_quarantine.h"
 #include "dispatch/send_claim.h"
 #include "dispatch/stream_limits.h"
 #include "log/decision_log.h"
@@ -80,6 +81,8 @@
   // `in_progress` false.
   std::optional<engine_run> current;
   bool in_progress = false;
+  // Whether the current run broke off, and its engine is checked for a crash.
+  bool checking = false;
   std::optional<successor_run> successor;
   uint64_t last_number = 0;
   std::vector<std::string> tried;
@@ -100,6 +103,8 @@
   void OnHeaders(uint64_t number, int status, const http_headers& headers);
   void OnData(uint64_t number, absl::string_view bytes);
   void OnDone(uint64_t number, const http_result& result);
+  bool MayHaveCrashed(send_outcome outcome, const http_result& result) const;
+  void ReportCrash(const fleet_upstream& engine, std::function<void()> checked);
   bool MayResume() const;
 
   // ---- A silent engine and its successor
@@ -241,13 +246,45 @@
             {"run_events", run_events},
             {"parts", QtText(PromptPartNames(routed.request.shared_parts))},
             {"ms", ToMilliseconds(MonotonicNow() - current->start)}});
-  if (outcome == send_outcome::unknown && run_events == 0) {
-    CheckForCrash(state, current->engine, [](engine_condition) {});
-  }
   if (outcome == send_outcome::unsent) UncountSend(sends, send_purpose::decode);
   if (MayHaveBeenRun(outcome)) may_have_run = true;
-  if (successor) return ContinueWithSuccessor("failed");
-  listener.on_failed(outcome, result);
+  const bool suspect = run_events == 0 && MayHaveCrashed(outcome, result);
+  if (successor) {
+    if (suspect) ReportCrash(current->engine, [] {});
+    return ContinueWithSuccessor("failed");
+  }
+  if (!suspect) return listener.on_failed(outcome, result);
+  // Whether the request may be sent again depends on the result of the check.
+  checking = true;
+  ReportCrash(current->engine, [this, outcome, result] {
+    checking = false;
+    listener.on_failed(outcome, result);
+  });
+}
+
+// Returns whether a run without an event may have ended because its prompt
+// crashed the engine.
+bool decode_runs::impl::MayHaveCrashed(send_outcome outcome,
+                                       const http_result& result) const {
+  return outcome == send_outcome::unknown &&
+         !routed.request.shared_parts.empty() &&
+         (result.status.ok() ||
+          KindOf(result.status) == error_kind::upstream_failed);
+}
+
+// Checks whether `engine` has crashed, records that, and then calls `checked`
+// unless the stream has ended.
+void decode_runs::impl::ReportCrash(const fleet_upstream& engine,
+                                    std::function<void()> checked) {
+  CheckForCrash(state, engine,
+                [&shared = state, engine, parts = routed.request.shared_parts,
+                 weak = weak_from_this(),
+                 checked = std::move(checked)](engine_condition condition) {
+                  if (condition == engine_condition::crashed) {
+                    RecordEngineCrash(shared, engine, parts);
+                  }
+                  if (const auto self = weak.lock()) self->IfAlive(checked);
+                });
 }
 
 bool decode_runs::impl::MayResume() const {
@@ -295,6 +332,7 @@
 // Sends the request to another engine beside the silent one, if there is one
 // with capacity and the budget allows it.
 void decode_runs::impl::StartSuccessor(extra_send_need need) {
+  if (IsQuarantined(state, engine_stage::decode, routed.request)) return;
   const absl::Time now = MonotonicNow();
   const waiting_stream rest = listener.rest();
   const auto engine = ChooseLocalPrefillEngine(state, rest, tried, now);
@@ -347,6 +385,8 @@
   ReportSend(state, successor->run.engine, outcome, info.other_instance);
   if (outcome == send_outcome::unsent) UncountSend(sends, send_purpose::decode);
   if (MayHaveBeenRun(outcome)) may_have_run = true;
+  if (MayHaveCrashed(outcome, result))
+    ReportCrash(successor->run.engine, [] {});
   DropSuccessor(SendOutcomeName(outcome));
 }
 
@@ -427,6 +467,9 @@
     UpdateDecodeSpeed(impl_->state.ledger,
                       impl_->routed.service->engine.tokens_per_event,
                       now - impl_->last_progress);
+  } else {
+    RecordPromptHandled(impl_->state, engine_stage::decode,
+                        impl_->routed.request.shared_parts);
   }
   impl_->last_progress = now;
   ++impl_->run_events;
@@ -439,7 +482,9 @@
 
 void decode_runs::Cancel() { impl_->Cancel(); }
 
-bool decode_runs::InProgress() const { return impl_->in_progress; }
+bool decode_runs::InProgress() const {
+  return impl_->in_progress || impl_->checking;
+}
 
 bool decode_runs::MayHaveRun() const { return impl_->may_have_run; }
 
--- a/src/dispatch/dispatch_metrics.cc
+++ b/src/dispatch/dispatch_metrics.cc
@@ -29,6 +29,12 @@
 constexpr metric_name kAbsent{
     "anvil_fleet_upstreams_absent",
     "Upstreams without new work by their own statement, by reason"};
+constexpr metric_name kCrashReports{
+    "anvil_fleet_crash_reports_total",
+    "Prompts for which an engine crashed before it sent an event"};
+constexpr metric_name kQuarantinedParts{
+    "anvil_fleet_quarantined_parts",
+    "Parts of prompts that are held back because engines crash on them"};
 constexpr metric_name kInProgress{"anvil_fleet_requests_in_progress",
                                   "Requests in progress"};
 constexpr metric_name kWaiting{"anvil_fleet_streams_waiting",
@@ -92,6 +98,16 @@
   registry_.Gauge(kAbsent, {{"reason", "paused"}}).Set(paused);
 }
 
+void dispatch_metrics::CountCrashReport(absl::string_view service) {
+  registry_.Counter(kCrashReports, {{"service", std::string(service)}})
+      .Increment();
+}
+
+void dispatch_metrics::SetQuarantinedParts(absl::string_view stage, int parts) {
+  registry_.Gauge(kQuarantinedParts, {{"stage", std::string(stage)}})
+      .Set(parts);
+}
+
 void dispatch_metrics::SetInProgress(int requests, int waiting) {
   registry_.Gauge(kInProgress).Set(requests);
   registry_.Gauge(kWaiting).Set(waiting);
--- a/src/dispatch/dispatch_metrics.h
+++ b/src/dispatch/dispatch_metrics.h
@@ -35,6 +35,11 @@
                        bool call_in_progress);
   /// Sets how many registered upstreams get no work by their own statement.
   void SetAbsentUpstreams(int leaving, int paused);
+  /// Counts a crash of an engine of `service` on a prompt.
+  void CountCrashReport(absl::string_view service);
+  /// Sets the number of parts of prompts that are quarantined for the engines
+  /// of `stage`.
+  void SetQuarantinedParts(absl::string_view stage, int parts);
   /// Sets the number of requests in progress, and that of streams that wait for
   /// decode memory.
   void SetInProgress(int requests, int waiting);
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -23,6 +23,7 @@
 #include "dispatch/fleet_protocol.h"
 #include "dispatch/length_estimate.h"
 #include "dispatch/open_request.h"
+#include "dispatch/prompt_quarantine.h"
 #include "dispatch/recent_durations.h"
 #include "dispatch/send_budget.h"
 #include "dispatch/send_outcome.h"
@@ -98,6 +99,7 @@
   /// are used only when there are no others.
   reported_departures reported_leaving;
   crash_check_table crash_checks;
+  prompt_quarantines quarantines;
   /// When `assessed_health` must be computed again.
   absl::Time assessed_health_until = absl::InfinitePast();
   /// Requests that this daemon has accepted and not answered.
@@ -140,6 +142,8 @@
   QObject* context = nullptr;
   /// Called after this daemon has changed its own load, if set.
   std::function<void()> on_ledger_change;
+  /// Called after the evidence in `quarantine` has changed, if set.
+  std::function<void()> on_evidence_change;
   /// Called after `absences` has changed, if set.
   std::function<void()> on_absence_change;
 };
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -28,6 +28,9 @@
 // message may be lost; this time is long enough for several.
 constexpr absl::Duration kStageOrderAnnouncement = absl::Seconds(2);
 
+// Interval at which old evidence of crashes is removed.
+constexpr absl::Duration kEvidenceExpiryInterval = absl::Seconds(5);
+
 // Interval at which the number of absent upstreams is updated.
 constexpr absl::Duration kAbsenceMetricsInterval = absl::Milliseconds(500);
 
@@ -52,6 +55,7 @@
   dispatch_state state;
   std::unique_ptr<QTimer> admit_timer;
   std::unique_ptr<QTimer> absence_metrics_timer;
+  std::unique_ptr<QTimer> evidence_timer;
   // For each engine that this daemon ordered to change its stage, the time
   // until which it may remain registered with the old one; by `EngineKey`.
   std::map<uint32_t, absl::Time> stage_orders;
@@ -74,6 +78,8 @@
   });
   impl_->absence_metrics_timer = RunEvery(
       kAbsenceMetricsInterval, [this] { UpdateAbsenceMetrics(impl_->state); });
+  impl_->evidence_timer = RunEvery(kEvidenceExpiryInterval,
+                                   [this] { ExpireEvidence(impl_->state); });
 }
 
 dispatcher::~dispatcher() = default;
@@ -239,6 +245,26 @@
   impl_->state.on_absence_change = std::move(listener);
 }
 
+staged_evidence dispatcher::Evidence() const {
+  return anvilridge::Evidence(impl_->state);
+}
+
+quarantine_report dispatcher::Quarantine() const {
+  return QuarantineReport(impl_->state);
+}
+
+void dispatcher::AddEvidence(const staged_evidence& evidence) {
+  ReceiveEvidence(impl_->state, evidence);
+}
+
+void dispatcher::LiftQuarantine(prompt_part part) {
+  anvilridge::LiftQuarantine(impl_->state, part);
+}
+
+void dispatcher::OnEvidenceChange(std::function<void()> listener) {
+  impl_->state.on_evidence_change = std::move(listener);
+}
+
 void dispatcher::OnLoadChange(std::function<void()> listener) {
   impl_->state.on_ledger_change = std::move(listener);
 }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -13,6 +13,7 @@
 #include "dispatch/engine_ledger.h"
 #include "dispatch/fleet_protocol.h"
 #include "dispatch/open_request.h"
+#include "dispatch/prompt_quarantine.h"
 #include "dispatch/stage_plan.h"
 #include "dispatch/upstream_statement.h"
 #include "fleet/fleet_view.h"
@@ -84,6 +85,17 @@
   const stated_absences& Absences() const;
   /// Sets the function that is called when `Absences` has changed.
   void OnAbsenceChange(std::function<void()> listener);
+  /// Returns what this daemon knows of prompts that crash engines, to be sent
+  /// to the other daemons.
+  staged_evidence Evidence() const;
+  /// Adds what another daemon knows of such prompts.
+  void AddEvidence(const staged_evidence& evidence);
+  /// Returns the evidence and the verdicts, for operators.
+  quarantine_report Quarantine() const;
+  /// Lifts the quarantine of a part of prompts at all daemons.
+  void LiftQuarantine(prompt_part part);
+  /// Sets the function that is called when `Evidence` has changed.
+  void OnEvidenceChange(std::function<void()> listener);
   /// Sets the function that is called when `OwnLoad` has changed.
   void OnLoadChange(std::function<void()> listener);
 
--- a/src/dispatch/open_request.cc
+++ b/src/dispatch/open_request.cc
@@ -15,6 +15,21 @@
   return static_cast<double>(absl::ToInt64Milliseconds(duration));
 }
 
+// Calls the function `end` of each request in `table` that has one.
+void EndRequests(const open_request_table& table,
+                 std::function<void()> open_request::*end) {
+  // Requests leave the table when they end, also one because of another.
+  std::vector<uint64_t> keys;
+  keys.reserve(table.size());
+  for (const auto& [key, request] : table) keys.push_back(key);
+  for (const uint64_t key : keys) {
+    const auto found = table.find(key);
+    if (found == table.end()) continue;
+    const std::function<void()> end_request = found->second.*end;
+    if (end_request) end_request();
+  }
+}
+
 }  // namespace
 
 open_request_entry::open_request_entry(
@@ -31,16 +46,11 @@
 }
 
 void EndRequestsForStop(const open_request_table& table) {
-  // Requests leave the table when they end, also one because of another.
-  std::vector<uint64_t> keys;
-  keys.reserve(table.size());
-  for (const auto& [key, request] : table) keys.push_back(key);
-  for (const uint64_t key : keys) {
-    const auto found = table.find(key);
-    if (found == table.end()) continue;
-    const std::function<void()> end = found->second.end_for_stop;
-    end();
-  }
+  EndRequests(table, &open_request::end_for_stop);
+}
+
+void EndQuarantinedRequests(const open_request_table& table) {
+  EndRequests(table, &open_request::end_if_quarantined);
 }
 
 void LogRequestsCutByStop(const open_request_table& table,
--- a/src/dispatch/open_request.h
+++ b/src/dispatch/open_request.h
@@ -23,6 +23,9 @@
   /// Sends the final response of a request that has none to pass on yet,
   /// because the daemon stops.
   std::function<void()> end_for_stop;
+  /// Sends the final response of a request that has none to pass on yet, if a
+  /// part of its prompt is quarantined; empty for requests without a prompt.
+  std::function<void()> end_if_quarantined = {};
 };
 
 /// Open requests, in order of arrival.
@@ -48,6 +51,9 @@
 /// Calls `end_for_stop` of all requests in `table`.
 void EndRequestsForStop(const open_request_table& table);
 
+/// Calls `end_if_quarantined` of all requests in `table` that have it.
+void EndQuarantinedRequests(const open_request_table& table);
+
 /// Logs each request of `table` that ends without a final response because the
 /// daemon stops.
 /// @param stop_began time at which the stop began.
--- a/src/dispatch/prompt_prefill.cc
+++ b/src/dispatch/prompt_prefill.cc
@@ -6,8 +6,10 @@
 
 #include "absl/strings/str_cat.h"
 #include "base/clock.h"
+#include "base/error_kind.h"
 #include "base/event_loop.h"
 #include "base/qt_text.h"
+#include "dispatch/prompt_quarantine.h"
 #include "dispatch/stream_limits.h"
 #include "log/decision_log.h"
 
@@ -28,6 +30,8 @@
   // Identifies the prefill in the ledger.
   std::string ledger_id;
   bool replaces_other = false;
+  // Whether it broke off, and its engine is checked for a crash.
+  bool checking = false;
 };
 
 }  // namespace
@@ -56,6 +60,7 @@
   void ScheduleCheck(uint64_t number, absl::Duration delay,
                      absl::Duration next_delay);
   void OnDone(uint64_t number, const http_result& result);
+  void CheckEngine(uint64_t number, const fleet_upstream& engine);
   // Returns the outcome of a prefill, and sets `prefill` to its result if there
   // is a response with status 200.
   send_outcome Classify(const http_result& result, const response_info& info,
@@ -109,6 +114,7 @@
     const auto found = self->prefills.find(number);
     const auto alive = self->owner.lock();
     if (!alive || found == self->prefills.end()) return;
+    if (found->second.checking) return;
     const absl::Duration silence = MonotonicNow() - found->second.start;
     const bool failed =
         silence >= found->second.slow_after + kSilenceCheckInterval;
@@ -120,8 +126,7 @@
 void prompt_prefill::impl::OnDone(uint64_t number, const http_result& result) {
   const auto found = prefills.find(number);
   if (found == prefills.end()) return;
-  const prefill_in_progress sent = std::move(found->second);
-  prefills.erase(found);
+  const prefill_in_progress sent = found->second;
   EndPrefill(state.ledger, sent.ledger_id);
   const response_info info =
       state.protocol.parse_response(result.http_status, result.headers);
@@ -132,6 +137,8 @@
   ReportSend(state, sent.engine, outcome, info.other_instance);
   const absl::Duration elapsed = MonotonicNow() - sent.start;
   if (prefill.ok()) {
+    prefills.erase(number);
+    RecordPromptHandled(state, engine_stage::prefill, request.shared_parts);
     UpdatePrefillSpeed(state.ledger,
                        static_cast<double>(prefill->tokens) + sent.backlog,
                        elapsed);
@@ -144,10 +151,41 @@
             {"fate", QtText(SendOutcomeName(outcome))},
             {"status", result.http_status},
             {"why", QtText(result.status.message())},
+            {"parts", QtText(PromptPartNames(request.shared_parts))},
             {"ms", static_cast<double>(absl::ToInt64Milliseconds(elapsed))}});
+  const bool broke_off = outcome == send_outcome::unknown &&
+                         KindOf(result.status) == error_kind::upstream_failed;
+  if (broke_off && !request.shared_parts.empty()) {
+    // Whether the prompt may be sent again depends on the result of the check.
+    found->second.checking = true;
+    return CheckEngine(number, sent.engine);
+  }
+  prefills.erase(number);
   listener.on_failed({outcome, sent.replaces_other});
 }
 
+// Checks whether `engine`, which broke prefill `number` off, has crashed,
+// records that, and then ends the prefill.
+void prompt_prefill::impl::CheckEngine(uint64_t number,
+                                       const fleet_upstream& engine) {
+  CheckForCrash(
+      state, engine,
+      [&shared = state, engine, parts = request.shared_parts,
+       weak = weak_from_this(), number](engine_condition condition) {
+        if (condition == engine_condition::crashed) {
+          RecordEngineCrash(shared, engine, parts);
+        }
+        const auto self = weak.lock();
+        if (!self) return;
+        const auto alive = self->owner.lock();
+        const auto found = self->prefills.find(number);
+        if (!alive || found == self->prefills.end()) return;
+        const bool replaces_other = found->second.replaces_other;
+        self->prefills.erase(found);
+        self->listener.on_failed({send_outcome::unknown, replaces_other});
+      });
+}
+
 send_outcome prompt_prefill::impl::Classify(
     const http_result& result, const response_info& info,
     absl::StatusOr<completed_prefill>& prefill) const {
--- a/src/dispatch/stream_flow.cc
+++ b/src/dispatch/stream_flow.cc
@@ -15,6 +15,7 @@
 #include "dispatch/decode_runs.h"
 #include "dispatch/kv_lease.h"
 #include "dispatch/prompt_prefill.h"
+#include "dispatch/prompt_quarantine.h"
 #include "dispatch/request_sends.h"
 #include "dispatch/send_claim.h"
 #include "dispatch/stop_admission.h"
@@ -22,6 +23,7 @@
 #include "dispatch/stream_limits.h"
 #include "dispatch/stream_record.h"
 #include "dispatch/stream_relay.h"
+#include "dispatch/stream_size.h"
 #include "dispatch/unfinished_request.h"
 #include "log/decision_log.h"
 
@@ -76,6 +78,10 @@
                      [weak = weak_from_this()] {
                        const auto flow = weak.lock();
                        if (flow) flow->OnStop();
+                     },
+                     [weak = weak_from_this()] {
+                       const auto flow = weak.lock();
+                       if (flow) flow->EndIfQuarantined();
                      }});
     routed_.exchange->OnClosed([self] { self->OnCallerLeft(); });
     RunAfter(state_.context, FirstEventDeadline(request_, route_) - now,
@@ -87,6 +93,8 @@
              [weak = weak_from_this()] {
                if (const auto flow = weak.lock()) flow->OnTimeout();
              });
+    is_trial_ = BeginTrial(state_, engine_stage::decode, request_, now);
+    if (EndIfQuarantined()) return;
     if (UsableUpstreams(state_, service_.name, {}, now).empty() &&
         !EarliestReturn(state_, service_.name, engine_stage::decode, now)) {
       return Refuse(MakeError(error_kind::no_upstream,
@@ -110,61 +118,18 @@
   }
 
  private:
-  // Returns the request's entry for the queue of streams that wait for engines,
-  // without its callback.
   waiting_stream MakeWaitingStream() const {
-    waiting_stream waiting;
-    waiting.request_id = request_.id;
-    waiting.service = service_.name;
-    waiting.prompt = static_cast<double>(request_.prompt_tokens);
-    waiting.generated = Generated();
-    waiting.output = ExpectedRemaining(waiting.generated);
-    if (route_.gap_target > absl::ZeroDuration()) {
-      waiting.gap_target = route_.gap_target;
-    }
-    waiting.latest_on_time_start = LatestOnTimeStart(request_, route_);
-    waiting.deadline = ResponseDeadline(request_, route_);
-    waiting.shortest_run =
-        ShortestRun(state_, service_.name, ShortestRemaining(waiting.generated),
-                    MonotonicNow());
-    waiting.longest_run =
-        LongestRun(state_, service_.name, LongestRemaining(waiting.generated),
-                   waiting.prompt + waiting.generated, MonotonicNow());
-    waiting.latest_start =
-        LatestStart(request_, route_, waiting.output,
-                    state_.ledger.tokens_per_ms, waiting.deadline);
-    return waiting;
-  }
-
-  // Returns the number of tokens that the caller has received, including those
-  // from before it resumed the stream.
-  double Generated() const {
-    const double tokens =
-        static_cast<double>(service_.engine.tokens_per_event) *
-        (events_before_resume_ + record_.events);
-    return std::clamp(tokens, 0.0,
-                      static_cast<double>(request_.max_output_tokens));
+    return anvilridge::MakeWaitingStream(state_, routed_, length_, Events());
   }
 
-  // Returns how many more tokens are expected after `generated` ones.
-  double ExpectedRemaining(double generated) const {
-    return EstimateRemaining(length_, generated,
-                             static_cast<double>(request_.max_output_tokens));
-  }
+  // Returns the number of events that the caller has received, including those
+  // from before it resumed the stream.
+  int Events() const { return events_before_resume_ + record_.events; }
 
-  // Returns how many more tokens there may plausibly be after `generated` ones.
-  double LongestRemaining(double generated) const {
-    const double limit = static_cast<double>(request_.max_output_tokens);
-    return KnowsLengths(state_, service_.name)
-               ? EstimateLongestRemaining(length_, generated, limit)
-               : limit - generated;
-  }
+  double Generated() const { return TokensOf(routed_, Events()); }
 
-  // Returns how many more tokens there are at least after `generated` ones.
-  double ShortestRemaining(double generated) const {
-    if (!KnowsLengths(state_, service_.name)) return 0;
-    return EstimateShortestRemaining(
-        length_, generated, static_cast<double>(request_.max_output_tokens));
+  double ExpectedRemaining(double generated) const {
+    return ExpectedTokens(routed_, length_, generated);
   }
 
   void OnReservation(absl::StatusOr<engine_reservation> reservation) {
@@ -184,7 +149,7 @@
               {"resume_after", QtText(request_.resume_after)},
               {"parts", QtText(PromptPartNames(request_.shared_parts))},
               {"waited_ms", ToMilliseconds(waited)}});
-    if (reservation->prefill) {
+    if (reservation->prefill && MayPrefill()) {
       SendPrefill(*reservation->prefill, /*replaces_other=*/false);
     } else {
       SendDecode();
@@ -194,6 +159,7 @@
   // ---- Prefill
 
   void SendPrefill(const fleet_upstream& engine, bool replaces_other) {
+    if (EndIfQuarantined()) return;
     if (!prefill_) {
       prefill_listener listener;
       listener.on_completed = [this](const prefill_result& result) {
@@ -212,6 +178,13 @@
     prefill_->Send(engine, relay_.ResumeAfter(), replaces_other);
   }
 
+  // Returns whether the prompt may be sent to prefill engines, or else must be
+  // prefilled by the decode engine.
+  bool MayPrefill() {
+    return !IsQuarantined(state_, engine_stage::prefill, request_) ||
+           BeginTrial(state_, engine_stage::prefill, request_, MonotonicNow());
+  }
+
   bool IsPrefillInProgress() const {
     return prefill_ && prefill_->InProgress() > 0;
   }
@@ -339,6 +312,9 @@
 
   // Returns a prefill engine that was not tried yet.
   std::optional<fleet_upstream> ChooseOtherPrefill() {
+    if (IsQuarantined(state_, engine_stage::prefill, request_)) {
+      return std::nullopt;
+    }
     return ChoosePrefillEngine(
         state_, service_.name, static_cast<double>(request_.prompt_tokens),
         decode_.failure_domain, prefill_->Tried(), MonotonicNow());
@@ -358,6 +334,7 @@
   // Sends the request to `decode_`, or to another engine if that one has become
   // absent since it was reserved.
   void SendDecode() {
+    if (EndIfQuarantined()) return;
     const absl::Time now = MonotonicNow();
     if (!MayBegin(now)) return Refuse(Stopping());
     if (IsAbsent(state_, decode_, now)) return PlaceAgain(now);
@@ -436,6 +413,7 @@
   // After a failed decode, sends the request to another engine if that is
   // allowed, and otherwise ends it.
   void OnDecodeFailed(send_outcome outcome, const http_result& result) {
+    if (EndIfQuarantined()) return;
     const bool not_run = !decodes_->MayHaveRun();
     // The prefill may still be answered.
     if (IsPrefillInProgress() && not_run) return;
@@ -458,6 +436,7 @@
   // Returns whether the request may be sent to another engine after a decode
   // that ended with `outcome`, apart from the budget.
   bool MaySendAgain(send_outcome outcome) const {
+    if (IsQuarantined(state_, engine_stage::decode, request_)) return false;
     if (relay_.HeadersSent() || decodes_->MayHaveRun()) {
       return decodes_->MayResume();
     }
@@ -565,6 +544,21 @@
                      "no event before this daemon stops", run_state::unknown));
   }
 
+  // Ends the request, unless the caller has received events, if engines crash
+  // on a part of its prompt. A trial is sent to one decode engine.
+  // @return whether it has ended.
+  bool EndIfQuarantined() {
+    if (ended_) return true;
+    if (relay_.HeadersSent()) return false;
+    if (!IsQuarantined(state_, engine_stage::decode, request_)) return false;
+    if (is_trial_ && !decodes_->MayHaveRun()) return false;
+    const bool may_have_run = decodes_->InProgress() || decodes_->MayHaveRun();
+    if (may_have_run) ReportUnfinished(unfinished_reason::quarantined);
+    Refuse(QuarantineError(state_, request_, may_have_run && !route_.resumable,
+                           MonotonicNow()));
+    return true;
+  }
+
   void OnCallerLeft() {
     if (ended_) return;
     LogAndEnd("caller_left", 0);
@@ -648,6 +642,8 @@
   bool ended_ = false;
   // Whether the whole stream was passed on.
   bool complete_ = false;
+  // Whether the request is sent although its prompt is quarantined.
+  bool is_trial_ = false;
   // Number of events that the caller had received before it sent this request.
   int events_before_resume_ = 0;
   stream_record record_;
--- a/src/dispatch/unfinished_request.cc
+++ b/src/dispatch/unfinished_request.cc
@@ -20,6 +20,8 @@
       return "caller_patience";
     case unfinished_reason::stop:
       return "stop";
+    case unfinished_reason::quarantined:
+      return "quarantined";
   }
   return "unknown";
 }
--- a/src/dispatch/unfinished_request.h
+++ b/src/dispatch/unfinished_request.h
@@ -21,6 +21,8 @@
   caller_patience,
   /// This daemon stopped.
   stop,
+  /// Engines crash on a part of its prompt.
+  quarantined,
 };
 
 /// How a request without a whole answer ended.
--- a/src/fleet_daemon/fleet_daemon.cc
+++ b/src/fleet_daemon/fleet_daemon.cc
@@ -26,6 +26,7 @@
 #include "log/decision_log.h"
 #include "metrics/health_port.h"
 #include "metrics/metrics.h"
+#include "quarantine/quarantine_text.h"
 #include "settings/settings_values.h"
 #include "sharing/load_exchange.h"
 
@@ -77,7 +78,7 @@
             std::vector<QObject*>{traffic_.Context()})),
         readiness_port_(settings.readiness, &context_, HealthSources(),
                         ReadinessPaths(settings)),
-        metrics_port_(settings.metrics, &context_, HealthSources()) {
+        metrics_port_(settings.metrics, &context_, MetricsSources()) {
     caller_port_->OnCut(
         [this](const connection_cut& cut) {
           ReportConnectionCut(cut, metrics_);
@@ -239,11 +240,20 @@
     handler.on_daemon_count = [this](int daemons) {
       dispatcher_->SetDaemonCount(daemons);
     };
+    handler.evidence = [this] { return dispatcher_->Evidence(); };
+    handler.on_evidence = [this](const staged_evidence& evidence) {
+      dispatcher_->AddEvidence(evidence);
+    };
     load_exchange_ = std::make_unique<load_exchange>(std::move(handler));
     dispatcher_->OnAbsenceChange([this] {
       absences_.Set(
           std::make_shared<const stated_absences>(dispatcher_->Absences()));
     });
+    dispatcher_->OnEvidenceChange([this] {
+      quarantine_.Set(
+          std::make_shared<const quarantine_report>(dispatcher_->Quarantine()));
+      load_exchange_->ScheduleEvidence();
+    });
     dispatcher_->OnLoadChange([this] { load_exchange_->ScheduleSend(); });
   }
 
@@ -252,6 +262,29 @@
             [this] { return metrics_.MetricsText(); }};
   }
 
+  // As `HealthSources`, with the quarantine, which is for operators.
+  health_sources MetricsSources() {
+    health_sources sources = HealthSources();
+    sources.quarantine_text = [this] {
+      const auto report = quarantine_.Get();
+      return QuarantineText(report ? *report : quarantine_report(),
+                            MonotonicNow());
+    };
+    sources.lift_quarantine = [this](absl::string_view name) {
+      return LiftQuarantine(PromptPartNamed(name));
+    };
+    return sources;
+  }
+
+  bool LiftQuarantine(prompt_part part) {
+    const auto report = quarantine_.Get();
+    if (!report || !IsQuarantined(*report, part)) return false;
+    PostTo(traffic_.Context(), [this, part] {
+      if (dispatcher_) dispatcher_->LiftQuarantine(part);
+    });
+    return true;
+  }
+
   absl::Status Ready() const {
     if (stop_timer_) {
       return MakeError(error_kind::shutting_down, "this daemon is stopping");
@@ -329,6 +362,8 @@
   std::unique_ptr<load_exchange> load_exchange_;
   // What upstreams have stated; copied on the traffic thread after each change.
   published<stated_absences> absences_;
+  // What is known of prompts that crash engines; copied in the same way.
+  published<quarantine_report> quarantine_;
   const fleet_sources sources_;
   fleet_control control_;
   group_member group_member_;
--- a/src/metrics/health_port.cc
+++ b/src/metrics/health_port.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "base/error_kind.h"
 #include "base/ids.h"
@@ -30,8 +31,27 @@
                  NewId());
 }
 
+// Lifts the quarantine of the part that ends the path of `request`.
+void LiftQuarantine(const health_sources& sources, const health_paths& paths,
+                    const inbound_request& request,
+                    inbound_exchange& exchange) {
+  const absl::string_view part =
+      absl::string_view(request.path).substr(paths.quarantine.size() + 1);
+  if (sources.lift_quarantine(part)) {
+    return exchange.Respond(200, {{"content-type", "text/plain"}}, "lifted\n");
+  }
+  RespondProblem(exchange,
+                 MakeError(error_kind::not_found,
+                           absl::StrCat("no part ", part, " is quarantined")),
+                 NewId());
+}
+
 void Handle(const health_sources& sources, const health_paths& paths,
             const inbound_request& request, inbound_exchange& exchange) {
+  if (request.method == "DELETE" && sources.lift_quarantine &&
+      absl::StartsWith(request.path, paths.quarantine + "/")) {
+    return LiftQuarantine(sources, paths, request, exchange);
+  }
   if (request.method != "GET" && request.method != "HEAD") {
     RespondProblem(exchange,
                    MakeError(error_kind::method_not_allowed, "GET, HEAD"),
@@ -43,6 +63,9 @@
   } else if (request.path == paths.metrics) {
     exchange.Respond(200, {{"content-type", "text/plain; version=0.0.4"}},
                      sources.metrics_text());
+  } else if (sources.quarantine_text && request.path == paths.quarantine) {
+    exchange.Respond(200, {{"content-type", "application/json"}},
+                     sources.quarantine_text());
   } else {
     RespondProblem(exchange,
                    MakeError(error_kind::unknown_route,
--- a/src/metrics/health_port.h
+++ b/src/metrics/health_port.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "absl/status/status.h"
+#include "absl/strings/string_view.h"
 #include "settings/daemon_settings.h"
 
 namespace anvilridge {
@@ -18,6 +19,11 @@
   std::function<absl::Status()> readiness;
   /// Text in the format of Prometheus.
   std::function<std::string()> metrics_text;
+  /// Optional: the quarantine of prompts as JSON.
+  std::function<std::string()> quarantine_text = nullptr;
+  /// Optional: lifts the quarantine of the part with this name. Returns false
+  /// if it isn't quarantined.
+  std::function<bool(absl::string_view part)> lift_quarantine = nullptr;
 };
 
 /// Where a health port serves what it knows.
@@ -25,6 +31,9 @@
   std::string alive = "/healthz";
   std::string ready = "/readyz";
   std::string metrics = "/metrics";
+  /// Shows the quarantine of prompts; with a slash and the name of a part
+  /// behind it, `DELETE` lifts that of the part.
+  std::string quarantine = "/quarantine";
 };
 
 /// Serves whether the process lives, whether it is ready, and its metrics.
--- a/src/metrics/health_port_test.cc
+++ b/src/metrics/health_port_test.cc
@@ -51,5 +51,30 @@
   expect("GET /other", "404", "unknown_route");
 }
 
+TEST(health_port_test, ShowsAndLiftsTheQuarantine) {
+  int count = 1;
+  char name[] = "test";
+  char* arguments[] = {name, nullptr};
+  const QCoreApplication application(count, arguments);
+  QObject context;
+  health_sources sources{[] { return absl::OkStatus(); },
+                         [] { return std::string(); }};
+  health_port without({}, &context, sources);
+  sources.quarantine_text = [] { return std::string("{}"); };
+  sources.lift_quarantine = [](absl::string_view part) { return part == "ab"; };
+  health_port port({}, &context, sources);
+  ASSERT_TRUE(port.Listen().ok() && without.Listen().ok());
+  const auto status = [](const health_port& asked, absl::string_view line) {
+    return Ask(asked.Port(), line).substr(sizeof("HTTP/1.1"), 3);
+  };
+  EXPECT_EQ(status(port, "GET /quarantine"), "200");
+  EXPECT_EQ(status(port, "DELETE /quarantine/ab"), "200");
+  EXPECT_EQ(status(port, "DELETE /quarantine/cd"), "404");
+  EXPECT_EQ(status(port, "DELETE /quarantine/"), "404");
+  EXPECT_EQ(status(port, "DELETE /metrics"), "405");
+  EXPECT_EQ(status(without, "GET /quarantine"), "404");
+  EXPECT_EQ(status(without, "DELETE /quarantine/ab"), "405");
+}
+
 }  // namespace
 }  // namespace anvilridge
--- /dev/null
+++ b/src/quarantine/quarantine_verdict.h
@@ -0,0 +1,57 @@
+#ifndef ANVILRIDGE_QUARANTINE_QUARANTINE_VERDICT_H_
+#define ANVILRIDGE_QUARANTINE_QUARANTINE_VERDICT_H_
+
+#include <optional>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "absl/types/span.h"
+#include "quarantine/crash_evidence.h"
+#include "quarantine/prompt_part.h"
+
+namespace anvilridge {
+
+/// Number of engines that must have crashed on a part before it is quarantined.
+inline constexpr size_t kCrashesForQuarantine = 3;
+
+/// The crashes must not all fall within this time: engines that crash together
+/// have a common cause elsewhere, such as a power failure.
+inline constexpr absl::Duration kMinCrashSpread = absl::Milliseconds(100);
+
+/// Time after the last crash or trial after which one more request with a
+/// quarantined part is sent, since the engines may have been mended. It doubles
+/// with each crash after the verdict, up to the maximum.
+inline constexpr absl::Duration kMinTrialInterval = absl::Minutes(1);
+inline constexpr absl::Duration kMaxTrialInterval = absl::Minutes(8);
+
+/// The same while no engine has sent an event for any prompt since the crashes
+/// began: engines may crash on all prompts, as after a faulty release, and must
+/// get work again as soon as that has ended.
+inline constexpr absl::Duration kUnconfirmedTrialInterval = absl::Seconds(5);
+
+/// A part of prompts that crashes engines.
+struct quarantine_verdict {
+  prompt_part part = 0;
+  /// Other parts that all the crashes have in common with `part`. A prompt
+  /// without one of them isn't held back: these crashes don't tell which of the
+  /// parts is to blame.
+  prompt_parts companions;
+  /// Hashes of the engines that crashed.
+  std::vector<uint32_t> engines;
+  absl::Time first_crash;
+  absl::Time last_crash;
+  /// From when on a request may be sent as a trial.
+  absl::Time next_trial;
+};
+
+/// Returns the verdict on each part that crashes engines.
+std::vector<quarantine_verdict> FindVerdicts(const crash_evidence& evidence);
+
+/// Returns the first of `verdicts` that holds back a prompt with `parts`.
+std::optional<quarantine_verdict> VerdictAgainst(
+    absl::Span<const quarantine_verdict> verdicts,
+    absl::Span<const prompt_part> parts);
+
+}  // namespace anvilridge
+
+#endif  // ANVILRIDGE_QUARANTINE_QUARANTINE_VERDICT_H_
--- a/src/sharing/load_exchange.cc
+++ b/src/sharing/load_exchange.cc
@@ -49,6 +49,14 @@
 // cell of a dozen.
 constexpr size_t kHellosPerInterval = 4;
 
+// Time after a change for which all messages carry the evidence, since each may
+// be lost, and the interval at which they carry it without a change, for
+// daemons that have started since.
+constexpr absl::Duration kNewEvidencePeriod = absl::Milliseconds(500);
+constexpr absl::Duration kEvidenceInterval = absl::Seconds(1);
+// Minimum time between two rounds of hellos.
+constexpr absl::Duration kMinHelloInterval = absl::Milliseconds(100);
+
 // Another daemon, keyed by its address.
 struct peer_state {
   QHostAddress host;
@@ -98,6 +106,9 @@
   // Number of cells of the deployment.
   int cells = 1;
   absl::Time last_hello = absl::InfinitePast();
+  // Until when the evidence is new, and when it was last sent to the own cell.
+  absl::Time evidence_new_until = absl::InfinitePast();
+  absl::Time evidence_sent_at = absl::InfinitePast();
   absl::BitGen random;
   // When the last load message was sent.
   absl::Time sent_at = absl::InfinitePast();
@@ -109,7 +120,8 @@
   void AddPeer(const daemon_address& address, absl::Time now);
   std::vector<daemon_address> NextLivePeers(int cell, absl::Time now);
   void SendTo(const peer_state& peer, const load_message& message);
-  void SendHellos(absl::Time now);
+  void SendHellos(absl::Duration min_interval, absl::Time now);
+  bool IsEvidenceDue(absl::Time now) const;
   bool IsOwnCell(absl::string_view name) const;
   void SendLoad();
   bool HearsMostListed(absl::Time now) const;
@@ -142,6 +154,7 @@
   if (is_load && same_incarnation && message->sequence <= peer.sequence) return;
   if (peer.last_seen + kPeerTimeout < now) {
     LogEvent(log_level::info, "daemon_heard", {{"peer", QtText(name)}});
+    evidence_new_until = now + kNewEvidencePeriod;
   }
   peer.host = datagram.senderAddress();
   peer.port = port;
@@ -163,10 +176,15 @@
     reply.incarnation = incarnation;
     reply.sequence = sequence;
     reply.live_peers = NextLivePeers(CellOf(name, cells), now);
+    reply.evidence = handler.evidence();
     SendTo(peers[name], reply);
   } else if (is_load) {
     handler.on_load(name, std::move(message->load));
   }
+  if (!message->evidence.prefill.reports.empty() ||
+      !message->evidence.decode.reports.empty()) {
+    handler.on_evidence(message->evidence);
+  }
   UpdateDaemonCount();
 }
 
@@ -209,15 +227,17 @@
 
 void load_exchange::impl::SendTo(const peer_state& peer,
                                  const load_message& message) {
-  const QByteArray bytes = EncodeLoadMessage(message);
+  const QByteArray bytes = EncodeLoadMessage(message, MonotonicNow());
   CountControlBytes(control_channel::membership, traffic_direction::sent,
                     bytes.size());
   socket.writeDatagram(bytes, peer.host, peer.port);
 }
 
-// Requests live daemons of the own cell from some daemons of other cells.
-void load_exchange::impl::SendHellos(absl::Time now) {
-  if (cells == 1 || leaving || now - last_hello < kHelloInterval) return;
+// Requests live daemons of the own cell from some daemons of other cells, and
+// tells them the evidence, unless that was done within `min_interval`.
+void load_exchange::impl::SendHellos(absl::Duration min_interval,
+                                     absl::Time now) {
+  if (cells == 1 || leaving || now - last_hello < min_interval) return;
   last_hello = now;
   std::vector<const peer_state*> targets;
   for (const auto& [name, peer] : peers) {
@@ -227,6 +247,7 @@
   hello.kind = load_message_kind::hello;
   hello.incarnation = incarnation;
   hello.sequence = sequence;
+  hello.evidence = handler.evidence();
   for (size_t i = 0; i < kHellosPerInterval && !targets.empty(); ++i) {
     const size_t chosen = absl::Uniform<size_t>(random, 0, targets.size());
     SendTo(*targets[chosen], hello);
@@ -234,6 +255,11 @@
   }
 }
 
+bool load_exchange::impl::IsEvidenceDue(absl::Time now) const {
+  return now < evidence_new_until ||
+         now - evidence_sent_at >= kEvidenceInterval;
+}
+
 // Sends this daemon's load to the daemons of its cell.
 void load_exchange::impl::SendLoad() {
   send_scheduled = false;
@@ -247,6 +273,10 @@
   } else {
     message.load = handler.own_load();
     message.live_peers = NextLivePeers(CellOf(own_address, cells), sent_at);
+    if (IsEvidenceDue(sent_at)) {
+      message.evidence = handler.evidence();
+      evidence_sent_at = sent_at;
+    }
   }
   for (const auto& [name, peer] : peers) {
     if (IsOwnCell(name) && ShouldSendTo(peer, sent_at)) SendTo(peer, message);
@@ -315,7 +345,10 @@
                    [self = impl_.get()] { self->HandlePendingDatagrams(); });
   impl_->refresh_timer = RunEvery(kResendInterval, [self = impl_.get()] {
     if (MonotonicNow() - self->sent_at >= kResendInterval / 2) self->SendLoad();
-    self->SendHellos(MonotonicNow());
+    const absl::Time now = MonotonicNow();
+    self->SendHellos(
+        now < self->evidence_new_until ? kMinHelloInterval : kHelloInterval,
+        now);
     self->UpdateDaemonCount();
   });
   return absl::OkStatus();
@@ -346,6 +379,13 @@
   RunAfter(&impl_->socket, wait, [self = impl_.get()] { self->SendLoad(); });
 }
 
+void load_exchange::ScheduleEvidence() {
+  const absl::Time now = MonotonicNow();
+  impl_->evidence_new_until = now + kNewEvidencePeriod;
+  impl_->SendHellos(kMinHelloInterval, now);
+  ScheduleSend();
+}
+
 void load_exchange::AnnounceLeaving() {
   impl_->leaving = true;
   impl_->SendLoad();
--- a/src/sharing/load_exchange.h
+++ b/src/sharing/load_exchange.h
@@ -9,6 +9,7 @@
 #include "absl/status/status.h"
 #include "absl/strings/string_view.h"
 #include "dispatch/engine_ledger.h"
+#include "quarantine/crash_evidence.h"
 #include "settings/daemon_settings.h"
 
 namespace anvilridge {
@@ -20,6 +21,11 @@
   /// Receives the load of another daemon. `peer` is the sender's
   /// `a.b.c.d:port`.
   std::function<void(absl::string_view peer, daemon_load share)> on_load;
+  /// Returns what this daemon knows of prompts that crash engines.
+  std::function<staged_evidence()> evidence = [] { return staged_evidence(); };
+  /// Receives what another daemon knows.
+  std::function<void(const staged_evidence&)> on_evidence =
+      [](const staged_evidence&) {};
   /// Receives the number of daemons, this one included, when it changes. Not
   /// called for a first or a lower number that may come from a cut: before the
   /// store has listed the daemons or another one was heard, and while most of
@@ -53,6 +59,10 @@
   /// Schedules a message after a change of this daemon's load.
   void ScheduleSend();
 
+  /// Schedules messages after a change of this daemon's evidence, which is also
+  /// sent to some daemons of other cells.
+  void ScheduleEvidence();
+
   /// Sends a last message, which announces that this daemon is stopping.
   void AnnounceLeaving();
 
--- a/src/sharing/load_exchange_test.cc
+++ b/src/sharing/load_exchange_test.cc
@@ -2,7 +2,10 @@
 
 #include <QHostAddress>
 #include <QUdpSocket>
+#include <algorithm>
+#include <memory>
 
+#include "base/clock.h"
 #include "base/testing/run_loop.h"
 #include "dispatch/engine_cell.h"
 #include "gtest/gtest.h"
@@ -30,6 +33,12 @@
       received[std::string(peer)] = std::move(load);
     };
     handler.on_daemon_count = [this](int count) { daemon_count = count; };
+    handler.evidence = [this] { return evidence; };
+    handler.on_evidence = [this](const staged_evidence& other) {
+      if (MergeEvidence(evidence.decode, other.decode)) {
+        exchange.ScheduleEvidence();
+      }
+    };
     return handler;
   }
 
@@ -41,6 +50,7 @@
   daemon_load current_load;
   std::map<std::string, daemon_load> received;
   int daemon_count = 0;
+  staged_evidence evidence;
   load_exchange exchange;
 };
 
@@ -184,6 +194,49 @@
   EXPECT_TRUE(RunUntil([&] { return a.daemon_count == 1; }));
 }
 
+// Also a daemon that starts later, or from which nobody has heard the crash,
+// learns of it.
+TEST_F(load_exchange_test, EvidenceReachesAllDaemonsOfACell) {
+  test_daemon a;
+  test_daemon b;
+  a.exchange.SetPeers({b.Name()});
+  ASSERT_TRUE(RunUntil([&] { return b.received.contains(a.Name()); }));
+  AddCrashReport(a.evidence.decode, {1, MonotonicNow(), {5}});
+  a.exchange.ScheduleEvidence();
+  EXPECT_TRUE(RunUntil([&] { return b.evidence.decode.reports.size() == 1; },
+                       absl::Milliseconds(200)));
+  test_daemon late;
+  late.exchange.SetPeers({b.Name()});
+  EXPECT_TRUE(
+      RunUntil([&] { return late.evidence.decode.reports.size() == 1; }));
+}
+
+// Loads stay in their cell, evidence does not: a prompt that crashes engines
+// comes at any daemon.
+TEST_F(load_exchange_test, EvidenceCrossesCells) {
+  constexpr int kCells = 2;
+  std::vector<std::unique_ptr<test_daemon>> daemons;
+  std::vector<std::string> names;
+  for (int i = 0; i < 8; ++i) {
+    daemons.push_back(std::make_unique<test_daemon>());
+    names.push_back(daemons.back()->Name());
+  }
+  for (const auto& daemon : daemons) {
+    daemon->exchange.SetCells(kCells);
+    daemon->exchange.SetPeers(names);
+  }
+  AddCrashReport(daemons[0]->evidence.decode, {1, MonotonicNow(), {5}});
+  daemons[0]->exchange.ScheduleEvidence();
+  EXPECT_TRUE(RunUntil(
+      [&] {
+        return std::all_of(daemons.begin(), daemons.end(),
+                           [](const auto& daemon) {
+                             return daemon->evidence.decode.reports.size() == 1;
+                           });
+      },
+      absl::Seconds(3)));
+}
+
 TEST_F(load_exchange_test, MalformedDatagramsAreIgnored) {
   test_daemon a;
   QUdpSocket sender;
--- a/src/sharing/load_message.h
+++ b/src/sharing/load_message.h
@@ -8,6 +8,7 @@
 #include "absl/status/statusor.h"
 #include "absl/strings/string_view.h"
 #include "dispatch/engine_ledger.h"
+#include "quarantine/crash_evidence.h"
 
 namespace anvilridge {
 
@@ -48,6 +49,9 @@
   /// Load of the sender; empty in a hello and in its reply. When `leaving`, all
   /// but `stop_left` is empty.
   daemon_load load;
+  /// What the sender knows of prompts that crash engines; empty in messages
+  /// that leave it out.
+  staged_evidence evidence;
 };
 
 /// Tokens in one unit of a token count on the wire. Counting in units lets a
@@ -56,10 +60,12 @@
 
 /// Returns the bytes of `message`. Entries beyond the maximum counts are
 /// omitted, so that the message fits into one datagram.
-QByteArray EncodeLoadMessage(const load_message& message);
+/// @param now time of sending; times are sent as ages.
+QByteArray EncodeLoadMessage(const load_message& message, absl::Time now);
 
 /// Parses the bytes of a message.
-/// @param now time of arrival, stored as the time of each run.
+/// @param now time of arrival, stored as the time of each run, and from which
+///     ages are subtracted.
 /// @return the message, or `malformed_request` if the bytes are not a message
 /// of the current version.
 absl::StatusOr<load_message> DecodeLoadMessage(absl::string_view bytes,
--- a/tests/crashing_prompt_test.cc
+++ b/tests/crashing_prompt_test.cc
@@ -1,5 +1,6 @@
 // Prompts that crash engines, over several daemons as processes and engines
 // that end and come back as other instances.
+#include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
 #include <QPointer>
@@ -65,7 +66,7 @@
 }
 
 // What an engine does with a request for whose prompt it begins to write.
-enum class engine_act { serve, crash, reset };
+enum class engine_act { serve, crash, reset, crash_prefill };
 using act_choice = std::function<engine_act(const raw_request&)>;
 
 // One engine behind a changing port. Lives on the thread of the scene.
@@ -128,6 +129,7 @@
       deadly_arrivals.push_back(MonotonicNow());
     }
     if (stage_ == "prefill") {
+      if (choose_(request) == engine_act::crash_prefill) return Crash();
       return Respond(socket, request, R"({"Handle":"h1","Tokens":100})");
     }
     Write(socket, platform_scene::Head(request, 200) +
@@ -225,7 +227,7 @@
 class crashing_prompt_test : public testing::Test {
  protected:
   ~crashing_prompt_test() override {
-    for (std::thread& caller : callers_) caller.join();
+    JoinCallers();
     daemons_.clear();
     RunAndWait(thread_->Context(), [this] {
       engines_.clear();
@@ -234,14 +236,16 @@
   }
 
   // Starts engines that do with each request what `choose` says, and daemons.
-  void Start(const act_choice& choose) {
+  void Start(const act_choice& choose, int prefills = 1) {
     EnsureTestApplication();
     thread_ = std::make_unique<event_thread>("engines");
     RunAndWait(thread_->Context(), [&] {
       store_ = std::make_unique<store_standin>();
       store_->Put("keyed.op", "config", kConfig);
-      engines_.push_back(
-          std::make_unique<test_engine>(0, "prefill", *store_, choose));
+      for (int i = 0; i < prefills; ++i) {
+        engines_.push_back(
+            std::make_unique<test_engine>(100 + i, "prefill", *store_, choose));
+      }
       for (int i = 1; i <= kEngines; ++i) {
         engines_.push_back(
             std::make_unique<test_engine>(i, "decode", *store_, choose));
@@ -284,6 +288,24 @@
     });
   }
 
+  // Waits for the answers to all posted requests.
+  void JoinCallers() {
+    for (std::thread& caller : callers_) caller.join();
+    callers_.clear();
+  }
+
+  // Returns the number of parts that `daemon` holds back.
+  static int Quarantined(test_daemon& daemon) {
+    const test_answer answer = Get(daemon.MetricsPort(), "/quarantine");
+    EXPECT_EQ(answer.status, 200);
+    int parts = 0;
+    for (const char* stage : {"prefill", "decode"}) {
+      const QJsonObject known = answer.Json()[stage].toObject();
+      parts += static_cast<int>(known["quarantined"].toArray().size());
+    }
+    return parts;
+  }
+
   int Crashes() {
     int crashes = 0;
     RunAndWait(thread_->Context(), [&] {
@@ -306,11 +328,12 @@
     return arrivals;
   }
 
-  // Sends requests with the deadly part, each to another daemon, until enough
-  // engines have crashed to learn the part.
+  // Sends requests with the deadly part, each to another daemon and with a
+  // sound one beside it, until enough engines have crashed to learn the part.
   void CrashEngines() {
     for (size_t i = 0; Crashes() < kCrashesToLearn && i < 10; ++i) {
       Post(i % kDaemons, absl::StrCat(kFirstPart, ":20,", kDeadlyPart));
+      Post((i + 1) % kDaemons, kFirstPart);
       absl::SleepFor(absl::Milliseconds(300));
     }
   }
@@ -345,12 +368,97 @@
     Post(i % kDaemons, absl::StrCat(kFirstPart, ":20,", kDeadlyPart));
     sound += Ask((i + 1) % kDaemons, kFirstPart).status == 200 ? 1 : 0;
   }
-  for (std::thread& caller : callers_) caller.join();
-  callers_.clear();
+  JoinCallers();
   EXPECT_LE(DeadlyArrivals(learned), kToleratedRequests);
   EXPECT_LE(Crashes() - crashes, kToleratedRequests);
   EXPECT_EQ(sound, 12);
 }
 
+// Guards against sound requests that are held back, or served less often,
+// because engines crash in series and no part of a prompt is to blame.
+TEST_F(crashing_prompt_test, CrashesForOtherReasonsHoldNothingBack) {
+  ASSERT_NO_FATAL_FAILURE(Start([runs = 0](const raw_request&) mutable {
+    return ++runs % 7 == 0 ? engine_act::crash : engine_act::serve;
+  }));
+  for (int i = 0; i < 60; ++i) {
+    Post(static_cast<size_t>(i) % kDaemons,
+         absl::StrCat(kFirstPart, i % 2, ":20,", absl::Hex(i % 20 + 0x200)));
+    absl::SleepFor(absl::Milliseconds(50));
+  }
+  JoinCallers();
+  EXPECT_GE(Crashes(), 6);
+  EXPECT_EQ(held_back_, 0);
+  EXPECT_GE(statuses_[200], 50);
+  for (const auto& daemon : daemons_) EXPECT_EQ(Quarantined(*daemon), 0);
+}
+
+// Guards against verdicts on engines that only close connections: they run on,
+// and other streams at them with them.
+TEST_F(crashing_prompt_test, BrokenConnectionsBlameNothing) {
+  std::atomic<bool> resets = true;
+  ASSERT_NO_FATAL_FAILURE(Start([&resets](const raw_request& request) {
+    return resets && CrashOnDeadlyPart(request) == engine_act::crash
+               ? engine_act::reset
+               : engine_act::serve;
+  }));
+  for (size_t i = 0; i < 12; ++i) {
+    Post(i % kDaemons, absl::StrCat(kFirstPart, ":20,", kDeadlyPart));
+    absl::SleepFor(absl::Milliseconds(100));
+  }
+  JoinCallers();
+  EXPECT_EQ(held_back_, 0);
+  for (const auto& daemon : daemons_) EXPECT_EQ(Quarantined(*daemon), 0);
+  resets = false;
+  EXPECT_EQ(Ask(0, absl::StrCat(kFirstPart, ":20,", kDeadlyPart)).status, 200);
+}
+
+// Guards against a prompt that crashes one prefill engine after the other.
+// Decode engines are sound and prefill it then.
+TEST_F(crashing_prompt_test, PrefillEnginesAreSparedToo) {
+  ASSERT_NO_FATAL_FAILURE(Start(
+      [](const raw_request& request) {
+        return CrashOnDeadlyPart(request) == engine_act::crash
+                   ? engine_act::crash_prefill
+                   : engine_act::serve;
+      },
+      /*prefills=*/8));
+  CrashEngines();
+  absl::SleepFor(kLearningTime);
+  const int crashes = Crashes();
+  for (size_t i = 0; i < 9; ++i) {
+    const std::string parts = absl::StrCat(kFirstPart, ":20,", kDeadlyPart);
+    EXPECT_EQ(Ask(i % kDaemons, parts).status, 200);
+    EXPECT_EQ(Ask((i + 1) % kDaemons, kFirstPart).status, 200);
+  }
+  EXPECT_LE(Crashes() - crashes, kToleratedRequests);
+  EXPECT_EQ(held_back_, 0);
+}
+
+// Guards against a quarantine that outlasts its cause: an operator lifts it at
+// one daemon, and all of them serve again.
+TEST_F(crashing_prompt_test, AnOperatorLiftsTheQuarantine) {
+  std::atomic<bool> mended = false;
+  ASSERT_NO_FATAL_FAILURE(Start([&mended](const raw_request& request) {
+    return mended ? engine_act::serve : CrashOnDeadlyPart(request);
+  }));
+  const std::string parts = absl::StrCat(kFirstPart, ":20,", kDeadlyPart);
+  CrashEngines();
+  for (const auto& daemon : daemons_) {
+    EXPECT_TRUE(Eventually(kBound, [&] { return Quarantined(*daemon) > 0; }));
+  }
+  const test_answer refused = Ask(0, parts);
+  EXPECT_EQ(refused.status, 503);
+  EXPECT_TRUE(absl::StrContains(refused.body, "prompt_quarantined"));
+  EXPECT_NE(refused.Header("retry-after"), "");
+  mended = true;
+  const test_answer lifted = Delete(daemons_[0]->MetricsPort(),
+                                    absl::StrCat("/quarantine/", kDeadlyPart));
+  EXPECT_EQ(lifted.status, 200) << lifted.body;
+  for (size_t i = 0; i < kDaemons; ++i) {
+    EXPECT_TRUE(Eventually(kBound, [&] { return Ask(i, parts).status == 200; }))
+        << i;
+  }
+}
+
 }  // namespace
 }  // namespace anvilridge
