Hold back prompts that crash engines in the product's own interface too

What callers saw: a completion whose prompt crashes engines ended three decode engines, one for each attempt, and the next caller's three more, with all that they decoded.

Cause: the same as in the fleet daemon. An attempt that fails avoids its engine and goes to the next one; nothing is kept of the prompt.

Change: an engine that ended an attempt before its first token is asked for its load; if it refuses the connection, the prefixes of the prompt, in the units of the prefix caches, and the whole prompt are reported with it. The control thread keeps the evidence, tells all other daemons of its own changes and one of them all it knows once a second, and publishes the verdicts. Each attempt, and what waits for a place or a transfer, asks before it goes on. Operators see and lift verdicts at the metrics port. What both daemons share moves to quarantine/prompt_quarantine and quarantine/evidence_codec. A verdict now names all parts that its crashes have in common, so that a chain of prefixes is one verdict, and an engine that keeps its name counts once for each crash.

Test: crashing_completion_test, two daemons, twelve decode engines that end on a text.

--- a/src/daemon/control_plane.cc
+++ b/src/daemon/control_plane.cc
@@ -3,10 +3,12 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "base/clock.h"
 #include "base/error_kind.h"
 #include "daemon/control_metrics.h"
 #include "daemon/control_state.h"
 #include "daemon/operator_port.h"
+#include "daemon/quarantine_wiring.h"
 #include "daemon/thread_bridge.h"
 
 namespace anvilridge {
@@ -55,6 +57,20 @@
   return services;
 }
 
+std::string control_plane::QuarantineText() const {
+  const auto known = impl_->state.quarantine_known.Get();
+  return anvilridge::QuarantineText(known ? *known : quarantine_report(),
+                                    MonotonicNow());
+}
+
+bool control_plane::LiftQuarantine(absl::string_view name) {
+  const auto known = impl_->state.quarantine_known.Get();
+  const prompt_part part = PromptPartNamed(name);
+  if (!known || !IsQuarantined(*known, part)) return false;
+  anvilridge::LiftQuarantine(impl_->state, part);
+  return true;
+}
+
 absl::Status control_plane::Ready() const {
   const control_state& state = impl_->state;
   if (state.stopping) {
--- a/src/daemon/control_plane.h
+++ b/src/daemon/control_plane.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "absl/status/status.h"
+#include "absl/strings/string_view.h"
 #include "metrics/metrics.h"
 #include "requests/request_services.h"
 #include "settings/daemon_settings.h"
@@ -51,6 +52,13 @@
   /// Sets the metrics that tell the state of the control plane.
   void UpdateMetrics(metrics_registry& to) const;
 
+  /// Returns what is known of prompts that crash engines, as JSON.
+  std::string QuarantineText() const;
+
+  /// Lifts the verdicts on the part `name` of prompts at all daemons. Returns
+  /// false if there is none.
+  bool LiftQuarantine(absl::string_view name);
+
   /// Announces a planned stop: not ready, and the homes move to other daemons.
   void BeginStop();
 
--- a/src/daemon/control_state.cc
+++ b/src/daemon/control_state.cc
@@ -15,6 +15,7 @@
 #include "daemon/health_control.h"
 #include "daemon/load_wiring.h"
 #include "daemon/orphan_control.h"
+#include "daemon/quarantine_wiring.h"
 #include "log/decision_log.h"
 #include "membership/home_map.h"
 #include "membership/member_table.h"
@@ -26,6 +27,8 @@
 constexpr QLatin1String kPackedSnapshot("packed");
 constexpr absl::Duration kSnapshotTimeout = absl::Seconds(2);
 constexpr absl::Duration kHealthInterval = absl::Milliseconds(250);
+// Interval at which one other daemon is told the evidence of crashes.
+constexpr absl::Duration kEvidenceInterval = absl::Seconds(1);
 constexpr absl::Duration kLoadInterval = absl::Milliseconds(250);
 
 std::string Address(const endpoint& where) {
@@ -223,6 +226,7 @@
   ServeSnapshots(*this);
   ServeHeldQuestions(*this);
   RegisterLeavingHandler(*this);
+  ServeEvidence(*this);
   homes.AddListListener([this](const upstream_config& engine,
                                absl::Span<const engine_request> listed) {
     SweepOrphans(*this, engine, listed);
@@ -247,6 +251,8 @@
     CancelForOperators(*this);
     NoteConfigOffsets(*this);
   });
+  evidence_timer =
+      RunEvery(kEvidenceInterval, [this] { ShareEvidence(*this); });
 }
 
 std::string HomeAddress(const control_state& state,
--- a/src/daemon/control_state.h
+++ b/src/daemon/control_state.h
@@ -28,6 +28,7 @@
 #include "peer/peer_server.h"
 #include "placement/engine_homes.h"
 #include "placement/placer.h"
+#include "quarantine/prompt_quarantine.h"
 #include "settings/daemon_settings.h"
 #include "upstreams/http_client.h"
 #include "upstreams/outlier_ejection.h"
@@ -93,6 +94,9 @@
   /// Requests that this daemon, as their engines' home, found held for nobody.
   uint64_t orphans_cancelled = 0;
 
+  /// What is known of prompts that crash engines.
+  prompt_quarantine quarantine;
+
   published<config_state> config_in_force;
   published<std::string> owner;
   published<health_view> standings;
@@ -101,8 +105,11 @@
   published<name_set> leaving;
   /// Engines that get no new work because of an order.
   published<name_set> under_order;
+  /// `quarantine` as of its last change.
+  published<quarantine_report> quarantine_known;
   std::unique_ptr<QTimer> health_timer;
   std::unique_ptr<QTimer> load_timer;
+  std::unique_ptr<QTimer> evidence_timer;
 };
 
 /// Peer address of the home of `resource`; empty when it is this daemon.
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -122,12 +122,18 @@
   }
 
   health_sources HealthSources() {
-    return {[this] { return plane_.Ready(); },
-            [this] {
-              plane_.UpdateMetrics(metrics_);
-              metrics_.Gauge(kConnections).Set(caller_->Connections());
-              return metrics_.MetricsText();
-            }};
+    health_sources sources;
+    sources.readiness = [this] { return plane_.Ready(); };
+    sources.metrics_text = [this] {
+      plane_.UpdateMetrics(metrics_);
+      metrics_.Gauge(kConnections).Set(caller_->Connections());
+      return metrics_.MetricsText();
+    };
+    sources.quarantine_text = [this] { return plane_.QuarantineText(); };
+    sources.lift_quarantine = [this](absl::string_view part) {
+      return plane_.LiftQuarantine(part);
+    };
+    return sources;
   }
 
   void StartTrafficThreads() {
--- a/src/daemon/thread_bridge.cc
+++ b/src/daemon/thread_bridge.cc
@@ -6,6 +6,7 @@
 #include "base/error_kind.h"
 #include "base/event_loop.h"
 #include "daemon/health_control.h"
+#include "daemon/quarantine_wiring.h"
 
 namespace anvilridge {
 namespace {
@@ -171,6 +172,7 @@
   AddAdmission(services, state, thread);
   AddPlacement(services, state, thread);
   AddClaims(services, state, thread);
+  AddQuarantine(services, state);
   return services;
 }
 
--- a/src/dispatch/decode_runs.cc
+++ b/src/dispatch/decode_runs.cc
@@ -11,7 +11,7 @@
 #include "base/qt_text.h"
 #include "dispatch/decode_admission.h"
 #include "dispatch/event_splitter.h"
-#include "dispatch/prompt_quarantine.h"
+#include "dispatch/quarantine_control.h"
 #include "dispatch/send_claim.h"
 #include "dispatch/stream_limits.h"
 #include "log/decision_log.h"
@@ -385,8 +385,9 @@
   ReportSend(state, successor->run.engine, outcome, info.other_instance);
   if (outcome == send_outcome::unsent) UncountSend(sends, send_purpose::decode);
   if (MayHaveBeenRun(outcome)) may_have_run = true;
-  if (MayHaveCrashed(outcome, result))
+  if (MayHaveCrashed(outcome, result)) {
     ReportCrash(successor->run.engine, [] {});
+  }
   DropSuccessor(SendOutcomeName(outcome));
 }
 
--- a/src/dispatch/dispatch_metrics.cc
+++ b/src/dispatch/dispatch_metrics.cc
@@ -32,9 +32,9 @@
 constexpr metric_name kCrashReports{
     "anvil_fleet_crash_reports_total",
     "Prompts for which an engine crashed before it sent an event"};
-constexpr metric_name kQuarantinedParts{
-    "anvil_fleet_quarantined_parts",
-    "Parts of prompts that are held back because engines crash on them"};
+constexpr metric_name kQuarantineVerdicts{
+    "anvil_fleet_quarantine_verdicts",
+    "Verdicts on prompts that are held back because engines crash on them"};
 constexpr metric_name kInProgress{"anvil_fleet_requests_in_progress",
                                   "Requests in progress"};
 constexpr metric_name kWaiting{"anvil_fleet_streams_waiting",
@@ -103,9 +103,10 @@
       .Increment();
 }
 
-void dispatch_metrics::SetQuarantinedParts(absl::string_view stage, int parts) {
-  registry_.Gauge(kQuarantinedParts, {{"stage", std::string(stage)}})
-      .Set(parts);
+void dispatch_metrics::SetQuarantineVerdicts(absl::string_view stage,
+                                             int verdicts) {
+  registry_.Gauge(kQuarantineVerdicts, {{"stage", std::string(stage)}})
+      .Set(verdicts);
 }
 
 void dispatch_metrics::SetInProgress(int requests, int waiting) {
--- a/src/dispatch/dispatch_metrics.h
+++ b/src/dispatch/dispatch_metrics.h
@@ -37,9 +37,8 @@
   void SetAbsentUpstreams(int leaving, int paused);
   /// Counts a crash of an engine of `service` on a prompt.
   void CountCrashReport(absl::string_view service);
-  /// Sets the number of parts of prompts that are quarantined for the engines
-  /// of `stage`.
-  void SetQuarantinedParts(absl::string_view stage, int parts);
+  /// Sets the number of verdicts on prompts that crash engines of `stage`.
+  void SetQuarantineVerdicts(absl::string_view stage, int verdicts);
   /// Sets the number of requests in progress, and that of streams that wait for
   /// decode memory.
   void SetInProgress(int requests, int waiting);
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -23,7 +23,6 @@
 #include "dispatch/fleet_protocol.h"
 #include "dispatch/length_estimate.h"
 #include "dispatch/open_request.h"
-#include "dispatch/prompt_quarantine.h"
 #include "dispatch/recent_durations.h"
 #include "dispatch/send_budget.h"
 #include "dispatch/send_outcome.h"
@@ -32,6 +31,7 @@
 #include "dispatch/upstream_unavailability.h"
 #include "fleet/fleet_view.h"
 #include "http1/channel_client.h"
+#include "quarantine/prompt_quarantine.h"
 #include "upstreams/outlier_ejection.h"
 
 namespace anvilridge {
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -12,6 +12,7 @@
 #include "dispatch/decode_admission.h"
 #include "dispatch/dispatch_state.h"
 #include "dispatch/engine_cell.h"
+#include "dispatch/quarantine_control.h"
 #include "dispatch/stop_admission.h"
 #include "dispatch/stream_flow.h"
 #include "log/decision_log.h"
@@ -246,11 +247,11 @@
 }
 
 staged_evidence dispatcher::Evidence() const {
-  return anvilridge::Evidence(impl_->state);
+  return EvidenceOf(impl_->state.quarantines);
 }
 
 quarantine_report dispatcher::Quarantine() const {
-  return QuarantineReport(impl_->state);
+  return ReportOf(impl_->state.quarantines);
 }
 
 void dispatcher::AddEvidence(const staged_evidence& evidence) {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -13,10 +13,10 @@
 #include "dispatch/engine_ledger.h"
 #include "dispatch/fleet_protocol.h"
 #include "dispatch/open_request.h"
-#include "dispatch/prompt_quarantine.h"
 #include "dispatch/stage_plan.h"
 #include "dispatch/upstream_statement.h"
 #include "fleet/fleet_view.h"
+#include "quarantine/prompt_quarantine.h"
 
 namespace anvilridge {
 
--- a/src/dispatch/prompt_prefill.cc
+++ b/src/dispatch/prompt_prefill.cc
@@ -9,7 +9,7 @@
 #include "base/error_kind.h"
 #include "base/event_loop.h"
 #include "base/qt_text.h"
-#include "dispatch/prompt_quarantine.h"
+#include "dispatch/quarantine_control.h"
 #include "dispatch/stream_limits.h"
 #include "log/decision_log.h"
 
--- a/src/dispatch/stream_flow.cc
+++ b/src/dispatch/stream_flow.cc
@@ -15,7 +15,7 @@
 #include "dispatch/decode_runs.h"
 #include "dispatch/kv_lease.h"
 #include "dispatch/prompt_prefill.h"
-#include "dispatch/prompt_quarantine.h"
+#include "dispatch/quarantine_control.h"
 #include "dispatch/request_sends.h"
 #include "dispatch/send_claim.h"
 #include "dispatch/stop_admission.h"
--- a/src/quarantine/crash_evidence.cc
+++ b/src/quarantine/crash_evidence.cc
@@ -1,6 +1,7 @@
 #include "quarantine/crash_evidence.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace anvilridge {
@@ -9,19 +10,22 @@
 // Time by which a record of another daemon must be younger to be news.
 constexpr absl::Duration kMinTimeGain = absl::Seconds(1);
 
+bool HasPart(const crash_report& report, prompt_part part) {
+  return std::find(report.parts.begin(), report.parts.end(), part) !=
+         report.parts.end();
+}
+
 bool IsNamed(const crash_evidence& evidence, prompt_part part) {
-  return std::any_of(evidence.reports.begin(), evidence.reports.end(),
-                     [part](const crash_report& report) {
-                       return std::find(report.parts.begin(),
-                                        report.parts.end(),
-                                        part) != report.parts.end();
-                     });
+  return std::any_of(
+      evidence.reports.begin(), evidence.reports.end(),
+      [part](const crash_report& report) { return HasPart(report, part); });
 }
 
 bool IsKnown(const crash_evidence& evidence, const crash_report& report) {
   return std::any_of(evidence.reports.begin(), evidence.reports.end(),
                      [&report](const crash_report& known) {
-                       return known.engine == report.engine &&
+                       return IsSameCrash({known.engine, known.time},
+                                          {report.engine, report.time}) &&
                               known.parts == report.parts;
                      });
 }
@@ -80,9 +84,15 @@
                        absl::Time time) {
   const auto found = evidence.parts.find(part);
   if (found == evidence.parts.end()) return false;
-  const size_t before = CrashesAgainst(evidence, part).size();
-  found->second.last_success = std::max(found->second.last_success, time);
-  return CrashesAgainst(evidence, part).size() < before;
+  const absl::Time before = found->second.last_success;
+  if (time <= before) return false;
+  found->second.last_success = time;
+  return std::any_of(evidence.reports.begin(), evidence.reports.end(),
+                     [&](const crash_report& report) {
+                       return report.time > before + kSuccessCover &&
+                              report.time <= time + kSuccessCover &&
+                              HasPart(report, part);
+                     });
 }
 
 void RecordTrial(crash_evidence& evidence, prompt_part part, absl::Time time) {
@@ -121,6 +131,11 @@
   if (removed > 0) RemoveUnnamedParts(evidence);
 }
 
+bool IsSameCrash(const counted_crash& a, const counted_crash& b) {
+  return a.engine == b.engine &&
+         absl::AbsDuration(a.time - b.time) < kMinRestartTime;
+}
+
 std::vector<counted_crash> CrashesAgainst(const crash_evidence& evidence,
                                           prompt_part part) {
   std::vector<counted_crash> crashes;
@@ -128,20 +143,13 @@
   if (record == evidence.parts.end()) return crashes;
   for (const crash_report& report : evidence.reports) {
     if (report.time <= record->second.last_success + kSuccessCover) continue;
-    if (std::find(report.parts.begin(), report.parts.end(), part) ==
-        report.parts.end()) {
-      continue;
-    }
-    crashes.push_back({report.engine, report.time});
+    if (HasPart(report, part)) crashes.push_back({report.engine, report.time});
   }
-  std::stable_sort(crashes.begin(), crashes.end(),
-                   [](const counted_crash& a, const counted_crash& b) {
-                     return a.engine < b.engine;
-                   });
-  crashes.erase(std::unique(crashes.begin(), crashes.end(),
-                            [](const counted_crash& a, const counted_crash& b) {
-                              return a.engine == b.engine;
-                            }),
+  std::sort(crashes.begin(), crashes.end(),
+            [](const counted_crash& a, const counted_crash& b) {
+              return std::tie(a.engine, a.time) < std::tie(b.engine, b.time);
+            });
+  crashes.erase(std::unique(crashes.begin(), crashes.end(), IsSameCrash),
                 crashes.end());
   return crashes;
 }
--- a/src/quarantine/crash_evidence.h
+++ b/src/quarantine/crash_evidence.h
@@ -16,7 +16,7 @@
 /// send the first event. Other prompts at the engine may have been in the same
 /// position, so that a crash may have several reports.
 struct crash_report {
-  /// Hash of the instance that crashed.
+  /// Hash of the engine that crashed, and of its start if that is known.
   uint32_t engine = 0;
   absl::Time time;
   prompt_parts parts;
@@ -53,7 +53,7 @@
 
 /// Limits on the evidence that a daemon keeps and sends.
 inline constexpr size_t kMaxCrashReports = 32;
-inline constexpr size_t kMaxPartsPerReport = 16;
+inline constexpr size_t kMaxPartsPerReport = 65;
 
 /// Time for which a report is kept.
 inline constexpr absl::Duration kCrashReportLifetime = absl::Hours(1);
@@ -62,6 +62,10 @@
 /// this time before: a part that crashes engines does so each time.
 inline constexpr absl::Duration kSuccessCover = absl::Seconds(10);
 
+/// Reports of one engine within this time are of the same crash: it takes
+/// longer to start again.
+inline constexpr absl::Duration kMinRestartTime = absl::Seconds(2);
+
 /// Adds a report, of whose parts only the first `kMaxPartsPerReport` are kept.
 /// Beyond `kMaxCrashReports` the report is removed whose parts have the fewest
 /// crashes against them, the oldest of several.
@@ -92,8 +96,11 @@
   absl::Time time;
 };
 
-/// Returns the crashes that count against `part`, one for each engine, in the
-/// order of the engines' hashes.
+/// Returns whether both are the same crash.
+bool IsSameCrash(const counted_crash& a, const counted_crash& b);
+
+/// Returns the crashes that count against `part`, each once, in the order of
+/// the engines' hashes and of time.
 std::vector<counted_crash> CrashesAgainst(const crash_evidence& evidence,
                                           prompt_part part);
 
--- a/src/quarantine/part_successes.h
+++ b/src/quarantine/part_successes.h
@@ -19,7 +19,7 @@
 
 /// Largest number of parts in a generation, and its longest duration. A success
 /// is kept for longer than crashes are covered by it.
-inline constexpr size_t kMaxPartsPerGeneration = 4096;
+inline constexpr size_t kMaxPartsPerGeneration = 1 << 16;
 inline constexpr absl::Duration kGenerationLength = absl::Seconds(30);
 
 /// Records that an engine has sent an event for a prompt with `part`.
--- a/src/quarantine/quarantine_text.cc
+++ b/src/quarantine/quarantine_text.cc
@@ -19,8 +19,7 @@
 
 QJsonObject VerdictObject(const quarantine_verdict& verdict, absl::Time now) {
   return {
-      {"part", QtText(PromptPartName(verdict.part))},
-      {"companions", PartNames(verdict.companions)},
+      {"parts", PartNames(verdict.parts)},
       {"engines", static_cast<double>(verdict.engines.size())},
       {"first_crash_age_s", absl::ToDoubleSeconds(now - verdict.first_crash)},
       {"last_crash_age_s", absl::ToDoubleSeconds(now - verdict.last_crash)},
@@ -50,7 +49,7 @@
 bool IsQuarantined(const quarantine_report& report, prompt_part part) {
   for (const stage_quarantine* stage : {&report.prefill, &report.decode}) {
     for (const quarantine_verdict& verdict : stage->verdicts) {
-      if (verdict.part == part) return true;
+      if (NamesPart(verdict, part)) return true;
     }
   }
   return false;
--- a/src/quarantine/quarantine_verdict.cc
+++ b/src/quarantine/quarantine_verdict.cc
@@ -9,18 +9,16 @@
 
 using crashes_by_part = std::map<prompt_part, std::vector<counted_crash>>;
 
-bool HasPart(absl::Span<const prompt_part> parts, prompt_part part) {
-  return std::find(parts.begin(), parts.end(), part) != parts.end();
-}
-
-// Returns whether all engines of `crashes` are among those of `others`.
+// Returns whether all of `crashes` are among `others`.
 bool IsSubset(absl::Span<const counted_crash> crashes,
               absl::Span<const counted_crash> others) {
-  return std::includes(others.begin(), others.end(), crashes.begin(),
-                       crashes.end(),
-                       [](const counted_crash& a, const counted_crash& b) {
-                         return a.engine < b.engine;
-                       });
+  return std::all_of(crashes.begin(), crashes.end(),
+                     [others](const counted_crash& crash) {
+                       return std::any_of(others.begin(), others.end(),
+                                          [&crash](const counted_crash& other) {
+                                            return IsSameCrash(crash, other);
+                                          });
+                     });
 }
 
 absl::Duration TrialInterval(size_t crashes) {
@@ -32,10 +30,21 @@
   return std::min(interval, kMaxTrialInterval);
 }
 
-quarantine_verdict MakeVerdict(const crash_evidence& evidence, prompt_part part,
+// Returns the parts that `crashes` have in common.
+prompt_parts CommonParts(const crashes_by_part& blamed,
+                         absl::Span<const counted_crash> crashes) {
+  prompt_parts parts;
+  for (const auto& [part, others] : blamed) {
+    if (IsSubset(crashes, others)) parts.push_back(part);
+  }
+  return parts;
+}
+
+quarantine_verdict MakeVerdict(const crash_evidence& evidence,
+                               prompt_parts parts,
                                absl::Span<const counted_crash> crashes) {
   quarantine_verdict verdict;
-  verdict.part = part;
+  verdict.parts = std::move(parts);
   verdict.first_crash = absl::InfiniteFuture();
   verdict.last_crash = absl::InfinitePast();
   for (const counted_crash& crash : crashes) {
@@ -43,14 +52,25 @@
     verdict.first_crash = std::min(verdict.first_crash, crash.time);
     verdict.last_crash = std::max(verdict.last_crash, crash.time);
   }
+  absl::Time last_trial = verdict.last_crash;
+  for (const prompt_part part : verdict.parts) {
+    last_trial = std::max(last_trial, evidence.parts.at(part).last_trial);
+  }
   const bool is_confirmed = evidence.last_success > verdict.first_crash;
   verdict.next_trial =
-      (is_confirmed ? TrialInterval(crashes.size())
-                    : kUnconfirmedTrialInterval) +
-      std::max(verdict.last_crash, evidence.parts.at(part).last_trial);
+      last_trial + (is_confirmed ? TrialInterval(crashes.size())
+                                 : kUnconfirmedTrialInterval);
   return verdict;
 }
 
+bool IsKnown(absl::Span<const quarantine_verdict> verdicts,
+             const prompt_parts& parts) {
+  return std::any_of(verdicts.begin(), verdicts.end(),
+                     [&parts](const quarantine_verdict& verdict) {
+                       return verdict.parts == parts;
+                     });
+}
+
 }  // namespace
 
 std::vector<quarantine_verdict> FindVerdicts(const crash_evidence& evidence) {
@@ -64,31 +84,38 @@
     }
   }
   for (const auto& [part, crashes] : blamed) {
-    quarantine_verdict verdict = MakeVerdict(evidence, part, crashes);
+    prompt_parts parts = CommonParts(blamed, crashes);
+    if (IsKnown(verdicts, parts)) continue;
+    quarantine_verdict verdict =
+        MakeVerdict(evidence, std::move(parts), crashes);
     if (verdict.last_crash - verdict.first_crash < kMinCrashSpread) continue;
-    for (const auto& [other, others_crashes] : blamed) {
-      if (other != part && IsSubset(crashes, others_crashes)) {
-        verdict.companions.push_back(other);
-      }
-    }
     verdicts.push_back(std::move(verdict));
   }
   return verdicts;
 }
 
+bool NamesPart(const quarantine_verdict& verdict, prompt_part part) {
+  return std::find(verdict.parts.begin(), verdict.parts.end(), part) !=
+         verdict.parts.end();
+}
+
+bool HoldsBack(const quarantine_verdict& verdict,
+               absl::Span<const prompt_part> parts) {
+  return std::all_of(
+      verdict.parts.begin(), verdict.parts.end(), [parts](prompt_part part) {
+        return std::find(parts.begin(), parts.end(), part) != parts.end();
+      });
+}
+
 std::optional<quarantine_verdict> VerdictAgainst(
     absl::Span<const quarantine_verdict> verdicts,
     absl::Span<const prompt_part> parts) {
-  for (const quarantine_verdict& verdict : verdicts) {
-    if (!HasPart(parts, verdict.part)) continue;
-    if (std::all_of(verdict.companions.begin(), verdict.companions.end(),
-                    [parts](prompt_part companion) {
-                      return HasPart(parts, companion);
-                    })) {
-      return verdict;
-    }
-  }
-  return std::nullopt;
+  const auto found = std::find_if(verdicts.begin(), verdicts.end(),
+                                  [parts](const quarantine_verdict& verdict) {
+                                    return HoldsBack(verdict, parts);
+                                  });
+  if (found == verdicts.end()) return std::nullopt;
+  return *found;
 }
 
 }  // namespace anvilridge
--- a/src/quarantine/quarantine_verdict.h
+++ b/src/quarantine/quarantine_verdict.h
@@ -29,13 +29,12 @@
 /// get work again as soon as that has ended.
 inline constexpr absl::Duration kUnconfirmedTrialInterval = absl::Seconds(5);
 
-/// A part of prompts that crashes engines.
+/// The decision that engines crash on a prompt.
 struct quarantine_verdict {
-  prompt_part part = 0;
-  /// Other parts that all the crashes have in common with `part`. A prompt
-  /// without one of them isn't held back: these crashes don't tell which of the
-  /// parts is to blame.
-  prompt_parts companions;
+  /// What the prompts of all the crashes have in common, in ascending order:
+  /// these crashes don't tell which of the parts is to blame. A prompt is held
+  /// back if it has all of them.
+  prompt_parts parts;
   /// Hashes of the engines that crashed.
   std::vector<uint32_t> engines;
   absl::Time first_crash;
@@ -44,9 +43,16 @@
   absl::Time next_trial;
 };
 
-/// Returns the verdict on each part that crashes engines.
+/// Returns the verdicts that follow from `evidence`.
 std::vector<quarantine_verdict> FindVerdicts(const crash_evidence& evidence);
 
+/// Returns whether `part` is among the parts of `verdict`.
+bool NamesPart(const quarantine_verdict& verdict, prompt_part part);
+
+/// Returns whether `verdict` holds back a prompt with `parts`.
+bool HoldsBack(const quarantine_verdict& verdict,
+               absl::Span<const prompt_part> parts);
+
 /// Returns the first of `verdicts` that holds back a prompt with `parts`.
 std::optional<quarantine_verdict> VerdictAgainst(
     absl::Span<const quarantine_verdict> verdicts,
--- a/src/requests/completion_attempt.cc
+++ b/src/requests/completion_attempt.cc
@@ -14,6 +14,7 @@
 #include "requests/attempt_calls.h"
 #include "requests/completion_end.h"
 #include "requests/completion_stream.h"
+#include "requests/prompt_check.h"
 #include "upstreams/engine_client.h"
 
 namespace anvilridge {
@@ -149,7 +150,9 @@
   flow->outcome.transfer_stalled = flow->outcome.stalled;
   // An evicted result says nothing against either engine.
   const bool evicted = refused && result.message() == "evicted";
-  RetryElsewhere(flow, result, evicted ? "" : flow->grant.decode.name);
+  CheckForCrash(flow, flow->grant.decode, result, [flow, result, evicted] {
+    RetryElsewhere(flow, result, evicted ? "" : flow->grant.decode.name);
+  });
 }
 
 void Import(const completion_ptr& flow) {
@@ -177,13 +180,17 @@
   if (!result.ok()) {
     flow->outcome.prefill_failed = true;
     flow->outcome.stalled = IsStall(result.status());
-    return RetryElsewhere(flow, result.status(), flow->grant.prefill.name);
+    return CheckForCrash(flow, flow->grant.prefill, result.status(),
+                         [flow, why = result.status()] {
+                           RetryElsewhere(flow, why, flow->grant.prefill.name);
+                         });
   }
   flow->outcome.prefilled = true;
   flow->outcome.prefill_tokens = result->prompt_tokens - result->cached_tokens;
   flow->outcome.prefill_time = MonotonicNow() - flow->prefill_started;
   flow->prefill = *std::move(result);
   flow->prefill_expires = MonotonicNow() + flow->prefill.expires_in;
+  if (!MayUseEngines(*flow)) return;
   Import(flow);
 }
 
@@ -219,13 +226,14 @@
   flow->grant = *std::move(grant);
   flow->placed = true;
   if (LeaseLost(*flow)) return StartOver(flow);
+  if (!MayUseEngines(*flow)) return;
   Prefill(flow);
 }
 
 }  // namespace
 
 void BeginAttempt(const completion_ptr& flow) {
-  if (flow->over) return;
+  if (flow->over || !MayUseEngines(*flow)) return;
   if (!ServicesOf(*flow).may_act(ServicesOf(*flow).owner())) {
     return RunAfter(flow->context.thread, kLeasePause,
                     [flow] { BeginAttempt(flow); });
--- a/src/requests/completion_flow.cc
+++ b/src/requests/completion_flow.cc
@@ -12,6 +12,7 @@
 #include "requests/completion_end.h"
 #include "requests/completion_ownership.h"
 #include "requests/completion_state.h"
+#include "requests/prompt_check.h"
 
 namespace anvilridge {
 namespace {
@@ -67,6 +68,7 @@
 
 void StartFlow(const completion_ptr& flow) {
   flow->started = MonotonicNow();
+  flow->parts = PartsOfPrompt(flow->request.body.prompt);
   WatchCaller(flow);
   Admit(flow, [flow] {
     EarnRetries(flow->context.retries, flow->request.route,
--- a/src/requests/completion_state.h
+++ b/src/requests/completion_state.h
@@ -50,6 +50,10 @@
   int attempt_tokens = 0;
   duration_observer first_tokens;
   duration_observer token_intervals;
+  /// Parts of the prompt by which crashes of engines are compared.
+  prompt_parts parts;
+  /// Whether the attempt is made although the prompt is quarantined.
+  bool is_trial = false;
   /// Engines that failed this request.
   std::vector<std::string> avoid;
   /// The engine call in progress; 0 for none.
--- a/src/requests/completion_stream.cc
+++ b/src/requests/completion_stream.cc
@@ -9,6 +9,7 @@
 #include "requests/completion_attempt.h"
 #include "requests/completion_end.h"
 #include "requests/completion_ownership.h"
+#include "requests/prompt_check.h"
 #include "requests/resume_token.h"
 
 namespace anvilridge {
@@ -34,7 +35,8 @@
   if (first) flow.first_token = now;
   if (!first) flow.token_intervals(now - flow.last_token);
   flow.last_token = now;
-  ++flow.attempt_tokens;
+  if (flow.attempt_tokens++ > 0 || flow.resumed) return;
+  ServicesOf(flow).report_handled(flow.parts);
 }
 
 void TakeToken(const completion_ptr& flow, int index,
@@ -73,7 +75,12 @@
   }
   // The stream has reported its stalls as they came.
   flow->outcome.decode_failed = !refused && !IsStall(ended);
-  RetryElsewhere(flow, ended, flow->grant.decode.name);
+  if (flow->attempt_tokens > 0 || flow->resumed) {
+    return RetryElsewhere(flow, ended, flow->grant.decode.name);
+  }
+  CheckForCrash(flow, flow->grant.decode, ended, [flow, ended] {
+    RetryElsewhere(flow, ended, flow->grant.decode.name);
+  });
 }
 
 }  // namespace
--- a/src/requests/request_services.h
+++ b/src/requests/request_services.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "absl/status/statusor.h"
@@ -11,6 +12,7 @@
 #include "claims/claim_service.h"
 #include "config/config_state.h"
 #include "placement/placement_request.h"
+#include "quarantine/prompt_quarantine.h"
 #include "requests/request_metrics.h"
 #include "settings/daemon_settings.h"
 #include "upstreams/outlier_ejection.h"
@@ -79,6 +81,18 @@
   std::function<std::shared_ptr<const health_view>()> health;
   /// Reports how a call to an upstream went.
   std::function<void(absl::string_view upstream, call_result result)> report;
+  /// Returns the verdict that holds back a prompt with `parts`, if there is
+  /// one, because engines crash on it.
+  std::function<std::optional<quarantine_verdict>(const prompt_parts& parts)>
+      verdict_on;
+  /// Records that a prompt is sent although it is held back, to find out
+  /// whether engines still crash.
+  std::function<void(const prompt_parts& parts)> begin_trial;
+  /// Reports that `engine` crashed before it sent a token for a prompt.
+  std::function<void(const std::string& engine, const prompt_parts& parts)>
+      report_crash;
+  /// Reports that an engine has sent the first token for a prompt.
+  std::function<void(const prompt_parts& parts)> report_handled;
   /// Owner text of this daemon's current incarnation.
   std::function<std::string()> owner;
   /// How many retries there may be, and how soon.
--- a/src/sharing/load_message.cc
+++ b/src/sharing/load_message.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "base/error_kind.h"
+#include "quarantine/evidence_codec.h"
 
 namespace anvilridge {
 namespace {
@@ -27,82 +28,6 @@
 // stopping.
 constexpr quint16 kNotStopping = 65535;
 
-// Limit on the records of parts in a message: their count is sent as one byte.
-constexpr size_t kMaxPartRecords = 255;
-// Value in place of the age of what has never happened.
-constexpr quint32 kNever = 0xFFFFFFFF;
-
-quint32 ToAge(absl::Time time, absl::Time now) {
-  if (time == absl::InfinitePast()) return kNever;
-  return static_cast<quint32>(std::clamp<int64_t>(
-      absl::ToInt64Milliseconds(now - time), 0, kNever - 1));
-}
-
-absl::Time FromAge(quint32 age, absl::Time now) {
-  return age == kNever ? absl::InfinitePast() : now - absl::Milliseconds(age);
-}
-
-void WriteEvidence(QDataStream& stream, const crash_evidence& evidence,
-                   absl::Time now) {
-  const size_t reports = std::min(evidence.reports.size(), kMaxCrashReports);
-  stream << static_cast<quint8>(reports);
-  if (reports == 0) return;
-  stream << ToAge(evidence.last_success, now);
-  for (size_t i = 0; i < reports; ++i) {
-    const crash_report& report = evidence.reports[i];
-    const size_t parts = std::min(report.parts.size(), kMaxPartsPerReport);
-    stream << report.engine << ToAge(report.time, now)
-           << static_cast<quint8>(parts);
-    for (size_t j = 0; j < parts; ++j) {
-      stream << static_cast<quint64>(report.parts[j]);
-    }
-  }
-  std::vector<std::pair<prompt_part, part_record>> records;
-  for (const auto& [part, record] : evidence.parts) {
-    const bool is_empty = record.last_success == absl::InfinitePast() &&
-                          record.last_trial == absl::InfinitePast();
-    if (is_empty || records.size() == kMaxPartRecords) continue;
-    records.emplace_back(part, record);
-  }
-  stream << static_cast<quint8>(records.size());
-  for (const auto& [part, record] : records) {
-    stream << static_cast<quint64>(part) << ToAge(record.last_success, now)
-           << ToAge(record.last_trial, now);
-  }
-}
-
-crash_evidence ReadEvidence(QDataStream& stream, absl::Time now) {
-  crash_evidence evidence;
-  quint8 reports = 0;
-  stream >> reports;
-  if (reports == 0) return evidence;
-  quint32 success_age = 0;
-  stream >> success_age;
-  evidence.last_success = FromAge(success_age, now);
-  for (quint8 i = 0; i < reports && stream.status() == QDataStream::Ok; ++i) {
-    crash_report report;
-    quint32 age = 0;
-    quint8 parts = 0;
-    stream >> report.engine >> age >> parts;
-    report.time = FromAge(age, now);
-    for (quint8 j = 0; j < parts && stream.status() == QDataStream::Ok; ++j) {
-      quint64 part = 0;
-      stream >> part;
-      report.parts.push_back(part);
-    }
-    evidence.reports.push_back(std::move(report));
-  }
-  quint8 records = 0;
-  stream >> records;
-  for (quint8 i = 0; i < records && stream.status() == QDataStream::Ok; ++i) {
-    quint64 part = 0;
-    quint32 trial_age = 0;
-    stream >> part >> success_age >> trial_age;
-    evidence.parts[part] = {FromAge(success_age, now), FromAge(trial_age, now)};
-  }
-  return evidence;
-}
-
 quint16 ToStopMilliseconds(std::optional<absl::Duration> stop_left) {
   if (!stop_left) return kNotStopping;
   return static_cast<quint16>(std::clamp<int64_t>(
@@ -174,8 +99,7 @@
              << ToUnits(engine.runs[i].remaining);
     }
   }
-  WriteEvidence(stream, message.evidence.prefill, now);
-  WriteEvidence(stream, message.evidence.decode, now);
+  WriteEvidence(stream, message.evidence, now);
   return bytes;
 }
 
@@ -239,8 +163,7 @@
     }
     message.load.engines[key] = std::move(engine);
   }
-  message.evidence.prefill = ReadEvidence(stream, now);
-  message.evidence.decode = ReadEvidence(stream, now);
+  message.evidence = ReadEvidence(stream, now);
   if (format_version != kFormatVersion ||
       kind > static_cast<quint8>(load_message_kind::hello_reply) ||
       stream.status() != QDataStream::Ok) {
--- a/standins/engine/decode_steps.cc
+++ b/standins/engine/decode_steps.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cstdlib>
 
 #include "engine/engine_steps.h"
 
@@ -6,6 +7,8 @@
 namespace {
 
 constexpr absl::Duration kStallWithoutEnd = absl::Hours(1);
+// Exit code of an engine that crashes.
+constexpr int kCrashed = 70;
 constexpr absl::Duration kFinishedKept = absl::Seconds(60);
 
 // Joins the batch unless a fault holds the request back.
@@ -32,6 +35,7 @@
   if (found == state.requests.end()) return;
   held_request& request = found->second;
   if (request.phase != request_phase::decode) return;
+  if (request.crashes) std::_Exit(kCrashed);
   ++request.generated;
   ++state.totals.generated_tokens;
   request.pieces = std::max(
--- a/standins/engine/engine_model.cc
+++ b/standins/engine/engine_model.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "absl/strings/match.h"
 #include "common/token_text.h"
 #include "engine/engine_steps.h"
 
@@ -67,6 +68,8 @@
       TextSeed(state.settings.model, terms.prompt, terms.max_tokens);
   request.output_tokens = OutputTokens(request.text_seed, request.max_tokens,
                                        state.settings.output_share_min);
+  request.crashes = !state.settings.crash_on.empty() &&
+                    absl::StrContains(terms.prompt, state.settings.crash_on);
   ++state.totals.started[terms.request_id];
   return request;
 }
--- a/standins/engine/engine_state.h
+++ b/standins/engine/engine_state.h
@@ -29,6 +29,9 @@
   /// Prefills that may wait or run.
   int max_queued = 64;
   bool checks_fencing = false;
+  /// Text in a prompt on which the engine crashes when the first token is due;
+  /// empty for none.
+  std::string crash_on;
   double prefill_tokens_per_second = 8000;
   int prefill_chunk_tokens = 512;
   absl::Duration token_interval = absl::Milliseconds(20);
@@ -96,6 +99,8 @@
   int pieces = 0;
   /// Pieces that the request may come to hold; admission counts these.
   int promised_pieces = 0;
+  /// Whether the engine crashes when the first token is due.
+  bool crashes = false;
   std::string kv_handle;
   absl::Time evicted_at = absl::InfiniteFuture();
   absl::Time exported_at = absl::InfiniteFuture();
--- a/standins/engine/main.cc
+++ b/standins/engine/main.cc
@@ -64,6 +64,8 @@
       cxxopts::value<double>()->default_value("1"));
   add("model-load-ms", "Time that a load order takes",
       cxxopts::value<double>()->default_value("2000"));
+  add("crash-on", "End when the first token of a prompt with this text is due",
+      cxxopts::value<std::string>()->default_value(""));
   add("seed", "Seed of all random choices",
       cxxopts::value<uint64_t>()->default_value("1"));
   return options;
@@ -100,6 +102,7 @@
   engine.cache_event_loss = parsed["cache-event-loss"].as<double>();
   engine.output_share_min = parsed["output-share-min"].as<double>();
   engine.model_load = Milliseconds(parsed, "model-load-ms");
+  engine.crash_on = parsed["crash-on"].as<std::string>();
   engine.seed = parsed["seed"].as<uint64_t>();
   return engine;
 }
