--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -39,12 +39,13 @@
   endpoint target;
   link_fault fault = link_fault::none;
   QTcpServer server;
+  uint16_t port = 0;
   std::list<std::shared_ptr<proxied_connection>> connections;
 
   using connection_ptr = std::shared_ptr<proxied_connection>;
 
   void Apply(proxied_connection& connection) const {
-    if (fault == link_fault::reset) {
+    if (fault == link_fault::reset || fault == link_fault::down) {
       Reset(connection.client);
       Reset(connection.server);
     }
@@ -58,7 +59,7 @@
         from_client ? connection->client : connection->server;
     const QPointer<QTcpSocket> to =
         from_client ? connection->server : connection->client;
-    if (!from) return;
+    if (!from || !from->isOpen()) return;
     const QByteArray bytes = from->readAll();
     if (connection->silent || (connection->deaf && !from_client)) return;
     After(connection, from_client, [to, bytes] {
@@ -94,7 +95,7 @@
     connection->client = client;
     connection->server = upstream;
     Apply(*connection);
-    if (fault == link_fault::reset) return;
+    if (fault == link_fault::reset || fault == link_fault::down) return;
     connections.push_back(connection);
     QObject::connect(client, &QTcpSocket::readyRead,
                      [this, connection] { Forward(connection, true); });
@@ -123,6 +124,7 @@
   impl_->target = ParseEndpoint(target).value();
   impl_->server.setListenBacklogSize(kBacklog);
   impl_->server.listen(QHostAddress::LocalHost);
+  impl_->port = impl_->server.serverPort();
   QObject::connect(&impl_->server, &QTcpServer::newConnection, [this] {
     while (QTcpSocket* client = impl_->server.nextPendingConnection()) {
       impl_->Accept(client);
@@ -141,11 +143,16 @@
 }
 
 std::string fault_proxy::Address() const {
-  return absl::StrCat("127.0.0.1:", impl_->server.serverPort());
+  return absl::StrCat("127.0.0.1:", impl_->port);
 }
 
 void fault_proxy::SetFault(link_fault fault) {
   impl_->fault = fault;
+  if (fault == link_fault::down) {
+    impl_->server.close();
+  } else if (!impl_->server.isListening()) {
+    impl_->server.listen(QHostAddress::LocalHost, impl_->port);
+  }
   const std::list<impl::connection_ptr> all = impl_->connections;
   for (const auto& connection : all) impl_->Apply(*connection);
 }
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -15,6 +15,8 @@
   delay,
   /// All are reset, new ones too.
   reset,
+  /// All are reset, and new ones refused.
+  down,
   /// Those that exist or are opened meanwhile carry nothing any more, for good.
   silence,
   /// As `silence`, for what the server sends only.
--- a/tests/soak/planted_daemon.cc
+++ b/tests/soak/planted_daemon.cc
@@ -89,6 +89,16 @@
   };
 }
 
+// Doesn't know which parts prompts have in common.
+void PlantNoParts(fleet_platform& platform) {
+  platform.protocol.parse_request = [parse = platform.protocol.parse_request](
+                                        const inbound_request& inbound) {
+    absl::StatusOr<fleet_request> request = parse(inbound);
+    if (request.ok()) request->shared_parts.clear();
+    return request;
+  };
+}
+
 // Begins whatever arrives, without a word to callers, until a planned stop ends
 // the process.
 void PlantLateCalls(fleet_platform& platform) {
@@ -117,6 +127,8 @@
     PlantNoPatience(platform);
   } else if (fault == "deafness") {
     PlantDeafness(platform);
+  } else if (fault == "no_parts") {
+    PlantNoParts(platform);
   } else if (fault == "late_calls") {
     PlantLateCalls(platform);
   } else {
--- a/tests/soak/soak_callers.cc
+++ b/tests/soak/soak_callers.cc
@@ -25,6 +25,10 @@
 constexpr int kStreams = 20;
 // Of a hundred streams, those whose callers leave, and when.
 constexpr int kLeaving = 15;
+// Of a hundred streams, those whose prompts crash engines, and the number of
+// parts that the others have in common.
+constexpr int kDeadly = 10;
+constexpr int kSharedParts = 50;
 constexpr int kLeaveAfterMs = 200;
 constexpr int kLeaveWithinMs = 1000;
 // What varied requests take at their upstreams; most take little.
@@ -51,15 +55,17 @@
 }  // namespace
 
 struct soak_callers::impl {
-  impl(uint64_t seed, bool draws_more, soak_record& into,
+  impl(uint64_t seed, bool draws_more, bool crashing, soak_record& into,
        std::function<caller_target(uint64_t)> pick_target)
       : random(seed),
         varied(draws_more),
+        crashing_prompts(crashing),
         record(into),
         pick(std::move(pick_target)) {}
 
   std::mt19937_64 random;
   bool varied = false;
+  bool crashing_prompts = false;
   soak_record& record;
   std::function<caller_target(uint64_t)> pick;
   channel_client client;
@@ -72,6 +78,18 @@
     return static_cast<int>(random() % static_cast<uint64_t>(below));
   }
 
+  // Draws the parts of a stream's prompt.
+  void DrawParts(caller_record& caller, http_call& call) {
+    caller.deadly = Draw(100) < kDeadly;
+    const std::string shared =
+        caller.deadly ? std::string(kDeadlyPart)
+                      : absl::StrCat(absl::Hex(Draw(kSharedParts)));
+    call.headers.emplace_back(
+        "prompt-prefix",
+        absl::StrCat(kFirstPart, ":20,", shared, ":40,",
+                     absl::Hex(record.callers.size() + 0x10000), ":40"));
+  }
+
   // Draws the rest of a varied request, to `target` on the upstream.
   void Vary(caller_record& caller, http_call& call) {
     const double share = Draw(1000) / 1000.0;
@@ -129,9 +147,11 @@
   }
 };
 
-soak_callers::soak_callers(uint64_t seed, bool varied, soak_record& record,
+soak_callers::soak_callers(uint64_t seed, bool varied, bool crashing_prompts,
+                           soak_record& record,
                            std::function<caller_target(uint64_t)> pick)
-    : impl_(std::make_unique<impl>(seed, varied, record, std::move(pick))) {}
+    : impl_(std::make_unique<impl>(seed, varied, crashing_prompts, record,
+                                   std::move(pick))) {}
 
 soak_callers::~soak_callers() = default;
 
@@ -158,6 +178,7 @@
     // The prompt's, and the most that the answer may have.
     call.headers.emplace_back("token-count",
                               impl_->varied ? "100,1200" : "100,300");
+    if (impl_->crashing_prompts) impl_->DrawParts(caller, call);
   }
   if (impl_->varied) impl_->Vary(caller, call);
   impl_->record.callers.push_back(std::move(caller));
--- a/tests/soak/soak_callers.h
+++ b/tests/soak/soak_callers.h
@@ -22,8 +22,11 @@
   /// @param seed draws kinds, targets and who leaves early.
   /// @param varied draws besides how long the upstreams take, time limits of
   /// the callers, and who opens a new connection for its request.
+  /// @param crashing_prompts names the parts of prompts, one of which crashes
+  /// engines.
   /// @param pick returns a daemon to ask; port 0 for none.
-  soak_callers(uint64_t seed, bool varied, soak_record& record,
+  soak_callers(uint64_t seed, bool varied, bool crashing_prompts,
+               soak_record& record,
                std::function<caller_target(uint64_t drawn)> pick);
   ~soak_callers();
   soak_callers(const soak_callers&) = delete;
--- a/tests/soak/soak_checks.cc
+++ b/tests/soak/soak_checks.cc
@@ -40,6 +40,12 @@
 const absl::Duration kStreamGrace = kStopGrace * 5 / 6;
 constexpr std::array kNotRunStatuses = {408, 421, 429, 503};
 
+// Crashes after which a part of prompts must be known, the time that daemons
+// have to tell each other, and the arrivals at engines that may follow.
+constexpr size_t kCrashesToLearn = 5;
+constexpr absl::Duration kLearningTime = absl::Seconds(3);
+constexpr int kToleratedArrivals = 3;
+
 // Whether `place` was disturbed for `daemon` between `from` and `to`.
 bool Disturbed(const soak_record& record, fault_place place, int daemon,
                absl::Time from, absl::Time to) {
@@ -141,6 +147,7 @@
     CheckStops();
     CheckConfigs();
     CheckWords();
+    CheckCrashes();
     CheckSendBudget("model", {request_kind::stream});
     CheckSendBudget("ledger", {request_kind::posting, request_kind::read});
     return broken_;
@@ -151,6 +158,35 @@
     broken_.push_back(absl::StrCat(promise, ": ", what));
   }
 
+  // Prompts that crash engines reach no more of them once they are known, and
+  // no others are held back for them.
+  void CheckCrashes() {
+    for (const caller_record& caller : record_.callers) {
+      if (!caller.deadly &&
+          absl::StrContains(caller.body, "prompt_quarantined")) {
+        Break("held back without a part that crashes engines",
+              Describe(caller));
+      }
+    }
+    if (record_.crashes.size() < kCrashesToLearn) return;
+    const absl::Time learned =
+        record_.crashes[kCrashesToLearn - 1] + kLearningTime;
+    int arrivals = 0;
+    for (const caller_record& caller : record_.callers) {
+      if (!caller.deadly) continue;
+      for (const auto& arrival : UpstreamOf(record_, caller.id).arrivals) {
+        const bool in_touch =
+            !Disturbed(record_, fault_place::daemon, caller.daemon,
+                       arrival.at - kLearningTime, arrival.at);
+        if (arrival.at > learned && in_touch) ++arrivals;
+      }
+    }
+    if (arrivals <= kToleratedArrivals) return;
+    Break(
+        "prompts that crash engines reach more of them",
+        absl::StrCat(arrivals, " after ", record_.crashes.size(), " crashes"));
+  }
+
   // Runs at most once, not at all when refused, and within the attempts.
   void CheckRuns(const caller_record& caller) {
     const size_t runs = UpstreamOf(record_, caller.id).runs.size();
@@ -201,6 +237,7 @@
 
   // Once all is well again, everybody is served.
   void CheckCalm(const caller_record& caller) {
+    if (caller.deadly) return;
     if (caller.began < record_.calm + kCalmBefore) return;
     if (caller.left < absl::InfiniteFuture()) return;
     if (caller.ended == absl::InfiniteFuture()) return;
--- a/tests/soak/soak_config.h
+++ b/tests/soak/soak_config.h
@@ -28,6 +28,10 @@
 std::string ConfigText(int version, absl::Duration call_limit = kCallLimit,
                        absl::Duration stream_limit = kStreamLimit);
 
+/// Part of prompts on which engines crash, and the first part of all prompts.
+inline constexpr char kDeadlyPart[] = "dead";
+inline constexpr char kFirstPart[] = "5ea50";
+
 }  // namespace anvilridge
 
 #endif  // ANVILRIDGE_TESTS_SOAK_SOAK_CONFIG_H_
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -22,6 +22,7 @@
   options.stops = parsed["stops"].as<bool>();
   options.silences = parsed["silences"].as<bool>();
   options.statements = parsed["statements"].as<bool>();
+  options.crashing_prompts = parsed["crashing-prompts"].as<bool>();
   options.failing_prefills = parsed["failing-prefills"].as<bool>();
   options.program = parsed["program"].as<std::string>();
   if (const auto plant = parsed["plant"].as<std::string>();
@@ -86,12 +87,14 @@
       "Stop daemons as planned, alone, in turn and all at once, beside slow "
       "and "
       "refusing upstreams");
+  add("crashing-prompts",
+      "A part of prompts crashes engines, beside other disturbances");
   add("failing-prefills", "Prefill engines fail all the time in all forms");
   add("logs", "Folder for the daemons' logs",
       cxxopts::value<std::string>()->default_value(""));
   add("plant",
       "Fault to plant: resend, stale_view, false_refusal, no_patience, "
-      "deafness, late_calls or lost_cancel",
+      "deafness, no_parts, late_calls or lost_cancel",
       cxxopts::value<std::string>()->default_value(""));
   add("help", "Show this text");
   try {
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -42,6 +42,9 @@
   /// Upstreams take 0.1 to 6 s, callers have time limits of 1 to 20 s, and
   /// some requests are refused only after a while.
   bool stops = false;
+  /// A part of some prompts crashes each decode engine, beside other
+  /// disturbances.
+  bool crashing_prompts = false;
   /// Program of the daemons, and what it is given besides its settings.
   std::string program = "anvilridge_fleet";
   std::vector<std::string> arguments;
--- a/tests/soak/soak_record.h
+++ b/tests/soak/soak_record.h
@@ -25,6 +25,8 @@
   std::optional<absl::Duration> limit;
   /// How long an upstream takes for it.
   absl::Duration work;
+  /// Whether its prompt has a part that crashes engines.
+  bool deadly = false;
   /// Whether a connection was made, over which it was sent.
   bool sent = false;
   /// 0 when no answer began.
@@ -103,6 +105,8 @@
   std::vector<fault_span> faults;
   std::vector<config_record> configs;
   std::vector<config_probe> probes;
+  /// When engines crashed on a prompt.
+  std::vector<absl::Time> crashes;
   /// Slack of the daemons' send budget; the largest if it changes.
   int send_slack = 0;
   /// Ratio of that budget.
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -29,6 +29,8 @@
 constexpr absl::Duration kStartBound = absl::Seconds(60);
 // The grace of a stop in the daemons' settings, and what its end may take.
 const absl::Duration kStopBound = kStopGrace + absl::Seconds(1);
+// Time for which an engine that has crashed is away.
+constexpr absl::Duration kRestart = absl::Seconds(1);
 // Exit codes above it name the signal that ended a process.
 constexpr int kSignalExit = 128;
 constexpr absl::Duration kProbeInterval = absl::Milliseconds(400);
@@ -130,6 +132,10 @@
     for (int i = 0; i < count; ++i) {
       upstreams_.push_back(std::make_unique<soak_upstream>(
           absl::StrCat(name, "-", i), stage, result_.record.upstreams));
+      if (options_.crashing_prompts && stage == upstream_stage::decode) {
+        upstreams_.back()->OnCrash(
+            [this, index = upstreams_.size() - 1] { CrashUpstream(index); });
+      }
       if (options_.hide_close) {
         upstreams_.back()->Link().SetFault(link_fault::hide_close);
       }
@@ -388,6 +394,17 @@
     Register(upstream, false);
   }
 
+  // The engine's process ends, and another instance follows.
+  void CrashUpstream(size_t index) {
+    soak_upstream& upstream = *upstreams_[index];
+    result_.record.crashes.push_back(MonotonicNow());
+    upstream.Link().SetFault(link_fault::down);
+    DisturbFor(fault_place::upstream, -1, kRestart, [this, index] {
+      upstreams_[index]->Link().SetFault(link_fault::none);
+      RenewUpstream(index);
+    });
+  }
+
   void DrainUpstream(size_t index, const soak_step& step) {
     soak_upstream& upstream = *upstreams_[index];
     Register(upstream, true);
@@ -456,7 +473,8 @@
   store_standin store_;
   std::vector<std::unique_ptr<soak_upstream>> upstreams_;
   std::vector<running_daemon> daemons_;
-  soak_callers callers_{options_.seed, options_.stops, result_.record,
+  soak_callers callers_{options_.seed, options_.stops,
+                        options_.crashing_prompts, result_.record,
                         [this](uint64_t drawn) { return Pick(drawn); }};
   absl::Time began_ = MonotonicNow();
   int config_version_ = 0;
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -146,6 +146,26 @@
 INSTANTIATE_TEST_SUITE_P(failed_before, soak_stop_test,
                          testing::Values(203, 402));
 
+soak_options CrashingPrompts(uint64_t seed) {
+  soak_options options;
+  options.crashing_prompts = true;
+  options.seed = seed;
+  options.disturbed = absl::Seconds(12);
+  options.decode_engines = 8;
+  options.rate = 80;
+  return options;
+}
+
+// Guards against prompts that crash one engine after the other, and against
+// sound ones that are held back for them, beside ends, freezes and cuts.
+class soak_crash_test : public testing::TestWithParam<uint64_t> {};
+
+TEST_P(soak_crash_test, PromptsThatCrashEnginesAreHeldBack) {
+  EXPECT_EQ(Broken(CrashingPrompts(GetParam())), "");
+}
+
+INSTANTIATE_TEST_SUITE_P(short_runs, soak_crash_test, testing::Values(1, 2));
+
 soak_options Planted(const char* fault) {
   soak_options options;
   options.program = "planted_daemon";
@@ -204,6 +224,14 @@
               HasSubstr("passed on and ended without its answer"));
 }
 
+TEST(soak_planted_test, PromptsWithoutPartsAreCaught) {
+  soak_options options = CrashingPrompts(1);
+  options.program = "planted_daemon";
+  options.arguments = {"no_parts"};
+  EXPECT_THAT(Broken(options),
+              HasSubstr("prompts that crash engines reach more of them"));
+}
+
 TEST(soak_planted_test, ALostCancelIsCaught) {
   soak_options options;
   options.hide_close = true;
--- a/tests/soak/soak_upstreams.cc
+++ b/tests/soak/soak_upstreams.cc
@@ -62,6 +62,7 @@
   absl::Time silent_until = absl::InfinitePast();
   bool leaving = false;
   absl::Time paused_until = absl::InfinitePast();
+  std::function<void()> crash;
   int64_t orders = 0;
   int handles = 0;
   // Also drops what its timers still hold, when it is destroyed.
@@ -224,6 +225,14 @@
   }
   records[request_id].runs.push_back(MonotonicNow());
   const QPointer<QTcpSocket> to = &socket;
+  if (crash &&
+      absl::StrContains(platform_scene::Field(request, "prompt-prefix"),
+                        kDeadlyPart)) {
+    records[request_id].failed = true;
+    return After(kWork, request_id, [this, to] {
+      if (IsOpen(to)) crash();
+    });
+  }
   const upstream_fault spoilt = NextFault();
   if (spoilt != upstream_fault::none) records[request_id].failed = true;
   if (spoilt == upstream_fault::lose) return raw_server::Reset(socket);
@@ -315,6 +324,10 @@
   impl_->paused_until = std::max(impl_->paused_until, MonotonicNow() + lasts);
 }
 
+void soak_upstream::OnCrash(std::function<void()> crash) {
+  impl_->crash = std::move(crash);
+}
+
 void soak_upstream::SetFault(upstream_fault fault) { impl_->fault = fault; }
 
 void soak_upstream::FallSilent(absl::Duration lasts) {
--- a/tests/soak/soak_upstreams.h
+++ b/tests/soak/soak_upstreams.h
@@ -50,6 +50,9 @@
   /// Refuses all requests for `lasts` and states so.
   void Pause(absl::Duration lasts);
 
+  /// Sets what happens when a prompt crashes the engine.
+  void OnCrash(std::function<void()> crash);
+
   void SetFault(upstream_fault fault);
   /// Falls silent for `lasts` and goes on then, unless it has been silent so
   /// lately that callers would see one silence.
