--- a/src/dispatch/decode_runs.cc
+++ b/src/dispatch/decode_runs.cc
@@ -435,6 +435,7 @@
   if (std::exchange(cancelled, true)) return;
   if (in_progress) state.client.Cancel(current->call);
   in_progress = false;
+  checking = false;
   if (successor) state.client.Cancel(successor->run.call);
   successor.reset();
   EndRun(state.ledger, successor_ledger_id);
--- a/src/quarantine/prompt_quarantine_test.cc
+++ b/src/quarantine/prompt_quarantine_test.cc
@@ -24,7 +24,8 @@
     for (uint32_t engine = 0; engine < 3; ++engine) {
       Crash(engine, kNow + absl::Seconds(engine));
     }
-    RecordHandled(quarantine_, kStage, {{5}}, kNow + absl::Seconds(3));
+    RecordHandled(quarantine_, kStage, prompt_parts{5},
+                  kNow + absl::Seconds(3));
   }
 
   bool HeldBack(const prompt_parts& parts) const {
@@ -47,11 +48,12 @@
 // it: one that has says so.
 TEST_F(prompt_quarantine_test, OwnSuccessesCountAgainstTheEvidenceOfOthers) {
   prompt_quarantine other;
-  RecordHandled(other, kStage, {{kFirst}}, kNow - absl::Seconds(1));
+  RecordHandled(other, kStage, prompt_parts{kFirst}, kNow - absl::Seconds(1));
   CrashEngines();
   EXPECT_FALSE(HeldBack({kDeadly}));
   AddEvidence(other, kStage, quarantine_.evidence, kNow);
-  EXPECT_TRUE(VerdictAgainst(other.verdicts, {{kDeadly}}).has_value());
+  EXPECT_TRUE(
+      VerdictAgainst(other.verdicts, prompt_parts{kDeadly}).has_value());
   EXPECT_EQ(AddEvidence(quarantine_, kStage, other.evidence, kNow),
             evidence_change::new_verdict);
   EXPECT_TRUE(HeldBack({kDeadly}));
@@ -62,10 +64,10 @@
   CrashEngines();
   const absl::Time due = quarantine_.verdicts.front().next_trial;
   EXPECT_EQ(due, kNow + absl::Seconds(2) + kMinTrialInterval);
-  RecordTrials(quarantine_, kStage, {{kFirst, kDeadly, 7}}, due);
+  RecordTrials(quarantine_, kStage, prompt_parts{kFirst, kDeadly, 7}, due);
   EXPECT_EQ(quarantine_.verdicts.front().next_trial, due + kMinTrialInterval);
   EXPECT_TRUE(HeldBack({kFirst, kDeadly}));
-  RecordHandled(quarantine_, kStage, {{kFirst, kDeadly}},
+  RecordHandled(quarantine_, kStage, prompt_parts{kFirst, kDeadly},
                 due + absl::Seconds(1));
   EXPECT_FALSE(HeldBack({kFirst, kDeadly}));
 }
@@ -73,7 +75,7 @@
 TEST_F(prompt_quarantine_test, AFailedTrialNeedsNoFurtherCrashes) {
   CrashEngines();
   const absl::Time due = quarantine_.verdicts.front().next_trial;
-  RecordTrials(quarantine_, kStage, {{kFirst, kDeadly}}, due);
+  RecordTrials(quarantine_, kStage, prompt_parts{kFirst, kDeadly}, due);
   Crash(9, due + absl::Seconds(1));
   EXPECT_TRUE(HeldBack({kFirst, kDeadly}));
   EXPECT_EQ(quarantine_.verdicts.front().next_trial,
--- a/src/sharing/load_exchange.cc
+++ b/src/sharing/load_exchange.cc
@@ -109,6 +109,8 @@
   // Until when the evidence is new, and when it was last sent to the own cell.
   absl::Time evidence_new_until = absl::InfinitePast();
   absl::Time evidence_sent_at = absl::InfinitePast();
+  // Whether the evidence changes because of another daemon's.
+  bool receiving_evidence = false;
   absl::BitGen random;
   // When the last load message was sent.
   absl::Time sent_at = absl::InfinitePast();
@@ -183,7 +185,9 @@
   }
   if (!message->evidence.prefill.reports.empty() ||
       !message->evidence.decode.reports.empty()) {
+    receiving_evidence = true;
     handler.on_evidence(message->evidence);
+    receiving_evidence = false;
   }
   UpdateDaemonCount();
 }
@@ -383,7 +387,9 @@
   const absl::Time now = MonotonicNow();
   impl_->evidence_new_until = now + kNewEvidencePeriod;
   impl_->SendHellos(kMinHelloInterval, now);
-  ScheduleSend();
+  // The daemon that has seen the crash sends it to the whole cell itself; the
+  // next messages that are due make up for a loss.
+  if (!impl_->receiving_evidence) ScheduleSend();
 }
 
 void load_exchange::AnnounceLeaving() {
--- a/src/sharing/load_exchange.h
+++ b/src/sharing/load_exchange.h
@@ -60,7 +60,8 @@
   void ScheduleSend();
 
   /// Schedules messages after a change of this daemon's evidence, which is also
-  /// sent to some daemons of other cells.
+  /// sent to some daemons of other cells. What has changed because of another
+  /// daemon's message is sent with the next message that is due.
   void ScheduleEvidence();
 
   /// Sends a last message, which announces that this daemon is stopping.
