--- a/src/quarantine/crash_evidence.h
+++ b/src/quarantine/crash_evidence.h
@@ -34,7 +34,8 @@
 /// Crashes of engines that a prompt may have caused, as far as a daemon knows
 /// from its own runs and from other daemons. Daemons with the same evidence
 /// reach the same verdicts. Reports and records are merged in any order, and
-/// any number of times, with the same result.
+/// any number of times, with the same result, since two crashes of an engine
+/// are further apart than `kMinRestartTime`.
 struct crash_evidence {
   /// In order of time; at most `kMaxCrashReports`.
   std::vector<crash_report> reports;
