Require more crashes before a part is blamed while engines crash for other reasons

What callers saw: requests were refused as `prompt_quarantined` for a minute though their prompts were sound, while engines crashed by chance.

Cause: three crashes on a part without a success were taken for proof whatever else crashed. Where about one run in ten crashes its engine and the budget for further sends is empty, so that a request which broke off is not sent again, a part with three requests is at three crashed engines by chance.

Ruled out: a crash check that is wrong (8 of 8 connections refused), and a success that was lost (none of the three requests was sent again).

Change: a crash that no part with three crashes explains, from 10 s before the first crash on the part until the one that would decide, requires one crash more, up to five, which is where the part must be known in any case. What comes later changes nothing, so that a verdict doesn't lapse.

--- a/src/quarantine/quarantine_verdict.cc
+++ b/src/quarantine/quarantine_verdict.cc
@@ -9,16 +9,62 @@
 
 using crashes_by_part = std::map<prompt_part, std::vector<counted_crash>>;
 
+// Returns whether `crash` is among `crashes`.
+bool Contains(absl::Span<const counted_crash> crashes,
+              const counted_crash& crash) {
+  return std::any_of(crashes.begin(), crashes.end(),
+                     [&crash](const counted_crash& other) {
+                       return IsSameCrash(crash, other);
+                     });
+}
+
 // Returns whether all of `crashes` are among `others`.
 bool IsSubset(absl::Span<const counted_crash> crashes,
               absl::Span<const counted_crash> others) {
-  return std::all_of(crashes.begin(), crashes.end(),
-                     [others](const counted_crash& crash) {
-                       return std::any_of(others.begin(), others.end(),
-                                          [&crash](const counted_crash& other) {
-                                            return IsSameCrash(crash, other);
-                                          });
-                     });
+  return std::all_of(
+      crashes.begin(), crashes.end(),
+      [others](const counted_crash& crash) { return Contains(others, crash); });
+}
+
+// Returns the crashes, each once, that count against none of the parts in
+// `blamed`.
+std::vector<counted_crash> UnexplainedCrashes(const crash_evidence& evidence,
+                                              const crashes_by_part& blamed) {
+  std::vector<counted_crash> unexplained;
+  for (const crash_report& report : evidence.reports) {
+    const counted_crash crash = {report.engine, report.time};
+    const bool is_explained = std::any_of(
+        blamed.begin(), blamed.end(),
+        [&crash](const auto& entry) { return Contains(entry.second, crash); });
+    if (!is_explained && !Contains(unexplained, crash)) {
+      unexplained.push_back(crash);
+    }
+  }
+  return unexplained;
+}
+
+// Returns whether `crashes` on a part are too many to be by chance. What comes
+// after they were enough doesn't change that.
+bool AreConclusive(absl::Span<const counted_crash> crashes,
+                   absl::Span<const counted_crash> unexplained) {
+  std::vector<absl::Time> times;
+  for (const counted_crash& crash : crashes) times.push_back(crash.time);
+  std::sort(times.begin(), times.end());
+  for (size_t count = kCrashesForQuarantine; count <= times.size(); ++count) {
+    const absl::Time last = times[count - 1];
+    if (last - times.front() < kMinCrashSpread) continue;
+    const auto others =
+        std::count_if(unexplained.begin(), unexplained.end(),
+                      [&times, last](const counted_crash& crash) {
+                        return crash.time >= times.front() - kRecentCrashes &&
+                               crash.time <= last;
+                      });
+    if (count >= kCrashesForQuarantine + std::min(static_cast<size_t>(others),
+                                                  kMaxFurtherCrashes)) {
+      return true;
+    }
+  }
+  return false;
 }
 
 absl::Duration TrialInterval(size_t crashes) {
@@ -83,13 +129,13 @@
       blamed.emplace(part, std::move(crashes));
     }
   }
+  const std::vector<counted_crash> unexplained =
+      UnexplainedCrashes(evidence, blamed);
   for (const auto& [part, crashes] : blamed) {
+    if (!AreConclusive(crashes, unexplained)) continue;
     prompt_parts parts = CommonParts(blamed, crashes);
     if (IsKnown(verdicts, parts)) continue;
-    quarantine_verdict verdict =
-        MakeVerdict(evidence, std::move(parts), crashes);
-    if (verdict.last_crash - verdict.first_crash < kMinCrashSpread) continue;
-    verdicts.push_back(std::move(verdict));
+    verdicts.push_back(MakeVerdict(evidence, std::move(parts), crashes));
   }
   return verdicts;
 }
--- a/src/quarantine/quarantine_verdict.h
+++ b/src/quarantine/quarantine_verdict.h
@@ -11,9 +11,18 @@
 
 namespace anvilridge {
 
-/// Number of engines that must have crashed on a part before it is quarantined.
+/// Number of engines that must have crashed on a part before it is quarantined,
+/// if the part explains all recent crashes.
 inline constexpr size_t kCrashesForQuarantine = 3;
 
+/// Each recent crash that no such part explains requires one crash more, up to
+/// this number: where engines crash for other reasons too, a prompt may have
+/// been at several of them by chance.
+inline constexpr size_t kMaxFurtherCrashes = 2;
+
+/// Crashes are recent within this time before the first one on the part.
+inline constexpr absl::Duration kRecentCrashes = absl::Seconds(10);
+
 /// The crashes must not all fall within this time: engines that crash together
 /// have a common cause elsewhere, such as a power failure.
 inline constexpr absl::Duration kMinCrashSpread = absl::Milliseconds(100);
--- a/src/quarantine/quarantine_verdict_test.cc
+++ b/src/quarantine/quarantine_verdict_test.cc
@@ -1,5 +1,6 @@
 #include "quarantine/quarantine_verdict.h"
 
+#include <algorithm>
 #include <random>
 
 #include "gtest/gtest.h"
@@ -130,6 +131,72 @@
   EXPECT_EQ(next_trial(tried), kNow + kMinTrialInterval);
 }
 
+// Guards against sound prompts that are held back because they were by chance
+// at three of the engines that crash for other reasons.
+TEST(quarantine_verdict_test, CrashesOnOtherPromptsRequireFurtherCrashes) {
+  for (uint32_t others = 0; others <= 4; ++others) {
+    const size_t needed = 3 + std::min<size_t>(others, 2);
+    for (uint32_t crashes = 3; crashes <= 5; ++crashes) {
+      crash_evidence evidence = Crashes(crashes, {kFirst, kDeadly});
+      RecordPartSuccess(evidence, kFirst, kNow);
+      for (uint32_t other = 0; other < others; ++other) {
+        Crash(evidence, 100 + other, absl::Seconds(25), {kFirst, 50 + other});
+      }
+      EXPECT_EQ(HoldsBack(evidence, {kDeadly}), crashes >= needed)
+          << others << " others, " << crashes << " crashes";
+    }
+  }
+}
+
+// Guards against a verdict that lapses when engines crash for other reasons
+// later, or did so long before.
+TEST(quarantine_verdict_test, CrashesAtOtherTimesRequireNoFurtherOnes) {
+  crash_evidence evidence = Crashes(3, {kDeadly});
+  for (uint32_t other = 0; other < 5; ++other) {
+    Crash(evidence, 100 + other, absl::Seconds(10), {50 + other});
+    Crash(evidence, 200 + other, absl::Seconds(40), {60 + other});
+  }
+  EXPECT_TRUE(HoldsBack(evidence, {kDeadly}));
+  // A trial that crashes an engine doesn't make the later ones count either.
+  Crash(evidence, 300, absl::Seconds(1), {kDeadly});
+  EXPECT_TRUE(HoldsBack(evidence, {kDeadly}));
+}
+
+// Two parts that crash engines at the same time explain the crashes together.
+TEST(quarantine_verdict_test, EachOfTwoPartsIsBlamed) {
+  crash_evidence evidence = Crashes(3, {kDeadly});
+  for (uint32_t engine = 0; engine < 3; ++engine) {
+    Crash(evidence, 100 + engine, absl::Seconds(20 - engine), {kDeadly + 1});
+  }
+  EXPECT_TRUE(HoldsBack(evidence, {kDeadly}));
+  EXPECT_TRUE(HoldsBack(evidence, {kDeadly + 1}));
+}
+
+// Guards against verdicts where any run crashes its engine with a probability
+// of one in seven, none is sent again, and each of 20 parts has five requests.
+TEST(quarantine_verdict_test, CrashesByChanceHoldNothingBack) {
+  int held_back = 0;
+  for (uint32_t seed = 1; seed <= 200; ++seed) {
+    std::mt19937 random(seed);
+    std::bernoulli_distribution crashes(1.0 / 7);
+    crash_evidence evidence;
+    part_successes successes;
+    for (uint32_t request = 0; request < 80; ++request) {
+      const absl::Time now = kNow + request * absl::Milliseconds(50);
+      const prompt_part part = 1000 + request % 20;
+      if (crashes(random)) {
+        AddCrashReport(evidence, {request, now, {part}});
+        RecordPartSuccess(evidence, part, LastSuccess(successes, part));
+      } else {
+        RecordSuccess(successes, part, now);
+        RecordPartSuccess(evidence, part, now);
+      }
+      held_back += FindVerdicts(evidence).empty() ? 0 : 1;
+    }
+  }
+  EXPECT_EQ(held_back, 0);
+}
+
 // A model of daemons that tell each other what they see over messages of which
 // some are lost.
 class daemons_model {
