Ask an engine's entry again before a decode that waited for its prefill

What callers saw: nothing; an engine that leaves got new work later than allowed (DRAIN).

Cause: a decode engine is reserved before the prefill. SendDecode looked at what the engine has stated in its responses since, and not at its entry, which may say `draining` or be gone by then.

Evidence: changed_entry_test, both cases: the entry of the reserved engine changes while the prompt is prefilled for 1.5 s; before, the decode went to d1 in 2 of 2, now to d2.

Change: SendDecode asks whether the engine is still registered, not draining and not absent, and has another one reserved otherwise. The prompt isn't prefilled again.

--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -147,6 +147,17 @@
   return earliest;
 }
 
+bool IsStillAvailable(const dispatch_state& state,
+                      const fleet_upstream& upstream, absl::Time now) {
+  const auto registered = state.view->upstreams.find(upstream.service);
+  if (registered == state.view->upstreams.end()) return false;
+  return std::any_of(registered->second.begin(), registered->second.end(),
+                     [&upstream](const fleet_upstream& entry) {
+                       return entry.id == upstream.id && !entry.draining;
+                     }) &&
+         !IsAbsent(state, upstream, now);
+}
+
 bool IsAbsent(const dispatch_state& state, const fleet_upstream& upstream,
               absl::Time now) {
   return AbsenceOf(state.absences, upstream, now) != absence_reason::none;
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -169,6 +169,11 @@
                                          absl::string_view service,
                                          engine_stage stage, absl::Time now);
 
+/// Returns whether `upstream`, which was chosen before, may still receive work:
+/// it is registered, not draining, and not absent by its own statement.
+bool IsStillAvailable(const dispatch_state& state,
+                      const fleet_upstream& upstream, absl::Time now);
+
 /// Returns whether `upstream` must get nothing new by its own statement.
 bool IsAbsent(const dispatch_state& state, const fleet_upstream& upstream,
               absl::Time now);
--- a/src/dispatch/stream_flow.cc
+++ b/src/dispatch/stream_flow.cc
@@ -332,12 +332,12 @@
   // ---- Decode
 
   // Sends the request to `decode_`, or to another engine if that one has become
-  // absent since it was reserved.
+  // unavailable since it was reserved, as a prefill can take long.
   void SendDecode() {
     if (EndIfQuarantined()) return;
     const absl::Time now = MonotonicNow();
     if (!MayBegin(now)) return Refuse(Stopping());
-    if (IsAbsent(state_, decode_, now)) return PlaceAgain(now);
+    if (!IsStillAvailable(state_, decode_, now)) return PlaceAgain(now);
     decodes_->Send(decode_, lease_);
   }
 
@@ -358,7 +358,7 @@
   // Has another decode engine reserved in place of `decode_`.
   void PlaceAgain(absl::Time now) {
     LogEvent(
-        log_level::info, "reserved_engine_absent",
+        log_level::info, "reserved_engine_unavailable",
         {{"request", QtText(request_.id)}, {"upstream", QtText(decode_.id)}});
     EndRun(state_.ledger, request_.id);
     waiting_stream waiting = MakeWaitingStream();
--- a/tests/upstream_statement_test.cc
+++ b/tests/upstream_statement_test.cc
@@ -86,18 +86,24 @@
                {{"Token-Count", "100,400"}, {"Deadline-Ms", "4000"}});
   }
 
-  // Registers an upstream. An empty `stage` is that of the plain service.
-  void Register(const std::string& id, const std::string& stage,
-                int64_t started_ms = 0) {
+  // Returns an entry of an upstream; one without a `state` removes it. An empty
+  // `stage` is that of the plain service.
+  std::string Entry(const std::string& stage, const std::string& state,
+                    int64_t started_ms = 0) {
+    if (state.empty()) return "";
     const std::string address = stage.empty()        ? scene_.ServiceAddress()
                                 : stage == "prefill" ? scene_.PrefillAddress()
                                                      : scene_.DecodeAddress();
-    scene_.Put(
-        "keyed.servers", id,
-        absl::StrCat(R"({"Service":")", stage.empty() ? "ledger" : "model",
-                     R"(","Addr":")", address,
-                     R"(","Zone":"z","Slots":4,"State":"ready","Stage":")",
-                     stage, R"(","born":)", started_ms, R"(,"Seq":0})"));
+    return absl::StrCat(
+        R"({"Service":")", stage.empty() ? "ledger" : "model", R"(","Addr":")",
+        address, R"(","Zone":"z","Slots":4,"State":")", state, R"(","Stage":")",
+        stage, R"(","born":)", started_ms, R"(,"Seq":0})");
+  }
+
+  // Registers an upstream.
+  void Register(const std::string& id, const std::string& stage,
+                int64_t started_ms = 0) {
+    scene_.Put("keyed.servers", id, Entry(stage, "ready", started_ms));
     ASSERT_TRUE(Eventually(kBound, [&] {
       return absl::StrContains(scene_.Daemon().Out(),
                                absl::StrCat(R"("upstream":")", id, "\""));
@@ -230,6 +236,30 @@
       platform_scene::Field(scene_.AtDecode()[1], "kv-source").empty());
 }
 
+// Guards against a decode at an engine whose entry has said that it drains, or
+// was removed, since the engine was reserved.
+class changed_entry_test : public upstream_statement_test,
+                           public testing::WithParamInterface<std::string> {};
+
+TEST_P(changed_entry_test, AReservedEngineIsReplaced) {
+  scene_.OnPrefill([](QTcpSocket& socket, const raw_request& request) {
+    QTimer::singleShot(1500, &socket,
+                       [&socket, request] { AnswerPrefill(socket, request); });
+  });
+  auto draft = std::async(std::launch::async, [this] { return Draft(); });
+  ASSERT_TRUE(Eventually(kBound, [&] { return !scene_.AtPrefill().empty(); }));
+  Register("d2", "decode");
+  scene_.Put("keyed.servers", "d1", Entry("decode", GetParam()));
+  EXPECT_EQ(draft.get().status, 200);
+  ASSERT_EQ(scene_.AtDecode().size(), 1u);
+  EXPECT_EQ(Addressee(scene_.AtDecode()[0]), "d2");
+  // The prompt isn't prefilled again.
+  EXPECT_EQ(scene_.AtPrefill().size(), 1u);
+}
+
+INSTANTIATE_TEST_SUITE_P(states, changed_entry_test,
+                         testing::Values("draining", ""));
+
 // Guards against a resumed run at an engine that leaves.
 TEST_F(upstream_statement_test, ABrokenStreamIsNotResumedAtALeavingEngine) {
   Register("d2", "decode");
