Don't say that a quarantined request hasn't run once an engine has got it

What callers saw: a request for a resumable stream whose own run had crashed an engine, or was at one when the verdict began, was refused with 503 and `"ran":"not_run"`, though the engine had begun it.

Cause: QuarantineError told `not_run` wherever the caller may send the request again. That holds for the status, 503 with the time of the next trial, but not for what is said of the run.

Change: such a refusal keeps its status and says `unknown`; one that must not run again stays `upstream_failed`.

Two tests are new for sends that were only read so far: requests that wait for a free engine at the verdict, and requests whose prefill is under way or whose engine is silent.

--- a/src/dispatch/quarantine_control.cc
+++ b/src/dispatch/quarantine_control.cc
@@ -130,11 +130,12 @@
 
 absl::Status QuarantineError(const dispatch_state& state,
                              const fleet_request& request, bool may_have_run,
-                             absl::Time now) {
+                             bool may_run_again, absl::Time now) {
   const auto verdict = VerdictOn(state, engine_stage::decode, request);
   if (!verdict) return MakeError(error_kind::internal, "not quarantined");
   absl::Status error = QuarantineError(*verdict, now);
   if (!may_have_run) return error;
+  if (may_run_again) return WithoutNotRun(error);
   return MakeError(error_kind::upstream_failed, error.message(),
                    run_state::unknown);
 }
--- a/src/dispatch/quarantine_control.h
+++ b/src/dispatch/quarantine_control.h
@@ -42,11 +42,11 @@
                 const fleet_request& request, absl::Time now);
 
 /// Returns the error for a request that is quarantined for decode engines.
-/// @param may_have_run whether an engine may have run the request, which must
-///     not run again.
+/// @param may_have_run whether an engine may have run the request.
+/// @param may_run_again whether its caller may send it again after that.
 absl::Status QuarantineError(const dispatch_state& state,
                              const fleet_request& request, bool may_have_run,
-                             absl::Time now);
+                             bool may_run_again, absl::Time now);
 
 }  // namespace anvilridge
 
--- a/src/dispatch/stream_flow.cc
+++ b/src/dispatch/stream_flow.cc
@@ -554,7 +554,7 @@
     if (is_trial_ && !decodes_->MayHaveRun()) return false;
     const bool may_have_run = decodes_->InProgress() || decodes_->MayHaveRun();
     if (may_have_run) ReportUnfinished(unfinished_reason::quarantined);
-    Refuse(QuarantineError(state_, request_, may_have_run && !route_.resumable,
+    Refuse(QuarantineError(state_, request_, may_have_run, route_.resumable,
                            MonotonicNow()));
     return true;
   }
--- a/tests/crashing_prompt_test.cc
+++ b/tests/crashing_prompt_test.cc
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <utility>
@@ -41,6 +42,8 @@
 // Time for which an engine that has crashed is away.
 constexpr absl::Duration kRestart = absl::Milliseconds(1000);
 constexpr absl::Duration kEventGap = absl::Milliseconds(10);
+constexpr absl::Duration kSlowEventGap = absl::Milliseconds(250);
+constexpr absl::Duration kSlowPrefill = absl::Seconds(3);
 constexpr int kEvents = 12;
 // Parts of prompts: one that crashes engines, and the first part of all.
 constexpr char kDeadlyPart[] = "dead";
@@ -65,17 +68,28 @@
   socket.write(text.data(), static_cast<qint64>(text.size()));
 }
 
-// What an engine does with a request for whose prompt it begins to write.
-enum class engine_act { serve, crash, reset, crash_prefill };
+// What an engine does with a request: a prefill engine when the prompt arrives,
+// a decode engine when it begins to write.
+enum class engine_act {
+  serve,
+  serve_slowly,
+  crash,
+  reset,
+  // Sends no event.
+  mute,
+  crash_prefill,
+  slow_prefill,
+};
 using act_choice = std::function<engine_act(const raw_request&)>;
 
 // One engine behind a changing port. Lives on the thread of the scene.
 class test_engine {
  public:
-  test_engine(int number, std::string stage, store_standin& store,
+  test_engine(int number, std::string stage, int slots, store_standin& store,
               act_choice choose)
       : number_(number),
         stage_(std::move(stage)),
+        slots_(slots),
         store_(store),
         choose_(std::move(choose)) {
     Start();
@@ -93,6 +107,8 @@
   int crashes = 0;
   // Arrival times of requests with the deadly part.
   std::vector<absl::Time> deadly_arrivals;
+  // Ids of the requests that have arrived at the engine to be decoded.
+  std::set<std::string> decoded;
 
  private:
   std::string Id() const { return absl::StrCat("e", number_, "-", starts_); }
@@ -106,8 +122,8 @@
     store_.Put(
         "keyed.servers", Id(),
         absl::StrCat(R"({"Service":"model","Addr":")", server_->Address(),
-                     R"(","Zone":"z","Slots":12,"State":"ready",)",
-                     R"("Stage":")", stage_, R"(","Seq":0})"));
+                     R"(","Zone":"z","Slots":)", slots_,
+                     R"(,"State":"ready","Stage":")", stage_, R"(","Seq":0})"));
   }
 
   void Respond(QTcpSocket& socket, const raw_request& request,
@@ -128,10 +144,8 @@
     if (absl::StrContains(prefix, kDeadlyPart)) {
       deadly_arrivals.push_back(MonotonicNow());
     }
-    if (stage_ == "prefill") {
-      if (choose_(request) == engine_act::crash_prefill) return Crash();
-      return Respond(socket, request, R"({"Handle":"h1","Tokens":100})");
-    }
+    if (stage_ == "prefill") return Prefill(socket, request);
+    decoded.insert(platform_scene::Field(request, "request-id"));
     Write(socket, platform_scene::Head(request, 200) +
                       "Transfer-Encoding: chunked\r\n\r\n");
     const engine_act act = choose_(request);
@@ -143,20 +157,37 @@
                if (!to) return;
                if (act == engine_act::crash) return Crash();
                if (act == engine_act::reset) return raw_server::Reset(*to);
-               NextEvent(to, next);
+               if (act == engine_act::mute) return;
+               NextEvent(
+                   to, next,
+                   act == engine_act::serve_slowly ? kSlowEventGap : kEventGap);
              });
   }
 
-  void NextEvent(const QPointer<QTcpSocket>& socket, int number) {
+  void Prefill(QTcpSocket& socket, const raw_request& request) {
+    const engine_act act = choose_(request);
+    if (act == engine_act::crash_prefill) return Crash();
+    RunAfter(
+        &socket,
+        act == engine_act::slow_prefill ? kSlowPrefill : absl::ZeroDuration(),
+        [this, &socket, request] {
+          Respond(socket, request, R"({"Handle":"h1","Tokens":100})");
+        });
+  }
+
+  void NextEvent(const QPointer<QTcpSocket>& socket, int number,
+                 absl::Duration gap) {
     if (!socket) return;
     if (number > kEvents) return Write(*socket, "0\r\n\r\n");
     platform_scene::Events(*socket, number, number);
-    RunAfter(&context_, kEventGap,
-             [this, socket, number] { NextEvent(socket, number + 1); });
+    RunAfter(&context_, gap, [this, socket, number, gap] {
+      NextEvent(socket, number + 1, gap);
+    });
   }
 
   const int number_;
   const std::string stage_;
+  const int slots_;
   store_standin& store_;
   const act_choice choose_;
   int starts_ = 0;
@@ -235,20 +266,35 @@
     });
   }
 
+  // Guards against refusals which say that a request hasn't run that an engine
+  // has got.
+  void TearDown() override {
+    JoinCallers();
+    std::set<std::string> decoded;
+    RunAndWait(thread_->Context(), [&] {
+      for (const auto& engine : engines_) {
+        decoded.insert(engine->decoded.begin(), engine->decoded.end());
+      }
+    });
+    for (const std::string& id : said_not_run_) {
+      EXPECT_FALSE(decoded.contains(id)) << id;
+    }
+  }
+
   // Starts engines that do with each request what `choose` says, and daemons.
-  void Start(const act_choice& choose, int prefills = 1) {
+  void Start(const act_choice& choose, int prefills = 1, int slots = 12) {
     EnsureTestApplication();
     thread_ = std::make_unique<event_thread>("engines");
     RunAndWait(thread_->Context(), [&] {
       store_ = std::make_unique<store_standin>();
       store_->Put("keyed.op", "config", kConfig);
       for (int i = 0; i < prefills; ++i) {
-        engines_.push_back(
-            std::make_unique<test_engine>(100 + i, "prefill", *store_, choose));
+        engines_.push_back(std::make_unique<test_engine>(
+            100 + i, "prefill", /*slots=*/12, *store_, choose));
       }
       for (int i = 1; i <= kEngines; ++i) {
         engines_.push_back(
-            std::make_unique<test_engine>(i, "decode", *store_, choose));
+            std::make_unique<test_engine>(i, "decode", slots, *store_, choose));
       }
     });
     for (int i = 0; i < kDaemons; ++i) {
@@ -268,14 +314,18 @@
     request.port = daemons_[daemon]->CallerPort();
     request.target = "/draft/1";
     const int number = ++requests_;
+    const std::string id = absl::StrCat("q", number);
     request.headers = {
         {"Host", "a.example"},
-        {"Request-Id", absl::StrCat("q", number)},
+        {"Request-Id", id},
         {"Token-Count", "100,12"},
         {"Deadline-Ms", "4000"},
         {"Prompt-Prefix",
          absl::StrCat(parts, ":50,", absl::Hex(number + 0x10000), ":50")}};
-    return Send(request);
+    test_answer answer = Send(request);
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (answer.Json()["ran"].toString() == "not_run") said_not_run_.insert(id);
+    return answer;
   }
 
   // Sends a request without waiting for its answer.
@@ -338,6 +388,15 @@
     }
   }
 
+  // Waits until all daemons hold the deadly part back.
+  bool AllKnowThePart() {
+    return Eventually(kBound, [this] {
+      return std::all_of(
+          daemons_.begin(), daemons_.end(),
+          [](const auto& daemon) { return Quarantined(*daemon) > 0; });
+    });
+  }
+
   static engine_act CrashOnDeadlyPart(const raw_request& request) {
     const std::string prefix = platform_scene::Field(request, "prompt-prefix");
     return absl::StrContains(prefix, kDeadlyPart) ? engine_act::crash
@@ -352,6 +411,7 @@
   std::mutex mutex_;
   std::map<int, int> statuses_;
   int held_back_ = 0;
+  std::set<std::string> said_not_run_;
   std::vector<std::thread> callers_;
 };
 
@@ -389,7 +449,72 @@
   EXPECT_GE(Crashes(), 6);
   EXPECT_EQ(held_back_, 0);
   EXPECT_GE(statuses_[200], 50);
-  for (const auto& daemon : daemons_) EXPECT_EQ(Quarantined(*daemon), 0);
+  for (const auto& daemon : daemons_) {
+    EXPECT_EQ(Quarantined(*daemon), 0)
+        << Get(daemon->MetricsPort(), "/quarantine").body;
+  }
+}
+
+// Guards against sends of requests that were accepted before the verdict: ones
+// that are prefilled at the time, or are at a silent engine beside which
+// another one would be asked.
+TEST_F(crashing_prompt_test, RequestsInProgressReachNoFurtherEngines) {
+  const std::string slow_part = "510";
+  const std::string mute_part = "60e";
+  ASSERT_NO_FATAL_FAILURE(Start([&](const raw_request& request) {
+    const std::string prefix = platform_scene::Field(request, "prompt-prefix");
+    const bool at_prefill =
+        platform_scene::Field(request, "stage") == "prefill";
+    if (absl::StrContains(prefix, slow_part) && at_prefill) {
+      return engine_act::slow_prefill;
+    }
+    if (absl::StrContains(prefix, mute_part)) return engine_act::mute;
+    return CrashOnDeadlyPart(request);
+  }));
+  for (size_t i = 0; i < kDaemons; ++i) {
+    Post(i, absl::StrCat(slow_part, ":20,", kDeadlyPart));
+    Post(i, absl::StrCat(mute_part, ":20,", kDeadlyPart));
+  }
+  for (size_t i = 0; i < kCrashesToLearn; ++i) {
+    Post(i % kDaemons, absl::StrCat(kFirstPart, ":20,", kDeadlyPart));
+    Post(i % kDaemons, kFirstPart);
+    absl::SleepFor(absl::Milliseconds(150));
+  }
+  ASSERT_TRUE(AllKnowThePart());
+  const absl::Time learned = MonotonicNow();
+  JoinCallers();
+  EXPECT_EQ(DeadlyArrivals(learned), 0);
+  EXPECT_GE(held_back_, kDaemons);
+  EXPECT_EQ(statuses_[200], kCrashesToLearn);
+}
+
+// Guards against sends of requests that waited for a free engine at the
+// verdict.
+TEST_F(crashing_prompt_test, RequestsThatWaitReachNoEngine) {
+  const std::string slow_part = "510";
+  ASSERT_NO_FATAL_FAILURE(Start(
+      [&](const raw_request& request) {
+        const std::string prefix =
+            platform_scene::Field(request, "prompt-prefix");
+        return absl::StrContains(prefix, slow_part)
+                   ? engine_act::serve_slowly
+                   : CrashOnDeadlyPart(request);
+      },
+      /*prefills=*/1, /*slots=*/1));
+  constexpr int kSlowStreams = kEngines - 2;
+  for (int i = 0; i < kSlowStreams; ++i) Post(0, slow_part);
+  absl::SleepFor(absl::Milliseconds(300));
+  constexpr int kDeadlyStreams = 10;
+  for (int i = 0; i < kDeadlyStreams; ++i) {
+    Post(0, absl::StrCat(kFirstPart, ":20,", kDeadlyPart));
+    absl::SleepFor(absl::Milliseconds(60));
+  }
+  ASSERT_TRUE(AllKnowThePart());
+  const absl::Time learned = MonotonicNow();
+  JoinCallers();
+  EXPECT_EQ(DeadlyArrivals(learned), 0);
+  EXPECT_GE(held_back_, kDeadlyStreams - kCrashesToLearn);
+  EXPECT_EQ(statuses_[200], kSlowStreams);
 }
 
 // Guards against verdicts on engines that only close connections: they run on,
