Give daemons different turns for trials of a quarantined part

What callers saw: nothing yet; read, not met. All daemons allowed a trial at the same moment, and told their callers to come back then. With 25 daemons as many requests with the part could be sent before the first trial was known elsewhere, and each may crash an engine.

Change: a daemon's turn comes within a fifth of the trial interval, by the hash of its name and the number of crashes, and its callers are told that time. Both programs use it.

Evidence and result: quarantine_verdict_test.DaemonsTryOneAfterTheOther: of 25 daemons at most five have their turn within a second of the first; all had the same before.

--- a/src/daemon/quarantine_wiring.cc
+++ b/src/daemon/quarantine_wiring.cc
@@ -89,10 +89,13 @@
 
 void AddQuarantine(request_services& services, control_state& state) {
   services.verdict_on =
-      [&state](const prompt_parts& parts) -> std::optional<quarantine_verdict> {
+      [&state, daemon = state.settings.identity.name](
+          const prompt_parts& parts) -> std::optional<quarantine_verdict> {
     const auto known = state.quarantine_known.Get();
     if (!known) return std::nullopt;
-    return VerdictAgainst(known->decode.verdicts, parts);
+    auto verdict = VerdictAgainst(known->decode.verdicts, parts);
+    if (verdict) verdict->next_trial = TrialTime(*verdict, daemon);
+    return verdict;
   };
   services.begin_trial = [&state](const prompt_parts& parts) {
     PostTo(&state.context, [&state, parts] {
--- a/src/dispatch/quarantine_control.cc
+++ b/src/dispatch/quarantine_control.cc
@@ -27,13 +27,17 @@
                                         : state.quarantines.decode;
 }
 
+// Returns the verdict that holds `request` back, with the time of this daemon's
+// next trial.
 std::optional<quarantine_verdict> VerdictOn(const dispatch_state& state,
                                             engine_stage stage,
                                             const fleet_request& request) {
   const prompt_quarantine& quarantine = stage == engine_stage::prefill
                                             ? state.quarantines.prefill
                                             : state.quarantines.decode;
-  return VerdictAgainst(quarantine.verdicts, request.shared_parts);
+  auto verdict = VerdictAgainst(quarantine.verdicts, request.shared_parts);
+  if (verdict) verdict->next_trial = TrialTime(*verdict, state.name);
+  return verdict;
 }
 
 // Lets the streams that aren't sent yet, or have no event yet, end if they are
--- a/src/quarantine/quarantine_verdict.cc
+++ b/src/quarantine/quarantine_verdict.cc
@@ -1,6 +1,9 @@
 #include "quarantine/quarantine_verdict.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <utility>
 
@@ -103,9 +106,10 @@
     last_trial = std::max(last_trial, evidence.parts.at(part).last_trial);
   }
   const bool is_confirmed = evidence.last_success > verdict.first_crash;
-  verdict.next_trial =
-      last_trial + (is_confirmed ? TrialInterval(crashes.size())
-                                 : kUnconfirmedTrialInterval);
+  const absl::Duration interval =
+      is_confirmed ? TrialInterval(crashes.size()) : kUnconfirmedTrialInterval;
+  verdict.next_trial = last_trial + interval;
+  verdict.trial_spread = interval * kTrialSpread;
   return verdict;
 }
 
@@ -140,6 +144,17 @@
   return verdicts;
 }
 
+absl::Time TrialTime(const quarantine_verdict& verdict,
+                     absl::string_view daemon) {
+  // The order of the daemons changes with each crash.
+  const uint32_t turn =
+      XXH32(daemon.data(), daemon.size(),
+            static_cast<XXH32_hash_t>(verdict.engines.size()));
+  return verdict.next_trial +
+         verdict.trial_spread *
+             (static_cast<double>(turn) / std::numeric_limits<uint32_t>::max());
+}
+
 bool NamesPart(const quarantine_verdict& verdict, prompt_part part) {
   return std::find(verdict.parts.begin(), verdict.parts.end(), part) !=
          verdict.parts.end();
--- a/src/quarantine/quarantine_verdict.h
+++ b/src/quarantine/quarantine_verdict.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <vector>
 
+#include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "absl/types/span.h"
 #include "quarantine/crash_evidence.h"
@@ -38,6 +39,9 @@
 /// get work again as soon as that has ended.
 inline constexpr absl::Duration kUnconfirmedTrialInterval = absl::Seconds(5);
 
+/// Fraction of a trial interval over which the daemons' turns are spread.
+inline constexpr double kTrialSpread = 0.2;
+
 /// The decision that engines crash on a prompt.
 struct quarantine_verdict {
   /// What the prompts of all the crashes have in common, in ascending order:
@@ -50,11 +54,19 @@
   absl::Time last_crash;
   /// From when on a request may be sent as a trial.
   absl::Time next_trial;
+  /// Time after `next_trial` within which the daemons have their turns.
+  absl::Duration trial_spread;
 };
 
 /// Returns the verdicts that follow from `evidence`.
 std::vector<quarantine_verdict> FindVerdicts(const crash_evidence& evidence);
 
+/// Returns from when on the daemon named `daemon` may send a trial of
+/// `verdict`. The daemons' turns differ, so that most hear of a trial before
+/// their own.
+absl::Time TrialTime(const quarantine_verdict& verdict,
+                     absl::string_view daemon);
+
 /// Returns whether `part` is among the parts of `verdict`.
 bool NamesPart(const quarantine_verdict& verdict, prompt_part part);
 
--- a/src/quarantine/quarantine_verdict_test.cc
+++ b/src/quarantine/quarantine_verdict_test.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <random>
 
+#include "absl/strings/str_cat.h"
 #include "gtest/gtest.h"
 #include "quarantine/part_successes.h"
 
@@ -197,6 +198,27 @@
   EXPECT_EQ(held_back, 0);
 }
 
+// Guards against as many trials as there are daemons, each of which may crash
+// an engine: the callers that were told to come back meet all daemons.
+TEST(quarantine_verdict_test, DaemonsTryOneAfterTheOther) {
+  const auto verdicts = FindVerdicts(Crashes(3, {kDeadly}));
+  ASSERT_EQ(verdicts.size(), 1u);
+  std::vector<absl::Time> turns;
+  for (int daemon = 0; daemon < 25; ++daemon) {
+    turns.push_back(TrialTime(verdicts[0], absl::StrCat("entry-", daemon)));
+  }
+  std::sort(turns.begin(), turns.end());
+  EXPECT_GE(turns.front(), verdicts[0].next_trial);
+  EXPECT_LE(turns.back(),
+            verdicts[0].next_trial + kTrialSpread * kMinTrialInterval);
+  // Daemons hear of a trial within a second.
+  EXPECT_LE(std::count_if(turns.begin(), turns.end(),
+                          [&turns](absl::Time turn) {
+                            return turn < turns.front() + absl::Seconds(1);
+                          }),
+            5);
+}
+
 // A model of daemons that tell each other what they see over messages of which
 // some are lost.
 class daemons_model {
