Ask for a verdict before an import is repeated too

Read, not shown by a test: anvilridged repeats an import at a full engine until the prefill's result lapses, and didn't ask meanwhile whether the prompt had been quarantined, unlike before each other call to an engine.

--- a/src/requests/completion_attempt.cc
+++ b/src/requests/completion_attempt.cc
@@ -60,7 +60,7 @@
 
 void ImportAfterPause(const completion_ptr& flow) {
   RunAfter(flow->context.thread, kImportRetryPause, [flow] {
-    if (flow->over) return;
+    if (flow->over || !MayUseEngines(*flow)) return;
     if (LeaseLost(*flow)) return StartOver(flow);
     Import(flow);
   });
