Kill a daemon in the test of orphans only once its own request is at an engine

Suspected was that the test takes a request of the first daemon for that of the second, and kills the second too soon.

--- a/tests/request_metrics_test.cc
+++ b/tests/request_metrics_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <fstream>
 #include <sstream>
 #include <string>
@@ -140,12 +141,17 @@
   request.timeout = absl::Seconds(30);
   request.port = all.daemons[1].caller;
   const event_stream held(request);
-  ASSERT_TRUE(Eventually(kBound, [&] { return !all.HeldRequests().empty(); }));
+  const auto is_of_second = [&](const QJsonObject& row) {
+    return row["owner"].toString().startsWith(
+        QString::fromStdString(all.daemons[1].name + ":"));
+  };
+  ASSERT_TRUE(Eventually(kBound, [&] {
+    const std::vector<QJsonObject> rows = all.HeldRequests();
+    return std::any_of(rows.begin(), rows.end(), is_of_second);
+  }));
   all.daemons[1].process->Kill();
   EXPECT_TRUE(Eventually(absl::Seconds(30), [&] {
-    const QJsonObject orphan = FirstRow(daemon, "show orphans");
-    return orphan["owner"].toString().startsWith(
-        QString::fromStdString(all.daemons[1].name + ":"));
+    return is_of_second(FirstRow(daemon, "show orphans"));
   }));
   EXPECT_TRUE(Eventually(absl::Seconds(30), [&] {
     return ValueOf(MetricsOf(daemon), "anvil_orphans_cancelled_total") > 0;
