Mend two tests that failed for faults of their own

at_most_once_pairs_test FrozenBeforeTheSendAndLogOut: the test delays the answer to the append of a claim and freezes the daemon before the send. A read of the claims that is sent at the same time can reach the platform behind the append and shows the claim at once. Reads are delayed like appends now, and the test checks that nothing has run at the freeze; the same in BothKilledBeforeTheSend.

request_metrics_test.CountsWasteOrphansAndRefusalsOfThePort: the second daemon was killed as soon as a request was held anywhere. The test waits until the request is decoded.

--- a/tests/at_most_once_pairs_test.cc
+++ b/tests/at_most_once_pairs_test.cc
@@ -35,6 +35,14 @@
            {{"path", "/log/claims"}, {"method", "POST"}, {"ms", kSlowLogMs}});
 }
 
+// Lets no daemon learn of a claim for that time: neither from the answer to its
+// append nor from a read that meets the record.
+void SlowClaims(const posting& call) {
+  SlowAppends(call);
+  SetFault(call.deployment.platform.port, "late_answer",
+           {{"path", "/log/claims"}, {"method", "GET"}, {"ms", kSlowLogMs}});
+}
+
 void LoseOneAppendAnswer(const posting& call) {
   SetFault(call.deployment.platform.port, "lose_answer_after_effect",
            {{"path", "/log/claims"}, {"method", "POST"}, {"count", 1}});
@@ -184,10 +192,11 @@
 }
 
 void FrozenBeforeTheSendAndLogOut(posting& call) {
-  SlowAppends(call);
+  SlowClaims(call);
   std::future<test_answer> pending = call.Begin(kEntry);
   ASSERT_TRUE(call.WaitForClaim());
   Process(call, kEntry).Freeze();
+  EXPECT_EQ(call.Runs(), 0);
   SetFault(call.deployment.platform.port, "outage");
   absl::SleepFor(kMaxSendWindow);
   const test_answer retried = call.Call(1);
@@ -259,10 +268,11 @@
 
 void BothKilledBeforeTheSend(posting& call) {
   ChooseKeyOfHome(call, kEntry);
-  SlowAppends(call);
+  SlowClaims(call);
   std::future<test_answer> pending = call.Begin(kEntry);
   ASSERT_TRUE(call.WaitForClaim());
   Process(call, kEntry).Kill();
+  EXPECT_EQ(call.Runs(), 0);
   EXPECT_EQ(pending.get().status, 0);
   ClearFaults(call.deployment.platform.port);
   KillWhileItRetries(call, 1);
--- a/tests/request_metrics_test.cc
+++ b/tests/request_metrics_test.cc
@@ -145,9 +145,13 @@
     return row["owner"].toString().startsWith(
         QString::fromStdString(all.daemons[1].name + ":"));
   };
+  // The result of a prefill lapses by itself, so that only a request that is
+  // being decoded is sure to become an orphan.
   ASSERT_TRUE(Eventually(kBound, [&] {
     const std::vector<QJsonObject> rows = all.HeldRequests();
-    return std::any_of(rows.begin(), rows.end(), is_of_second);
+    return std::any_of(rows.begin(), rows.end(), [&](const QJsonObject& row) {
+      return is_of_second(row) && row["phase"].toString() == "decode";
+    });
   }));
   all.daemons[1].process->Kill();
   EXPECT_TRUE(Eventually(absl::Seconds(30), [&] {
