--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -98,7 +98,9 @@
   /// Upstreams that have stated to other daemons that they are leaving. They
   /// are used only when there are no others.
   reported_departures reported_leaving;
+  /// Checks of engines that have broken off a run.
   crash_check_table crash_checks;
+  /// Prompts that crash engines.
   prompt_quarantines quarantines;
   /// When `assessed_health` must be computed again.
   absl::Time assessed_health_until = absl::InfinitePast();
@@ -142,7 +144,7 @@
   QObject* context = nullptr;
   /// Called after this daemon has changed its own load, if set.
   std::function<void()> on_ledger_change;
-  /// Called after the evidence in `quarantine` has changed, if set.
+  /// Called after the evidence in `quarantines` has changed, if set.
   std::function<void()> on_evidence_change;
   /// Called after `absences` has changed, if set.
   std::function<void()> on_absence_change;
--- a/src/quarantine/quarantine_verdict.h
+++ b/src/quarantine/quarantine_verdict.h
@@ -16,12 +16,12 @@
 /// if the part explains all recent crashes.
 inline constexpr size_t kCrashesForQuarantine = 3;
 
-/// Each recent crash that no such part explains requires one crash more, up to
-/// this number: where engines crash for other reasons too, a prompt may have
-/// been at several of them by chance.
+/// Largest number of further crashes that are required. Each recent crash that
+/// no such part explains requires one: where engines crash for other reasons
+/// too, a prompt may have been at several of them by chance.
 inline constexpr size_t kMaxFurtherCrashes = 2;
 
-/// Crashes are recent within this time before the first one on the part.
+/// Time before the first crash on a part from which on crashes are recent.
 inline constexpr absl::Duration kRecentCrashes = absl::Seconds(10);
 
 /// The crashes must not all fall within this time: engines that crash together
