--- a/src/quarantine/quarantine_verdict_test.cc
+++ b/src/quarantine/quarantine_verdict_test.cc
@@ -203,8 +203,10 @@
 TEST(quarantine_verdict_test, DaemonsTryOneAfterTheOther) {
   const auto verdicts = FindVerdicts(Crashes(3, {kDeadly}));
   ASSERT_EQ(verdicts.size(), 1u);
+  constexpr int kDaemons = 25;
   std::vector<absl::Time> turns;
-  for (int daemon = 0; daemon < 25; ++daemon) {
+  turns.reserve(kDaemons);
+  for (int daemon = 0; daemon < kDaemons; ++daemon) {
     turns.push_back(TrialTime(verdicts[0], absl::StrCat("entry-", daemon)));
   }
   std::sort(turns.begin(), turns.end());
