Keep a verdict when reports of other crashes arrive late

What callers saw: nothing yet, but crashing_prompt_test.AnOperatorLiftsTheQuarantine failed once: a request was refused for its part, and the part was not quarantined when it was lifted right after.

Cause, as suspected: the crashes that require further ones are those before the last one that counts, but their reports may arrive behind it, and then end a verdict that daemons act on.

Evidence: quarantine_verdict_test.LateReportsEndNoVerdict: a late report ends the verdict without the change.

Change: parts that a known verdict names stay blamed while three crashes count against them; a success, an operator or their age end it as before.

--- a/src/quarantine/prompt_quarantine.cc
+++ b/src/quarantine/prompt_quarantine.cc
@@ -42,7 +42,8 @@
                                absl::string_view stage,
                                evidence_change otherwise, absl::Time now) {
   const std::vector<quarantine_verdict> before =
-      std::exchange(quarantine.verdicts, FindVerdicts(quarantine.evidence));
+      std::exchange(quarantine.verdicts,
+                    FindVerdicts(quarantine.evidence, quarantine.verdicts));
   evidence_change change = otherwise;
   for (const quarantine_verdict& verdict : quarantine.verdicts) {
     if (HasVerdict(before, verdict.parts)) continue;
--- a/src/quarantine/quarantine_verdict.cc
+++ b/src/quarantine/quarantine_verdict.cc
@@ -113,6 +113,13 @@
   return verdict;
 }
 
+bool IsNamed(absl::Span<const quarantine_verdict> verdicts, prompt_part part) {
+  return std::any_of(verdicts.begin(), verdicts.end(),
+                     [part](const quarantine_verdict& verdict) {
+                       return NamesPart(verdict, part);
+                     });
+}
+
 bool IsKnown(absl::Span<const quarantine_verdict> verdicts,
              const prompt_parts& parts) {
   return std::any_of(verdicts.begin(), verdicts.end(),
@@ -123,7 +130,9 @@
 
 }  // namespace
 
-std::vector<quarantine_verdict> FindVerdicts(const crash_evidence& evidence) {
+std::vector<quarantine_verdict> FindVerdicts(
+    const crash_evidence& evidence,
+    absl::Span<const quarantine_verdict> known) {
   std::vector<quarantine_verdict> verdicts;
   if (evidence.reports.size() < kCrashesForQuarantine) return verdicts;
   crashes_by_part blamed;
@@ -136,7 +145,7 @@
   const std::vector<counted_crash> unexplained =
       UnexplainedCrashes(evidence, blamed);
   for (const auto& [part, crashes] : blamed) {
-    if (!AreConclusive(crashes, unexplained)) continue;
+    if (!IsNamed(known, part) && !AreConclusive(crashes, unexplained)) continue;
     prompt_parts parts = CommonParts(blamed, crashes);
     if (IsKnown(verdicts, parts)) continue;
     verdicts.push_back(MakeVerdict(evidence, std::move(parts), crashes));
--- a/src/quarantine/quarantine_verdict.h
+++ b/src/quarantine/quarantine_verdict.h
@@ -59,7 +59,11 @@
 };
 
 /// Returns the verdicts that follow from `evidence`.
-std::vector<quarantine_verdict> FindVerdicts(const crash_evidence& evidence);
+/// @param known verdicts that were found before. Reports that arrive late, of
+///     crashes on other prompts, don't end them.
+std::vector<quarantine_verdict> FindVerdicts(
+    const crash_evidence& evidence,
+    absl::Span<const quarantine_verdict> known = {});
 
 /// Returns from when on the daemon named `daemon` may send a trial of
 /// `verdict`. The daemons' turns differ, so that most hear of a trial before
--- a/src/quarantine/quarantine_verdict_test.cc
+++ b/src/quarantine/quarantine_verdict_test.cc
@@ -163,6 +163,20 @@
   EXPECT_TRUE(HoldsBack(evidence, {kDeadly}));
 }
 
+// Guards against a verdict that lapses when reports of crashes on other prompts
+// arrive late.
+TEST(quarantine_verdict_test, LateReportsEndNoVerdict) {
+  crash_evidence evidence = Crashes(3, {kDeadly});
+  const auto known = FindVerdicts(evidence);
+  ASSERT_EQ(known.size(), 1u);
+  Crash(evidence, 100, absl::Milliseconds(18500), {50});
+  EXPECT_TRUE(FindVerdicts(evidence).empty());
+  EXPECT_EQ(FindVerdicts(evidence, known).size(), 1u);
+  // A success ends it.
+  RecordPartSuccess(evidence, kDeadly, kNow);
+  EXPECT_TRUE(FindVerdicts(evidence, known).empty());
+}
+
 // Two parts that crash engines at the same time explain the crashes together.
 TEST(quarantine_verdict_test, EachOfTwoPartsIsBlamed) {
   crash_evidence evidence = Crashes(3, {kDeadly});
