Let three daemons of a cell read the store and report to the others

Cause: each daemon kept two long reads of 2 s of its own and read each change itself.

Change: the first three daemons of a cell, by an order that all derive from the names, read; they send what a read brought, compressed within one packet, and where they stand every 300 ms. The others apply it, and read by themselves where records are missing, when no usable report came for 1 s, or when they hear nobody. An outage that only readers noticed is known before its records are applied.

--- a/src/fleet/topic_follower.cc
+++ b/src/fleet/topic_follower.cc
@@ -2,8 +2,10 @@
 
 #include <QObject>
 #include <algorithm>
+#include <optional>
 #include <utility>
 
+#include "absl/types/span.h"
 #include "base/clock.h"
 #include "base/event_loop.h"
 
@@ -16,29 +18,80 @@
   // Offset of the next read; unset if the topic must be listed first.
   std::optional<int64_t> next_offset;
   absl::Duration retry_delay = kInitialRetryDelay;
+  bool is_reader = true;
+  // Whether this daemon's last call failed.
+  bool call_failed = false;
+  // Whether neither calls nor reports show that the store answers.
   bool store_lost = false;
+  // Last reply to a call of this daemon, and when its calls succeeded again
+  // after an outage.
   absl::Time last_reply = absl::InfinitePast();
+  absl::Time call_recovered = absl::InfinitePast();
+  // Latest time at which this daemon had all records.
+  absl::Time complete_at = absl::InfinitePast();
+  // When the last usable report arrived.
+  absl::Time last_report = absl::InfinitePast();
+  // Highest offset before which a reader has all records.
+  int64_t reported_next = -1;
+  // When the last read began, and at which offset.
   absl::Time read_started = absl::InfinitePast();
+  int64_t read_from = 0;
   absl::Time call_started = absl::InfinitePast();
+  // Whether a call is in progress or scheduled, and whether the end of a rest
+  // is.
+  bool calling = false;
+  bool rest_end_scheduled = false;
+
+  bool HearsReader(absl::Time now) const {
+    return now - last_report < kMaxReportSilence;
+  }
+
+  // Returns whether the reports make calls of this daemon needless.
+  bool MayRest(absl::Time now) const {
+    return !is_reader && next_offset && reported_next <= *next_offset &&
+           HearsReader(now);
+  }
+
+  void CallAfter(absl::Duration delay) {
+    calling = true;
+    RunAfter(&context, delay, [this] { StartNextCall(); });
+  }
+
+  // Starts the next call unless one is in progress.
+  void WakeUp() {
+    if (!calling) StartNextCall();
+  }
+
+  // Waits for the next report instead of calling the store.
+  void Rest(absl::Time now) {
+    calling = false;
+    // What the last call showed is outdated when the next one begins.
+    call_failed = false;
+    if (std::exchange(rest_end_scheduled, true)) return;
+    RunAfter(&context, last_report + kMaxReportSilence - now, [this] {
+      rest_end_scheduled = false;
+      WakeUp();
+    });
+  }
 
   // Lists the topic or reads its next records. Delays a read that would follow
   // the previous one within `kMinReadInterval`.
   void StartNextCall() {
     const std::weak_ptr<impl> weak = weak_from_this();
-    call_started = MonotonicNow();
+    const absl::Time now = MonotonicNow();
+    if (MayRest(now)) return Rest(now);
+    calling = true;
+    call_started = now;
     if (!next_offset) {
       calls.list([weak](const absl::StatusOr<record_listing>& listing) {
         if (const auto self = weak.lock()) self->HandleListing(listing);
       });
       return;
     }
-    const absl::Duration delay =
-        read_started + kMinReadInterval - MonotonicNow();
-    if (delay > absl::ZeroDuration()) {
-      RunAfter(&context, delay, [this] { StartNextCall(); });
-      return;
-    }
-    read_started = MonotonicNow();
+    const absl::Duration delay = read_started + kMinReadInterval - now;
+    if (delay > absl::ZeroDuration()) return CallAfter(delay);
+    read_started = now;
+    read_from = *next_offset;
     calls.read(*next_offset, [weak](const absl::StatusOr<record_batch>& batch) {
       if (const auto self = weak.lock()) self->HandleBatch(batch);
     });
@@ -49,6 +102,7 @@
     HandleSuccess();
     next_offset = listing->next;
     events.on_listing(*listing);
+    events.on_news(Report());
     StartNextCall();
   }
 
@@ -59,27 +113,99 @@
     }
     if (!batch.ok()) return HandleFailure(batch.status());
     HandleSuccess();
-    next_offset = batch->next;
-    if (!batch->records.empty()) events.on_batch(*batch);
+    if (batch->next > *next_offset) {
+      AddRecords(batch->records, batch->next);
+      topic_report report = Report();
+      report.from = read_from;
+      report.records = batch->records;
+      events.on_news(report);
+    }
     StartNextCall();
   }
 
+  // Applies the records before `next` that weren't applied before. Reports may
+  // have brought some of a read's records while it was in progress.
+  void AddRecords(absl::Span<const keyed_record> records, int64_t next) {
+    record_batch fresh;
+    for (const keyed_record& record : records) {
+      if (record.offset >= *next_offset) fresh.records.push_back(record);
+    }
+    fresh.next = std::max(next, *next_offset);
+    next_offset = fresh.next;
+    if (!fresh.records.empty()) events.on_batch(fresh);
+  }
+
   void HandleSuccess() {
-    last_reply = MonotonicNow();
+    const absl::Time now = MonotonicNow();
+    last_reply = now;
+    complete_at = now;
     retry_delay = kInitialRetryDelay;
-    if (!std::exchange(store_lost, false)) return;
-    events.on_store_returned();
+    if (std::exchange(call_failed, false)) call_recovered = now;
+    if (std::exchange(store_lost, false)) events.on_store_returned();
   }
 
   void HandleFailure(const absl::Status& error) {
-    if (!std::exchange(store_lost, true)) events.on_store_lost(error);
+    const absl::Time now = MonotonicNow();
+    call_failed = true;
+    // While a reader reaches the store, only the way from here is cut.
+    if (!HearsReader(now) && !std::exchange(store_lost, true)) {
+      events.on_store_lost(error);
+    }
     // The time that the failed call took counts towards the delay: after a call
     // that hung, the store may already be back.
-    const absl::Duration elapsed = MonotonicNow() - call_started;
-    RunAfter(&context, std::max(absl::ZeroDuration(), retry_delay - elapsed),
-             [this] { StartNextCall(); });
+    CallAfter(
+        std::max(absl::ZeroDuration(), retry_delay - (now - call_started)));
     retry_delay = std::min(retry_delay * 2, kMaxRetryDelay);
   }
+
+  void HandleReport(const topic_report& report) {
+    const absl::Time now = MonotonicNow();
+    if (report.store_lost) return HandleReportedOutage(now);
+    if (report.next < 0 || report.reply_age > kMaxReplyAge) return;
+    last_report = now;
+    reported_next = std::max(reported_next, report.next);
+    // The grace period after an outage must begin before the records are
+    // applied that the outage may have caused.
+    if (std::exchange(store_lost, false) || EndsUnnoticedOutage(report, now)) {
+      events.on_store_returned();
+    }
+    if (!next_offset) return;
+    if (report.from <= *next_offset && !report.records.empty()) {
+      AddRecords(report.records, report.next);
+    }
+    if (reported_next > *next_offset) return WakeUp();
+    complete_at = std::max(complete_at, now - report.reply_age);
+  }
+
+  // Notes that a reader has lost the store. If others reach it, that concerns
+  // only the reader.
+  void HandleReportedOutage(absl::Time now) {
+    if (is_reader || HearsReader(now) || std::exchange(store_lost, true)) {
+      return;
+    }
+    events.on_store_lost(absl::UnavailableError("reported by a reader"));
+  }
+
+  // Returns whether `report` tells of an outage that has just ended and that
+  // this daemon hasn't noticed, because it made no calls. The store answers
+  // each reader more often than every `kMaxReplyAge`, so it has answered
+  // meanwhile if the outage concerned only the sender.
+  bool EndsUnnoticedOutage(const topic_report& report, absl::Time now) const {
+    return report.outage_age < kMaxReplyAge &&
+           now - report.outage_age - complete_at > kMaxReplyAge;
+  }
+
+  topic_report Report() const {
+    topic_report report;
+    if (!next_offset || last_reply == absl::InfinitePast()) return report;
+    const absl::Time now = MonotonicNow();
+    report.next = *next_offset;
+    report.from = *next_offset;
+    report.reply_age = now - last_reply;
+    report.store_lost = call_failed;
+    report.outage_age = now - call_recovered;
+    return report;
+  }
 };
 
 topic_follower::topic_follower(topic_calls calls, topic_events events)
@@ -92,6 +218,18 @@
 
 void topic_follower::Start() { impl_->StartNextCall(); }
 
-absl::Time topic_follower::LastReplyTime() const { return impl_->last_reply; }
+void topic_follower::SetReader(bool is_reader) {
+  impl_->is_reader = is_reader;
+  // Before `Start`, only the flag is kept.
+  if (is_reader && impl_->next_offset) impl_->WakeUp();
+}
+
+void topic_follower::HandleReport(const topic_report& report) {
+  impl_->HandleReport(report);
+}
+
+absl::Time topic_follower::CompleteAt() const { return impl_->complete_at; }
+
+topic_report topic_follower::Report() const { return impl_->Report(); }
 
 }  // namespace anvilridge
--- a/src/fleet/topic_follower.h
+++ b/src/fleet/topic_follower.h
@@ -4,23 +4,14 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <optional>
-#include <string>
 #include <vector>
 
 #include "absl/status/statusor.h"
 #include "absl/time/time.h"
+#include "fleet/topic_report.h"
 
 namespace anvilridge {
 
-/// Record of a topic that keeps only the newest record of each key.
-struct keyed_record {
-  std::string key;
-  /// Nullopt if the record removes the key.
-  std::optional<std::string> value;
-  int64_t offset = 0;
-};
-
 /// Records from a requested offset on.
 struct record_batch {
   std::vector<keyed_record> records;
@@ -55,14 +46,22 @@
   std::function<void(const record_batch&)> on_batch;
   /// Called with the error of the first failed call of an outage.
   std::function<void(const absl::Status&)> on_store_lost;
-  /// Called when a call succeeds again after `on_store_lost`.
+  /// Called when a call succeeds again after `on_store_lost`, and when another
+  /// daemon reports the end of an outage.
   std::function<void()> on_store_returned;
+  /// Receives a report for the other daemons after each reply of the store that
+  /// brought something new.
+  std::function<void(const topic_report&)> on_news = [](const topic_report&) {};
 };
 
 /// Follows one topic: lists it, then reads the records after the listing. Lists
 /// it again when the next records are no longer kept, because of a gap or
-/// because the topic was truncated. Must be used on one thread with a Qt event
-/// loop.
+/// because the topic was truncated.
+///
+/// A daemon that isn't a reader makes no calls while reports of readers arrive
+/// that show that it misses nothing. It takes new records from the reports, and
+/// reads them itself where a report doesn't contain them, or when the reports
+/// stop. Must be used on one thread with a Qt event loop.
 class topic_follower {
  public:
   /// Delay before the retry of a failed call. It doubles with each failure, up
@@ -76,15 +75,35 @@
   /// force.
   static constexpr absl::Duration kMinReadInterval = absl::Milliseconds(300);
 
+  /// Time without a usable report after which a daemon reads by itself. Readers
+  /// send three reports in it, and it is well below the seconds within which a
+  /// change must be in force.
+  static constexpr absl::Duration kMaxReportSilence = absl::Seconds(1);
+
+  /// Age of a reader's last reply from which on its reports are not usable. The
+  /// store answers each read within 2.8 s, or the reader counts it as failed.
+  static constexpr absl::Duration kMaxReplyAge = absl::Milliseconds(3200);
+
   topic_follower(topic_calls calls, topic_events events);
   ~topic_follower();
 
   /// Starts with a listing of the topic.
   void Start();
 
-  /// Returns the time of the last successful reply of the store, by the
-  /// monotonic clock; the infinite past before the first.
-  absl::Time LastReplyTime() const;
+  /// Sets whether this daemon is one of those that read the topic for all. At
+  /// the start it is.
+  void SetReader(bool is_reader);
+
+  /// Applies a report of a reader.
+  void HandleReport(const topic_report& report);
+
+  /// Returns the latest time, by the monotonic clock, at which this daemon had
+  /// all records of the topic, by a reply or a report; the infinite past before
+  /// the first.
+  absl::Time CompleteAt() const;
+
+  /// Returns what this daemon has read from the store, without records.
+  topic_report Report() const;
 
  private:
   struct impl;
--- a/src/fleet/topic_follower_test.cc
+++ b/src/fleet/topic_follower_test.cc
@@ -2,6 +2,7 @@
 
 #include <deque>
 
+#include "base/clock.h"
 #include "base/testing/run_loop.h"
 #include "gtest/gtest.h"
 
@@ -37,17 +38,47 @@
       for (const keyed_record& record : batch.records) {
         received_offsets_.push_back(record.offset);
       }
+      returned_events_at_batch_ = returned_events_;
     };
     events.on_store_lost = [this](const absl::Status&) { ++lost_events_; };
     events.on_store_returned = [this] { ++returned_events_; };
+    events.on_news = [this](const topic_report& report) {
+      news_.push_back(report);
+    };
     follower_ = std::make_unique<topic_follower>(calls, events);
   }
 
+  // Returns the report of a reader that has all records before `next`.
+  static topic_report ReportUpTo(int64_t next) {
+    topic_report report;
+    report.next = next;
+    report.from = next;
+    report.reply_age = absl::Milliseconds(100);
+    return report;
+  }
+
+  // Returns the report of a reader that has just read `records`.
+  static topic_report NewsOf(std::vector<keyed_record> records) {
+    topic_report report = ReportUpTo(records.back().offset + 1);
+    report.from = records.front().offset;
+    report.records = std::move(records);
+    return report;
+  }
+
+  // Starts as a daemon that isn't a reader and hears one that misses nothing.
+  void StartBesideReader() {
+    follower_->SetReader(false);
+    follower_->HandleReport(ReportUpTo(5));
+    follower_->Start();
+  }
+
   int list_calls_ = 0;
   int failing_list_calls_ = 0;
   int listings_ = 0;
   int lost_events_ = 0;
   int returned_events_ = 0;
+  int returned_events_at_batch_ = 0;
+  std::vector<topic_report> news_;
   std::vector<int64_t> read_offsets_;
   std::vector<int64_t> received_offsets_;
   std::deque<absl::StatusOr<record_batch>> read_replies_;
@@ -120,5 +151,157 @@
   EXPECT_TRUE(received_offsets_.empty());
 }
 
+TEST_F(topic_follower_test, AReaderReportsWhatItHasRead) {
+  read_replies_ = {record_batch{{{"a", "2", 5}, {"b", "1", 6}}, 7}};
+  follower_->Start();
+  ASSERT_EQ(news_.size(), 2u);
+  EXPECT_EQ(news_[0].next, 5);
+  EXPECT_TRUE(news_[0].records.empty());
+  EXPECT_EQ(news_[1].from, 5);
+  EXPECT_EQ(news_[1].next, 7);
+  EXPECT_EQ(news_[1].records.size(), 2u);
+  EXPECT_EQ(follower_->Report().next, 7);
+  EXPECT_TRUE(follower_->Report().records.empty());
+}
+
+TEST_F(topic_follower_test, ADaemonBesideReadersMakesNoReads) {
+  StartBesideReader();
+  for (int i = 0; i < 5; ++i) {
+    RunUntil([] { return false; }, topic_follower::kMaxReportSilence / 3);
+    follower_->HandleReport(ReportUpTo(5));
+  }
+  EXPECT_TRUE(read_offsets_.empty());
+  EXPECT_EQ(list_calls_, 1);
+  EXPECT_GT(follower_->CompleteAt(),
+            MonotonicNow() - topic_follower::kMaxReportSilence);
+}
+
+TEST_F(topic_follower_test, WhenTheReportsStopADaemonReads) {
+  StartBesideReader();
+  EXPECT_TRUE(
+      RunUntil([&] { return !read_offsets_.empty(); },
+               topic_follower::kMaxReportSilence + absl::Milliseconds(200)));
+}
+
+TEST_F(topic_follower_test, NewRecordsAreTakenFromReportsOnce) {
+  StartBesideReader();
+  follower_->HandleReport(NewsOf({{"a", "2", 5}, {"b", "1", 6}}));
+  follower_->HandleReport(NewsOf({{"b", "1", 6}, {"c", "1", 7}}));
+  follower_->HandleReport(NewsOf({{"a", "2", 5}, {"b", "1", 6}}));
+  EXPECT_EQ(received_offsets_, (std::vector<int64_t>{5, 6, 7}));
+  EXPECT_TRUE(read_offsets_.empty());
+}
+
+// The datagram with the records was lost, or they were too many for it.
+TEST_F(topic_follower_test, RecordsThatAReportLeavesOutAreRead) {
+  read_replies_ = {record_batch{{{"a", "2", 5}, {"b", "1", 6}}, 7}};
+  StartBesideReader();
+  follower_->HandleReport(ReportUpTo(7));
+  EXPECT_EQ(received_offsets_, (std::vector<int64_t>{5, 6}));
+  follower_->HandleReport(NewsOf({{"d", "1", 8}, {"e", "1", 9}}));
+  ASSERT_TRUE(RunUntil([&] { return read_offsets_.size() == 2; }));
+  EXPECT_EQ(read_offsets_, (std::vector<int64_t>{5, 7}));
+}
+
+// A record that a report brings while a read is in progress is also in the
+// reply to the read.
+TEST_F(topic_follower_test, AReadInProgressRepeatsNoRecord) {
+  follower_->Start();
+  ASSERT_EQ(read_offsets_.size(), 1u);
+  follower_->HandleReport(NewsOf({{"a", "2", 5}, {"b", "1", 6}}));
+  unanswered_read_(record_batch{{{"a", "2", 5}}, 6});
+  EXPECT_EQ(received_offsets_, (std::vector<int64_t>{5, 6}));
+  ASSERT_TRUE(RunUntil([&] { return read_offsets_.size() == 2; }));
+  EXPECT_EQ(read_offsets_.back(), 7);
+}
+
+TEST_F(topic_follower_test, ReportsOfReadersWithoutTheStoreDoNotCount) {
+  topic_report lost = ReportUpTo(5);
+  lost.store_lost = true;
+  topic_report old = ReportUpTo(5);
+  old.reply_age = topic_follower::kMaxReplyAge + absl::Milliseconds(1);
+  follower_->SetReader(false);
+  follower_->HandleReport(lost);
+  follower_->HandleReport(old);
+  follower_->HandleReport(topic_report());
+  follower_->Start();
+  EXPECT_EQ(read_offsets_.size(), 1u);
+}
+
+// Records that an outage has caused must not be applied before its end is
+// known.
+TEST_F(topic_follower_test, TheEndOfAnOutageIsKnownBeforeItsRecords) {
+  StartBesideReader();
+  RunUntil([] { return false; },
+           topic_follower::kMaxReplyAge + absl::Milliseconds(200));
+  topic_report news = NewsOf({{"a", std::nullopt, 5}});
+  news.reply_age = absl::ZeroDuration();
+  news.outage_age = absl::Milliseconds(20);
+  follower_->HandleReport(news);
+  EXPECT_EQ(received_offsets_.size(), 1u);
+  EXPECT_EQ(returned_events_, 1);
+  EXPECT_EQ(returned_events_at_batch_, 1);
+  // The other readers report the same outage.
+  news.outage_age = absl::Milliseconds(320);
+  follower_->HandleReport(news);
+  EXPECT_EQ(returned_events_, 1);
+}
+
+// Otherwise removals would take effect late wherever one reader was cut off.
+TEST_F(topic_follower_test, AnOutageOfOneReaderIsNoOutageOfTheStore) {
+  StartBesideReader();
+  topic_report lost = ReportUpTo(5);
+  lost.store_lost = true;
+  follower_->HandleReport(lost);
+  topic_report back = ReportUpTo(5);
+  back.outage_age = absl::Milliseconds(20);
+  follower_->HandleReport(back);
+  EXPECT_EQ(lost_events_, 0);
+  EXPECT_EQ(returned_events_, 0);
+}
+
+// A daemon that makes no calls must know of an outage before its own call
+// brings the records that the outage has caused.
+TEST_F(topic_follower_test, AnOutageOfAllReadersIsAnOutageOfTheStore) {
+  StartBesideReader();
+  topic_report lost = ReportUpTo(5);
+  lost.store_lost = true;
+  RunUntil([] { return false; },
+           topic_follower::kMaxReportSilence + absl::Milliseconds(100));
+  follower_->HandleReport(lost);
+  follower_->HandleReport(lost);
+  EXPECT_EQ(lost_events_, 1);
+  ASSERT_EQ(read_offsets_.size(), 1u);
+  unanswered_read_(record_batch{{{"a", std::nullopt, 5}}, 6});
+  EXPECT_EQ(returned_events_at_batch_, 1);
+}
+
+TEST_F(topic_follower_test, AnOutageOfLongAgoIsNotReported) {
+  StartBesideReader();
+  topic_report report = ReportUpTo(5);
+  report.outage_age = absl::Minutes(10);
+  follower_->HandleReport(report);
+  EXPECT_EQ(returned_events_, 0);
+}
+
+// A daemon that is cut off from the store alone still learns what is new, and
+// doesn't take the store for lost.
+TEST_F(topic_follower_test, ADaemonCutFromTheStoreFollowsTheReaders) {
+  follower_->Start();
+  follower_->HandleReport(ReportUpTo(5));
+  unanswered_read_(absl::UnavailableError("no progress in time"));
+  EXPECT_EQ(lost_events_, 0);
+  EXPECT_TRUE(follower_->Report().store_lost);
+  follower_->HandleReport(NewsOf({{"a", "2", 5}}));
+  EXPECT_EQ(received_offsets_, (std::vector<int64_t>{5}));
+}
+
+TEST_F(topic_follower_test, ADaemonThatBecomesAReaderReadsAtOnce) {
+  StartBesideReader();
+  EXPECT_TRUE(read_offsets_.empty());
+  follower_->SetReader(true);
+  EXPECT_EQ(read_offsets_.size(), 1u);
+}
+
 }  // namespace
 }  // namespace anvilridge
--- a/src/fleet_daemon/fleet_control.cc
+++ b/src/fleet_daemon/fleet_control.cc
@@ -19,12 +19,18 @@
 
 // Time between two checks for removed entries whose grace period has expired.
 constexpr absl::Duration kExpiryInterval = absl::Milliseconds(100);
+// Interval at which a reader reports without news. Three reports fall within
+// `topic_follower::kMaxReportSilence`.
+constexpr absl::Duration kReportInterval = absl::Milliseconds(300);
 
 }  // namespace
 
 struct fleet_control::impl {
   fleet_sources sources;
   view_callback on_view;
+  report_callback on_report;
+  // Not null while this daemon is a reader.
+  std::unique_ptr<QTimer> report_timer;
   std::unique_ptr<topic_follower> config_follower;
   std::unique_ptr<topic_follower> upstream_follower;
   std::shared_ptr<const fleet_config> config;
@@ -46,6 +52,8 @@
   std::vector<upstream_change> ParseChanges(
       const std::vector<keyed_record>& records) const;
   void PublishView();
+  // Reports both topics, without records.
+  void ReportTopics();
 };
 
 topic_events fleet_control::impl::MakeOutageHandlers(const char* topic) {
@@ -149,10 +157,16 @@
   on_view(view);
 }
 
-fleet_control::fleet_control(fleet_sources sources, view_callback on_view)
+void fleet_control::impl::ReportTopics() {
+  on_report({config_follower->Report(), upstream_follower->Report()});
+}
+
+fleet_control::fleet_control(fleet_sources sources, view_callback on_view,
+                             report_callback on_report)
     : impl_(std::make_unique<impl>()) {
   impl_->sources = std::move(sources);
   impl_->on_view = std::move(on_view);
+  impl_->on_report = std::move(on_report);
 }
 
 fleet_control::~fleet_control() = default;
@@ -166,6 +180,10 @@
   config_events.on_batch = [self](const record_batch& batch) {
     self->ApplyConfig(batch.records);
   };
+  config_events.on_news = [self](const topic_report& report) {
+    if (!self->report_timer) return;
+    self->on_report({report, self->upstream_follower->Report()});
+  };
   topic_events upstream_events = self->MakeOutageHandlers("upstreams");
   upstream_events.on_listing = [self](const record_listing& listing) {
     ApplyListing(self->registry, self->ParseChanges(listing.records),
@@ -177,6 +195,10 @@
                  MonotonicNow());
     self->PublishView();
   };
+  upstream_events.on_news = [self](const topic_report& report) {
+    if (!self->report_timer) return;
+    self->on_report({self->config_follower->Report(), report});
+  };
   self->config_follower = std::make_unique<topic_follower>(
       self->sources.config_topic, std::move(config_events));
   self->upstream_follower = std::make_unique<topic_follower>(
@@ -193,6 +215,31 @@
   });
 }
 
+void fleet_control::SetReader(bool is_reader) {
+  impl* self = impl_.get();
+  if (is_reader == (self->report_timer != nullptr)) return;
+  LogEvent(log_level::info, is_reader ? "store_reading" : "store_followed");
+  self->report_timer.reset();
+  if (is_reader) {
+    self->report_timer =
+        RunEvery(kReportInterval, [self] { self->ReportTopics(); });
+  }
+  self->config_follower->SetReader(is_reader);
+  self->upstream_follower->SetReader(is_reader);
+}
+
+void fleet_control::HandleReport(const store_report& report) {
+  impl_->config_follower->HandleReport(report.config);
+  impl_->upstream_follower->HandleReport(report.upstreams);
+}
+
+bool fleet_control::IsReader() const { return impl_->report_timer != nullptr; }
+
+absl::Time fleet_control::CompleteAt() const {
+  return std::min(impl_->config_follower->CompleteAt(),
+                  impl_->upstream_follower->CompleteAt());
+}
+
 std::shared_ptr<const fleet_view> fleet_control::View() const {
   return impl_->view;
 }
--- a/src/fleet_daemon/fleet_control.h
+++ b/src/fleet_daemon/fleet_control.h
@@ -33,18 +33,37 @@
 };
 
 /// Follows the configuration and the upstreams in the store, and publishes both
-/// together as one immutable view. Used only on the control thread.
+/// together as one immutable view. Some daemons read the store for all; the
+/// others take what is new from their reports. Used only on the control thread.
 class fleet_control {
  public:
   using view_callback = std::function<void(std::shared_ptr<const fleet_view>)>;
+  using report_callback = std::function<void(const store_report&)>;
 
   /// @param on_view called on the control thread with each new view.
-  fleet_control(fleet_sources sources, view_callback on_view);
+  /// @param on_report called on the control thread with each report for the
+  ///     other daemons, while this daemon is a reader.
+  fleet_control(
+      fleet_sources sources, view_callback on_view,
+      report_callback on_report = [](const store_report&) {});
   ~fleet_control();
 
   /// Starts to follow both topics.
   void Start();
 
+  /// Sets whether this daemon reads the store for others.
+  void SetReader(bool is_reader);
+
+  /// Applies the report of a reader.
+  void HandleReport(const store_report& report);
+
+  /// Returns whether this daemon reads the store for others.
+  bool IsReader() const;
+
+  /// Returns the latest time, by the monotonic clock, at which this daemon had
+  /// all records of both topics; the infinite past before the first.
+  absl::Time CompleteAt() const;
+
   /// Returns the latest view; null before the first one is published.
   std::shared_ptr<const fleet_view> View() const;
 
--- a/src/fleet_daemon/fleet_daemon.cc
+++ b/src/fleet_daemon/fleet_daemon.cc
@@ -52,6 +52,13 @@
 // stop are sent, before the remaining ones are cut off.
 constexpr absl::Duration kClosingTime = absl::Milliseconds(200);
 
+constexpr metric_name kStoreReader{
+    "anvil_fleet_store_reader",
+    "Whether this daemon reads the store for the daemons of its cell"};
+constexpr metric_name kViewAge{
+    "anvil_fleet_view_age_seconds",
+    "Time since configuration and upstreams were known to be complete"};
+
 // The daemon between its start and its exit. Used on the control thread; the
 // dispatcher and the load exchange run on the traffic thread.
 class running_fleet_daemon {
@@ -61,10 +68,16 @@
       : settings_(settings),
         request_metrics_(metrics_),
         sources_(platform.open_sources(settings)),
-        control_(sources_,
-                 [this](std::shared_ptr<const fleet_view> view) {
-                   PublishView(std::move(view));
-                 }),
+        control_(
+            sources_,
+            [this](std::shared_ptr<const fleet_view> view) {
+              PublishView(std::move(view));
+            },
+            [this](const store_report& report) {
+              PostTo(traffic_.Context(), [this, report] {
+                if (load_exchange_) load_exchange_->SendStoreReport(report);
+              });
+            }),
         group_member_(EndpointText(settings.sharing.listen),
                       settings.order_lease, sources_.group,
                       [this](const std::vector<std::string>& members) {
@@ -122,6 +135,7 @@
     group_member_.Start();
     steering_.Start();
     workload_timer_ = RunEvery(kWorkloadInterval, [this] {
+      UpdateStoreMetrics();
       PostTo(traffic_.Context(), [this] {
         if (!dispatcher_) return;
         workload_.Set(
@@ -244,6 +258,14 @@
     handler.on_evidence = [this](const staged_evidence& evidence) {
       dispatcher_->AddEvidence(evidence);
     };
+    handler.on_store_reader = [this](bool is_reader) {
+      PostTo(&context_, [this, is_reader] { control_.SetReader(is_reader); });
+    };
+    handler.on_store_report = [this](store_report report) {
+      PostTo(&context_, [this, report = std::move(report)] {
+        control_.HandleReport(report);
+      });
+    };
     load_exchange_ = std::make_unique<load_exchange>(std::move(handler));
     dispatcher_->OnAbsenceChange([this] {
       absences_.Set(
@@ -292,6 +314,12 @@
     return control_.Ready();
   }
 
+  void UpdateStoreMetrics() {
+    metrics_.Gauge(kStoreReader).Set(control_.IsReader() ? 1 : 0);
+    const absl::Duration age = MonotonicNow() - control_.CompleteAt();
+    metrics_.Gauge(kViewAge).Set(absl::ToDoubleSeconds(age));
+  }
+
   // Applies the limits on callers of a new configuration.
   void ApplyLimits(const fleet_config& config) {
     if (config.limits == configured_limits_) return;
--- a/src/sharing/load_exchange.cc
+++ b/src/sharing/load_exchange.cc
@@ -6,6 +6,7 @@
 #include <QUdpSocket>
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -20,6 +21,8 @@
 #include "log/decision_log.h"
 #include "settings/settings_values.h"
 #include "sharing/load_message.h"
+#include "sharing/store_readers.h"
+#include "sharing/store_report_codec.h"
 
 namespace anvilridge {
 namespace {
@@ -116,8 +119,12 @@
   absl::Time sent_at = absl::InfinitePast();
   bool send_scheduled = false;
   std::unique_ptr<QTimer> refresh_timer;
+  // Last value passed to `handler`; unset before the first.
+  std::optional<bool> is_store_reader;
 
   void HandlePendingDatagrams();
+  void HandleStoreReport(absl::string_view bytes);
+  void UpdateStoreReader();
   void HandleDatagram(const QNetworkDatagram& datagram);
   void AddPeer(const daemon_address& address, absl::Time now);
   std::vector<daemon_address> NextLivePeers(int cell, absl::Time now);
@@ -138,10 +145,11 @@
   const QByteArray bytes = datagram.data();
   CountControlBytes(control_channel::membership, traffic_direction::received,
                     bytes.size());
+  const absl::string_view view(bytes.constData(),
+                               static_cast<size_t>(bytes.size()));
+  if (IsStoreReport(view)) return HandleStoreReport(view);
   const absl::Time now = MonotonicNow();
-  absl::StatusOr<load_message> message = DecodeLoadMessage(
-      absl::string_view(bytes.constData(), static_cast<size_t>(bytes.size())),
-      now);
+  absl::StatusOr<load_message> message = DecodeLoadMessage(view, now);
   if (!message.ok()) {
     LogEvent(log_level::debug, "share_unreadable",
              {{"why", QtText(message.status().message())}});
@@ -192,6 +200,31 @@
   UpdateDaemonCount();
 }
 
+void load_exchange::impl::HandleStoreReport(absl::string_view bytes) {
+  absl::StatusOr<store_report> report = DecodeStoreReport(bytes);
+  if (!report.ok()) {
+    LogEvent(log_level::debug, "store_report_unreadable",
+             {{"why", QtText(report.status().message())}});
+    return;
+  }
+  handler.on_store_report(*std::move(report));
+}
+
+// Determines whether this daemon reads the store for its cell.
+void load_exchange::impl::UpdateStoreReader() {
+  const absl::Time now = MonotonicNow();
+  std::vector<absl::string_view> heard;
+  for (const auto& [name, peer] : peers) {
+    if (IsOwnCell(name) && peer.last_seen + kLivePeerMaxAge >= now) {
+      heard.push_back(name);
+    }
+  }
+  const bool is_reader = IsStoreReader(own_address, heard);
+  if (is_store_reader == is_reader) return;
+  is_store_reader = is_reader;
+  handler.on_store_reader(is_reader);
+}
+
 // Adds a daemon whose address arrived in a message of another daemon.
 void load_exchange::impl::AddPeer(const daemon_address& address,
                                   absl::Time now) {
@@ -354,6 +387,7 @@
         now < self->evidence_new_until ? kMinHelloInterval : kHelloInterval,
         now);
     self->UpdateDaemonCount();
+    self->UpdateStoreReader();
   });
   return absl::OkStatus();
 }
@@ -392,6 +426,17 @@
   if (!impl_->receiving_evidence) ScheduleSend();
 }
 
+void load_exchange::SendStoreReport(const store_report& report) {
+  const QByteArray bytes = EncodeStoreReport(report);
+  const absl::Time now = MonotonicNow();
+  for (const auto& [name, peer] : impl_->peers) {
+    if (!impl_->IsOwnCell(name) || !ShouldSendTo(peer, now)) continue;
+    CountControlBytes(control_channel::membership, traffic_direction::sent,
+                      bytes.size());
+    impl_->socket.writeDatagram(bytes, peer.host, peer.port);
+  }
+}
+
 void load_exchange::AnnounceLeaving() {
   impl_->leaving = true;
   impl_->SendLoad();
--- a/src/sharing/load_exchange.h
+++ b/src/sharing/load_exchange.h
@@ -9,6 +9,7 @@
 #include "absl/status/status.h"
 #include "absl/strings/string_view.h"
 #include "dispatch/engine_ledger.h"
+#include "fleet/topic_report.h"
 #include "quarantine/crash_evidence.h"
 #include "settings/daemon_settings.h"
 
@@ -31,6 +32,12 @@
   /// store has listed the daemons or another one was heard, and while most of
   /// the listed ones are silent.
   std::function<void(int daemons)> on_daemon_count;
+  /// Called when this daemon begins or ceases to be one of those that read the
+  /// store for the daemons of its cell.
+  std::function<void(bool is_reader)> on_store_reader = [](bool) {};
+  /// Receives what a reader reports of the store.
+  std::function<void(store_report)> on_store_report = [](const store_report&) {
+  };
 };
 
 /// Exchanges load with the other daemons over UDP: sends what this daemon has
@@ -64,6 +71,9 @@
   /// daemon's message is sent with the next message that is due.
   void ScheduleEvidence();
 
+  /// Sends `report` to the daemons of this daemon's cell.
+  void SendStoreReport(const store_report& report);
+
   /// Sends a last message, which announces that this daemon is stopping.
   void AnnounceLeaving();
 
