Bound what a daemon keeps of all responses together

Cause: single responses were bounded (16 MiB for a body, 1 MiB for an event), their sum was not. One faulty upstream that sends without end over 40 connections filled as much as it liked; the smallest machines have 110 MB. Besides, a head of 64 KiB in fields of a few bytes took 700 KB.

Change: `kept_bytes` counts what is kept of all responses in progress. A response that exceeds it fails its call as unknown and closes the connection.

--- a/src/dispatch/crash_check.cc
+++ b/src/dispatch/crash_check.cc
@@ -76,6 +76,7 @@
   http_call call = state.protocol.build_report_call(engine);
   call.connect_timeout = kUpstreamConnectTimeout;
   call.timeout = kCheckTimeout;
+  call.max_body_bytes = kMaxControlResponseBytes;
   http_handler handler;
   handler.on_done = [&state, engine, start](const http_result& result) {
     const response_info info =
--- a/src/dispatch/decode_runs.cc
+++ b/src/dispatch/decode_runs.cc
@@ -14,6 +14,7 @@
 #include "dispatch/quarantine_control.h"
 #include "dispatch/send_claim.h"
 #include "dispatch/stream_limits.h"
+#include "http1/kept_bytes.h"
 #include "log/decision_log.h"
 
 namespace anvilridge {
@@ -23,6 +24,9 @@
 // Longest time for which two engines may generate for one stream: what both
 // generate is wasted at one of them.
 constexpr absl::Duration kMaxRunOverlap = absl::Milliseconds(300);
+// Incomplete part of a response up to which it isn't counted as kept. Events
+// that arrive in two parts are far shorter.
+constexpr size_t kUncountedBytes = 16 << 10;
 
 double ToMilliseconds(absl::Duration duration) {
   return static_cast<double>(absl::ToInt64Milliseconds(duration));
@@ -40,8 +44,16 @@
   channel_client::call_id call = 0;
   fleet_upstream engine;
   absl::Time start;
+  // What is kept of the response.
+  std::unique_ptr<kept_share> kept;
 };
 
+// Counts `bytes` as kept of the response of `run`. Returns false if that many
+// may not be kept.
+bool KeepBytes(engine_run& run, size_t bytes) {
+  return run.kept->Set(bytes <= kUncountedBytes ? 0 : bytes);
+}
+
 // A run that was asked to continue the stream of a silent engine, and what has
 // arrived of it.
 struct successor_run {
@@ -150,6 +162,8 @@
   run.engine = parameters.upstream;
   run.start = MonotonicNow();
   run.number = ++last_number;
+  run.kept =
+      std::make_unique<kept_share>(state.client.Kept(), run.engine.address);
   http_call call = state.protocol.build_send_call(routed.request, parameters);
   call.connect_timeout = kUpstreamConnectTimeout;
   tried.push_back(run.engine.id);
@@ -210,12 +224,15 @@
 
 void decode_runs::impl::OnData(uint64_t number, absl::string_view bytes) {
   if (IsSuccessor(number)) return OnSuccessorData(bytes);
-  if (relay.OnData(bytes)) return;
+  const bool fits = relay.OnData(bytes);
+  // A handler of an event may have ended the stream.
+  if (cancelled) return;
+  if (fits && KeepBytes(*current, relay.KeptBytes())) return;
   state.client.Cancel(current->call);
   http_result result;
   result.status = MakeError(
       error_kind::upstream_failed,
-      absl::StrCat("the engine sent more than ", stream_relay::kMaxKeptBytes,
+      absl::StrCat("the engine sent ", relay.KeptBytes(),
                    " bytes of an event or an error response without its end"),
       run_state::unknown);
   OnDone(number, result);
@@ -224,6 +241,9 @@
 void decode_runs::impl::OnDone(uint64_t number, const http_result& result) {
   if (IsSuccessor(number)) return OnSuccessorDone(result);
   in_progress = false;
+  // An error response of up to `stream_relay::kMaxKeptBytes` stays in the
+  // relay until it is delivered.
+  current->kept->Set(0);
   const response_info info =
       state.protocol.parse_response(result.http_status, result.headers);
   send_outcome outcome = ClassifySend(result, info);
@@ -371,7 +391,8 @@
               [&has_event](absl::string_view, std::optional<int64_t>) {
                 has_event = true;
               });
-  if (has_event || successor->data.size() > stream_relay::kMaxKeptBytes) {
+  if (has_event || !KeepBytes(successor->run, successor->data.size()) ||
+      successor->data.size() > stream_relay::kMaxKeptBytes) {
     ContinueWithSuccessor("event");
   }
 }
@@ -434,6 +455,7 @@
 void decode_runs::impl::Cancel() {
   if (std::exchange(cancelled, true)) return;
   if (in_progress) state.client.Cancel(current->call);
+  if (current) current->kept->Set(0);
   in_progress = false;
   checking = false;
   if (successor) state.client.Cancel(successor->run.call);
--- a/src/dispatch/dispatch_metrics.cc
+++ b/src/dispatch/dispatch_metrics.cc
@@ -29,6 +29,9 @@
 constexpr metric_name kAbsent{
     "anvil_fleet_upstreams_absent",
     "Upstreams without new work by their own statement, by reason"};
+constexpr metric_name kKeptBytes{
+    "anvil_fleet_kept_bytes",
+    "Bytes kept of responses of upstreams that are incomplete"};
 constexpr metric_name kCrashReports{
     "anvil_fleet_crash_reports_total",
     "Prompts for which an engine crashed before it sent an event"};
@@ -98,6 +101,10 @@
   registry_.Gauge(kAbsent, {{"reason", "paused"}}).Set(paused);
 }
 
+void dispatch_metrics::SetKeptBytes(size_t bytes) {
+  registry_.Gauge(kKeptBytes).Set(static_cast<double>(bytes));
+}
+
 void dispatch_metrics::CountCrashReport(absl::string_view service) {
   registry_.Counter(kCrashReports, {{"service", std::string(service)}})
       .Increment();
--- a/src/dispatch/dispatch_metrics.h
+++ b/src/dispatch/dispatch_metrics.h
@@ -1,6 +1,8 @@
 #ifndef ANVILRIDGE_DISPATCH_DISPATCH_METRICS_H_
 #define ANVILRIDGE_DISPATCH_DISPATCH_METRICS_H_
 
+#include <cstddef>
+
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "metrics/metrics.h"
@@ -35,6 +37,8 @@
                        bool call_in_progress);
   /// Sets how many registered upstreams get no work by their own statement.
   void SetAbsentUpstreams(int leaving, int paused);
+  /// Sets the number of bytes kept of responses that are incomplete.
+  void SetKeptBytes(size_t bytes);
   /// Counts a crash of an engine of `service` on a prompt.
   void CountCrashReport(absl::string_view service);
   /// Sets the number of verdicts on prompts that crash engines of `stage`.
--- a/src/dispatch/dispatch_settings.h
+++ b/src/dispatch/dispatch_settings.h
@@ -1,6 +1,7 @@
 #ifndef ANVILRIDGE_DISPATCH_DISPATCH_SETTINGS_H_
 #define ANVILRIDGE_DISPATCH_DISPATCH_SETTINGS_H_
 
+#include <cstddef>
 #include <string>
 
 #include "absl/time/time.h"
@@ -16,6 +17,8 @@
   std::string failure_domain;
   send_budget_limits budget;
   health_settings health;
+  /// Memory of the machine in bytes; bounds what is kept of responses.
+  size_t memory = size_t{512} << 20;
 };
 
 }  // namespace anvilridge
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -207,6 +207,9 @@
 void ReportStall(dispatch_state& state, absl::string_view service,
                  absl::string_view id);
 
+/// Longest body of a response to a prefill, a report, an order or a release.
+inline constexpr size_t kMaxControlResponseBytes = 64 << 10;
+
 /// Timeout for connecting to an upstream. Connecting takes one round trip, and
 /// a lost opening packet is sent again only after a second, so that a new
 /// connection is faster.
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -15,6 +15,7 @@
 #include "dispatch/quarantine_control.h"
 #include "dispatch/stop_admission.h"
 #include "dispatch/stream_flow.h"
+#include "http1/kept_bytes.h"
 #include "log/decision_log.h"
 
 namespace anvilridge {
@@ -32,10 +33,10 @@
 // Interval at which old evidence of crashes is removed.
 constexpr absl::Duration kEvidenceExpiryInterval = absl::Seconds(5);
 
-// Interval at which the number of absent upstreams is updated.
-constexpr absl::Duration kAbsenceMetricsInterval = absl::Milliseconds(500);
+// Interval at which gauges are updated.
+constexpr absl::Duration kGaugeInterval = absl::Milliseconds(500);
 
-void UpdateAbsenceMetrics(const dispatch_state& state) {
+void UpdateGauges(const dispatch_state& state) {
   if (!state.view) return;
   const absl::Time now = MonotonicNow();
   int leaving = 0;
@@ -48,6 +49,7 @@
     }
   }
   state.metrics->SetAbsentUpstreams(leaving, paused);
+  state.metrics->SetKeptBytes(state.client.Kept()->total);
 }
 
 }  // namespace
@@ -55,7 +57,7 @@
 struct dispatcher::impl {
   dispatch_state state;
   std::unique_ptr<QTimer> admit_timer;
-  std::unique_ptr<QTimer> absence_metrics_timer;
+  std::unique_ptr<QTimer> gauge_timer;
   std::unique_ptr<QTimer> evidence_timer;
   // For each engine that this daemon ordered to change its stage, the time
   // until which it may remain registered with the old one; by `EngineKey`.
@@ -66,6 +68,7 @@
                        dispatch_metrics& metrics, QObject* context)
     : impl_(std::make_unique<impl>()) {
   impl_->state.name = settings.daemon;
+  impl_->state.client.Kept()->limits = KeptBytesLimitsFor(settings.memory);
   impl_->state.settings = std::move(settings);
   impl_->state.protocol = std::move(protocol);
   impl_->state.metrics = &metrics;
@@ -77,8 +80,8 @@
     }
     AdmitWaiting(impl_->state, MonotonicNow());
   });
-  impl_->absence_metrics_timer = RunEvery(
-      kAbsenceMetricsInterval, [this] { UpdateAbsenceMetrics(impl_->state); });
+  impl_->gauge_timer =
+      RunEvery(kGaugeInterval, [this] { UpdateGauges(impl_->state); });
   impl_->evidence_timer = RunEvery(kEvidenceExpiryInterval,
                                    [this] { ExpireEvidence(impl_->state); });
 }
--- a/src/dispatch/kv_lease.cc
+++ b/src/dispatch/kv_lease.cc
@@ -38,6 +38,7 @@
   lease.handle.clear();
   call.connect_timeout = kUpstreamConnectTimeout;
   call.timeout = kReleaseTimeout;
+  call.max_body_bytes = kMaxControlResponseBytes;
   http_handler handler;
   handler.on_done = [id = std::string(request_id)](const http_result& result) {
     if (result.status.ok()) return;
--- a/src/dispatch/prompt_prefill.cc
+++ b/src/dispatch/prompt_prefill.cc
@@ -79,6 +79,7 @@
   parameters.resume_after = std::string(resume_after);
   http_call call = state.protocol.build_send_call(request, parameters);
   call.connect_timeout = kUpstreamConnectTimeout;
+  call.max_body_bytes = kMaxControlResponseBytes;
   const uint64_t number = ++last_number;
   prefill_in_progress prefill;
   prefill.engine = engine;
--- a/src/dispatch/stream_relay.cc
+++ b/src/dispatch/stream_relay.cc
@@ -71,6 +71,10 @@
   return splitter_.partial.size() <= kMaxKeptBytes;
 }
 
+size_t stream_relay::KeptBytes() const {
+  return authentic_stream_ ? splitter_.partial.size() : error_body_.size();
+}
+
 void stream_relay::RelayEvent(absl::string_view event,
                               std::optional<int64_t> id) {
   // The relay may be closed while it passes on events, because the caller has
--- a/src/dispatch/stream_relay.h
+++ b/src/dispatch/stream_relay.h
@@ -42,6 +42,10 @@
   ///     longer than `kMaxKeptBytes`.
   bool OnData(absl::string_view bytes);
 
+  /// Returns the bytes of an event that has not ended, or of the body of a
+  /// failure.
+  size_t KeptBytes() const;
+
   /// Returns whether the run's response is an authentic stream of events in
   /// sequence that doesn't end within an event. It must also have brought an
   /// event, since one without any may be a failure, unless the caller came back
--- a/src/fleet_daemon/fleet_daemon.cc
+++ b/src/fleet_daemon/fleet_daemon.cc
@@ -205,6 +205,7 @@
     dispatch.failure_domain = settings_.failure_domain;
     dispatch.budget = settings_.budget;
     dispatch.health = settings_.health;
+    dispatch.memory = static_cast<size_t>(settings_.memory);
     return dispatch;
   }
 
--- a/src/fleet_daemon/fleet_settings.cc
+++ b/src/fleet_daemon/fleet_settings.cc
@@ -84,6 +84,8 @@
 const std::vector<fleet_key>& Keys() {
   constexpr int64_t kMaxBytes = int64_t{1} << 30;
   constexpr int64_t kMaxConnections = 1'000'000;
+  constexpr int64_t kMinMemoryMb = 16;
+  constexpr int64_t kMaxMemoryMb = int64_t{1} << 20;
   static const auto* const kKeys = new std::vector<fleet_key>{
       {"daemon", "name", true, "any text", TextSetter(&fleet_settings::name)},
       {"daemon", "failure_domain", true, "any text",
@@ -133,6 +135,16 @@
        [](absl::string_view value, fleet_settings& settings) {
          return ParseDuration(value, settings.limits.idle_timeout);
        }},
+      {"memory", "machine_mb", false, "a whole number from 16 to 1048576",
+       [](absl::string_view value, fleet_settings& settings) {
+         int64_t megabytes = 0;
+         if (!ParseCount(value, kMaxMemoryMb, megabytes) ||
+             megabytes < kMinMemoryMb) {
+           return false;
+         }
+         settings.memory = megabytes << 20;
+         return true;
+       }},
       {"budget", "ratio", false, "a number from 0 to 1",
        [](absl::string_view value, fleet_settings& settings) {
          return ParseNumber(value, 0, 1, settings.budget.ratio);
--- a/src/fleet_daemon/fleet_settings.h
+++ b/src/fleet_daemon/fleet_settings.h
@@ -1,6 +1,7 @@
 #ifndef ANVILRIDGE_FLEET_DAEMON_FLEET_SETTINGS_H_
 #define ANVILRIDGE_FLEET_DAEMON_FLEET_SETTINGS_H_
 
+#include <cstdint>
 #include <string>
 #include <variant>
 #include <vector>
@@ -31,6 +32,8 @@
   endpoint store;
   /// `[limits]`
   limit_settings limits;
+  /// `[memory]`: memory of the machine in bytes.
+  int64_t memory = int64_t{512} << 20;
   /// `[budget]`
   send_budget_limits budget;
   /// `[health]`
--- a/src/fleet_daemon/stage_steering_service.cc
+++ b/src/fleet_daemon/stage_steering_service.cc
@@ -152,6 +152,7 @@
   http_call call = protocol.build_report_call(change.engine);
   call.connect_timeout = kUpstreamConnectTimeout;
   call.timeout = kResponseTimeout;
+  call.max_body_bytes = kMaxControlResponseBytes;
   http_handler handler;
   handler.on_headers = StatementReader(change.engine, "report");
   handler.on_done = [this, change, switch_time](const http_result& result) {
@@ -191,6 +192,7 @@
   http_call call = protocol.build_stage_order_call(change.engine, order);
   call.connect_timeout = kUpstreamConnectTimeout;
   call.timeout = kResponseTimeout;
+  call.max_body_bytes = kMaxControlResponseBytes;
   recent_orders[change.engine.id] = {change.stage,
                                      MonotonicNow() + kLostOrderLifetime};
   LogEvent(log_level::info, "stage_ordered",
--- a/src/http1/channel_client.cc
+++ b/src/http1/channel_client.cc
@@ -103,6 +103,9 @@
 }
 
 struct call_state {
+  call_state(http_call started_call, std::shared_ptr<kept_bytes> ledger)
+      : call(std::move(started_call)), kept(std::move(ledger), call.address) {}
+
   http_call call;
   http_handler handler;
   http_result result;
@@ -113,8 +116,18 @@
   bool passing_over = false;
   // Body bytes that were buffered or passed over.
   size_t body_bytes = 0;
+  // What is kept of the response.
+  kept_share kept;
+  // Whether more of it has arrived than may be kept.
+  bool exceeds_kept = false;
 };
 
+size_t SizeOf(const http_headers& headers) {
+  size_t size = 0;
+  for (const auto& [name, value] : headers) size += name.size() + value.size();
+  return size;
+}
+
 }  // namespace
 
 struct channel_client::impl {
@@ -129,6 +142,7 @@
   deadline_queue idle_deadlines{[this](uint64_t id) { Close(id); }};
   QObject context;
   channel_counts counts;
+  std::shared_ptr<kept_bytes> kept = std::make_shared<kept_bytes>();
 
   channel* Find(uint64_t id) {
     const auto found = channels.find(id);
@@ -151,6 +165,8 @@
   void TakeHead(call_id id, channel& used, int status,
                 const http_headers& head);
   void TakeBody(call_id id, absl::string_view bytes);
+  absl::Status CheckLength(const channel& used, call_state& state,
+                           size_t partial_head) const;
   void Complete(channel& used, bool reusable);
   void Fail(call_id id, const absl::Status& error);
   void Finish(call_id id, absl::Status status);
@@ -262,6 +278,8 @@
                                            " on a connection used before"),
                               run_state::unknown));
   }
+  state->exceeds_kept = !state->kept.Set(SizeOf(head));
+  if (state->exceeds_kept) return;
   state->result.http_status = status;
   state->result.headers = head;
   if (state->handler.on_headers) state->handler.on_headers(status, head);
@@ -274,7 +292,44 @@
     return state->handler.on_data(bytes);
   }
   state->body_bytes += bytes.size();
-  if (!state->passing_over) absl::StrAppend(&state->result.body, bytes);
+  if (state->passing_over || state->exceeds_kept) return;
+  state->exceeds_kept = !state->kept.Add(bytes.size());
+  if (!state->exceeds_kept) absl::StrAppend(&state->result.body, bytes);
+}
+
+// Checks what has arrived of a response against the bounds.
+// @param partial_head bytes of a head that is incomplete.
+// @return an error if the call must fail.
+absl::Status channel_client::impl::CheckLength(const channel& used,
+                                               call_state& state,
+                                               size_t partial_head) const {
+  if (partial_head > 0 && state.result.http_status == 0 &&
+      !state.kept.Add(partial_head)) {
+    state.exceeds_kept = true;
+  }
+  if (state.exceeds_kept) {
+    LogEvent(
+        log_level::warn, "answer_exceeds_memory",
+        {{"upstream", QtText(used.address)},
+         {"target", QtText(state.call.target)},
+         {"body_bytes", static_cast<double>(state.body_bytes)},
+         {"kept_bytes", static_cast<double>(kept->total)},
+         {"bound", static_cast<double>(kept->limits.total)},
+         {"upstream_bound", static_cast<double>(kept->limits.per_upstream)}});
+    return MakeError(error_kind::upstream_failed,
+                     "no memory left for the rest of the answer",
+                     run_state::unknown);
+  }
+  if (state.body_bytes > state.call.max_body_bytes) {
+    LogEvent(log_level::warn, "answer_too_long",
+             {{"upstream", QtText(used.address)},
+              {"target", QtText(state.call.target)},
+              {"bound", static_cast<double>(state.call.max_body_bytes)}});
+    return MakeError(error_kind::upstream_failed,
+                     absl::StrCat("the answer is longer than ",
+                                  state.call.max_body_bytes, " bytes"));
+  }
+  return absl::OkStatus();
 }
 
 void channel_client::impl::OnBytes(uint64_t id, absl::string_view bytes) {
@@ -297,14 +352,14 @@
     used = Find(id);
     if (used == nullptr || used->call != call) return;
     if (!progress.ok()) return Fail(call, progress.status());
-    const call_state* state = FindCall(call);
-    if (state != nullptr && state->body_bytes > state->call.max_body_bytes) {
-      return Fail(
-          call, MakeError(error_kind::upstream_failed,
-                          absl::StrCat("the answer is longer than ",
-                                       state->call.max_body_bytes, " bytes")));
+    const bool is_partial = *progress == response_reader::progress::partial;
+    call_state* state = FindCall(call);
+    if (state != nullptr) {
+      const absl::Status length =
+          CheckLength(*used, *state, is_partial ? bytes.size() : 0);
+      if (!length.ok()) return Fail(call, length);
     }
-    if (*progress == response_reader::progress::partial) return;
+    if (is_partial) return;
     bytes.remove_prefix(taken);
     if (state != nullptr && state->passing_over) {
       if (!used->reader.KeepAlive()) {
@@ -433,9 +488,8 @@
 channel_client::call_id channel_client::Start(http_call call,
                                               http_handler handler) {
   const call_id id = ++impl_->last_id;
-  auto made = std::make_unique<call_state>();
+  auto made = std::make_unique<call_state>(std::move(call), impl_->kept);
   call_state& state = *made;
-  state.call = std::move(call);
   state.handler = std::move(handler);
   state.started = MonotonicNow();
   state.last_progress = state.started;
@@ -485,4 +539,8 @@
 
 channel_counts channel_client::Counts() const { return impl_->counts; }
 
+const std::shared_ptr<kept_bytes>& channel_client::Kept() const {
+  return impl_->kept;
+}
+
 }  // namespace anvilridge
--- a/src/http1/channel_client.h
+++ b/src/http1/channel_client.h
@@ -6,6 +6,7 @@
 
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
+#include "http1/kept_bytes.h"
 #include "upstreams/http_client.h"
 
 namespace anvilridge {
@@ -26,6 +27,9 @@
 /// that mark, fails as `unknown` on one without any, and is never written to a
 /// connection that has carried its mark before.
 ///
+/// What it keeps of responses until they are complete is bounded in sum. A call
+/// whose response would exceed a bound fails as `unknown`.
+///
 /// Used on the thread that made it, which must run a Qt event loop. Handlers
 /// are called from the event loop, never from `Start` or `Cancel`; they may
 /// start and cancel calls, but not destroy the client.
@@ -54,6 +58,10 @@
   size_t ActiveCalls() const;
   channel_counts Counts() const;
 
+  /// Returns what is kept of responses, with its bounds. Handlers with
+  /// `on_data` add what they keep themselves.
+  const std::shared_ptr<kept_bytes>& Kept() const;
+
  private:
   struct impl;
   std::unique_ptr<impl> impl_;
--- a/src/http1/response_reader.cc
+++ b/src/http1/response_reader.cc
@@ -66,7 +66,10 @@
                                         size_t size) {
     impl& self = impl::Of(parser);
     if (!self.Count(size)) return kStop;
-    if (self.in_value || self.headers.empty()) self.headers.emplace_back();
+    if (self.in_value || self.headers.empty()) {
+      if (self.headers.size() == kMaxFields) return kStop;
+      self.headers.emplace_back();
+    }
     self.in_value = false;
     self.headers.back().first +=
         absl::AsciiStrToLower(absl::string_view(at, size));
--- a/src/http1/response_reader.h
+++ b/src/http1/response_reader.h
@@ -25,6 +25,10 @@
   /// in bytes.
   static constexpr size_t kMaxHeadBytes = 64 << 10;
 
+  /// Bounds the header fields and trailers of one response. Short fields take
+  /// far more memory than they have bytes.
+  static constexpr size_t kMaxFields = 256;
+
   response_reader();
   ~response_reader();
 
--- a/src/http1/response_reader_test.cc
+++ b/src/http1/response_reader_test.cc
@@ -54,6 +54,14 @@
   EXPECT_TRUE(reader_.KeepAlive());
 }
 
+// Short fields take far more memory than they have bytes.
+TEST_F(response_reader_test, AHeadOfCountlessFieldsIsNoResponse) {
+  std::string head = "HTTP/1.1 200 OK\r\n";
+  for (size_t i = 0; i < response_reader::kMaxFields; ++i) head += "a:b\r\n";
+  EXPECT_EQ(Feed(head), 0u);
+  EXPECT_GT(Feed("a:b\r\n"), 5u);
+}
+
 TEST_F(response_reader_test, ReadsChunks) {
   EXPECT_GT(Feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
                  "2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"),
--- a/src/settings/settings_reference.cc
+++ b/src/settings/settings_reference.cc
@@ -16,7 +16,10 @@
     "`anvilridge_fleet` reads `[limits]` too. Its operators' configuration\n"
     "may lower `max_body_bytes` and `max_header_bytes`, but not raise them;\n"
     "its idle time goes before `idle_timeout`, and its time for header\n"
-    "fields before `request_timeout`. What it lacks is left to the file.\n";
+    "fields before `request_timeout`. What it lacks is left to the file.\n"
+    "Its `[memory] machine_mb`, an integer from 16 to 1048576 with default\n"
+    "512, is the memory of its machine in MiB, and bounds what it keeps of\n"
+    "incomplete responses.\n";
 
 std::string DefaultText(const settings_key& row) {
   if (row.required) return "required";
--- a/tests/harness/platform_scene.h
+++ b/tests/harness/platform_scene.h
@@ -23,7 +23,8 @@
   ~platform_scene();
 
   /// Starts the daemon and waits until it is ready.
-  /// @param budget lines of the settings' section `[budget]`.
+  /// @param budget lines of the settings' section `[budget]`, and further
+  ///     sections.
   bool Start(const std::string& budget = "slack = 50");
 
   /// Rewrites the settings file of the daemon.
