Name the cache of a prompt to the next engine if the first can't have fetched it

Cause: a decode engine that was not reached, or that answered 421 because its address belongs to another instance by now, cost the prompt's cache: the next engine read the prompt again, at half the speed and between the tokens of its other streams, while the first cache expired unused in the prefill engine's memory.

Change: the lease goes back to the stream when the engine certainly hasn't fetched the cache: not reached, another instance, leaving, or pausing. The next engine is chosen by its memory, since it has nothing to read. Where there is none, the cache is freed at once. After other refusals, which may mean that the cache is gone, the prompt is read again as before.

Tests: platform_path_test.ACacheThatWasNotFetchedIsNamedToTheNextEngine, .ACacheIsNamedAgainAfterAnEngineThatWasNotReached, .ACacheThatNobodyFetchesIsFreed.

--- a/src/dispatch/decode_admission.cc
+++ b/src/dispatch/decode_admission.cc
@@ -223,6 +223,16 @@
   stream.done(reservation);
 }
 
+std::optional<fleet_upstream> ChooseDecodeEngine(
+    dispatch_state& state, const waiting_stream& stream,
+    const std::vector<std::string>& tried, absl::Time now) {
+  const engine_candidates engines = FindEngineCandidates(
+      state, stream.service, tried, kReservableMemoryShare, now);
+  const auto chosen = ChooseDecode(engines.decodes, ExpectedRun(stream, now));
+  if (!chosen) return std::nullopt;
+  return *engines.decodes[*chosen].upstream;
+}
+
 std::optional<fleet_upstream> ChooseLocalPrefillEngine(
     dispatch_state& state, const waiting_stream& stream,
     const std::vector<std::string>& tried, absl::Time now) {
--- a/src/dispatch/decode_admission.h
+++ b/src/dispatch/decode_admission.h
@@ -49,6 +49,13 @@
 /// those whose latest start has passed.
 void AdmitWaiting(dispatch_state& state, absl::Time now);
 
+/// Chooses a decode engine with capacity for `stream`, which fetches the cache
+/// of its prompt. Returns nothing when there is none.
+/// @param tried ids of decode engines that must not be chosen.
+std::optional<fleet_upstream> ChooseDecodeEngine(
+    dispatch_state& state, const waiting_stream& stream,
+    const std::vector<std::string>& tried, absl::Time now);
+
 /// Chooses a decode engine that prefills `stream` itself, if possible one whose
 /// other streams stay on time. Returns nothing when no engine has capacity.
 /// @param tried ids of decode engines that must not be chosen.
--- a/src/dispatch/decode_runs.cc
+++ b/src/dispatch/decode_runs.cc
@@ -37,6 +37,16 @@
   return outcome == send_outcome::unknown || outcome == send_outcome::answered;
 }
 
+// Whether the engine that was sent to with `outcome` certainly didn't fetch the
+// cache of the prompt. A refusal without a reason may mean that the cache is
+// gone.
+bool IsCacheUnfetched(send_outcome outcome, const response_info& info) {
+  if (outcome == send_outcome::unsent) return true;
+  return outcome == send_outcome::refused &&
+         (info.other_instance || info.statement.leaving ||
+          info.statement.pause.has_value());
+}
+
 // A send of the request to a decode engine, and its response.
 struct engine_run {
   // Identifies the run within its stream.
@@ -89,6 +99,9 @@
   // the request's id.
   const std::string successor_ledger_id;
 
+  // Cache that was named in the send of the current run. Kept after its end
+  // only if the engine didn't fetch it.
+  kv_lease named_lease;
   // The run that the stream is received from. Kept after its end, then with
   // `in_progress` false.
   std::optional<engine_run> current;
@@ -247,6 +260,7 @@
   const response_info info =
       state.protocol.parse_response(result.http_status, result.headers);
   send_outcome outcome = ClassifySend(result, info);
+  if (!IsCacheUnfetched(outcome, info)) named_lease.handle.clear();
   const bool complete =
       outcome == send_outcome::answered && relay.IsRunComplete();
   if (outcome == send_outcome::answered && result.http_status == kOk &&
@@ -473,9 +487,10 @@
 
 void decode_runs::Send(const fleet_upstream& engine, kv_lease& lease) {
   send_parameters parameters = impl_->Parameters(engine);
-  if (!lease.handle.empty() && MonotonicNow() < lease.usable_until) {
+  if (IsUsable(lease, MonotonicNow())) {
     parameters.kv_address = lease.engine.address;
-    parameters.kv_handle = std::exchange(lease.handle, {});
+    parameters.kv_handle = lease.handle;
+    impl_->named_lease = std::exchange(lease, {});
   } else {
     const std::string& request_id = impl_->routed.request.id;
     ReleaseLease(impl_->state, request_id, lease);
@@ -514,6 +529,11 @@
 
 bool decode_runs::MayResume() const { return impl_->MayResume(); }
 
+kv_lease decode_runs::TakeUnfetchedLease() {
+  if (impl_->in_progress) return {};
+  return std::exchange(impl_->named_lease, {});
+}
+
 const std::vector<std::string>& decode_runs::Tried() const {
   return impl_->tried;
 }
--- a/src/dispatch/decode_runs.h
+++ b/src/dispatch/decode_runs.h
@@ -61,6 +61,10 @@
   bool InProgress() const;
   /// Returns whether an engine may have run the request.
   bool MayHaveRun() const;
+  /// Returns the cache that the last send named if its engine certainly didn't
+  /// fetch it: the engine was not reached, or refused the request because of
+  /// its own state. Returns an empty lease otherwise, and when called again.
+  kv_lease TakeUnfetchedLease();
   /// Returns whether another engine may continue the stream, apart from the
   /// budget.
   bool MayResume() const;
--- a/src/dispatch/kv_lease.cc
+++ b/src/dispatch/kv_lease.cc
@@ -24,6 +24,10 @@
   return {engine, std::move(handle), MonotonicNow() + ttl * kUsableTtlShare};
 }
 
+bool IsUsable(const kv_lease& lease, absl::Time now) {
+  return !lease.handle.empty() && now < lease.usable_until;
+}
+
 void ReleaseLease(dispatch_state& state, absl::string_view request_id,
                   kv_lease& lease) {
   if (lease.handle.empty()) return;
--- a/src/dispatch/kv_lease.h
+++ b/src/dispatch/kv_lease.h
@@ -24,6 +24,9 @@
 kv_lease MakeLease(const fleet_upstream& engine, std::string handle,
                    absl::Duration ttl);
 
+/// Returns whether a decode engine can rely on fetching the cache at `now`.
+bool IsUsable(const kv_lease& lease, absl::Time now);
+
 /// Starts a call that makes the prefill engine free a cache which no decode
 /// engine will fetch, and empties `lease`. Does nothing if `lease` is empty.
 /// @param request_id request that the cache was made for, for the log.
--- a/src/dispatch/stream_flow.cc
+++ b/src/dispatch/stream_flow.cc
@@ -413,6 +413,7 @@
   // After a failed decode, sends the request to another engine if that is
   // allowed, and otherwise ends it.
   void OnDecodeFailed(send_outcome outcome, const http_result& result) {
+    if (lease_.handle.empty()) lease_ = decodes_->TakeUnfetchedLease();
     if (EndIfQuarantined()) return;
     const bool not_run = !decodes_->MayHaveRun();
     // The prefill may still be answered.
@@ -447,12 +448,14 @@
   // Reserves a decode engine that was not tried yet. Returns false if none has
   // capacity.
   bool ReserveOtherEngine() {
+    const absl::Time now = MonotonicNow();
     const waiting_stream waiting = MakeWaitingStream();
-    const auto other = ChooseLocalPrefillEngine(
-        state_, waiting, decodes_->Tried(), MonotonicNow());
+    const auto choose =
+        IsUsable(lease_, now) ? ChooseDecodeEngine : ChooseLocalPrefillEngine;
+    const auto other = choose(state_, waiting, decodes_->Tried(), now);
     if (!other) return false;
     decode_ = *other;
-    ReserveDecode(state_, request_.id, decode_, waiting, MonotonicNow());
+    ReserveDecode(state_, request_.id, decode_, waiting, now);
     NotifyLoadChange();
     return true;
   }
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -10,6 +10,7 @@
 #include <ostream>
 #include <thread>
 #include <utility>
+#include <vector>
 
 #include "base/clock.h"
 #include "dispatch/daemon_count.h"
@@ -296,6 +297,84 @@
   EXPECT_EQ(Ask("GET", "/read/1").status, 200);
 }
 
+// Guards against a prompt that is prefilled twice because the decode engine
+// that was to fetch its cache has been replaced by another one.
+TEST_F(platform_path_test, ACacheThatWasNotFetchedIsNamedToTheNextEngine) {
+  ASSERT_NO_FATAL_FAILURE(AddEngine("d2", scene_.DecodeAddress(), "decode"));
+  scene_.OnDecode([refused = false](QTcpSocket& socket,
+                                    const raw_request& request) mutable {
+    if (!std::exchange(refused, true)) {
+      const std::string text =
+          absl::StrCat("HTTP/1.1 421 Other\r\nRequest-Id: ",
+                       platform_scene::Field(request, "request-id"),
+                       "\r\nContent-Length: 0\r\n\r\n");
+      socket.write(text.data(), static_cast<qint64>(text.size()));
+      return;
+    }
+    const std::string head = platform_scene::Head(request, 200) +
+                             "Transfer-Encoding: chunked\r\n\r\n";
+    socket.write(head.data(), static_cast<qint64>(head.size()));
+    platform_scene::Events(socket, 1, 3);
+    socket.write("0\r\n\r\n");
+  });
+  EXPECT_EQ(Draft().status, 200);
+  const auto decodes = scene_.AtDecode();
+  ASSERT_EQ(decodes.size(), 2u);
+  EXPECT_NE(platform_scene::Field(decodes[0], "expect-instance"),
+            platform_scene::Field(decodes[1], "expect-instance"));
+  EXPECT_EQ(platform_scene::Field(decodes[0], "kv-source"),
+            platform_scene::Field(decodes[1], "kv-source"));
+  EXPECT_NE(platform_scene::Field(decodes[1], "kv-source"), "");
+  EXPECT_EQ(scene_.AtPrefill().size(), 1u);
+}
+
+TEST_F(platform_path_test, ACacheIsNamedAgainAfterAnEngineThatWasNotReached) {
+  constexpr int kStreams = 3;
+  // Nothing listens there.
+  ASSERT_NO_FATAL_FAILURE(AddEngine("d2", "127.0.0.1:1", "decode"));
+  // The streams overlap, so that they are spread over both engines.
+  scene_.OnDecode([](QTcpSocket& socket, const raw_request& request) {
+    QTcpSocket* to = &socket;
+    const std::string head = platform_scene::Head(request, 200) +
+                             "Transfer-Encoding: chunked\r\n\r\n";
+    socket.write(head.data(), static_cast<qint64>(head.size()));
+    QTimer::singleShot(400, to, [to] {
+      platform_scene::Events(*to, 1, 3);
+      to->write("0\r\n\r\n");
+    });
+  });
+  std::atomic<int> served = 0;
+  std::vector<std::thread> callers;
+  for (int i = 0; i < kStreams; ++i) {
+    callers.emplace_back([&] { served += Draft().status == 200 ? 1 : 0; });
+  }
+  for (std::thread& caller : callers) caller.join();
+  EXPECT_EQ(served, kStreams);
+  EXPECT_NE(scene_.Daemon().Out().find(R"("upstream":"d2","why":"127.0.0.1:1)"),
+            std::string::npos);
+  EXPECT_EQ(scene_.AtPrefill().size(), static_cast<size_t>(kStreams));
+  for (const raw_request& decode : scene_.AtDecode()) {
+    EXPECT_NE(platform_scene::Field(decode, "kv-source"), "");
+  }
+}
+
+// Guards against a cache of a refused request that fills the prefill engine's
+// memory until it expires.
+TEST_F(platform_path_test, ACacheThatNobodyFetchesIsFreed) {
+  scene_.OnDecode([](QTcpSocket& socket, const raw_request& request) {
+    const std::string text =
+        absl::StrCat("HTTP/1.1 421 Other\r\nRequest-Id: ",
+                     platform_scene::Field(request, "request-id"),
+                     "\r\nContent-Length: 0\r\n\r\n");
+    socket.write(text.data(), static_cast<qint64>(text.size()));
+  });
+  EXPECT_EQ(Draft().status, 503);
+  EXPECT_TRUE(Eventually(kBound, [&] {
+    const auto prefills = scene_.AtPrefill();
+    return prefills.size() == 2 && prefills[1].method == "DELETE";
+  }));
+}
+
 // Guards against streams that are cut at the end of a stop: one that could not
 // end before is refused, while a short one and a call are served.
 TEST_F(platform_path_test, AStreamThatOutlastsAStopIsRefused) {
