--- a/tests/soak/soak_daemon.cc
+++ b/tests/soak/soak_daemon.cc
@@ -13,12 +13,13 @@
 namespace anvilridge {
 struct soak_daemon::impl {
   impl(int number, std::string run, std::vector<std::string> given,
-       absl::string_view store_address, double send_ratio)
+       absl::string_view store_address, double send_ratio, int memory_mb)
       : index(number),
         program(std::move(run)),
         arguments(std::move(given)),
         store_link(store_address),
         ratio(send_ratio),
+        machine_mb(memory_mb),
         port_holder(std::make_unique<QUdpSocket>()) {
     port_holder->bind(QHostAddress::LocalHost);
     sharing_port = port_holder->localPort();
@@ -29,6 +30,7 @@
   std::vector<std::string> arguments;
   fault_proxy store_link;
   double ratio = 0;
+  int machine_mb = 0;
   // Keeps the sharing port from the other daemons until the first start.
   std::unique_ptr<QUdpSocket> port_holder;
   uint16_t sharing_port = 0;
@@ -50,7 +52,8 @@
                      sharing_port, "\n[budget]\nratio = ", ratio, "\nslack = ",
                      slack, "\n[store]\naddress = ", store_link.Address(),
                      "\n[stop]\ngrace = ", absl::ToInt64Seconds(kStopGrace),
-                     "s\n[log]\ndestination = stdout\n"));
+                     "s\n[memory]\nmachine_mb = ", machine_mb,
+                     "\n[log]\ndestination = stdout\n"));
   }
 
   void ReadPorts() {
@@ -70,10 +73,10 @@
 soak_daemon::soak_daemon(int index, std::string program,
                          std::vector<std::string> arguments,
                          absl::string_view store_address, int slack,
-                         double ratio)
+                         double ratio, int machine_mb)
     : impl_(std::make_unique<impl>(index, std::move(program),
-                                   std::move(arguments), store_address,
-                                   ratio)) {
+                                   std::move(arguments), store_address, ratio,
+                                   machine_mb)) {
   impl_->WriteSettings(slack);
 }
 
--- a/tests/soak/soak_daemon.h
+++ b/tests/soak/soak_daemon.h
@@ -19,7 +19,8 @@
  public:
   soak_daemon(int index, std::string program,
               std::vector<std::string> arguments,
-              absl::string_view store_address, int slack, double ratio);
+              absl::string_view store_address, int slack, double ratio,
+              int machine_mb);
   ~soak_daemon();
   soak_daemon(const soak_daemon&) = delete;
   soak_daemon& operator=(const soak_daemon&) = delete;
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -24,10 +24,13 @@
   options.statements = parsed["statements"].as<bool>();
   options.crashing_prompts = parsed["crashing-prompts"].as<bool>();
   options.failing_prefills = parsed["failing-prefills"].as<bool>();
+  options.endless_answers = parsed["endless-answers"].as<bool>();
   options.program = parsed["program"].as<std::string>();
   if (const auto plant = parsed["plant"].as<std::string>();
       plant == "lost_cancel") {
     options.hide_close = true;
+  } else if (plant == "no_bound") {
+    options.machine_mb = kUnboundedMachineMb;
   } else if (!plant.empty()) {
     options.program = "planted_daemon";
     options.arguments = {plant};
@@ -89,12 +92,15 @@
       "refusing upstreams");
   add("crashing-prompts",
       "A part of prompts crashes engines, beside other disturbances");
+  add("endless-answers",
+      "A service and an engine send bytes without end, beside other "
+      "disturbances");
   add("failing-prefills", "Prefill engines fail all the time in all forms");
   add("logs", "Folder for the daemons' logs",
       cxxopts::value<std::string>()->default_value(""));
   add("plant",
       "Fault to plant: resend, stale_view, false_refusal, no_patience, "
-      "deafness, no_parts, late_calls or lost_cancel",
+      "deafness, no_parts, late_calls, lost_cancel or no_bound",
       cxxopts::value<std::string>()->default_value(""));
   add("help", "Show this text");
   try {
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -10,6 +10,9 @@
 
 namespace anvilridge {
 
+/// Memory of a machine on which a daemon keeps whatever arrives.
+inline constexpr int kUnboundedMachineMb = 1 << 20;
+
 struct soak_options {
   uint64_t seed = 1;
   /// Span in which things are disturbed.
@@ -45,6 +48,11 @@
   /// A part of some prompts crashes each decode engine, beside other
   /// disturbances.
   bool crashing_prompts = false;
+  /// A service and a decode engine send bytes without end in place of answers,
+  /// beside other disturbances.
+  bool endless_answers = false;
+  /// Memory of a daemon's machine as its settings give it.
+  int machine_mb = 64;
   /// Program of the daemons, and what it is given besides its settings.
   std::string program = "anvilridge_fleet";
   std::vector<std::string> arguments;
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -76,7 +76,7 @@
     for (int i = 0; i < options.daemons; ++i) {
       daemons_.push_back({std::make_unique<soak_daemon>(
           i, options.program, options.arguments, store_.Address(),
-          options.slack, options.ratio)});
+          options.slack, options.ratio, options.machine_mb)});
     }
     result_.record.send_slack = std::max(
         options.slack, *std::max_element(kSlacks.begin(), kSlacks.end()));
@@ -153,6 +153,10 @@
       upstream->SpoilEach(disturbed && !options_.stops ? kSpoilPeriod : 0);
       upstream->RefuseEach(disturbed && options_.stops ? kRefusePeriod : 0);
     }
+    if (!options_.endless_answers) return;
+    // A service and a decode engine.
+    upstreams_.front()->SendEndlessly(disturbed);
+    upstreams_.back()->SendEndlessly(disturbed);
   }
 
   static void Wait(absl::Duration span) {
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -166,6 +166,25 @@
 
 INSTANTIATE_TEST_SUITE_P(short_runs, soak_crash_test, testing::Values(1, 2));
 
+soak_options EndlessAnswers(uint64_t seed) {
+  soak_options options;
+  options.endless_answers = true;
+  options.seed = seed;
+  options.decode_engines = 8;
+  options.rate = 150;
+  return options;
+}
+
+// Guards against upstreams that send bytes without end and fill the memory of
+// the daemons that have called them.
+class soak_endless_test : public testing::TestWithParam<uint64_t> {};
+
+TEST_P(soak_endless_test, AnswersWithoutEndDoNotFillTheMemory) {
+  EXPECT_EQ(Broken(EndlessAnswers(GetParam())), "");
+}
+
+INSTANTIATE_TEST_SUITE_P(short_runs, soak_endless_test, testing::Values(1, 2));
+
 soak_options Planted(const char* fault) {
   soak_options options;
   options.program = "planted_daemon";
@@ -232,6 +251,12 @@
               HasSubstr("prompts that crash engines reach more of them"));
 }
 
+TEST(soak_planted_test, KeepingAllOfEndlessAnswersIsCaught) {
+  soak_options options = EndlessAnswers(1);
+  options.machine_mb = kUnboundedMachineMb;
+  EXPECT_THAT(Broken(options), HasSubstr(" took "));
+}
+
 TEST(soak_planted_test, ALostCancelIsCaught) {
   soak_options options;
   options.hide_close = true;
--- a/tests/soak/soak_upstreams.cc
+++ b/tests/soak/soak_upstreams.cc
@@ -24,6 +24,10 @@
 constexpr absl::Duration kLate = absl::Seconds(9);
 // Between two silences of an upstream.
 constexpr absl::Duration kTalk = absl::Milliseconds(500);
+// What an endless answer sends at a time, and how often: slowly enough for
+// several to be in progress at once.
+constexpr size_t kEndlessBlock = 64 << 10;
+constexpr absl::Duration kEndlessInterval = absl::Milliseconds(5);
 constexpr int kServiceSlots = 64;
 constexpr int kEngineSlots = 12;
 
@@ -55,6 +59,7 @@
   upstream_stage stage = upstream_stage::service;
   std::map<std::string, upstream_record>& records;
   upstream_fault fault = upstream_fault::none;
+  bool endless = false;
   int spoil_period = 0;
   int runs = 0;
   int refuse_period = 0;
@@ -84,6 +89,8 @@
   void Run(QTcpSocket& socket, const raw_request& request);
   void Prefill(QTcpSocket& socket, const raw_request& request);
   void Stream(QTcpSocket& socket, const raw_request& request);
+  void SendWithoutEnd(const QPointer<QTcpSocket>& socket,
+                      const std::string& id);
   void NextEvent(const QPointer<QTcpSocket>& socket, const std::string& id,
                  int number, int events);
 };
@@ -206,6 +213,7 @@
 
 upstream_fault soak_upstream::impl::NextFault() {
   ++runs;
+  if (fault == upstream_fault::none && endless) return upstream_fault::endless;
   if (fault != upstream_fault::none || spoil_period == 0 ||
       runs % spoil_period != 0) {
     return fault;
@@ -248,6 +256,11 @@
     if (spoilt == upstream_fault::fail) {
       return Answer(*to, request, 500, "failed");
     }
+    if (spoilt == upstream_fault::endless) {
+      // To an engine's caller, the begin of an event.
+      WriteText(*to, Head(request, 200) + "\r\nid: 1\ndata: ");
+      return SendWithoutEnd(to, request_id);
+    }
     if (stage == upstream_stage::service) {
       return Answer(*to, request, 200, absl::StrCat("done ", request_id));
     }
@@ -271,6 +284,20 @@
         });
 }
 
+// Sends bytes until the caller closes the connection.
+void soak_upstream::impl::SendWithoutEnd(const QPointer<QTcpSocket>& socket,
+                                         const std::string& id) {
+  if (!IsOpen(socket)) {
+    records[id].stops.push_back(MonotonicNow());
+    return;
+  }
+  if (socket->bytesToWrite() == 0) {
+    WriteText(*socket, std::string(kEndlessBlock, 'a'));
+  }
+  After(kEndlessInterval, id,
+        [this, socket, id] { SendWithoutEnd(socket, id); });
+}
+
 void soak_upstream::impl::NextEvent(const QPointer<QTcpSocket>& socket,
                                     const std::string& id, int number,
                                     int events) {
@@ -337,6 +364,8 @@
 
 void soak_upstream::SpoilEach(int period) { impl_->spoil_period = period; }
 
+void soak_upstream::SendEndlessly(bool endless) { impl_->endless = endless; }
+
 void soak_upstream::RefuseEach(int period) { impl_->refuse_period = period; }
 
 fault_proxy& soak_upstream::Link() { return *impl_->link; }
--- a/tests/soak/soak_upstreams.h
+++ b/tests/soak/soak_upstreams.h
@@ -24,6 +24,8 @@
   lose,
   /// Runs them and answers only much later than their time limits.
   late,
+  /// Runs them and sends bytes without end in place of an answer.
+  endless,
 };
 
 enum class upstream_stage { service, prefill, decode };
@@ -59,6 +61,8 @@
   void FallSilent(absl::Duration lasts);
   /// Besides, loses or fails each `period`th run; 0 for none.
   void SpoilEach(int period);
+  /// Sets whether it sends bytes without end unless it has another fault.
+  void SendEndlessly(bool endless);
   /// Besides, refuses each `period`th request, after half of the time that it
   /// would take; 0 for none.
   void RefuseEach(int period);
