Count the runs of all engines in a test of crashes, and reserve what the linter asks

Each of its eight engines had a copy of the function that lets each seventh run crash, so that 60 requests could give as few as four, by how they spread. The engines now share one count, so that there are at least eight crashes; what must hold is as before.

--- a/tests/crashing_prompt_test.cc
+++ b/tests/crashing_prompt_test.cc
@@ -437,8 +437,10 @@
 // Guards against sound requests that are held back, or served less often,
 // because engines crash in series and no part of a prompt is to blame.
 TEST_F(crashing_prompt_test, CrashesForOtherReasonsHoldNothingBack) {
-  ASSERT_NO_FATAL_FAILURE(Start([runs = 0](const raw_request&) mutable {
-    return ++runs % 7 == 0 ? engine_act::crash : engine_act::serve;
+  // Counts the runs of all engines, each of which has a copy of the function.
+  const auto runs = std::make_shared<int>(0);
+  ASSERT_NO_FATAL_FAILURE(Start([runs](const raw_request&) {
+    return ++*runs % 7 == 0 ? engine_act::crash : engine_act::serve;
   }));
   for (int i = 0; i < 60; ++i) {
     Post(static_cast<size_t>(i) % kDaemons,
--- a/tests/endless_answers_test.cc
+++ b/tests/endless_answers_test.cc
@@ -112,6 +112,7 @@
   const size_t before = PeakMemory(scene_.Daemon().Pid());
   std::atomic<int> failed = 0;
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   for (int i = 0; i < kCallers; ++i) {
     callers.emplace_back([&, i] { failed += Post(i) == 502 ? 1 : 0; });
   }
@@ -132,6 +133,7 @@
     SendWithoutEnd({"event", head + "id: 1\ndata: ", "a"})(socket, request);
   });
   std::vector<std::thread> callers;
+  callers.reserve(kStreams);
   std::atomic<int> failed = 0;
   for (int i = 0; i < kStreams; ++i) {
     callers.emplace_back([&, i] { failed += Draft(i) == 502 ? 1 : 0; });
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -345,6 +345,7 @@
   });
   std::atomic<int> served = 0;
   std::vector<std::thread> callers;
+  callers.reserve(kStreams);
   for (int i = 0; i < kStreams; ++i) {
     callers.emplace_back([&] { served += Draft().status == 200 ? 1 : 0; });
   }
