--- a/tests/crashing_prompt_test.cc
+++ b/tests/crashing_prompt_test.cc
@@ -282,8 +282,12 @@
   }
 
   // Starts engines that do with each request what `choose` says, and daemons.
-  void Start(const act_choice& choose, int prefills = 1, int slots = 12) {
+  // All engines share one copy of it, so that what it counts is of all.
+  void Start(const act_choice& choose_act, int prefills = 1, int slots = 12) {
     EnsureTestApplication();
+    const act_choice choose =
+        [shared = std::make_shared<act_choice>(choose_act)](
+            const raw_request& request) { return (*shared)(request); };
     thread_ = std::make_unique<event_thread>("engines");
     RunAndWait(thread_->Context(), [&] {
       store_ = std::make_unique<store_standin>();
@@ -437,10 +441,8 @@
 // Guards against sound requests that are held back, or served less often,
 // because engines crash in series and no part of a prompt is to blame.
 TEST_F(crashing_prompt_test, CrashesForOtherReasonsHoldNothingBack) {
-  // Counts the runs of all engines, each of which has a copy of the function.
-  const auto runs = std::make_shared<int>(0);
-  ASSERT_NO_FATAL_FAILURE(Start([runs](const raw_request&) {
-    return ++*runs % 7 == 0 ? engine_act::crash : engine_act::serve;
+  ASSERT_NO_FATAL_FAILURE(Start([runs = 0](const raw_request&) mutable {
+    return ++runs % 7 == 0 ? engine_act::crash : engine_act::serve;
   }));
   for (int i = 0; i < 60; ++i) {
     Post(static_cast<size_t>(i) % kDaemons,
