--- a/src/dispatch/decode_admission.cc
+++ b/src/dispatch/decode_admission.cc
@@ -223,24 +223,25 @@
   stream.done(reservation);
 }
 
-std::optional<fleet_upstream> ChooseDecodeEngine(
+std::optional<fleet_upstream> ChooseLocalPrefillEngine(
     dispatch_state& state, const waiting_stream& stream,
     const std::vector<std::string>& tried, absl::Time now) {
   const engine_candidates engines = FindEngineCandidates(
       state, stream.service, tried, kReservableMemoryShare, now);
+  auto on_time = ChooseOnTimeLocalPrefillEngine(
+      state, engines, stream, stream.prompt + stream.generated, now);
+  if (on_time) return on_time;
   const auto chosen = ChooseDecode(engines.decodes, ExpectedRun(stream, now));
   if (!chosen) return std::nullopt;
   return *engines.decodes[*chosen].upstream;
 }
 
-std::optional<fleet_upstream> ChooseLocalPrefillEngine(
+std::optional<fleet_upstream> ChooseOtherDecodeEngine(
     dispatch_state& state, const waiting_stream& stream,
-    const std::vector<std::string>& tried, absl::Time now) {
+    const std::vector<std::string>& tried, bool has_cache, absl::Time now) {
+  if (!has_cache) return ChooseLocalPrefillEngine(state, stream, tried, now);
   const engine_candidates engines = FindEngineCandidates(
       state, stream.service, tried, kReservableMemoryShare, now);
-  auto on_time = ChooseOnTimeLocalPrefillEngine(
-      state, engines, stream, stream.prompt + stream.generated, now);
-  if (on_time) return on_time;
   const auto chosen = ChooseDecode(engines.decodes, ExpectedRun(stream, now));
   if (!chosen) return std::nullopt;
   return *engines.decodes[*chosen].upstream;
--- a/src/dispatch/decode_admission.h
+++ b/src/dispatch/decode_admission.h
@@ -49,13 +49,6 @@
 /// those whose latest start has passed.
 void AdmitWaiting(dispatch_state& state, absl::Time now);
 
-/// Chooses a decode engine with capacity for `stream`, which fetches the cache
-/// of its prompt. Returns nothing when there is none.
-/// @param tried ids of decode engines that must not be chosen.
-std::optional<fleet_upstream> ChooseDecodeEngine(
-    dispatch_state& state, const waiting_stream& stream,
-    const std::vector<std::string>& tried, absl::Time now);
-
 /// Chooses a decode engine that prefills `stream` itself, if possible one whose
 /// other streams stay on time. Returns nothing when no engine has capacity.
 /// @param tried ids of decode engines that must not be chosen.
@@ -63,6 +56,15 @@
     dispatch_state& state, const waiting_stream& stream,
     const std::vector<std::string>& tried, absl::Time now);
 
+/// Chooses a decode engine for a stream that another one did not take.
+/// @param tried ids of decode engines that must not be chosen.
+/// @param has_cache whether the engine can fetch the cache of the prompt;
+///     otherwise it is chosen as by `ChooseLocalPrefillEngine`.
+/// @return nothing when no engine has capacity.
+std::optional<fleet_upstream> ChooseOtherDecodeEngine(
+    dispatch_state& state, const waiting_stream& stream,
+    const std::vector<std::string>& tried, bool has_cache, absl::Time now);
+
 /// Chooses the prefill engine that is expected to finish a prompt of `tokens`
 /// first. Returns nothing when there is no such engine.
 /// @param decode_domain failure domain of the stream's decode engine.
--- a/src/dispatch/decode_runs.cc
+++ b/src/dispatch/decode_runs.cc
@@ -8,6 +8,7 @@
 #include "base/clock.h"
 #include "base/error_kind.h"
 #include "base/event_loop.h"
+#include "base/milliseconds.h"
 #include "base/qt_text.h"
 #include "dispatch/decode_admission.h"
 #include "dispatch/event_splitter.h"
@@ -28,10 +29,6 @@
 // that arrive in two parts are far shorter.
 constexpr size_t kUncountedBytes = 16 << 10;
 
-double ToMilliseconds(absl::Duration duration) {
-  return static_cast<double>(absl::ToInt64Milliseconds(duration));
-}
-
 // Whether the engine may have run the request that was sent with `outcome`.
 bool MayHaveBeenRun(send_outcome outcome) {
   return outcome == send_outcome::unknown || outcome == send_outcome::answered;
--- a/src/dispatch/open_request.cc
+++ b/src/dispatch/open_request.cc
@@ -5,16 +5,13 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "base/milliseconds.h"
 #include "base/qt_text.h"
 #include "log/decision_log.h"
 
 namespace anvilridge {
 namespace {
 
-double ToMilliseconds(absl::Duration duration) {
-  return static_cast<double>(absl::ToInt64Milliseconds(duration));
-}
-
 // Calls the function `end` of each request in `table` that has one.
 void EndRequests(const open_request_table& table,
                  std::function<void()> open_request::*end) {
--- a/src/dispatch/stream_flow.cc
+++ b/src/dispatch/stream_flow.cc
@@ -10,6 +10,7 @@
 #include "base/clock.h"
 #include "base/error_kind.h"
 #include "base/event_loop.h"
+#include "base/milliseconds.h"
 #include "base/qt_text.h"
 #include "dispatch/decode_admission.h"
 #include "dispatch/decode_runs.h"
@@ -38,10 +39,6 @@
 // daemon that they reach has a part of the budget of its own.
 constexpr absl::Duration kLostPrefillRetryAfter = absl::Milliseconds(250);
 
-double ToMilliseconds(absl::Duration duration) {
-  return static_cast<double>(absl::ToInt64Milliseconds(duration));
-}
-
 // Serves one streamed request.
 class stream_flow : public std::enable_shared_from_this<stream_flow> {
  public:
@@ -450,9 +447,8 @@
   bool ReserveOtherEngine() {
     const absl::Time now = MonotonicNow();
     const waiting_stream waiting = MakeWaitingStream();
-    const auto choose =
-        IsUsable(lease_, now) ? ChooseDecodeEngine : ChooseLocalPrefillEngine;
-    const auto other = choose(state_, waiting, decodes_->Tried(), now);
+    const auto other = ChooseOtherDecodeEngine(
+        state_, waiting, decodes_->Tried(), IsUsable(lease_, now), now);
     if (!other) return false;
     decode_ = *other;
     ReserveDecode(state_, request_.id, decode_, waiting, now);
--- a/src/dispatch/stream_record.cc
+++ b/src/dispatch/stream_record.cc
@@ -1,13 +1,8 @@
 #include "dispatch/stream_record.h"
 
-namespace anvilridge {
-namespace {
-
-double ToMilliseconds(absl::Duration duration) {
-  return static_cast<double>(absl::ToInt64Milliseconds(duration));
-}
+#include "base/milliseconds.h"
 
-}  // namespace
+namespace anvilridge {
 
 QJsonObject LogFields(const stream_record& record) {
   return {{"events", record.events},
