Read the store by oneself before a change is late, whatever happens to the readers

Cause, found by reading: if all readers were cut off from the store alone and didn't know it yet, the others noticed after up to 3.2 s and 1 s more, beyond the 2 s in which a change must be in force on the smaller sites. In an outage all daemons tried the store every 0.7 s, though the readers tell when it is back.

Change: reads are held for 1 s; a daemon reads by itself once the store's youngest reply to any reader is 1.8 s old. While readers have lost the store, too, the others try every 2 s at most; a reader's report of its return ends that delay at once.

Tests: 60 daemons whose readers are cut off from the store, lag by 0.7 s, are of a version that sends no reports, or come back with what they had; a lost reader and one that leaves are replaced; messages of other versions are ignored.

--- a/src/fleet/topic_follower.cc
+++ b/src/fleet/topic_follower.cc
@@ -29,8 +29,11 @@
   absl::Time call_recovered = absl::InfinitePast();
   // Latest time at which this daemon had all records.
   absl::Time complete_at = absl::InfinitePast();
-  // When the last usable report arrived.
+  // When the last usable report arrived, the youngest reply of the store that
+  // reports told of, and when the last report of a lost store arrived.
   absl::Time last_report = absl::InfinitePast();
+  absl::Time reported_reply = absl::InfinitePast();
+  absl::Time last_lost_report = absl::InfinitePast();
   // Highest offset before which a reader has all records.
   int64_t reported_next = -1;
   // When the last read began, and at which offset.
@@ -41,9 +44,19 @@
   // is.
   bool calling = false;
   bool rest_end_scheduled = false;
+  // Whether the scheduled call is a retry, and the number of that call.
+  bool retry_scheduled = false;
+  uint64_t scheduled_call = 0;
 
+  // Whether a reader that reaches the store is heard.
   bool HearsReader(absl::Time now) const {
-    return now - last_report < kMaxReportSilence;
+    return now - last_report < kMaxReportSilence &&
+           now - reported_reply < kMaxReplyAge;
+  }
+
+  absl::Duration MaxRetryDelay(absl::Time now) const {
+    const bool readers_lost = now - last_lost_report < kMaxReportSilence;
+    return !is_reader && readers_lost ? kMaxFollowerRetryDelay : kMaxRetryDelay;
   }
 
   // Returns whether the reports make calls of this daemon needless.
@@ -54,7 +67,17 @@
 
   void CallAfter(absl::Duration delay) {
     calling = true;
-    RunAfter(&context, delay, [this] { StartNextCall(); });
+    RunAfter(&context, delay, [this, id = ++scheduled_call] {
+      if (id == scheduled_call) StartNextCall();
+    });
+  }
+
+  // Ends the delay before a retry, if one is waited for.
+  void EndRetryDelay() {
+    if (!std::exchange(retry_scheduled, false)) return;
+    ++scheduled_call;
+    calling = false;
+    WakeUp();
   }
 
   // Starts the next call unless one is in progress.
@@ -68,7 +91,9 @@
     // What the last call showed is outdated when the next one begins.
     call_failed = false;
     if (std::exchange(rest_end_scheduled, true)) return;
-    RunAfter(&context, last_report + kMaxReportSilence - now, [this] {
+    const absl::Time end = std::min(last_report + kMaxReportSilence,
+                                    reported_reply + kMaxReplyAge);
+    RunAfter(&context, end - now, [this] {
       rest_end_scheduled = false;
       WakeUp();
     });
@@ -79,6 +104,7 @@
   void StartNextCall() {
     const std::weak_ptr<impl> weak = weak_from_this();
     const absl::Time now = MonotonicNow();
+    retry_scheduled = false;
     if (MayRest(now)) return Rest(now);
     calling = true;
     call_started = now;
@@ -155,7 +181,8 @@
     // that hung, the store may already be back.
     CallAfter(
         std::max(absl::ZeroDuration(), retry_delay - (now - call_started)));
-    retry_delay = std::min(retry_delay * 2, kMaxRetryDelay);
+    retry_scheduled = true;
+    retry_delay = std::min(retry_delay * 2, MaxRetryDelay(now));
   }
 
   void HandleReport(const topic_report& report) {
@@ -163,23 +190,30 @@
     if (report.store_lost) return HandleReportedOutage(now);
     if (report.next < 0 || report.reply_age > kMaxReplyAge) return;
     last_report = now;
+    reported_reply = std::max(reported_reply, now - report.reply_age);
     reported_next = std::max(reported_next, report.next);
     // The grace period after an outage must begin before the records are
     // applied that the outage may have caused.
     if (std::exchange(store_lost, false) || EndsUnnoticedOutage(report, now)) {
       events.on_store_returned();
     }
-    if (!next_offset) return;
+    if (!next_offset) return EndRetryDelay();
     if (report.from <= *next_offset && !report.records.empty()) {
       AddRecords(report.records, report.next);
     }
-    if (reported_next > *next_offset) return WakeUp();
-    complete_at = std::max(complete_at, now - report.reply_age);
+    if (reported_next <= *next_offset) {
+      complete_at = std::max(complete_at, now - report.reply_age);
+    } else {
+      WakeUp();
+    }
+    // The store answers again, or answers others.
+    if (!is_reader) EndRetryDelay();
   }
 
   // Notes that a reader has lost the store. If others reach it, that concerns
   // only the reader.
   void HandleReportedOutage(absl::Time now) {
+    last_lost_report = now;
     if (is_reader || HearsReader(now) || std::exchange(store_lost, true)) {
       return;
     }
--- a/src/fleet/topic_follower.h
+++ b/src/fleet/topic_follower.h
@@ -80,9 +80,14 @@
   /// change must be in force.
   static constexpr absl::Duration kMaxReportSilence = absl::Seconds(1);
 
-  /// Age of a reader's last reply from which on its reports are not usable. The
-  /// store answers each read within 2.8 s, or the reader counts it as failed.
-  static constexpr absl::Duration kMaxReplyAge = absl::Milliseconds(3200);
+  /// Age of the youngest reply of the store to a reader from which on a daemon
+  /// reads by itself: the readers may all have lost the store without knowing.
+  /// The store holds a read for 1 s at most.
+  static constexpr absl::Duration kMaxReplyAge = absl::Milliseconds(1800);
+
+  /// Delay before the retry of a failed call while readers report that they
+  /// have lost the store, too. They retry sooner, and report its return.
+  static constexpr absl::Duration kMaxFollowerRetryDelay = absl::Seconds(2);
 
   topic_follower(topic_calls calls, topic_events events);
   ~topic_follower();
--- a/src/fleet/topic_follower_test.cc
+++ b/src/fleet/topic_follower_test.cc
@@ -303,5 +303,53 @@
   EXPECT_EQ(read_offsets_.size(), 1u);
 }
 
+// A change that a report tells of must not wait for the retry of a call that
+// failed in an outage.
+TEST_F(topic_follower_test, TheReturnOfTheStoreEndsTheDelayOfARetry) {
+  follower_->SetReader(false);
+  read_replies_.assign(5, absl::UnavailableError("reset"));
+  follower_->Start();
+  ASSERT_TRUE(RunUntil([&] { return read_replies_.empty(); }));
+  const size_t reads = read_offsets_.size();
+  read_replies_ = {record_batch{{{"a", "2", 5}}, 6}};
+  follower_->HandleReport(ReportUpTo(6));
+  EXPECT_TRUE(RunUntil([&] { return read_offsets_.size() > reads; },
+                       topic_follower::kMinReadInterval));
+  EXPECT_EQ(received_offsets_, (std::vector<int64_t>{5}));
+  EXPECT_EQ(returned_events_, 1);
+}
+
+// In an outage of the store the readers look for its end for all.
+TEST_F(topic_follower_test, RetriesAreFewWhileReadersHaveLostTheStore) {
+  follower_->SetReader(false);
+  read_replies_.assign(50, absl::UnavailableError("reset"));
+  topic_report lost = ReportUpTo(5);
+  lost.store_lost = true;
+  follower_->HandleReport(lost);
+  follower_->Start();
+  const absl::Time end = MonotonicNow() + absl::Seconds(4);
+  while (MonotonicNow() < end) {
+    RunUntil([] { return false; }, topic_follower::kMaxReportSilence / 3);
+    follower_->HandleReport(lost);
+  }
+  // At 0, 0.15, 0.45, 1.05, 2.25 and 4.25 s.
+  EXPECT_LE(read_offsets_.size(), 6u);
+}
+
+// The readers' connections to the store have gone silent, without a failure.
+TEST_F(topic_follower_test, ADaemonReadsWhenTheReadersRepliesGrowOld) {
+  StartBesideReader();
+  const absl::Time start = MonotonicNow();
+  while (read_offsets_.empty() && MonotonicNow() < start + absl::Seconds(3)) {
+    RunUntil([&] { return !read_offsets_.empty(); },
+             topic_follower::kMaxReportSilence / 3);
+    topic_report report = ReportUpTo(5);
+    report.reply_age = absl::Milliseconds(100) + MonotonicNow() - start;
+    follower_->HandleReport(report);
+  }
+  EXPECT_LT(MonotonicNow() - start,
+            topic_follower::kMaxReplyAge + absl::Milliseconds(400));
+}
+
 }  // namespace
 }  // namespace anvilridge
--- a/src/sharing/followed_topic_test.cc
+++ b/src/sharing/followed_topic_test.cc
@@ -21,7 +21,9 @@
 namespace {
 
 constexpr int kDaemons = 60;
-constexpr absl::Duration kReadHold = absl::Seconds(2);
+constexpr absl::Duration kReadHold = absl::Seconds(1);
+// Time after which a call counts as failed, beyond that for which it is held.
+constexpr absl::Duration kResponseTimeout = absl::Milliseconds(800);
 constexpr absl::Duration kStoreLatency = absl::Milliseconds(4);
 constexpr absl::Duration kReportInterval = absl::Milliseconds(300);
 constexpr double kDatagramLoss = 0.05;
@@ -37,7 +39,8 @@
     for (const auto& [id, read] : waiting) Reply(read);
   }
 
-  topic_calls Calls() {
+  // Returns the calls of the daemon `name`.
+  topic_calls Calls(const std::string& name) {
     topic_calls calls;
     calls.list = [this](const auto& done) {
       ++call_count_;
@@ -45,9 +48,10 @@
         done(record_listing{records_, End()});
       });
     };
-    calls.read = [this](int64_t from, const auto& done) {
+    calls.read = [this, name](int64_t from, const auto& done) {
       ++call_count_;
-      const held_read read{from, done};
+      const held_read read{name, from, done};
+      if (cut_off_.contains(name)) return FailLate(read);
       if (from < End()) return Reply(read);
       const int id = ++last_id_;
       waiting_[id] = read;
@@ -62,6 +66,10 @@
     return calls;
   }
 
+  // Lets the calls of `name` from now on, and those that are held, get no
+  // reply.
+  void CutOff(const std::string& name) { cut_off_.insert(name); }
+
   int64_t End() const { return static_cast<int64_t>(records_.size()); }
   int CallCount() const { return call_count_; }
   absl::Time WrittenAt(int64_t offset) const {
@@ -70,11 +78,19 @@
 
  private:
   struct held_read {
+    std::string name;
     int64_t from = 0;
     std::function<void(absl::StatusOr<record_batch>)> done;
   };
 
+  void FailLate(const held_read& read) {
+    RunAfter(&context_, kReadHold + kResponseTimeout, [read] {
+      read.done(absl::UnavailableError("no progress in time"));
+    });
+  }
+
   void Reply(const held_read& read) {
+    if (cut_off_.contains(read.name)) return FailLate(read);
     RunAfter(&context_, kStoreLatency, [this, read] {
       record_batch batch;
       batch.records.assign(records_.begin() + read.from, records_.end());
@@ -87,6 +103,7 @@
   std::vector<keyed_record> records_;
   std::vector<absl::Time> written_at_;
   std::map<int, held_read> waiting_;
+  std::set<std::string> cut_off_;
   int last_id_ = 0;
   int call_count_ = 0;
 };
@@ -133,7 +150,8 @@
     events.on_news = [this, &each](const topic_report& report) {
       if (each.is_reader) Send(each, report);
     };
-    each.follower = std::make_unique<topic_follower>(store_.Calls(), events);
+    each.follower =
+        std::make_unique<topic_follower>(store_.Calls(each.name), events);
     each.follower->Start();
   }
 
@@ -153,7 +171,8 @@
       if (peer.get() == &sender || absl::Bernoulli(random_, kDatagramLoss)) {
         continue;
       }
-      PostTo(&context_, [this, name = peer->name, report] {
+      if (silent_.contains(sender.name)) continue;
+      RunAfter(&context_, lag_, [this, name = peer->name, report] {
         const auto found =
             std::find_if(daemons_.begin(), daemons_.end(),
                          [&](const auto& each) { return each->name == name; });
@@ -175,10 +194,21 @@
     }
   }
 
-  bool AllHaveAll() const {
+  std::vector<std::string> Readers() const {
+    std::vector<std::string> readers;
+    for (const auto& each : daemons_) {
+      if (each->is_reader) readers.push_back(each->name);
+    }
+    return readers;
+  }
+
+  bool AllHaveAll() const { return AllHaveAllBut({}); }
+
+  bool AllHaveAllBut(const std::set<std::string>& names) const {
     return std::all_of(
-        daemons_.begin(), daemons_.end(),
-        [this](const auto& each) { return each->next == store_.End(); });
+        daemons_.begin(), daemons_.end(), [this, &names](const auto& each) {
+          return names.contains(each->name) || each->next == store_.End();
+        });
   }
 
   absl::Duration LongestDelay() const {
@@ -193,6 +223,9 @@
   QObject context_;
   std::vector<std::unique_ptr<test_daemon>> daemons_;
   std::unique_ptr<QTimer> report_timer_;
+  // Daemons that send no reports, and the time that a report takes.
+  std::set<std::string> silent_;
+  absl::Duration lag_ = absl::ZeroDuration();
   absl::BitGen random_;
 };
 
@@ -221,5 +254,57 @@
             topic_follower::kMaxReportSilence + absl::Milliseconds(500));
 }
 
+// The readers live and send reports, but their reads get no reply any more.
+TEST_F(followed_topic_test, ReadersThatAreCutFromTheStoreHideNothingForLong) {
+  StartDaemons();
+  RunWithChanges(absl::Seconds(2));
+  const std::vector<std::string> readers = Readers();
+  ASSERT_EQ(readers.size(), static_cast<size_t>(kStoreReaders));
+  for (const std::string& reader : readers) store_.CutOff(reader);
+  store_.Append("engine-leaves");
+  const std::set<std::string> cut(readers.begin(), readers.end());
+  EXPECT_TRUE(RunUntil([&] { return AllHaveAllBut(cut); }, absl::Seconds(5)));
+  EXPECT_LT(LongestDelay(),
+            topic_follower::kMaxReplyAge + absl::Milliseconds(500));
+}
+
+TEST_F(followed_topic_test, ReadersThatLagDelayAChangeByTheirLagAtMost) {
+  lag_ = absl::Milliseconds(700);
+  StartDaemons();
+  RunWithChanges(absl::Seconds(3));
+  EXPECT_TRUE(RunUntil([this] { return AllHaveAll(); }, absl::Seconds(2)));
+  EXPECT_LT(LongestDelay(), lag_ + absl::Milliseconds(500));
+}
+
+// Daemons of an older version hold the first places and report nothing, as
+// while a new version is rolled out.
+TEST_F(followed_topic_test, DaemonsBesideOlderOnesReadByThemselves) {
+  StartDaemons();
+  RunUntil([] { return false; }, absl::Seconds(1));
+  for (const std::string& reader : Readers()) silent_.insert(reader);
+  RunUntil([] { return false; }, topic_follower::kMaxReportSilence * 2);
+  RunWithChanges(absl::Seconds(2));
+  EXPECT_TRUE(AllHaveAll());
+  EXPECT_LT(LongestDelay(), absl::Milliseconds(700));
+}
+
+// A reader that was cut off or frozen and comes back with what it had.
+TEST_F(followed_topic_test, AnOldReportTakesNothingBack) {
+  StartDaemons();
+  RunWithChanges(absl::Seconds(2));
+  test_daemon& follower =
+      **std::find_if(daemons_.begin(), daemons_.end(),
+                     [](const auto& each) { return !each->is_reader; });
+  const int64_t next = follower.next;
+  topic_report old;
+  old.next = 1;
+  old.from = 0;
+  old.reply_age = absl::ZeroDuration();
+  old.records = {{"engine-0", "value", 0}};
+  follower.follower->HandleReport(old);
+  EXPECT_EQ(follower.next, next);
+  EXPECT_EQ(follower.follower->Report().next, next);
+}
+
 }  // namespace
 }  // namespace anvilridge
--- a/src/sharing/load_exchange_test.cc
+++ b/src/sharing/load_exchange_test.cc
@@ -4,11 +4,14 @@
 #include <QUdpSocket>
 #include <algorithm>
 #include <memory>
+#include <optional>
+#include <vector>
 
 #include "base/clock.h"
 #include "base/testing/run_loop.h"
 #include "dispatch/engine_cell.h"
 #include "gtest/gtest.h"
+#include "sharing/store_readers.h"
 
 namespace anvilridge {
 namespace {
@@ -33,6 +36,10 @@
       received[std::string(peer)] = std::move(load);
     };
     handler.on_daemon_count = [this](int count) { daemon_count = count; };
+    handler.on_store_reader = [this](bool reader) { is_reader = reader; };
+    handler.on_store_report = [this](const store_report& report) {
+      reported_next.push_back(report.upstreams.next);
+    };
     handler.evidence = [this] { return evidence; };
     handler.on_evidence = [this](const staged_evidence& other) {
       if (MergeEvidence(evidence.decode, other.decode)) {
@@ -50,6 +57,8 @@
   daemon_load current_load;
   std::map<std::string, daemon_load> received;
   int daemon_count = 0;
+  std::optional<bool> is_reader;
+  std::vector<int64_t> reported_next;
   staged_evidence evidence;
   load_exchange exchange;
 };
@@ -245,5 +254,80 @@
   EXPECT_TRUE(a.received.empty());
 }
 
+// Returns daemons that have heard each other.
+std::vector<std::unique_ptr<test_daemon>> Neighbours(size_t count) {
+  std::vector<std::unique_ptr<test_daemon>> daemons;
+  std::vector<std::string> names;
+  for (size_t i = 0; i < count; ++i) {
+    daemons.push_back(std::make_unique<test_daemon>());
+    names.push_back(daemons.back()->Name());
+  }
+  for (const auto& daemon : daemons) daemon->exchange.SetPeers(names);
+  EXPECT_TRUE(RunUntil([&] {
+    return std::all_of(daemons.begin(), daemons.end(), [&](const auto& daemon) {
+      return daemon->received.size() + 1 == count;
+    });
+  }));
+  return daemons;
+}
+
+int CountReaders(const std::vector<std::unique_ptr<test_daemon>>& daemons) {
+  return static_cast<int>(std::count_if(
+      daemons.begin(), daemons.end(),
+      [](const auto& daemon) { return daemon->is_reader.value_or(true); }));
+}
+
+TEST_F(load_exchange_test, ALostReaderIsReplacedByAnotherDaemon) {
+  auto daemons = Neighbours(6);
+  EXPECT_TRUE(RunUntil([&] { return CountReaders(daemons) == kStoreReaders; }));
+  std::erase_if(daemons, [](const auto& daemon) { return *daemon->is_reader; });
+  ASSERT_EQ(daemons.size(), 3u);
+  EXPECT_TRUE(
+      RunUntil([&] { return CountReaders(daemons) == 3; }, absl::Seconds(3)));
+}
+
+// A daemon that stops hands its place over before it is missed.
+TEST_F(load_exchange_test, AReaderThatLeavesIsReplacedAtOnce) {
+  auto daemons = Neighbours(5);
+  ASSERT_TRUE(RunUntil([&] { return CountReaders(daemons) == kStoreReaders; }));
+  const auto leaver =
+      std::find_if(daemons.begin(), daemons.end(),
+                   [](const auto& daemon) { return *daemon->is_reader; });
+  (*leaver)->exchange.AnnounceLeaving();
+  daemons.erase(leaver);
+  EXPECT_TRUE(RunUntil([&] { return CountReaders(daemons) == kStoreReaders; },
+                       absl::Milliseconds(600)));
+}
+
+TEST_F(load_exchange_test, ReportsReachTheDaemonsOfTheCell) {
+  auto daemons = Neighbours(3);
+  store_report report;
+  report.upstreams.next = 7;
+  daemons[0]->exchange.SendStoreReport(report);
+  EXPECT_TRUE(RunUntil([&] {
+    return daemons[1]->reported_next == std::vector<int64_t>{7} &&
+           daemons[2]->reported_next == std::vector<int64_t>{7};
+  }));
+  EXPECT_TRUE(daemons[0]->reported_next.empty());
+}
+
+// As while a new version is rolled out.
+TEST_F(load_exchange_test, MessagesOfOtherVersionsAreIgnored) {
+  auto daemons = Neighbours(2);
+  QUdpSocket other;
+  for (const int first_byte : {0x00, 0xA9, 0xAB, 0xB0, 0xB1, 0xB2, 0xFF}) {
+    QByteArray bytes(64, '\x01');
+    bytes[0] = static_cast<char>(first_byte);
+    other.writeDatagram(bytes, QHostAddress::LocalHost,
+                        daemons[0]->address.port);
+  }
+  daemons[1]->current_load.waiting = 5;
+  daemons[1]->exchange.ScheduleSend();
+  EXPECT_TRUE(RunUntil(
+      [&] { return daemons[0]->received[daemons[1]->Name()].waiting == 5; }));
+  EXPECT_TRUE(daemons[0]->reported_next.empty());
+  EXPECT_EQ(daemons[0]->daemon_count, 2);
+}
+
 }  // namespace
 }  // namespace anvilridge
