Bound in sum what callers, trailers, daemons and the product's own upstreams grow

Cause: the bound on the sum covered responses of a fleet daemon's upstreams only. Requests that arrive (8 MiB each, 1,000 at a time), answers that callers don't take, trailers, the answers to the product's own client and the addresses of daemons in messages were bounded one by one, or not at all.

Change: a port counts what it holds for its callers. Beyond an eighth of the machine's memory, requests of more than 64 KiB are refused as not run, with a time to come back; beyond twice of it all, and connections that don't take their answers are cut. Trailers count with the head; `http_client` counts as `channel_client` does; at most 4,096 daemons are known. `kept_bytes` moves to `upstreams/`, which both clients use.

--- a/src/caller/caller_connection.cc
+++ b/src/caller/caller_connection.cc
@@ -40,6 +40,12 @@
 /// Most bytes taken from the network at a time.
 constexpr int64_t kReadBufferBytes = 64 << 10;
 
+/// Bytes that each connection may hold beyond the bound for all.
+constexpr int64_t kReservedBytes = 64 << 10;
+
+/// When a caller that was refused for lack of memory may come back.
+constexpr absl::Duration kMemoryRetryAfter = absl::Milliseconds(500);
+
 /// Whether `bytes` hold nothing but line ends, which some callers send behind
 /// a body.
 bool IsBlank(absl::string_view bytes) {
@@ -190,11 +196,19 @@
 void caller_connection::Receive(absl::string_view bytes) {
   if (phase_ == phase::idle) BeginRequest();
   received_bytes_ += static_cast<int64_t>(bytes.size());
+  CountHeld(received_bytes_);
   const auto progress = scanner_.Take(bytes);
   if (!progress.ok()) {
     Refuse(progress.status());
     return;
   }
+  if (ExceedsHeldBytes()) {
+    Refuse(MakeError(error_kind::overloaded,
+                     absl::StrCat("no memory left for a request of at least ",
+                                  received_bytes_, " bytes"),
+                     run_state::not_run, kMemoryRetryAfter));
+    return;
+  }
   if (*progress == scan_progress::complete) {
     Dispatch();
     return;
@@ -285,6 +299,7 @@
   if (next != phase::receiving && phase_ == phase::receiving) {
     --counters.receiving;
   }
+  if (next == phase::gone || next == phase::lingering) CountHeld(0);
   phase_ = next;
 }
 
@@ -298,14 +313,40 @@
   SetTimer(std::min(delay, last_arrival_ - MonotonicNow()));
 }
 
+void caller_connection::CountHeld(int64_t bytes) {
+  context_.counters->held_bytes += bytes - held_bytes_;
+  held_bytes_ = bytes;
+}
+
+bool caller_connection::ExceedsHeldBytes() const {
+  const port_counters& counters = *context_.counters;
+  const int64_t bound = received_bytes_ <= kReservedBytes
+                            ? 2 * counters.max_held_bytes
+                            : counters.max_held_bytes;
+  return counters.held_bytes.load() > bound;
+}
+
+void caller_connection::CutWithoutMemory() {
+  const port_counters& counters = *context_.counters;
+  if (UnsentBytes() <= kReservedBytes ||
+      counters.held_bytes.load() <= 2 * counters.max_held_bytes) {
+    return;
+  }
+  ReportCutOfRequest(cut_reason::no_memory);
+  Break(/*reset=*/true);
+}
+
 void caller_connection::Send(absl::string_view bytes) {
   if (phase_ == phase::gone) return;
   socket_->write(bytes.data(), static_cast<qint64>(bytes.size()));
+  CountHeld(received_bytes_ + UnsentBytes());
   // From here on the caller must keep taking bytes.
   if (!timer_.isActive()) SetTimer(context_.limits.request_timeout);
 }
 
 void caller_connection::OnBytesWritten() {
+  if (phase_ == phase::answering) CountHeld(received_bytes_ + UnsentBytes());
+  if (phase_ == phase::flushing) CountHeld(UnsentBytes());
   if (phase_ == phase::answering) {
     timer_.stop();
     if (UnsentBytes() > 0) SetTimer(context_.limits.request_timeout);
@@ -319,6 +360,7 @@
 void caller_connection::EndAnswer() {
   SetPhase(phase::flushing);
   exchange_.reset();
+  CountHeld(UnsentBytes());
   SetTimer(context_.limits.request_timeout);
   FinishIfFlushed();
 }
@@ -343,6 +385,7 @@
 
 void caller_connection::BecomeIdle() {
   SetPhase(phase::idle);
+  CountHeld(0);
   idle_since_ = MonotonicNow();
   idle_end_ = idle_since_ + context_.limits.idle_timeout;
   SetArrivalTimer(draining_ ? kStopGrace : context_.limits.idle_timeout);
--- a/src/caller/caller_connection.h
+++ b/src/caller/caller_connection.h
@@ -26,6 +26,12 @@
   std::atomic<int> receiving{0};
   /// Answers begun or due, up to their last byte sent.
   std::atomic<int> answering{0};
+  /// Bytes of requests that arrive or are in progress, and of answers that
+  /// their callers have not taken.
+  std::atomic<int64_t> held_bytes{0};
+  /// Bound on `held_bytes`, beyond which longer requests are refused. Set
+  /// before the first connection.
+  int64_t max_held_bytes = int64_t{256} << 20;
   /// Told of requests that were refused before their handler; set before the
   /// first connection.
   std::function<void(const absl::Status&)> on_refuse;
@@ -101,6 +107,13 @@
   // Sets the timer, at most until the port refuses what has not arrived.
   void SetArrivalTimer(absl::Duration delay);
   void Send(absl::string_view bytes);
+  // Cuts the connection if callers have not taken so much of their answers that
+  // the memory for them is used up.
+  void CutWithoutMemory();
+  // Counts `bytes` as held for this connection.
+  void CountHeld(int64_t bytes);
+  // Whether the request that arrives may not be held.
+  bool ExceedsHeldBytes() const;
   void EndAnswer();
   void FinishIfFlushed();
   void Linger(absl::Duration duration);
@@ -123,6 +136,8 @@
   absl::Time received_;
   // Bytes read of the request in progress, and its id.
   int64_t received_bytes_ = 0;
+  // Bytes that are counted as held.
+  int64_t held_bytes_ = 0;
   std::string request_id_;
   // When the whole request must have arrived.
   absl::Time deadline_;
--- a/src/caller/caller_exchange.cc
+++ b/src/caller/caller_exchange.cc
@@ -118,7 +118,8 @@
     absl::StrAppend(&answer, body);
   }
   connection_->Send(answer);
-  Finish();
+  connection_->CutWithoutMemory();
+  if (connection_ != nullptr) Finish();
 }
 
 void caller_exchange::Begin(int http_status, const http_headers& headers) {
@@ -147,6 +148,8 @@
 }
 
 void caller_exchange::CutSlowReader() {
+  connection_->CutWithoutMemory();
+  if (connection_ == nullptr) return;
   const int64_t bound = connection_->context_.limits.max_unsent_bytes;
   if (UnsentBytes() <= bound) return;
   connection_->socket_->flush();
--- a/src/caller/caller_port.cc
+++ b/src/caller/caller_port.cc
@@ -224,6 +224,10 @@
   impl_->counters->request_id_field = std::move(request_id_field);
 }
 
+void caller_port::SetMaxHeldBytes(int64_t bytes) {
+  impl_->counters->max_held_bytes = bytes;
+}
+
 void caller_port::SetLimits(const limit_settings& limits) {
   impl_->limits = limits;
   for (const auto& slot : impl_->slots) {
--- a/src/caller/caller_port.h
+++ b/src/caller/caller_port.h
@@ -88,6 +88,12 @@
   /// @param request_id_field header field, in lower case, with a request's id.
   void OnCut(cut_listener listener, std::string request_id_field);
 
+  /// Bounds the bytes of requests in progress and of answers that their callers
+  /// have not taken. Beyond `bytes`, requests of more than 64 KiB are refused
+  /// as `overloaded`; beyond twice of that all, and connections with more than
+  /// that unsent are cut. To be called before listening.
+  void SetMaxHeldBytes(int64_t bytes);
+
   /// Changes the limits of open and new connections; to be called on the thread
   /// that listens. A request in progress keeps those that it began with.
   void SetLimits(const limit_settings& limits);
--- a/src/caller/connection_cut.cc
+++ b/src/caller/connection_cut.cc
@@ -24,6 +24,8 @@
       return "closing";
     case cut_reason::slow_reader:
       return "slow_reader";
+    case cut_reason::no_memory:
+      return "no_memory";
     case cut_reason::aborted:
       return "aborted";
     case cut_reason::port_closed:
--- a/src/caller/connection_cut.h
+++ b/src/caller/connection_cut.h
@@ -30,6 +30,9 @@
   closing,
   /// The caller took too little of its answer.
   slow_reader,
+  /// Callers had not taken so much of their answers that the memory for them
+  /// was used up.
+  no_memory,
   /// The handler gave the answer up.
   aborted,
   port_closed,
--- a/src/dispatch/decode_runs.cc
+++ b/src/dispatch/decode_runs.cc
@@ -15,7 +15,7 @@
 #include "dispatch/quarantine_control.h"
 #include "dispatch/send_claim.h"
 #include "dispatch/stream_limits.h"
-#include "http1/kept_bytes.h"
+#include "upstreams/kept_bytes.h"
 #include "log/decision_log.h"
 
 namespace anvilridge {
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -15,7 +15,7 @@
 #include "dispatch/quarantine_control.h"
 #include "dispatch/stop_admission.h"
 #include "dispatch/stream_flow.h"
-#include "http1/kept_bytes.h"
+#include "upstreams/kept_bytes.h"
 #include "log/decision_log.h"
 
 namespace anvilridge {
--- a/src/fleet_daemon/fleet_daemon.cc
+++ b/src/fleet_daemon/fleet_daemon.cc
@@ -43,6 +43,9 @@
 // Time between two reads of the settings file, which may change without a
 // SIGHUP.
 constexpr absl::Duration kSettingsPollInterval = absl::Seconds(2);
+// Part of the machine's memory for requests of callers and for answers that
+// they have not taken.
+constexpr int64_t kCallerMemoryParts = 8;
 // Time between two samples of the workload for the control thread.
 constexpr absl::Duration kWorkloadInterval = absl::Milliseconds(500);
 // Part of `stop_grace` left for closing down once the remaining responses are
@@ -92,6 +95,7 @@
         readiness_port_(settings.readiness, &context_, HealthSources(),
                         ReadinessPaths(settings)),
         metrics_port_(settings.metrics, &context_, MetricsSources()) {
+    caller_port_->SetMaxHeldBytes(settings.memory / kCallerMemoryParts);
     caller_port_->OnCut(
         [this](const connection_cut& cut) {
           ReportConnectionCut(cut, metrics_);
--- a/src/http1/channel_client.cc
+++ b/src/http1/channel_client.cc
@@ -118,16 +118,8 @@
   size_t body_bytes = 0;
   // What is kept of the response.
   kept_share kept;
-  // Whether more of it has arrived than may be kept.
-  bool exceeds_kept = false;
 };
 
-size_t SizeOf(const http_headers& headers) {
-  size_t size = 0;
-  for (const auto& [name, value] : headers) size += name.size() + value.size();
-  return size;
-}
-
 }  // namespace
 
 struct channel_client::impl {
@@ -165,8 +157,7 @@
   void TakeHead(call_id id, channel& used, int status,
                 const http_headers& head);
   void TakeBody(call_id id, absl::string_view bytes);
-  absl::Status CheckLength(const channel& used, call_state& state,
-                           size_t partial_head) const;
+  absl::Status CheckLength(const channel& used, call_state& state) const;
   void Complete(channel& used, bool reusable);
   void Fail(call_id id, const absl::Status& error);
   void Finish(call_id id, absl::Status status);
@@ -278,8 +269,6 @@
                                            " on a connection used before"),
                               run_state::unknown));
   }
-  state->exceeds_kept = !state->kept.Set(SizeOf(head));
-  if (state->exceeds_kept) return;
   state->result.http_status = status;
   state->result.headers = head;
   if (state->handler.on_headers) state->handler.on_headers(status, head);
@@ -292,22 +281,15 @@
     return state->handler.on_data(bytes);
   }
   state->body_bytes += bytes.size();
-  if (state->passing_over || state->exceeds_kept) return;
-  state->exceeds_kept = !state->kept.Add(bytes.size());
-  if (!state->exceeds_kept) absl::StrAppend(&state->result.body, bytes);
+  if (!state->passing_over) absl::StrAppend(&state->result.body, bytes);
 }
 
-// Checks what has arrived of a response against the bounds.
-// @param partial_head bytes of a head that is incomplete.
+// Counts what is kept of a response, and checks it against the bounds. At most
+// one read of the connection was added beyond them.
 // @return an error if the call must fail.
 absl::Status channel_client::impl::CheckLength(const channel& used,
-                                               call_state& state,
-                                               size_t partial_head) const {
-  if (partial_head > 0 && state.result.http_status == 0 &&
-      !state.kept.Add(partial_head)) {
-    state.exceeds_kept = true;
-  }
-  if (state.exceeds_kept) {
+                                               call_state& state) const {
+  if (!state.kept.Set(state.result.body.size() + used.reader.HeadBytes())) {
     LogEvent(
         log_level::warn, "answer_exceeds_memory",
         {{"upstream", QtText(used.address)},
@@ -355,8 +337,7 @@
     const bool is_partial = *progress == response_reader::progress::partial;
     call_state* state = FindCall(call);
     if (state != nullptr) {
-      const absl::Status length =
-          CheckLength(*used, *state, is_partial ? bytes.size() : 0);
+      const absl::Status length = CheckLength(*used, *state);
       if (!length.ok()) return Fail(call, length);
     }
     if (is_partial) return;
--- a/src/http1/channel_client.h
+++ b/src/http1/channel_client.h
@@ -6,7 +6,7 @@
 
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
-#include "http1/kept_bytes.h"
+#include "upstreams/kept_bytes.h"
 #include "upstreams/http_client.h"
 
 namespace anvilridge {
--- a/src/http1/response_reader.cc
+++ b/src/http1/response_reader.cc
@@ -2,6 +2,7 @@
 
 #include <http_parser.h>
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -151,6 +152,10 @@
   return impl_->complete;
 }
 
+size_t response_reader::HeadBytes() const {
+  return std::max(impl_->head_bytes, impl_->unfinished_head_bytes);
+}
+
 bool response_reader::KeepAlive() const { return impl_->keep_alive; }
 
 }  // namespace anvilridge
--- a/src/http1/response_reader.h
+++ b/src/http1/response_reader.h
@@ -45,6 +45,10 @@
   /// @return whether that completes the response (one without a length).
   bool TakeClose();
 
+  /// Returns the bytes of the header fields and trailers of this response, and
+  /// of a head that is incomplete.
+  size_t HeadBytes() const;
+
   /// Whether the connection may carry another response.
   bool KeepAlive() const;
 
--- a/src/sharing/load_exchange.cc
+++ b/src/sharing/load_exchange.cc
@@ -51,6 +51,9 @@
 // Hellos in one round. A few rounds return the addresses of most daemons of a
 // cell of a dozen.
 constexpr size_t kHellosPerInterval = 4;
+// Limit on the daemons that are known, so that forged messages don't fill the
+// memory. Ten times as many as the largest deployment has.
+constexpr size_t kMaxPeers = 4096;
 
 // Time after a change for which all messages carry the evidence, since each may
 // be lost, and the interval at which they carry it without a change, for
@@ -158,6 +161,7 @@
   const auto port = static_cast<uint16_t>(datagram.senderPort());
   const std::string name = PeerName(datagram.senderAddress(), port);
   if (name == own_address) return;
+  if (peers.size() >= kMaxPeers && !peers.contains(name)) return;
   peer_state& peer = peers[name];
   const bool same_incarnation = peer.incarnation == message->incarnation;
   const bool is_load = message->kind == load_message_kind::load;
@@ -230,7 +234,7 @@
                                   absl::Time now) {
   const QHostAddress host(address.ip);
   const std::string name = PeerName(host, address.port);
-  if (name == own_address) return;
+  if (name == own_address || peers.size() >= kMaxPeers) return;
   const auto [entry, is_new] = peers.try_emplace(name);
   if (!is_new) return;
   entry->second.host = host;
--- a/src/upstreams/curl_transfer.cc
+++ b/src/upstreams/curl_transfer.cc
@@ -16,6 +16,8 @@
 
 /// Header fields and trailers of one answer may be this long in all.
 constexpr size_t kMaxHeaderBytes = 64 << 10;
+// Short fields take far more memory than they have bytes.
+constexpr size_t kMaxHeaderFields = 256;
 constexpr int kMaxPort = 65535;
 
 /// Fields that describe the message or the connection, which this client
@@ -105,8 +107,11 @@
   const size_t length = size * count;
   transfer.on_progress();
   transfer.header_bytes += length;
-  transfer.headers_too_large = transfer.header_bytes > kMaxHeaderBytes;
-  if (transfer.headers_too_large) return 0;
+  transfer.headers_too_large =
+      transfer.header_bytes > kMaxHeaderBytes ||
+      transfer.result.headers.size() > kMaxHeaderFields;
+  transfer.exceeds_kept = !transfer.kept->Add(length);
+  if (transfer.headers_too_large || transfer.exceeds_kept) return 0;
   // Lines after the body are trailers, which nobody here reads.
   if (transfer.headers_complete) return length;
   absl::string_view line(data, length);
@@ -135,7 +140,8 @@
   }
   transfer.body_too_large =
       transfer.result.body.size() + length > transfer.call.max_body_bytes;
-  if (transfer.body_too_large) return 0;
+  transfer.exceeds_kept = !transfer.kept->Add(length);
+  if (transfer.body_too_large || transfer.exceeds_kept) return 0;
   transfer.result.body.append(data, length);
   return length;
 }
@@ -281,6 +287,10 @@
                                   transfer.call.max_body_bytes, " bytes"),
                      ran);
   }
+  if (transfer.exceeds_kept) {
+    return MakeError(error_kind::upstream_failed,
+                     "no memory left for the rest of the answer", ran);
+  }
   if (transfer.headers_too_large) {
     return MakeError(error_kind::upstream_failed,
                      "the header fields of the answer are too long", ran);
--- a/src/upstreams/curl_transfer.h
+++ b/src/upstreams/curl_transfer.h
@@ -15,6 +15,7 @@
 #include "absl/time/time.h"
 #include "base/run_state.h"
 #include "upstreams/http_client.h"
+#include "upstreams/kept_bytes.h"
 
 namespace anvilridge {
 
@@ -50,6 +51,9 @@
   /// Whether a connection existed, so that the request may have been sent.
   bool connected = false;
   bool body_too_large = false;
+  /// What is kept of the answer, and whether more arrived than may be kept.
+  std::unique_ptr<kept_share> kept;
+  bool exceeds_kept = false;
   bool headers_too_large = false;
   /// The length that the header fields name, and whether they name another one
   /// too or none that can be read.
--- a/src/upstreams/http_client.cc
+++ b/src/upstreams/http_client.cc
@@ -18,6 +18,7 @@
 #include "base/error_kind.h"
 #include "base/event_loop.h"
 #include "upstreams/curl_transfer.h"
+#include "upstreams/kept_bytes.h"
 
 namespace anvilridge {
 namespace {
@@ -74,6 +75,7 @@
   absl::flat_hash_map<curl_socket_t, socket_watch> sockets;
   std::deque<call_id> progressed;
   deadline_queue deadlines{[this](call_id id) { CheckDeadline(id); }};
+  std::shared_ptr<kept_bytes> kept = std::make_shared<kept_bytes>();
   QTimer curl_timer;
   QObject context;
 
@@ -256,6 +258,8 @@
   transfer.id = id;
   transfer.call = std::move(call);
   transfer.handler = std::move(handler);
+  transfer.kept =
+      std::make_unique<kept_share>(impl_->kept, transfer.call.address);
   transfer.on_progress = [this, id] {
     if (impl_->progressed.empty() || impl_->progressed.back() != id) {
       impl_->progressed.push_back(id);
--- a/src/upstreams/http_client_test.cc
+++ b/src/upstreams/http_client_test.cc
@@ -1,15 +1,21 @@
 #include "upstreams/http_client.h"
 
 #include <QThread>
+#include <algorithm>
 #include <atomic>
 #include <memory>
 #include <optional>
 #include <set>
+#include <string>
+#include <utility>
+#include <vector>
 
+#include "absl/strings/match.h"
 #include "absl/time/clock.h"
 #include "base/error_kind.h"
 #include "base/testing/run_loop.h"
 #include "gtest/gtest.h"
+#include "upstreams/kept_bytes.h"
 #include "upstreams/testing/endless_server.h"
 #include "upstreams/testing/raw_server.h"
 
@@ -362,5 +368,36 @@
                            return std::string(answer.param.name);
                          });
 
+// One upstream sends without end over several connections. The bounds on a
+// single answer would let it fill the memory.
+TEST_F(http_client_test, EndlessAnswersAreBoundedInSum) {
+  raw_server server([](QTcpSocket& socket, const raw_request&) {
+    QObject::connect(&socket, &QTcpSocket::bytesWritten, [&socket] {
+      if (socket.bytesToWrite() == 0) socket.write(QByteArray(64 << 10, 'x'));
+    });
+    socket.write("HTTP/1.1 200 OK\r\n\r\n");
+  });
+  constexpr size_t kCalls = 4;
+  std::vector<http_result> results;
+  for (size_t i = 0; i < kCalls; ++i) {
+    http_call call = Get(server);
+    call.max_body_bytes = size_t{1} << 30;
+    http_handler handler;
+    handler.on_done = [&](http_result done) {
+      results.push_back(std::move(done));
+    };
+    client_.Start(std::move(call), std::move(handler));
+  }
+  // The first ones that are cut off leave room for the others for a while.
+  EXPECT_TRUE(RunUntil([&] { return results.size() == kCalls; }));
+  size_t kept = 0;
+  for (const http_result& result : results) {
+    EXPECT_TRUE(absl::StrContains(result.status.message(), "no memory left"))
+        << result.status;
+    kept = std::max(kept, result.body.size());
+  }
+  EXPECT_LE(kept, kept_bytes_limits().per_upstream);
+}
+
 }  // namespace
 }  // namespace anvilridge
--- a/src/upstreams/kept_bytes.cc
+++ b/src/upstreams/kept_bytes.cc
@@ -1,4 +1,4 @@
-#include "http1/kept_bytes.h"
+#include "upstreams/kept_bytes.h"
 
 #include <utility>
 
--- a/src/upstreams/kept_bytes.h
+++ b/src/upstreams/kept_bytes.h
@@ -1,5 +1,5 @@
-#ifndef ANVILRIDGE_HTTP1_KEPT_BYTES_H_
-#define ANVILRIDGE_HTTP1_KEPT_BYTES_H_
+#ifndef ANVILRIDGE_UPSTREAMS_KEPT_BYTES_H_
+#define ANVILRIDGE_UPSTREAMS_KEPT_BYTES_H_
 
 #include <cstddef>
 #include <memory>
@@ -59,4 +59,4 @@
 
 }  // namespace anvilridge
 
-#endif  // ANVILRIDGE_HTTP1_KEPT_BYTES_H_
+#endif  // ANVILRIDGE_UPSTREAMS_KEPT_BYTES_H_
--- a/src/upstreams/kept_bytes_test.cc
+++ b/src/upstreams/kept_bytes_test.cc
@@ -1,6 +1,6 @@
 // Load pattern: upstreams that send without end over many connections, beside
 // others that answer as they should.
-#include "http1/kept_bytes.h"
+#include "upstreams/kept_bytes.h"
 
 #include <memory>
 #include <vector>
--- a/tests/endless_answers_test.cc
+++ b/tests/endless_answers_test.cc
@@ -14,7 +14,7 @@
 #include "gtest/gtest.h"
 #include "harness/platform_scene.h"
 #include "harness/test_http.h"
-#include "http1/kept_bytes.h"
+#include "upstreams/kept_bytes.h"
 #include "upstreams/testing/endless_server.h"
 
 namespace anvilridge {
