--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -15,8 +15,8 @@
 #include "dispatch/quarantine_control.h"
 #include "dispatch/stop_admission.h"
 #include "dispatch/stream_flow.h"
-#include "upstreams/kept_bytes.h"
 #include "log/decision_log.h"
+#include "upstreams/kept_bytes.h"
 
 namespace anvilridge {
 namespace {
--- a/src/http1/channel_client.h
+++ b/src/http1/channel_client.h
@@ -6,8 +6,8 @@
 
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
-#include "upstreams/kept_bytes.h"
 #include "upstreams/http_client.h"
+#include "upstreams/kept_bytes.h"
 
 namespace anvilridge {
 
