Let a test's prefill end before another engine is asked beside it

The log of one: the prefill took 1.5 s, which is just the silence after which a decode engine is asked beside a slow prefill. It was (prefill_stalled, silent_ms 1500), served the stream, and the cache that came 1 ms later was freed: the second request is that DELETE. The daemon is right, and the test's prefill must not reach that silence.

Change: the prefill takes six tenths of it, by a precise timer. The check stays, and the decode must name the cache, which the hedged one would not.

--- a/tests/upstream_statement_test.cc
+++ b/tests/upstream_statement_test.cc
@@ -13,6 +13,7 @@
 #include "absl/strings/numbers.h"
 #include "absl/time/clock.h"
 #include "dispatch/daemon_count.h"
+#include "dispatch/stream_limits.h"
 #include "gtest/gtest.h"
 #include "harness/eventually.h"
 #include "harness/platform_scene.h"
@@ -242,8 +243,12 @@
                            public testing::WithParamInterface<std::string> {};
 
 TEST_P(changed_entry_test, AReservedEngineIsReplaced) {
+  // Longer than a change of an entry takes, and well below the silence after
+  // which a decode engine is asked beside the prefill.
+  static const absl::Duration kPrefillTime = kLongestSoundSilence * 0.6;
   scene_.OnPrefill([](QTcpSocket& socket, const raw_request& request) {
-    QTimer::singleShot(1500, &socket,
+    QTimer::singleShot(absl::ToChronoMilliseconds(kPrefillTime),
+                       Qt::PreciseTimer, &socket,
                        [&socket, request] { AnswerPrefill(socket, request); });
   });
   auto draft = std::async(std::launch::async, [this] { return Draft(); });
@@ -255,6 +260,8 @@
   EXPECT_EQ(Addressee(scene_.AtDecode()[0]), "d2");
   // The prompt isn't prefilled again.
   EXPECT_EQ(scene_.AtPrefill().size(), 1u);
+  EXPECT_FALSE(
+      platform_scene::Field(scene_.AtDecode()[0], "kv-source").empty());
 }
 
 INSTANTIATE_TEST_SUITE_P(states, changed_entry_test,
