List the group at a rate of the whole group instead of at each change by each daemon

Cause: each change of the group made each daemon list it. While 78 daemons are stopped and started in turn, that is 78 calls to the store for each start and stop, and the calls grow with the square of the daemons (370 daemons: 137,000 for one restart of all). The listing brings nothing then: a daemon that starts lists the group and is known from its own messages, one that stops says so, and the store lists 40 of the daemons at most, which find the others through messages.

Change: while the group changes, its daemons together list it four times a second. A daemon lists at its start, and at the next change when a listed one has fallen silent without a word. Groups of four list each change, as before.

--- a/src/fleet/group_member.cc
+++ b/src/fleet/group_member.cc
@@ -3,8 +3,10 @@
 #include <QJsonObject>
 #include <QObject>
 #include <algorithm>
+#include <limits>
 #include <utility>
 
+#include "absl/random/random.h"
 #include "base/clock.h"
 #include "base/event_loop.h"
 #include "base/qt_text.h"
@@ -40,6 +42,9 @@
   // When the last join call with a successful reply was sent.
   absl::Time last_confirmed = absl::InfinitePast();
   bool left = false;
+  // Listings a second while the group changes.
+  double listing_rate = std::numeric_limits<double>::infinity();
+  absl::BitGen random;
 
   void Join() {
     if (left) return;
@@ -59,8 +64,7 @@
     if (!reply.ok()) return;
     const bool lease_expired = sent_at - last_confirmed > lease;
     last_confirmed = sent_at;
-    const bool generation_changed =
-        std::exchange(generation, reply->generation) != reply->generation;
+    generation = reply->generation;
     if (std::exchange(holds_partition, reply->holds_first_partition) !=
         reply->holds_first_partition) {
       LogEvent(log_level::info,
@@ -70,7 +74,17 @@
     } else if (lease_expired) {
       held_since = MonotonicNow();
     }
-    if (generation_changed || listed_generation != generation) FetchOwners();
+    if (IsListingDue()) FetchOwners();
+  }
+
+  // Returns whether the group is listed after a join call. The draw spreads the
+  // listings of all daemons over time.
+  bool IsListingDue() {
+    if (listed_generation == generation) return false;
+    if (listed_generation < 0) return true;
+    const double chance =
+        listing_rate * absl::ToDoubleSeconds(lease / kJoinsPerLease);
+    return chance >= 1 || absl::Bernoulli(random, chance);
   }
 
   void FetchOwners() {
@@ -102,6 +116,10 @@
 
 void group_member::Start() { impl_->Join(); }
 
+void group_member::SetListingRate(double per_second) {
+  impl_->listing_rate = per_second;
+}
+
 void group_member::Leave() {
   impl_->left = true;
   impl_->holds_partition = false;
--- a/src/fleet/group_member.h
+++ b/src/fleet/group_member.h
@@ -56,8 +56,9 @@
   /// @param name address at which the other daemons reach this one.
   /// @param lease time after which the store removes a member that has not
   /// renewed its membership.
-  /// @param on_members receives the members that hold a partition, after each
-  /// change of the group.
+  /// @param on_members receives the members that hold a partition, once at the
+  /// start and then after changes of the group, as often as the listing rate
+  /// allows.
   group_member(std::string name, absl::Duration lease, group_calls calls,
                std::function<void(const std::vector<std::string>&)> on_members);
   ~group_member();
@@ -65,6 +66,10 @@
   /// Joins the group and then renews the membership periodically.
   void Start();
 
+  /// Sets how many times a second this daemon lists the group while that
+  /// changes, on average. Without it, each change is listed.
+  void SetListingRate(double per_second);
+
   /// Leaves the group for good and gives up the right to send orders.
   void Leave();
 
--- a/src/fleet/group_member_test.cc
+++ b/src/fleet/group_member_test.cc
@@ -59,6 +59,29 @@
   ASSERT_TRUE(RunUntil([&] { return owners_calls_ == 2; }));
 }
 
+TEST_F(group_member_test, ListsOnceAtTheStartWhateverTheRate) {
+  member_.SetListingRate(0);
+  member_.Start();
+  ASSERT_TRUE(RunUntil([&] { return owners_calls_ == 1; }));
+  join_reply_.generation = 8;
+  ASSERT_TRUE(RunUntil([&] { return join_calls_ == 5; }));
+  EXPECT_EQ(owners_calls_, 1);
+}
+
+// A change is not forgotten while the rate allows no listing.
+TEST_F(group_member_test, ListsAnEarlierChangeWhenTheRateAllowsIt) {
+  member_.SetListingRate(0);
+  member_.Start();
+  join_reply_.generation = 8;
+  ASSERT_TRUE(RunUntil([&] { return join_calls_ == 3; }));
+  join_reply_.generation = 9;
+  ASSERT_TRUE(RunUntil([&] { return join_calls_ == 5; }));
+  const int calls_before = owners_calls_;
+  member_.SetListingRate(1 / absl::ToDoubleSeconds(kLease / 3));
+  ASSERT_TRUE(RunUntil([&] { return join_calls_ == 8; }));
+  EXPECT_EQ(owners_calls_, calls_before + 1);
+}
+
 // An earlier holder may send orders until its lease expires.
 TEST_F(group_member_test, WaitsForOneLeaseBeforeItHoldsTheOrderRight) {
   member_.Start();
--- a/src/fleet_daemon/fleet_daemon.cc
+++ b/src/fleet_daemon/fleet_daemon.cc
@@ -259,6 +259,11 @@
     handler.on_daemon_count = [this](int daemons) {
       dispatcher_->SetDaemonCount(daemons);
     };
+    handler.on_group_knowledge = [this](const group_knowledge& knowledge) {
+      PostTo(&context_, [this, rate = GroupListingRate(knowledge)] {
+        group_member_.SetListingRate(rate);
+      });
+    };
     handler.evidence = [this] { return dispatcher_->Evidence(); };
     handler.on_evidence = [this](const staged_evidence& evidence) {
       dispatcher_->AddEvidence(evidence);
--- a/src/sharing/load_exchange.cc
+++ b/src/sharing/load_exchange.cc
@@ -107,6 +107,8 @@
   bool has_listing = false;
   // Last count passed to `handler`.
   int daemon_count = 0;
+  // Last knowledge passed to `handler`; unset before the first.
+  std::optional<group_knowledge> knowledge;
   // Position in the rotation of live peers to list in messages.
   size_t next_live_peer = 0;
   // Number of cells of the deployment.
@@ -137,7 +139,9 @@
   bool IsOwnCell(absl::string_view name) const;
   void SendLoad();
   bool HearsMostListed(absl::Time now) const;
+  bool IsSilent(const peer_state& peer, absl::Time now) const;
   void UpdateDaemonCount();
+  void UpdateKnowledge(const group_knowledge& next);
 };
 
 void load_exchange::impl::HandlePendingDatagrams() {
@@ -339,19 +343,30 @@
   return 2 * heard >= listed;
 }
 
+// Returns whether a daemon that the store lists, and that would be heard if it
+// lived, has ended without a message. Daemons of other cells are heard rarely.
+bool load_exchange::impl::IsSilent(const peer_state& peer,
+                                   absl::Time now) const {
+  return peer.listed && !IsLive(peer, now) &&
+         IsOwnCell(PeerName(peer.host, peer.port));
+}
+
 // Removes peers that time out, counts the daemons and reports a changed count.
 void load_exchange::impl::UpdateDaemonCount() {
   const absl::Time now = MonotonicNow();
   int count = 1;
   int own_cell = 1;
+  int silent = 0;
   for (auto entry = peers.begin(); entry != peers.end();) {
     if (entry->second.listed || IsLive(entry->second, now)) {
       ++count;
+      if (IsSilent(entry->second, now)) ++silent;
       if (IsOwnCell(entry->first)) ++own_cell;
     }
     entry = ShouldSendTo(entry->second, now) ? std::next(entry)
                                              : peers.erase(entry);
   }
+  UpdateKnowledge({std::max(count, own_cell * cells), silent});
   // Without a listing, others may be there that this daemon can't hear.
   if (!has_listing && daemon_count == 0 && count == 1) return;
   // This daemon has the addresses of only a few daemons of other cells, so it
@@ -365,6 +380,12 @@
   handler.on_daemon_count(count);
 }
 
+void load_exchange::impl::UpdateKnowledge(const group_knowledge& next) {
+  if (knowledge == next) return;
+  knowledge = next;
+  handler.on_group_knowledge(next);
+}
+
 load_exchange::load_exchange(load_exchange_handler handler)
     : impl_(std::make_unique<impl>()) {
   impl_->handler = std::move(handler);
--- a/src/sharing/load_exchange.h
+++ b/src/sharing/load_exchange.h
@@ -12,6 +12,7 @@
 #include "fleet/topic_report.h"
 #include "quarantine/crash_evidence.h"
 #include "settings/daemon_settings.h"
+#include "sharing/group_listing.h"
 
 namespace anvilridge {
 
@@ -32,6 +33,9 @@
   /// store has listed the daemons or another one was heard, and while most of
   /// the listed ones are silent.
   std::function<void(int daemons)> on_daemon_count;
+  /// Receives what this daemon knows of the others, when it changes.
+  std::function<void(const group_knowledge&)> on_group_knowledge =
+      [](const group_knowledge&) {};
   /// Called when this daemon begins or ceases to be one of those that read the
   /// store for the daemons of its cell.
   std::function<void(bool is_reader)> on_store_reader = [](bool) {};
--- a/src/sharing/load_exchange_test.cc
+++ b/src/sharing/load_exchange_test.cc
@@ -36,6 +36,9 @@
       received[std::string(peer)] = std::move(load);
     };
     handler.on_daemon_count = [this](int count) { daemon_count = count; };
+    handler.on_group_knowledge = [this](const group_knowledge& next) {
+      knowledge = next;
+    };
     handler.on_store_reader = [this](bool reader) { is_reader = reader; };
     handler.on_store_report = [this](const store_report& report) {
       reported_next.push_back(report.upstreams.next);
@@ -57,6 +60,7 @@
   daemon_load current_load;
   std::map<std::string, daemon_load> received;
   int daemon_count = 0;
+  group_knowledge knowledge;
   std::optional<bool> is_reader;
   std::vector<int64_t> reported_next;
   staged_evidence evidence;
@@ -205,6 +209,29 @@
 
 // Also a daemon that starts later, or from which nobody has heard the crash,
 // learns of it.
+// Guards against a daemon that has ended without a message and is counted until
+// the group is listed by chance.
+TEST_F(load_exchange_test, AListedDaemonIsKnownToBeSilentUntilItIsHeard) {
+  test_daemon a;
+  const endpoint address{"127.0.0.1", FreePort()};
+  a.exchange.SetPeers({"127.0.0.1:" + std::to_string(address.port)});
+  EXPECT_EQ(a.knowledge, (group_knowledge{2, 1}));
+  auto b = std::make_unique<test_daemon>(address);
+  EXPECT_TRUE(RunUntil([&] { return a.knowledge == group_knowledge{2, 0}; }));
+  b.reset();
+  EXPECT_TRUE(RunUntil([&] { return a.knowledge == group_knowledge{2, 1}; }));
+}
+
+// A daemon that says that it leaves needs no listing.
+TEST_F(load_exchange_test, AListedDaemonThatLeavesIsNotSilent) {
+  test_daemon a;
+  test_daemon b;
+  a.exchange.SetPeers({b.Name()});
+  ASSERT_TRUE(RunUntil([&] { return a.knowledge == group_knowledge{2, 0}; }));
+  b.exchange.AnnounceLeaving();
+  EXPECT_TRUE(RunUntil([&] { return a.knowledge == group_knowledge{1, 0}; }));
+}
+
 TEST_F(load_exchange_test, EvidenceReachesAllDaemonsOfACell) {
   test_daemon a;
   test_daemon b;
