--- a/tests/crashing_prompt_test.cc
+++ b/tests/crashing_prompt_test.cc
@@ -1,10 +1,11 @@
 // Prompts that crash engines, over several daemons as processes and engines
 // that end and come back as other instances.
+#include <unistd.h>
+
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
 #include <QPointer>
-#include <QUdpSocket>
 #include <algorithm>
 #include <atomic>
 #include <map>
@@ -38,6 +39,7 @@
 
 constexpr absl::Duration kBound = absl::Seconds(10);
 constexpr int kDaemons = 3;
+constexpr int kFirstSharingPort = 7660;
 constexpr int kEngines = 8;
 // Time for which an engine that has crashed is away.
 constexpr absl::Duration kRestart = absl::Milliseconds(1000);
@@ -195,23 +197,29 @@
   std::unique_ptr<raw_server> server_;
 };
 
+// Returns a loopback address that no other process uses, so that its ports are
+// free whatever runs beside the test.
+std::string OwnAddress() {
+  const auto id = static_cast<uint32_t>(getpid());
+  return absl::StrCat("127.", 1 + (id >> 16U) % 254, ".", (id >> 8U) % 256, ".",
+                      id % 256);
+}
+
 // A daemon as a process.
 class test_daemon {
  public:
   test_daemon(int number, const std::string& store) {
-    QUdpSocket port;
-    port.bind(QHostAddress::LocalHost);
-    folder_.Write("fleet.ini",
-                  absl::StrCat("[daemon]\nname = entry-", number,
-                               "\nfailure_domain = z\n"
-                               "[caller]\nlisten = 127.0.0.1:0\n"
-                               "[readiness]\nlisten = 127.0.0.1:0\n"
-                               "[metrics]\nlisten = 127.0.0.1:0\n"
-                               "[sharing]\nlisten = 127.0.0.1:",
-                               port.localPort(), "\n[budget]\nslack = 100\n",
-                               "[store]\naddress = ", store,
-                               "\n[log]\ndestination = stdout\n"));
-    port.close();
+    folder_.Write(
+        "fleet.ini",
+        absl::StrCat("[daemon]\nname = entry-", number,
+                     "\nfailure_domain = z\n"
+                     "[caller]\nlisten = 127.0.0.1:0\n"
+                     "[readiness]\nlisten = 127.0.0.1:0\n"
+                     "[metrics]\nlisten = 127.0.0.1:0\n"
+                     "[sharing]\nlisten = ",
+                     OwnAddress(), ":", kFirstSharingPort + number,
+                     "\n[budget]\nslack = 100\n", "[store]\naddress = ", store,
+                     "\n[log]\ndestination = stdout\n"));
     Start();
   }
 
