Let a daemon that starts among readers follow them

Cause: a daemon takes itself for a reader until it is told otherwise, but to be told for the first time that it is none changed nothing: the control compared with the reports that it doesn't send yet. A daemon that starts when others are there read both topics every second for ever.

--- a/src/fleet_daemon/fleet_control.cc
+++ b/src/fleet_daemon/fleet_control.cc
@@ -3,6 +3,7 @@
 #include <QJsonObject>
 #include <QObject>
 #include <algorithm>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -29,6 +30,8 @@
   fleet_sources sources;
   view_callback on_view;
   report_callback on_report;
+  // Whether this daemon is a reader; unset until that is determined.
+  std::optional<bool> is_reader;
   // Not null while this daemon is a reader.
   std::unique_ptr<QTimer> report_timer;
   std::unique_ptr<topic_follower> config_follower;
@@ -217,7 +220,8 @@
 
 void fleet_control::SetReader(bool is_reader) {
   impl* self = impl_.get();
-  if (is_reader == (self->report_timer != nullptr)) return;
+  if (self->is_reader == is_reader) return;
+  self->is_reader = is_reader;
   LogEvent(log_level::info, is_reader ? "store_reading" : "store_followed");
   self->report_timer.reset();
   if (is_reader) {
--- a/src/fleet_daemon/fleet_control_test.cc
+++ b/src/fleet_daemon/fleet_control_test.cc
@@ -1,11 +1,13 @@
 #include "fleet_daemon/fleet_control.h"
 
+#include <QObject>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "absl/strings/numbers.h"
 #include "base/error_kind.h"
+#include "base/event_loop.h"
 #include "base/testing/run_loop.h"
 #include "gtest/gtest.h"
 
@@ -82,5 +84,39 @@
   EXPECT_EQ(Version(), 0);
 }
 
+// Guards against a daemon that reads the store for ever beside those that read
+// it for all: one that starts among others has never been a reader.
+TEST_F(fleet_control_test, ADaemonThatStartsAmongReadersMakesNoCalls) {
+  constexpr absl::Duration kReadHold = absl::Milliseconds(50);
+  int reads = 0;
+  QObject context;
+  topic_calls calls;
+  calls.list = [](const auto& done) { done(record_listing()); };
+  calls.read = [&](int64_t, const auto& done) {
+    ++reads;
+    RunAfter(&context, kReadHold, [done] { done(record_batch()); });
+  };
+  fleet_sources sources;
+  sources.config_topic = calls;
+  sources.upstream_topic = calls;
+  control_.emplace(std::move(sources),
+                   [](const std::shared_ptr<const fleet_view>&) {});
+  control_->Start();
+  control_->SetReader(false);
+  const auto reports = RunEvery(absl::Milliseconds(100), [this] {
+    topic_report topic;
+    topic.next = 0;
+    topic.from = 0;
+    topic.reply_age = absl::ZeroDuration();
+    topic.outage_age = absl::InfiniteDuration();
+    control_->HandleReport({topic, topic});
+  });
+  RunUntil([] { return false; }, absl::Milliseconds(700));
+  const int reads_before = reads;
+  RunUntil([] { return false; }, absl::Seconds(2));
+  EXPECT_EQ(reads, reads_before);
+  EXPECT_FALSE(control_->IsReader());
+}
+
 }  // namespace
 }  // namespace anvilridge
