Send a stream back to the decode engine that has only lost the connection

Pattern of load: connections to sound engines are reset, or their responses lost.

Cause: such a stream went on at another engine, which had to prefill the prompt again, at half speed and between the tokens of its other streams, while the first engine kept the prompt, or the cache at the prefill engine expired unused. A check whether the engine lives was made already, and its result wasn't used. Each send also counted as an attempt, though an attempt is an engine: a route with two of them gave up after a lost prefill and one lost decode.

Change: where the check shows that the engine lives, the request goes to it once more, within the send budget and without a further attempt. If it had sent no event, the cache is named again; an engine that has fetched it refuses the request as not run, and another engine prefills the prompt. Streams that break behind events are checked as well.

Tried and left out: returning to the prefill engine.

--- a/src/dispatch/decode_admission.cc
+++ b/src/dispatch/decode_admission.cc
@@ -205,6 +205,22 @@
 
 }  // namespace
 
+absl::Status CheckServable(dispatch_state& state, const fleet_request& request,
+                           const fleet_service& service, absl::Time now) {
+  if (UsableUpstreams(state, service.name, {}, now).empty() &&
+      !EarliestReturn(state, service.name, engine_stage::decode, now)) {
+    return MakeError(error_kind::no_upstream,
+                     "no engine of the service is registered");
+  }
+  const double reservable =
+      kReservableMemoryShare * static_cast<double>(service.engine.kv_tokens);
+  if (static_cast<double>(request.prompt_tokens) > reservable) {
+    return MakeError(error_kind::overloaded,
+                     "the prompt does not fit into an engine's KV memory");
+  }
+  return absl::OkStatus();
+}
+
 void AdmitStream(dispatch_state& state, const waiting_stream& stream,
                  const engine_reservation& reservation, absl::Time now) {
   const absl::Duration prefill =
--- a/src/dispatch/decode_admission.h
+++ b/src/dispatch/decode_admission.h
@@ -15,6 +15,11 @@
 /// admitted. The rest is for new streams that can still be on time.
 inline constexpr double kLateReservableMemoryShare = 0.85;
 
+/// Returns an error if no engine can ever serve `request` as things stand: none
+/// is registered, or its prompt fits into none.
+absl::Status CheckServable(dispatch_state& state, const fleet_request& request,
+                           const fleet_service& service, absl::Time now);
+
 /// Admits, queues or refuses a stream that needs decode memory. Admits it at
 /// once if there is capacity and no stream is queued. Queues it behind the
 /// streams that can be on time if it can't be on time itself. Refuses it at
--- a/src/dispatch/decode_runs.cc
+++ b/src/dispatch/decode_runs.cc
@@ -4,6 +4,7 @@
 #include <optional>
 #include <utility>
 
+#include "absl/algorithm/container.h"
 #include "absl/strings/str_cat.h"
 #include "base/clock.h"
 #include "base/error_kind.h"
@@ -50,6 +51,8 @@
   uint64_t number = 0;
   channel_client::call_id call = 0;
   fleet_upstream engine;
+  // Whether the engine has had an earlier send of the request.
+  bool returns = false;
   absl::Time start;
   // What is kept of the response.
   std::unique_ptr<kept_share> kept;
@@ -97,8 +100,10 @@
   const std::string successor_ledger_id;
 
   // Cache that was named in the send of the current run. Kept after its end
-  // only if the engine didn't fetch it.
+  // unless the engine certainly fetched it.
   kv_lease named_lease;
+  // Whether the engine of the last run certainly didn't fetch it.
+  bool is_cache_unfetched = false;
   // The run that the stream is received from. Kept after its end, then with
   // `in_progress` false.
   std::optional<engine_run> current;
@@ -125,8 +130,11 @@
   void OnHeaders(uint64_t number, int status, const http_headers& headers);
   void OnData(uint64_t number, absl::string_view bytes);
   void OnDone(uint64_t number, const http_result& result);
-  bool MayHaveCrashed(send_outcome outcome, const http_result& result) const;
-  void ReportCrash(const fleet_upstream& engine, std::function<void()> checked);
+  void UncountIfUnsent(const engine_run& run, send_outcome outcome);
+  bool HasBrokenOff(send_outcome outcome, const http_result& result) const;
+  void CheckEngine(const fleet_upstream& engine, bool may_be_cause,
+                   std::function<void(engine_condition)> checked);
+  bool IsResumable() const;
   bool MayResume() const;
 
   // ---- A silent engine and its successor
@@ -176,8 +184,9 @@
       std::make_unique<kept_share>(state.client.Kept(), run.engine.address);
   http_call call = state.protocol.build_send_call(routed.request, parameters);
   call.connect_timeout = kUpstreamConnectTimeout;
+  run.returns = absl::c_linear_search(tried, run.engine.id);
   tried.push_back(run.engine.id);
-  CountSend(sends, send_purpose::decode);
+  CountSend(sends, send_purpose::decode, run.returns);
   http_handler handler;
   handler.on_headers = [weak = weak_from_this(), number = run.number](
                            int status, const http_headers& headers) {
@@ -257,7 +266,10 @@
   const response_info info =
       state.protocol.parse_response(result.http_status, result.headers);
   send_outcome outcome = ClassifySend(result, info);
-  if (!IsCacheUnfetched(outcome, info)) named_lease.handle.clear();
+  is_cache_unfetched = IsCacheUnfetched(outcome, info);
+  const bool may_be_unfetched =
+      outcome == send_outcome::unknown && run_events == 0;
+  if (!is_cache_unfetched && !may_be_unfetched) named_lease.handle.clear();
   const bool complete =
       outcome == send_outcome::answered && relay.IsRunComplete();
   if (outcome == send_outcome::answered && result.http_status == kOk &&
@@ -277,50 +289,69 @@
             {"run_events", run_events},
             {"parts", QtText(PromptPartNames(routed.request.shared_parts))},
             {"ms", ToMilliseconds(MonotonicNow() - current->start)}});
-  if (outcome == send_outcome::unsent) UncountSend(sends, send_purpose::decode);
+  UncountIfUnsent(*current, outcome);
   if (MayHaveBeenRun(outcome)) may_have_run = true;
-  const bool suspect = run_events == 0 && MayHaveCrashed(outcome, result);
+  const bool broke_off = HasBrokenOff(outcome, result);
   if (successor) {
-    if (suspect) ReportCrash(current->engine, [] {});
+    if (broke_off && run_events == 0) CheckEngine(current->engine, true, {});
     return ContinueWithSuccessor("failed");
   }
-  if (!suspect) return listener.on_failed(outcome, result);
-  // Whether the request may be sent again depends on the result of the check.
+  if (!broke_off || (run_events > 0 && !IsResumable())) {
+    return listener.on_failed({current->engine, outcome}, result);
+  }
+  // Whether and where the request is sent again depends on the result of the
+  // check.
   checking = true;
-  ReportCrash(current->engine, [this, outcome, result] {
-    checking = false;
-    listener.on_failed(outcome, result);
-  });
+  CheckEngine(
+      current->engine, run_events == 0,
+      [this, outcome, result](engine_condition condition) {
+        checking = false;
+        listener.on_failed({current->engine, outcome, condition}, result);
+      });
+}
+
+void decode_runs::impl::UncountIfUnsent(const engine_run& run,
+                                        send_outcome outcome) {
+  if (outcome != send_outcome::unsent) return;
+  UncountSend(sends, send_purpose::decode, run.returns);
 }
 
-// Returns whether a run without an event may have ended because its prompt
-// crashed the engine.
-bool decode_runs::impl::MayHaveCrashed(send_outcome outcome,
-                                       const http_result& result) const {
+// Returns whether a run broke off, so that its engine may have crashed. Prompts
+// without shared parts aren't examined: no crash could be put down to them.
+bool decode_runs::impl::HasBrokenOff(send_outcome outcome,
+                                     const http_result& result) const {
   return outcome == send_outcome::unknown &&
          !routed.request.shared_parts.empty() &&
          (result.status.ok() ||
           KindOf(result.status) == error_kind::upstream_failed);
 }
 
-// Checks whether `engine` has crashed, records that, and then calls `checked`
-// unless the stream has ended.
-void decode_runs::impl::ReportCrash(const fleet_upstream& engine,
-                                    std::function<void()> checked) {
+// Checks whether `engine` has crashed, and then calls `checked` unless the
+// stream has ended. Records a crash against the prompt if it `may_be_cause`: no
+// run that has sent events is crashed by its prompt.
+void decode_runs::impl::CheckEngine(
+    const fleet_upstream& engine, bool may_be_cause,
+    std::function<void(engine_condition)> checked) {
   CheckForCrash(state, engine,
-                [&shared = state, engine, parts = routed.request.shared_parts,
-                 weak = weak_from_this(),
+                [&shared = state, engine, may_be_cause,
+                 parts = routed.request.shared_parts, weak = weak_from_this(),
                  checked = std::move(checked)](engine_condition condition) {
-                  if (condition == engine_condition::crashed) {
+                  if (condition == engine_condition::crashed && may_be_cause) {
                     RecordEngineCrash(shared, engine, parts);
                   }
-                  if (const auto self = weak.lock()) self->IfAlive(checked);
+                  const auto self = weak.lock();
+                  if (self && checked) {
+                    self->IfAlive([&] { checked(condition); });
+                  }
                 });
 }
 
+bool decode_runs::impl::IsResumable() const {
+  return routed.route->resumable && relay.IsResumable();
+}
+
 bool decode_runs::impl::MayResume() const {
-  return routed.route->resumable && sends.attempts < routed.route->attempts &&
-         relay.IsResumable();
+  return IsResumable() && sends.attempts < routed.route->attempts;
 }
 
 // Checks the current run after `delay`, and then at intervals that begin with
@@ -415,10 +446,10 @@
   const send_outcome outcome = ClassifySend(result, info);
   state.metrics->CountSend(routed.service->name, SendOutcomeName(outcome));
   ReportSend(state, successor->run.engine, outcome, info.other_instance);
-  if (outcome == send_outcome::unsent) UncountSend(sends, send_purpose::decode);
+  UncountIfUnsent(successor->run, outcome);
   if (MayHaveBeenRun(outcome)) may_have_run = true;
-  if (MayHaveCrashed(outcome, result)) {
-    ReportCrash(successor->run.engine, [] {});
+  if (HasBrokenOff(outcome, result)) {
+    CheckEngine(successor->run.engine, true, {});
   }
   DropSuccessor(SendOutcomeName(outcome));
 }
@@ -436,6 +467,7 @@
     state.client.Cancel(current->call);
     may_have_run = true;
   }
+  named_lease.handle.clear();
   successor_run next = *std::exchange(successor, std::nullopt);
   current = std::move(next.run);
   EndRun(state.ledger, successor_ledger_id);
@@ -526,11 +558,18 @@
 
 bool decode_runs::MayResume() const { return impl_->MayResume(); }
 
-kv_lease decode_runs::TakeUnfetchedLease() {
+kv_lease decode_runs::TakeLease(bool same_engine) {
   if (impl_->in_progress) return {};
+  if (!impl_->is_cache_unfetched && !same_engine) return {};
   return std::exchange(impl_->named_lease, {});
 }
 
+bool decode_runs::MayReturn(const broken_send& broken) const {
+  return impl_->IsResumable() &&
+         ShouldReturnToEngine(impl_->state, broken, impl_->tried,
+                              MonotonicNow());
+}
+
 const std::vector<std::string>& decode_runs::Tried() const {
   return impl_->tried;
 }
--- a/src/dispatch/decode_runs.h
+++ b/src/dispatch/decode_runs.h
@@ -8,6 +8,7 @@
 
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
+#include "dispatch/broken_send.h"
 #include "dispatch/dispatch_state.h"
 #include "dispatch/kv_lease.h"
 #include "dispatch/request_sends.h"
@@ -26,7 +27,7 @@
   /// An engine has sent the stream to its end.
   std::function<void()> on_completed;
   /// The decode has failed, and none is in progress.
-  std::function<void(send_outcome outcome, const http_result& result)>
+  std::function<void(const broken_send& broken, const http_result& result)>
       on_failed;
 };
 
@@ -47,7 +48,8 @@
   decode_runs(const decode_runs&) = delete;
   decode_runs& operator=(const decode_runs&) = delete;
 
-  /// Sends the request to `engine`, where memory is reserved for it.
+  /// Sends the request to `engine`, where memory is reserved for it. The engine
+  /// may be one that it was sent to before, which counts no further attempt.
   /// @param lease cache of the prefilled prompt. Without a usable one the
   /// engine
   ///     prefills the prompt itself. Empty afterwards.
@@ -61,10 +63,17 @@
   bool InProgress() const;
   /// Returns whether an engine may have run the request.
   bool MayHaveRun() const;
-  /// Returns the cache that the last send named if its engine certainly didn't
-  /// fetch it: the engine was not reached, or refused the request because of
-  /// its own state. Returns an empty lease otherwise, and when called again.
-  kv_lease TakeUnfetchedLease();
+  /// Returns the cache that the last send named if it may be named again, and
+  /// an empty lease when called again: its engine certainly didn't fetch it,
+  /// since it was not reached, or refused the request because of its own state.
+  /// @param same_engine whether it is to be named to the same engine: then it
+  /// is
+  ///     enough that the engine has not certainly fetched it, as one that has
+  ///     refuses the request as not run.
+  kv_lease TakeLease(bool same_engine);
+  /// Returns whether the request may go on at the engine of `broken`, apart
+  /// from the budget.
+  bool MayReturn(const broken_send& broken) const;
   /// Returns whether another engine may continue the stream, apart from the
   /// budget.
   bool MayResume() const;
--- a/src/dispatch/request_sends.cc
+++ b/src/dispatch/request_sends.cc
@@ -16,22 +16,22 @@
   return ExtraSends(next) > sends.budgeted;
 }
 
-void CountSend(request_sends& sends, send_purpose purpose) {
+void CountSend(request_sends& sends, send_purpose purpose, bool returns) {
   if (purpose == send_purpose::prefill) {
     ++sends.prefills;
     return;
   }
   ++sends.runs;
-  ++sends.attempts;
+  if (!returns) ++sends.attempts;
 }
 
-void UncountSend(request_sends& sends, send_purpose purpose) {
+void UncountSend(request_sends& sends, send_purpose purpose, bool returns) {
   if (purpose == send_purpose::prefill) {
     --sends.prefills;
     return;
   }
   --sends.runs;
-  --sends.attempts;
+  if (!returns) --sends.attempts;
 }
 
 }  // namespace anvilridge
--- a/src/dispatch/request_sends.h
+++ b/src/dispatch/request_sends.h
@@ -28,10 +28,15 @@
 bool NeedsBudget(const request_sends& sends, send_purpose purpose);
 
 /// Counts a send before it is made. A prefill is not counted as an attempt.
-void CountSend(request_sends& sends, send_purpose purpose);
+/// @param returns whether the upstream has had an earlier send of the request:
+///     an attempt is an upstream, however often it is sent to.
+void CountSend(request_sends& sends, send_purpose purpose,
+               bool returns = false);
 
 /// Takes back a send that reached no upstream.
-void UncountSend(request_sends& sends, send_purpose purpose);
+/// @param returns as it was counted.
+void UncountSend(request_sends& sends, send_purpose purpose,
+                 bool returns = false);
 
 }  // namespace anvilridge
 
--- a/src/dispatch/request_sends_test.cc
+++ b/src/dispatch/request_sends_test.cc
@@ -48,6 +48,20 @@
   EXPECT_FALSE(NeedsBudget(sends, kDecode));
 }
 
+// Guards against attempts that one upstream uses up.
+TEST(request_sends_test, AReturnIsNoAttemptButNeedsBudget) {
+  request_sends sends;
+  CountSend(sends, kDecode);
+  EXPECT_TRUE(NeedsBudget(sends, kDecode));
+  ++sends.budgeted;
+  CountSend(sends, kDecode, /*returns=*/true);
+  EXPECT_EQ(sends.attempts, 1);
+  EXPECT_EQ(ExtraSends(sends), 1);
+  UncountSend(sends, kDecode, /*returns=*/true);
+  EXPECT_EQ(sends.attempts, 1);
+  EXPECT_EQ(ExtraSends(sends), 0);
+}
+
 TEST(request_sends_test, AResumedRunNeedsBudget) {
   request_sends sends;
   CountSend(sends, kDecode);
--- a/src/dispatch/stream_flow.cc
+++ b/src/dispatch/stream_flow.cc
@@ -92,18 +92,9 @@
              });
     is_trial_ = BeginTrial(state_, engine_stage::decode, request_, now);
     if (EndIfQuarantined()) return;
-    if (UsableUpstreams(state_, service_.name, {}, now).empty() &&
-        !EarliestReturn(state_, service_.name, engine_stage::decode, now)) {
-      return Refuse(MakeError(error_kind::no_upstream,
-                              "no engine of the service is registered"));
-    }
-    if (static_cast<double>(request_.prompt_tokens) >
-        kReservableMemoryShare *
-            static_cast<double>(service_.engine.kv_tokens)) {
-      return Refuse(
-          MakeError(error_kind::overloaded,
-                    "the prompt does not fit into an engine's KV memory"));
-    }
+    const absl::Status servable =
+        CheckServable(state_, request_, service_, now);
+    if (!servable.ok()) return Refuse(servable);
     waiting_stream waiting = MakeWaitingStream();
     if (!EndsBeforeStop(state_, waiting.deadline, waiting.longest_run, now)) {
       return Refuse(Stopping());
@@ -299,11 +290,9 @@
   void PrefillAtDecode() {
     const waiting_stream waiting = MakeWaitingStream();
     EndRun(state_.ledger, request_.id);
-    if (const auto engine = ChooseLocalPrefillEngine(
-            state_, waiting, decodes_->Tried(), MonotonicNow())) {
-      decode_ = *engine;
-    }
-    ReserveDecode(state_, request_.id, decode_, waiting, MonotonicNow());
+    const auto engine = ChooseLocalPrefillEngine(
+        state_, waiting, decodes_->Tried(), MonotonicNow());
+    Reserve(engine ? *engine : decode_);
     SendDecode();
   }
 
@@ -376,9 +365,9 @@
       if (prefill_) prefill_->Cancel();
     };
     listener.on_completed = [this] { Complete(); };
-    listener.on_failed = [this](send_outcome outcome,
+    listener.on_failed = [this](const broken_send& broken,
                                 const http_result& result) {
-      OnDecodeFailed(outcome, result);
+      OnDecodeFailed(broken, result);
     };
     return listener;
   }
@@ -407,14 +396,21 @@
                ExpectedRemaining(generated), now);
   }
 
-  // After a failed decode, sends the request to another engine if that is
-  // allowed, and otherwise ends it.
-  void OnDecodeFailed(send_outcome outcome, const http_result& result) {
-    if (lease_.handle.empty()) lease_ = decodes_->TakeUnfetchedLease();
+  // After a failed decode, sends the request to its engine once more or to
+  // another one if that is allowed, and otherwise ends it.
+  void OnDecodeFailed(const broken_send& broken, const http_result& result) {
+    const send_outcome outcome = broken.outcome;
+    const bool returns = decodes_->MayReturn(broken);
+    if (lease_.handle.empty()) lease_ = decodes_->TakeLease(returns);
     if (EndIfQuarantined()) return;
     const bool not_run = !decodes_->MayHaveRun();
     // The prefill may still be answered.
     if (IsPrefillInProgress() && not_run) return;
+    if (returns && !IsQuarantined(state_, engine_stage::decode, request_) &&
+        ClaimSend(state_, routed_, sends_, send_purpose::decode, "returned")) {
+      Reserve(broken.engine);
+      return SendDecode();
+    }
     if (MaySendAgain(outcome) && ReserveOtherEngine() &&
         ClaimSend(state_, routed_, sends_, send_purpose::decode,
                   SendOutcomeName(outcome))) {
@@ -446,14 +442,19 @@
   // capacity.
   bool ReserveOtherEngine() {
     const absl::Time now = MonotonicNow();
-    const waiting_stream waiting = MakeWaitingStream();
-    const auto other = ChooseOtherDecodeEngine(
-        state_, waiting, decodes_->Tried(), IsUsable(lease_, now), now);
-    if (!other) return false;
-    decode_ = *other;
-    ReserveDecode(state_, request_.id, decode_, waiting, now);
+    const auto other =
+        ChooseOtherDecodeEngine(state_, MakeWaitingStream(), decodes_->Tried(),
+                                IsUsable(lease_, now), now);
+    if (other) Reserve(*other);
+    return other.has_value();
+  }
+
+  // Reserves `engine`, which may be `decode_`, for the rest of the stream.
+  void Reserve(const fleet_upstream& engine) {
+    decode_ = engine;
+    ReserveDecode(state_, request_.id, decode_, MakeWaitingStream(),
+                  MonotonicNow());
     NotifyLoadChange();
-    return true;
   }
 
   // ---- End of the request
