Say in three errors what was expected and what was found

An answer that doesn't fit into the bounds, an event without its end and a store report of another version were reported without the bounds, or the version.

--- a/src/dispatch/decode_runs.cc
+++ b/src/dispatch/decode_runs.cc
@@ -252,7 +252,8 @@
   result.status = MakeError(
       error_kind::upstream_failed,
       absl::StrCat("the engine sent ", relay.KeptBytes(),
-                   " bytes of an event or an error response without its end"),
+                   " bytes of an event or an error response without its end, "
+                   "more than may be kept"),
       run_state::unknown);
   OnDone(number, result);
 }
--- a/src/http1/channel_client.cc
+++ b/src/http1/channel_client.cc
@@ -298,9 +298,13 @@
          {"kept_bytes", static_cast<double>(kept->total)},
          {"bound", static_cast<double>(kept->limits.total)},
          {"upstream_bound", static_cast<double>(kept->limits.per_upstream)}});
-    return MakeError(error_kind::upstream_failed,
-                     "no memory left for the rest of the answer",
-                     run_state::unknown);
+    return MakeError(
+        error_kind::upstream_failed,
+        absl::StrCat("no memory left for the rest of the answer: ", kept->total,
+                     " bytes of all answers are kept, the bounds are ",
+                     kept->limits.total, " and ", kept->limits.per_upstream,
+                     " for one upstream"),
+        run_state::unknown);
   }
   if (state.body_bytes > state.call.max_body_bytes) {
     LogEvent(log_level::warn, "answer_too_long",
--- a/src/sharing/store_report_codec.cc
+++ b/src/sharing/store_report_codec.cc
@@ -6,6 +6,7 @@
 #include <limits>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "base/error_kind.h"
 
 namespace anvilridge {
@@ -120,9 +121,10 @@
   store_report report;
   if (format_version != kFormatVersion || !ReadTopic(stream, report.config) ||
       !ReadTopic(stream, report.upstreams)) {
-    return MakeError(
-        error_kind::malformed_request,
-        "the datagram is not a store report of the current version");
+    return MakeError(error_kind::malformed_request,
+                     absl::StrCat("a store report of version ", kFormatVersion,
+                                  " was expected, found ", bytes.size(),
+                                  " bytes that begin with ", format_version));
   }
   return report;
 }
