--- a/src/fleet_daemon/fleet_daemon.cc
+++ b/src/fleet_daemon/fleet_daemon.cc
@@ -23,6 +23,7 @@
 #include "fleet_daemon/connection_cut_report.h"
 #include "fleet_daemon/effective_limits.h"
 #include "fleet_daemon/stage_steering_service.h"
+#include "fleet_daemon/store_call_count.h"
 #include "log/decision_log.h"
 #include "metrics/health_port.h"
 #include "metrics/metrics.h"
@@ -70,7 +71,7 @@
                        const fleet_platform& platform)
       : settings_(settings),
         request_metrics_(metrics_),
-        sources_(platform.open_sources(settings)),
+        sources_(CountStoreCalls(platform.open_sources(settings), metrics_)),
         control_(
             sources_,
             [this](std::shared_ptr<const fleet_view> view) {
