--- a/src/dispatch/decode_runs.h
+++ b/src/dispatch/decode_runs.h
@@ -66,10 +66,9 @@
   /// Returns the cache that the last send named if it may be named again, and
   /// an empty lease when called again: its engine certainly didn't fetch it,
   /// since it was not reached, or refused the request because of its own state.
-  /// @param same_engine whether it is to be named to the same engine: then it
-  /// is
-  ///     enough that the engine has not certainly fetched it, as one that has
-  ///     refuses the request as not run.
+  /// @param same_engine whether it goes to the same engine: then it is enough
+  ///     that the engine may not have fetched it, since one that has refuses
+  ///     the request as not run.
   kv_lease TakeLease(bool same_engine);
   /// Returns whether the request may go on at the engine of `broken`, apart
   /// from the budget.
