Let a test's third request begin before an idle daemon ends

The log of one: two calls of 1.5 s end at 3.01 s after SIGTERM, the daemon is idle for that moment, and may end from 3 s on (caller_port_closing, requests 0); the third call, 1 ms later, gets a true 503 with a time to return. The daemon is right; the test's calls must not end at just that time.

Change: calls of 1.3 s by a precise timer, so that the third is in progress from 2.6 to 3.9 s. All checks stay.

--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -379,12 +379,15 @@
 // Guards against streams that are cut at the end of a stop: one that could not
 // end before is refused, while a short one and a call are served.
 TEST_F(platform_path_test, AStreamThatOutlastsAStopIsRefused) {
+  // A daemon ends when it is idle 3 s after SIGTERM or later. Its third request
+  // has begun by then, and keeps it.
+  constexpr std::chrono::milliseconds kServiceTime(1300);
   std::atomic<int> served = 0;
   scene_.OnService([](QTcpSocket& socket, const raw_request& request) {
     QTcpSocket* to = &socket;
     const std::string text =
         platform_scene::Head(request, 200) + "Content-Length: 4\r\n\r\ndone";
-    QTimer::singleShot(1500, to, [to, text] {
+    QTimer::singleShot(kServiceTime, Qt::PreciseTimer, to, [to, text] {
       to->write(text.data(), static_cast<qint64>(text.size()));
     });
   });
