Let two tests ask only daemons that know whether they read

Cause: the address sanitizer stage would have failed: two cases of load_exchange_test dereferenced `is_reader` of daemons that had not determined it yet ("load of value 190, which is not a valid value for type 'bool'", once in one run). They passed before by what was in that byte.

Change: a daemon that doesn't know yet counts as a reader there, as it does in `CountReaders`. The checks are the same.

--- a/src/sharing/load_exchange_test.cc
+++ b/src/sharing/load_exchange_test.cc
@@ -298,16 +298,19 @@
   return daemons;
 }
 
+// A daemon reads the store until it knows that it is no reader.
+bool Reads(const std::unique_ptr<test_daemon>& daemon) {
+  return daemon->is_reader.value_or(true);
+}
+
 int CountReaders(const std::vector<std::unique_ptr<test_daemon>>& daemons) {
-  return static_cast<int>(std::count_if(
-      daemons.begin(), daemons.end(),
-      [](const auto& daemon) { return daemon->is_reader.value_or(true); }));
+  return static_cast<int>(std::count_if(daemons.begin(), daemons.end(), Reads));
 }
 
 TEST_F(load_exchange_test, ALostReaderIsReplacedByAnotherDaemon) {
   auto daemons = Neighbours(6);
   EXPECT_TRUE(RunUntil([&] { return CountReaders(daemons) == kStoreReaders; }));
-  std::erase_if(daemons, [](const auto& daemon) { return *daemon->is_reader; });
+  std::erase_if(daemons, Reads);
   ASSERT_EQ(daemons.size(), 3u);
   EXPECT_TRUE(
       RunUntil([&] { return CountReaders(daemons) == 3; }, absl::Seconds(3)));
@@ -317,9 +320,7 @@
 TEST_F(load_exchange_test, AReaderThatLeavesIsReplacedAtOnce) {
   auto daemons = Neighbours(5);
   ASSERT_TRUE(RunUntil([&] { return CountReaders(daemons) == kStoreReaders; }));
-  const auto leaver =
-      std::find_if(daemons.begin(), daemons.end(),
-                   [](const auto& daemon) { return *daemon->is_reader; });
+  const auto leaver = std::find_if(daemons.begin(), daemons.end(), Reads);
   (*leaver)->exchange.AnnounceLeaving();
   daemons.erase(leaver);
   EXPECT_TRUE(RunUntil([&] { return CountReaders(daemons) == kStoreReaders; },
