Wait in a test until the earlier caller has left

The answer of one: 503, "no memory left for a request of at least 1637349 bytes", in the third round: the port had not learned yet that the caller of the second had closed, and held its bytes. The refusal is right and true.

Change: each round waits until the port has no connection; the memory must be free then. A failure shows what the caller got.

--- a/src/caller/held_bytes_test.cc
+++ b/src/caller/held_bytes_test.cc
@@ -65,10 +65,13 @@
 
 TEST_F(held_bytes_thread_test, MemoryIsFreeAgainOnceACallerHasLeft) {
   for (int round = 0; round < 3; ++round) {
-    const auto caller = Connect();
+    auto caller = Connect();
     caller->Send(Unfinished(3 << 20));
     caller->Send("x");
-    EXPECT_TRUE(caller->WaitForText("HTTP/1.1 200"));
+    EXPECT_TRUE(caller->WaitForText("HTTP/1.1 200"))
+        << "round " << round << ": " << caller->Text();
+    caller.reset();
+    EXPECT_TRUE(WaitFor([&] { return port_->Connections() == 0; }));
   }
 }
 
