--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,10 +1,10 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
-# With TROUBLE=0 the same callers come without the burst.
+# With TROUBLE=0 the same streams run without the disruptions.
 set -u
 cd "$(dirname "$0")"
 daemon=../../target/anvilridge_fleet
-case=../../target/review/idle_channels
+case=../../target/review/late_prefill
 [ -x "$daemon" ] && [ -x "$case" ] || exit 2
 settings=$(mktemp -d) || exit 2
 trap 'rm -rf "$settings"' EXIT
--- a/review/common/scene.cc
+++ b/review/common/scene.cc
@@ -417,11 +417,12 @@
 }
 
 std::string UpstreamEntry(const std::string& service,
-                          const std::string& address,
-                          const std::string& stage) {
+                          const std::string& address, const std::string& stage,
+                          const std::string& state) {
   std::string entry = R"({"Service":")" + service + R"(","Addr":")" + address +
                       R"(","Zone":"zone-a","Version":"v1","Slots":12,)"
-                      R"("State":"ready","ColdLeftMs":0,"Seq":1,"born":1000)";
+                      R"("State":")" +
+                      state + R"(","ColdLeftMs":0,"Seq":1,"born":1000)";
   if (!stage.empty()) entry += R"(,"Stage":")" + stage + "\"";
   return entry + "}";
 }
@@ -432,6 +433,10 @@
          R"("Kind":"stream","TimeoutMs":14000,"LatencyTargetMs":900,)"
          R"("Priority":1,"Service":"model","Attempts":2,"Sticky":true,)"
          R"("CanResume":true,"GapTargetMs":300},)"
+         R"({"Name":"note","Host":"a.example","PathPrefix":"/note/",)"
+         R"("Kind":"stream","TimeoutMs":14000,"LatencyTargetMs":900,)"
+         R"("Priority":1,"Service":"model","Attempts":1,"Sticky":true,)"
+         R"("CanResume":false,"GapTargetMs":300},)"
          R"({"Name":"post","Host":"a.example","PathPrefix":"/post/",)"
          R"("Kind":"unsafe","TimeoutMs":1000,"LatencyTargetMs":150,)"
          R"("Priority":2,"Service":"ledger","Attempts":2},)"
@@ -548,9 +553,14 @@
          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-std::string PromptFields(const std::string& id) {
-  return "Model: m\r\nToken-Count: 1460,80\r\nPrompt-Prefix: 5c1e07a2:200," +
-         id + ":1260\r\n";
+std::string PromptFields(const std::string& id, int prompt_tokens,
+                         int output_tokens) {
+  constexpr int kSharedTokens = 200;
+  return "Model: m\r\nToken-Count: " + std::to_string(prompt_tokens) + "," +
+         std::to_string(output_tokens) +
+         "\r\nLength-Hint: " + std::to_string(output_tokens) +
+         "\r\nPrompt-Prefix: 5c1e07a2:" + std::to_string(kSharedTokens) + "," +
+         id + ":" + std::to_string(prompt_tokens - kSharedTokens) + "\r\n";
 }
 
 }  // namespace review
--- a/review/common/scene.h
+++ b/review/common/scene.h
@@ -131,12 +131,14 @@
 };
 
 /// Entry of an upstream in the store; `stage` is empty for plain services.
+/// @param state `ready` or `draining`.
 std::string UpstreamEntry(const std::string& service,
-                          const std::string& address, const std::string& stage);
+                          const std::string& address, const std::string& stage,
+                          const std::string& state = "ready");
 
 /// The configuration of the cases: host `a.example` with the routes `/draft/`
-/// (a stream that may be resumed), `/post/` (unsafe) and `/read/` (safe), and
-/// the limits that the users' pages show.
+/// (a stream that may be resumed), `/note/` (one that may not), `/post/`
+/// (unsafe) and `/read/` (safe), and the limits that the users' pages show.
 std::string Configuration();
 
 /// Returns a port that nobody listens on.
@@ -180,7 +182,8 @@
                         const std::string& fields, const std::string& body);
 
 /// Fields of a request to a model engine.
-std::string PromptFields(const std::string& id);
+std::string PromptFields(const std::string& id, int prompt_tokens,
+                         int output_tokens);
 
 }  // namespace review
 
