--- a/review/common/scene.cc
+++ b/review/common/scene.cc
@@ -148,7 +148,6 @@
 void recorder::Line(const std::string& text) {
   const std::lock_guard lock(mutex_);
   std::fprintf(file_, "%9.3f %s\n", Now(), text.c_str());
-  std::fflush(file_);
 }
 
 std::unique_ptr<connection> connection::Open(uint16_t port) {
