--- a/review/1/late_prefill.cc
+++ b/review/1/late_prefill.cc
@@ -14,7 +14,7 @@
 #include <utility>
 #include <vector>
 
-#include "../common/scene.h"
+#include "../scene.h"
 
 namespace {
 
--- a/review/build.sh
+++ b/review/build.sh
@@ -7,5 +7,5 @@
 for source in [1-5]/*.cc; do
   [ -f "$source" ] || continue
   name=$(basename "$source" .cc)
-  g++ -std=c++20 -O2 -Wall -Wextra -pthread -o "../target/review/$name" "$source" common/scene.cc
+  g++ -std=c++20 -O2 -Wall -Wextra -pthread -o "../target/review/$name" "$source" scene.cc
 done
--- a/review/common/scene.h
+++ b/review/scene.h
@@ -1,5 +1,5 @@
-#ifndef ANVILRIDGE_REVIEW_COMMON_SCENE_H_
-#define ANVILRIDGE_REVIEW_COMMON_SCENE_H_
+#ifndef ANVILRIDGE_REVIEW_SCENE_H_
+#define ANVILRIDGE_REVIEW_SCENE_H_
 
 #include <sys/types.h>
 
@@ -187,4 +187,4 @@
 
 }  // namespace review
 
-#endif  // ANVILRIDGE_REVIEW_COMMON_SCENE_H_
+#endif  // ANVILRIDGE_REVIEW_SCENE_H_
