--- a/review/1/late_prefill.cc
+++ b/review/1/late_prefill.cc
@@ -3,6 +3,7 @@
 // full. Watches at how many engines it runs.
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <cstdio>
@@ -28,7 +29,14 @@
 constexpr int kOk = 200;
 constexpr int kTimeLimitMs = 14'000;
 // The sheet's engines read 55.5556 prompt tokens in a ms.
-constexpr double kPrefillSeconds = kPromptTokens / 55'555.6;
+constexpr double kPrefillTokensPerSecond = 55'555.6;
+constexpr double kPrefillSeconds = kPromptTokens / kPrefillTokensPerSecond;
+// The other streams share all but the end of their prompts; the one that is
+// watched has a prompt of its own.
+constexpr char kSharedPart[] = "5c1e07a2";
+constexpr int kSharedTokens = 11'800;
+constexpr char kOwnPart[] = "91bd3f06";
+constexpr int kOwnPartTokens = 200;
 // A grey engine takes 8 times as long.
 constexpr double kSlowFactor = 8;
 constexpr double kEventSeconds = 0.031;
@@ -47,7 +55,12 @@
   review::recorder record;
   review::store store;
   std::unique_ptr<review::server> prefill;
-  std::array<decode_engine, kDecodeEngines> decodes;
+  // Those that are ready, and all of them.
+  std::array<decode_engine*, kDecodeEngines> decodes{};
+  std::vector<std::unique_ptr<decode_engine>> all_decodes;
+  // Held while the prefill engine reads: it reads one prompt after the other.
+  std::mutex reading;
+  bool keeps_shared_part = false;
   std::mutex mutex;
   // Engines that have run a request, by its id; guarded by `mutex`.
   std::map<std::string, std::vector<std::string>> runs;
@@ -70,6 +83,12 @@
   return review::Answer(caller, read, kOk, "{}");
 }
 
+// Answers a request that expects another instance.
+bool AnswerOther(review::connection& caller, const std::string& id) {
+  return caller.Write("HTTP/1.1 421 X\r\nInstance-Id: " + id +
+                      "\r\nContent-Length: 0\r\n\r\n");
+}
+
 bool Prefill(scene& of, review::connection& caller,
              const review::request& read) {
   if (read.target.rfind("/api/", 0) == 0) return AnswerControl(caller, read);
@@ -79,7 +98,15 @@
     const std::lock_guard lock(of.mutex);
     slow = id == of.slow_id;
   }
-  review::Sleep(kPrefillSeconds * (slow ? kSlowFactor : 1));
+  {
+    const std::lock_guard lock(of.reading);
+    const bool shares =
+        FieldOf(read, "prompt-prefix").rfind(kSharedPart, 0) == 0;
+    const int kept = shares && of.keeps_shared_part ? kSharedTokens : 0;
+    of.keeps_shared_part = of.keeps_shared_part || shares;
+    review::Sleep((kPromptTokens - kept) / kPrefillTokensPerSecond *
+                  (slow ? kSlowFactor : 1));
+  }
   if (slow) of.record.Line("the slow prefill of " + id + " is answered");
   return review::Answer(caller, read, kOk,
                         R"({"Handle":"h)" + id + R"(","Tokens":)" +
@@ -89,6 +116,9 @@
 bool Decode(scene& of, decode_engine& engine, review::connection& caller,
             const review::request& read) {
   if (read.target.rfind("/api/", 0) == 0) return AnswerControl(caller, read);
+  if (FieldOf(read, "expect-instance") != engine.id) {
+    return AnswerOther(caller, engine.id);
+  }
   const std::string id = FieldOf(read, "request-id");
   ++engine.running;
   // Without a handle it prefills the prompt itself, at half the speed.
@@ -110,15 +140,19 @@
 }
 
 // Sends one stream and waits for its end.
+// @param shared_part part that its prompt begins with.
 void RunCaller(scene& of, uint16_t port, const std::string& target,
-               const std::string& id) {
+               const std::string& id, const std::string& shared_part,
+               int shared_tokens) {
   const auto channel = review::connection::Open(port);
   if (!channel) return;
   channel->SetTimeout(kTimeLimitMs / 1000.0);
   of.record.Line("sent " + id + " " + target);
-  channel->Write(review::RequestText(
-      "POST", target, id, kTimeLimitMs,
-      review::PromptFields(id, kPromptTokens, kOutputTokens), "prompt"));
+  channel->Write(
+      review::RequestText("POST", target, id, kTimeLimitMs,
+                          review::PromptFields(id, kPromptTokens, kOutputTokens,
+                                               shared_part, shared_tokens),
+                          "prompt"));
   const review::response answer = channel->ReadResponse();
   size_t events = 0;
   for (size_t at = answer.body.find("id: "); at != std::string::npos;
@@ -136,14 +170,28 @@
                                      "decode", state));
 }
 
+// Starts a decode engine.
+decode_engine* StartDecode(scene& of) {
+  auto made = std::make_unique<decode_engine>();
+  decode_engine& engine = *made;
+  engine.id = "i-d" + std::to_string(of.all_decodes.size());
+  engine.server = std::make_unique<review::server>(
+      [&of, &engine](review::connection& caller, const review::request& read) {
+        return Decode(of, engine, caller, read);
+      });
+  Register(of, engine, "ready");
+  of.all_decodes.push_back(std::move(made));
+  return &engine;
+}
+
 // Returns the engine that has room for one more of the streams, or null.
 decode_engine* EngineWithRoom(scene& of) {
   decode_engine* found = nullptr;
-  for (decode_engine& engine : of.decodes) {
-    if (engine.running == kOtherStreams / kDecodeEngines) {
+  for (decode_engine* engine : of.decodes) {
+    if (engine->running == kOtherStreams / kDecodeEngines) {
       if (found != nullptr) return nullptr;
-      found = &engine;
-    } else if (engine.running != kOtherStreams / kDecodeEngines + 1) {
+      found = engine;
+    } else if (engine->running != kOtherStreams / kDecodeEngines + 1) {
       return nullptr;
     }
   }
@@ -156,8 +204,10 @@
   std::vector<std::thread> callers;
   callers.reserve(kOtherStreams + 1);
   for (int i = 0; i < kOtherStreams; ++i) {
-    callers.emplace_back(
-        [&of, port] { RunCaller(of, port, "/draft/season", review::NewId()); });
+    callers.emplace_back([&of, port] {
+      RunCaller(of, port, "/draft/season", review::NewId(), kSharedPart,
+                kSharedTokens);
+    });
     review::Sleep(0.008);
   }
   review::Sleep(kPrefillSeconds + 0.15);
@@ -168,8 +218,9 @@
       const std::lock_guard lock(of.mutex);
       of.slow_id = id;
     }
-    callers.emplace_back(
-        [&of, port, id] { RunCaller(of, port, "/note/difference", id); });
+    callers.emplace_back([&of, port, id] {
+      RunCaller(of, port, "/note/difference", id, kOwnPart, kOwnPartTokens);
+    });
     review::Sleep(0.8);
     if (trouble) {
       of.record.Line(leaving->id + " is draining");
@@ -180,9 +231,10 @@
   review::Sleep(1);
   if (leaving == nullptr) return -1;
   if (trouble) {
-    // In its place comes another, here at the same address.
-    leaving->id += "n";
-    Register(of, *leaving, "ready");
+    // Another comes in its place.
+    std::replace(of.decodes.begin(), of.decodes.end(), leaving,
+                 StartDecode(of));
+    review::Sleep(1);
   }
   const std::lock_guard lock(of.mutex);
   return static_cast<int>(of.runs[id].size());
@@ -198,16 +250,7 @@
   of.store.Put(
       "keyed.servers", "i-p0",
       review::UpstreamEntry("model", of.prefill->Address(), "prefill"));
-  for (size_t i = 0; i < of.decodes.size(); ++i) {
-    decode_engine& engine = of.decodes.at(i);
-    engine.id = "i-d" + std::to_string(i);
-    engine.server = std::make_unique<review::server>(
-        [&of, &engine](review::connection& caller,
-                       const review::request& read) {
-          return Decode(of, engine, caller, read);
-        });
-    Register(of, engine, "ready");
-  }
+  for (decode_engine*& engine : of.decodes) engine = StartDecode(of);
   of.store.Put("keyed.op", "config", review::Configuration());
   review::fleet_daemon daemon(program, settings, of.store.Address(), kMemoryMb);
   daemon.Start();
--- a/review/scene.cc
+++ b/review/scene.cc
@@ -553,13 +553,14 @@
 }
 
 std::string PromptFields(const std::string& id, int prompt_tokens,
-                         int output_tokens) {
-  constexpr int kSharedTokens = 200;
+                         int output_tokens, const std::string& shared_part,
+                         int shared_tokens) {
   return "Model: m\r\nToken-Count: " + std::to_string(prompt_tokens) + "," +
          std::to_string(output_tokens) +
          "\r\nLength-Hint: " + std::to_string(output_tokens) +
-         "\r\nPrompt-Prefix: 5c1e07a2:" + std::to_string(kSharedTokens) + "," +
-         id + ":" + std::to_string(prompt_tokens - kSharedTokens) + "\r\n";
+         "\r\nPrompt-Prefix: " + shared_part + ":" +
+         std::to_string(shared_tokens) + "," + id + ":" +
+         std::to_string(prompt_tokens - shared_tokens) + "\r\n";
 }
 
 }  // namespace review
--- a/review/scene.h
+++ b/review/scene.h
@@ -181,9 +181,11 @@
                         const std::string& id, int time_limit_ms,
                         const std::string& fields, const std::string& body);
 
-/// Fields of a request to a model engine.
+/// Fields of a request to a model engine, whose prompt begins with a part that
+/// other prompts share.
 std::string PromptFields(const std::string& id, int prompt_tokens,
-                         int output_tokens);
+                         int output_tokens, const std::string& shared_part,
+                         int shared_tokens);
 
 }  // namespace review
 
