Queue a stream for a decode engine once

A route that may be resumed ran up to three times.

Cause: what a stream has of the decode pool was spread over a reserved engine, the queues and decode_runs. A prefill's events asked only whether a decode was in progress, which a queued stream isn't. When the reserved engine had left and none had room, the stream was queued after 1.5 s of a silent prefill, once more at each further check of it, and once more when it ended. Each place sent it.

`reserved_engine_unavailable` twice for one stream, 0.225 s apart, at the check of the prefill and at its answer; then runs at two engines. `decode_failed` for the second engine with status 200 came when the first one had ended its stream: data of the run before was taken for the new one's.

Change: `decode_place` is one of: nothing, queued, an engine reserved, running. A stream enters the queue only from an engine or from nothing, `decode_runs` takes only a reserved engine, and a prefill's events let only a stream with a reserved engine proceed. A queued one keeps the cache of a late prefill for the engine that it gets. Data of an earlier run is ignored. A stream that may have run, or whose caller has events, is never refused as not run. New in the log: `reserved_again`, and the field `prefilling` of `reserved_engine_unavailable`.

--- a/src/dispatch/decode_runs.cc
+++ b/src/dispatch/decode_runs.cc
@@ -137,6 +137,12 @@
   bool IsResumable() const;
   bool MayResume() const;
 
+  // Returns whether a response belongs to the current run, and not to an
+  // earlier one.
+  bool IsCurrent(uint64_t number) const {
+    return in_progress && current->number == number;
+  }
+
   // ---- A silent engine and its successor
 
   bool IsSuccessor(uint64_t number) const {
@@ -237,12 +243,14 @@
   if (IsSuccessor(number)) {
     return OnSuccessorHeaders(is_stream, status, headers);
   }
+  if (!IsCurrent(number)) return;
   if (is_stream) listener.on_accepted();
   relay.OnHeaders(is_stream, headers);
 }
 
 void decode_runs::impl::OnData(uint64_t number, absl::string_view bytes) {
   if (IsSuccessor(number)) return OnSuccessorData(bytes);
+  if (!IsCurrent(number)) return;
   const bool fits = relay.OnData(bytes);
   // A handler of an event may have ended the stream.
   if (cancelled) return;
@@ -260,6 +268,7 @@
 
 void decode_runs::impl::OnDone(uint64_t number, const http_result& result) {
   if (IsSuccessor(number)) return OnSuccessorDone(result);
+  if (!IsCurrent(number)) return;
   in_progress = false;
   // An error response of up to `stream_relay::kMaxKeptBytes` stays in the
   // relay until it is delivered.
@@ -515,8 +524,8 @@
 
 decode_runs::~decode_runs() { impl_->Cancel(); }
 
-void decode_runs::Send(const fleet_upstream& engine, kv_lease& lease) {
-  send_parameters parameters = impl_->Parameters(engine);
+void decode_runs::Send(const reserved_decode& place, kv_lease& lease) {
+  send_parameters parameters = impl_->Parameters(place.engine);
   if (IsUsable(lease, MonotonicNow())) {
     parameters.kv_address = lease.engine.address;
     parameters.kv_handle = lease.handle;
--- a/src/dispatch/decode_runs.h
+++ b/src/dispatch/decode_runs.h
@@ -9,6 +9,7 @@
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "dispatch/broken_send.h"
+#include "dispatch/decode_place.h"
 #include "dispatch/dispatch_state.h"
 #include "dispatch/kv_lease.h"
 #include "dispatch/request_sends.h"
@@ -31,9 +32,9 @@
       on_failed;
 };
 
-/// Decodes of one stream. An engine that falls silent keeps the stream until
-/// another one, the successor, has begun to send the rest of it: the silent
-/// engine may be sound, and the successor may reject the request.
+/// Decodes of one stream, one at a time. An engine that falls silent keeps the
+/// stream until another one, the successor, has begun to send the rest of it:
+/// the silent engine may be sound, and the successor may reject the request.
 class decode_runs {
  public:
   /// @param routed outlives this object.
@@ -48,12 +49,13 @@
   decode_runs(const decode_runs&) = delete;
   decode_runs& operator=(const decode_runs&) = delete;
 
-  /// Sends the request to `engine`, where memory is reserved for it. The engine
-  /// may be one that it was sent to before, which counts no further attempt.
+  /// Sends the request to the engine of `place`, while no decode is in
+  /// progress. The engine may be one that it was sent to before, which counts
+  /// no further attempt.
   /// @param lease cache of the prefilled prompt. Without a usable one the
   /// engine
   ///     prefills the prompt itself. Empty afterwards.
-  void Send(const fleet_upstream& engine, kv_lease& lease);
+  void Send(const reserved_decode& place, kv_lease& lease);
   /// Records that an event of the current run was passed on to the caller.
   void OnEvent();
   /// Cancels the decodes in progress, and ignores what still arrives of them.
--- a/src/dispatch/stream_decode.cc
+++ b/src/dispatch/stream_decode.cc
@@ -27,7 +27,7 @@
 
 // Reserves `engine`, which may be reserved already, for the rest of the stream.
 void Reserve(stream_state& stream, const fleet_upstream& engine) {
-  stream.decode = engine;
+  if (!ReserveEngine(stream.place, engine)) return;
   ReserveDecode(stream.state, stream.request.id, engine, RestOf(stream),
                 MonotonicNow());
   NotifyLoadChange(stream.state);
@@ -46,18 +46,26 @@
 
 void SendDecode(stream_state& stream);
 
-// Has another decode engine reserved in place of the one that has left.
-void PlaceAgain(stream_state& stream, absl::Time now) {
+// Has another decode engine reserved in place of `left`, which has become
+// unavailable.
+void PlaceAgain(stream_state& stream, const fleet_upstream& left,
+                absl::Time now) {
+  if (!EnterQueue(stream.place)) return;
   LogEvent(log_level::info, "reserved_engine_unavailable",
            {{"request", QtText(stream.request.id)},
-            {"upstream", QtText(stream.decode.id)}});
+            {"upstream", QtText(left.id)},
+            {"prefilling", IsPrefillInProgress(stream)}});
   EndRun(stream.state.ledger, stream.request.id);
   waiting_stream waiting = RestOf(stream);
-  waiting.done = [self = stream.shared_from_this()](
+  waiting.done = [self = stream.shared_from_this(), queued = now](
                      const absl::StatusOr<engine_reservation>& reservation) {
     if (self->ended) return;
     if (!reservation.ok()) return RefuseStream(*self, reservation.status());
-    self->decode = reservation->decode;
+    if (!ReserveEngine(self->place, reservation->decode)) return;
+    LogEvent(log_level::info, "reserved_again",
+             {{"request", QtText(self->request.id)},
+              {"upstream", QtText(reservation->decode.id)},
+              {"waited_ms", ToMilliseconds(MonotonicNow() - queued)}});
     SendDecode(*self);
   };
   AdmitOrQueueFirst(stream.state, std::move(waiting), now);
@@ -68,12 +76,15 @@
 void SendDecode(stream_state& stream) {
   if (EndIfQuarantined(stream)) return;
   const absl::Time now = MonotonicNow();
-  if (!MayBegin(stream, now))
+  if (!MayBegin(stream, now)) {
     return RefuseStream(stream, StoppingStreamError(stream));
-  if (!IsStillAvailable(stream.state, stream.decode, now)) {
-    return PlaceAgain(stream, now);
   }
-  stream.decodes->Send(stream.decode, stream.lease);
+  const auto engine = ReservedEngine(stream.place);
+  if (engine && !IsStillAvailable(stream.state, *engine, now)) {
+    return PlaceAgain(stream, *engine, now);
+  }
+  const auto begun = BeginDecode(stream.place);
+  if (begun) stream.decodes->Send(*begun, stream.lease);
 }
 
 void OnReservation(stream_state& stream,
@@ -83,11 +94,12 @@
   stream.state.metrics->ObserveWaitTime(waited);
   if (stream.ended) return;
   if (!reservation.ok()) return RefuseStream(stream, reservation.status());
-  stream.decode = reservation->decode;
+  const fleet_upstream& decode = reservation->decode;
+  if (!ReserveEngine(stream.place, decode)) return;
   LogEvent(log_level::info, "engines_chosen",
            {{"request", QtText(request.id)},
             {"route", QtText(stream.route.name)},
-            {"decode", QtText(stream.decode.id)},
+            {"decode", QtText(decode.id)},
             {"prefill",
              QtText(reservation->prefill ? reservation->prefill->id : "")},
             {"prompt", static_cast<double>(request.prompt_tokens)},
@@ -120,6 +132,7 @@
 // another one if that is allowed, and otherwise ends it.
 void OnDecodeFailed(stream_state& stream, const broken_send& broken,
                     const http_result& result) {
+  EndDecode(stream.place, broken.engine);
   const send_outcome outcome = broken.outcome;
   const bool returns = stream.decodes->MayReturn(broken);
   if (stream.lease.handle.empty()) {
@@ -165,6 +178,7 @@
                       now)) {
     return RefuseStream(stream, StoppingStreamError(stream));
   }
+  if (!EnterQueue(stream.place)) return;
   waiting.done = [self = stream.shared_from_this()](
                      const absl::StatusOr<engine_reservation>& reservation) {
     OnReservation(*self, reservation);
@@ -187,7 +201,8 @@
 }
 
 void SendDecodeAfterPrefill(stream_state& stream) {
-  if (IsTried(stream, stream.decode)) ReserveOtherEngine(stream);
+  const auto reserved = ReservedEngine(stream.place);
+  if (reserved && IsTried(stream, *reserved)) ReserveOtherEngine(stream);
   if (!ClaimSend(stream.state, stream.routed, stream.sends,
                  send_purpose::decode, "refused")) {
     return RefuseStream(stream,
@@ -198,11 +213,13 @@
 }
 
 void PrefillAtDecode(stream_state& stream) {
+  const auto reserved = ReservedEngine(stream.place);
+  if (!reserved) return;
   const waiting_stream rest = RestOf(stream);
   EndRun(stream.state.ledger, stream.request.id);
-  const auto engine = ChooseLocalPrefillEngine(
+  const auto other = ChooseLocalPrefillEngine(
       stream.state, rest, stream.decodes->Tried(), MonotonicNow());
-  Reserve(stream, engine ? *engine : stream.decode);
+  Reserve(stream, other.value_or(*reserved));
   SendDecode(stream);
 }
 
--- a/src/dispatch/stream_decode.h
+++ b/src/dispatch/stream_decode.h
@@ -16,8 +16,8 @@
 /// engine has rejected it, prefers another one; it may also accept it by now.
 void SendDecodeAfterPrefill(stream_state& stream);
 
-/// Lets a decode engine prefill the prompt itself, which delays its other
-/// streams.
+/// Lets the reserved decode engine, or another one, prefill the prompt itself,
+/// which delays its other streams. Waits in the queue if none is available.
 void PrefillAtDecode(stream_state& stream);
 
 /// Records the first event that is passed on.
--- a/src/dispatch/stream_end.cc
+++ b/src/dispatch/stream_end.cc
@@ -34,6 +34,11 @@
                       (stream.request.received + stream.record.first_event));
 }
 
+// Returns whether a decode engine may have run the stream.
+bool MayHaveRun(const stream_state& stream) {
+  return stream.decodes->InProgress() || stream.decodes->MayHaveRun();
+}
+
 // Ends the request and releases its engines, calls and exchange.
 void Release(stream_state& stream) {
   if (std::exchange(stream.ended, true)) return;
@@ -100,10 +105,19 @@
 
 void RefuseStream(stream_state& stream, const absl::Status& error) {
   if (stream.ended) return;
+  if (stream.relay.HeadersSent()) {
+    return AbortStream(stream, unfinished_reason::upstream_failed);
+  }
+  absl::Status shown = error;
+  if (MayHaveRun(stream) && RunStateOf(error) == run_state::not_run) {
+    ReportUnfinished(stream, unfinished_reason::upstream_failed);
+    shown = MakeError(error_kind::upstream_failed, error.message(),
+                      run_state::unknown);
+  }
   const auto exchange = stream.routed.exchange;
   Release(stream);
   RefuseRequest(stream.state, *exchange, stream.request, stream.route.name,
-                error);
+                shown);
 }
 
 void ReportUnfinished(stream_state& stream, unfinished_reason reason) {
@@ -128,7 +142,7 @@
   const std::string limit =
       absl::FormatDuration(FirstEventDeadline(stream.request, stream.route) -
                            stream.request.received);
-  if (stream.decodes->InProgress() || stream.decodes->MayHaveRun()) {
+  if (MayHaveRun(stream)) {
     ReportUnfinished(stream, reason);
     return RefuseStream(
         stream,
@@ -149,7 +163,7 @@
 
 void EndForStop(stream_state& stream) {
   if (stream.ended || stream.relay.HeadersSent()) return;
-  if (!stream.decodes->InProgress() && !stream.decodes->MayHaveRun()) {
+  if (!MayHaveRun(stream)) {
     return RefuseStream(stream, StoppingStreamError(stream));
   }
   ReportUnfinished(stream, unfinished_reason::stop);
@@ -164,9 +178,8 @@
   if (!IsQuarantined(stream.state, engine_stage::decode, stream.request)) {
     return false;
   }
-  const decode_runs& decodes = *stream.decodes;
-  if (stream.is_trial && !decodes.MayHaveRun()) return false;
-  const bool may_have_run = decodes.InProgress() || decodes.MayHaveRun();
+  if (stream.is_trial && !stream.decodes->MayHaveRun()) return false;
+  const bool may_have_run = MayHaveRun(stream);
   if (may_have_run) ReportUnfinished(stream, unfinished_reason::quarantined);
   RefuseStream(stream,
                QuarantineError(stream.state, stream.request, may_have_run,
--- a/src/dispatch/stream_end.h
+++ b/src/dispatch/stream_end.h
@@ -17,8 +17,9 @@
 /// Breaks a stream off whose caller has received events.
 void AbortStream(stream_state& stream, unfinished_reason reason);
 
-/// Ends a stream with `error`, which its caller gets. Does nothing if it has
-/// ended.
+/// Ends a stream with `error`, which its caller gets. Breaks it off if its
+/// caller has received events, and doesn't say that it was not run if it may
+/// have been. Does nothing if it has ended.
 void RefuseStream(stream_state& stream, const absl::Status& error);
 
 /// Logs and counts that a stream ends without a whole answer.
--- a/src/dispatch/stream_prefill.cc
+++ b/src/dispatch/stream_prefill.cc
@@ -22,56 +22,65 @@
 constexpr int kSendsForReplacementPrefill = 2;
 
 // Returns a prefill engine that was not tried yet.
-std::optional<fleet_upstream> ChooseOtherPrefill(stream_state& stream) {
+// @param decode engine that is reserved for the stream.
+std::optional<fleet_upstream> ChooseOtherPrefill(stream_state& stream,
+                                                 const fleet_upstream& decode) {
   if (IsQuarantined(stream.state, engine_stage::prefill, stream.request)) {
     return std::nullopt;
   }
   return ChoosePrefillEngine(stream.state, stream.service.name,
                              static_cast<double>(stream.request.prompt_tokens),
-                             stream.decode.failure_domain,
-                             stream.prefill->Tried(), MonotonicNow());
+                             decode.failure_domain, stream.prefill->Tried(),
+                             MonotonicNow());
 }
 
 // Returns an engine that may replace a prefill which its engine may have
 // accepted, if the attempts allow another send.
-std::optional<fleet_upstream> ChooseReplacementPrefill(stream_state& stream) {
+std::optional<fleet_upstream> ChooseReplacementPrefill(
+    stream_state& stream, const fleet_upstream& decode) {
   if (stream.sends.attempts + kSendsForReplacementPrefill >
       stream.route.attempts) {
     return std::nullopt;
   }
-  return ChooseOtherPrefill(stream);
+  return ChooseOtherPrefill(stream, decode);
+}
+
+// Returns the error for a stream that has no attempt left after its prefills.
+absl::Status NoAttemptLeftError(const stream_state& stream) {
+  return MakeError(error_kind::upstream_refused,
+                   absl::StrCat("no engine prefilled the prompt within ",
+                                stream.sends.attempts, " of ",
+                                stream.route.attempts, " attempts"));
 }
 
 // Sends the request on after a prefill that ended with `outcome`: to another
 // prefill engine, or else to a decode engine.
-void ReplaceFailedPrefill(stream_state& stream, send_outcome outcome) {
+// @param decode engine that is reserved for the stream.
+void ReplaceFailedPrefill(stream_state& stream, const fleet_upstream& decode,
+                          send_outcome outcome) {
   std::optional<fleet_upstream> other;
   bool replaces_other = false;
   absl::string_view reason = "prefill_lost";
   switch (outcome) {
     case send_outcome::unsent:
-      other = ChooseOtherPrefill(stream);
+      other = ChooseOtherPrefill(stream, decode);
       reason = "prefill_unsent";
       break;
     case send_outcome::refused:
-      other = ChooseOtherPrefill(stream);
+      other = ChooseOtherPrefill(stream, decode);
       reason = "prefill_refused";
       break;
     case send_outcome::answered:
       reason = "prefill_failed";
       [[fallthrough]];
     case send_outcome::unknown:
-      other = ChooseReplacementPrefill(stream);
+      other = ChooseReplacementPrefill(stream, decode);
       replaces_other = other.has_value();
       break;
   }
   if (stream.sends.attempts >= stream.route.attempts ||
-      (!other && IsTried(stream, stream.decode))) {
-    return RefuseStream(
-        stream, MakeError(error_kind::upstream_refused,
-                          absl::StrCat("no engine prefilled the prompt within ",
-                                       stream.sends.attempts, " of ",
-                                       stream.route.attempts, " attempts")));
+      (!other && IsTried(stream, decode))) {
+    return RefuseStream(stream, NoAttemptLeftError(stream));
   }
   if (!ClaimSend(stream.state, stream.routed, stream.sends,
                  other ? send_purpose::prefill : send_purpose::decode,
@@ -93,8 +102,9 @@
   stream.record.prefill_tokens = result.prefill.tokens;
   stream.lease = MakeLease(result.engine, result.prefill.handle,
                            stream.service.engine.handle_ttl);
-  // A decode engine may be prefilling the prompt itself.
-  if (!stream.decodes->InProgress()) SendDecodeAfterPrefill(stream);
+  // A queued stream takes the cache along to the engine that it gets, and a
+  // decode engine may be prefilling the prompt itself.
+  if (ReservedEngine(stream.place)) SendDecodeAfterPrefill(stream);
 }
 
 void OnPrefillFailed(stream_state& stream, const prefill_failure& failure) {
@@ -108,17 +118,26 @@
   if (outcome == send_outcome::refused && !failure.replaces_other) {
     ++stream.sends.attempts;
   }
-  if (IsPrefillInProgress(stream) || stream.decodes->InProgress()) return;
-  ReplaceFailedPrefill(stream, outcome);
+  if (IsPrefillInProgress(stream)) return;
+  if (IsQueued(stream.place)) {
+    // The engine that it waits for prefills the prompt itself, if the attempts
+    // allow the send.
+    if (stream.sends.attempts < stream.route.attempts) return;
+    return RefuseStream(stream, NoAttemptLeftError(stream));
+  }
+  const auto decode = ReservedEngine(stream.place);
+  if (decode) ReplaceFailedPrefill(stream, *decode, outcome);
 }
 
-// Sends the request to another engine beside a prefill whose engine is silent,
-// if the budget allows it. The silent one may still answer first.
+// Sends a request with a reserved engine to another one beside a prefill whose
+// engine is silent, if the budget allows it. The silent one may still answer
+// first.
 void OnSilentPrefill(stream_state& stream, const silent_prefill& silent) {
-  if (stream.prefill->InProgress() > 1 || stream.decodes->InProgress()) return;
+  const auto decode = ReservedEngine(stream.place);
+  if (!decode || stream.prefill->InProgress() > 1) return;
   if (stream.sends.attempts >= stream.route.attempts) return;
-  const auto other = ChooseReplacementPrefill(stream);
-  if (!other && IsTried(stream, stream.decode)) return;
+  const auto other = ChooseReplacementPrefill(stream, *decode);
+  if (!other && IsTried(stream, *decode)) return;
   if (!ClaimSend(stream.state, stream.routed, stream.sends,
                  other ? send_purpose::prefill : send_purpose::decode,
                  "prefill_slow",
@@ -129,7 +148,7 @@
   LogEvent(log_level::warn, "prefill_stalled",
            {{"request", QtText(stream.request.id)},
             {"upstream", QtText(silent.engine.id)},
-            {"also_sent_to", QtText(other ? other->id : stream.decode.id)},
+            {"also_sent_to", QtText(other ? other->id : decode->id)},
             {"silent_ms", ToMilliseconds(silent.silence)}});
   ReportStall(stream.state, silent.engine);
   if (!other) return PrefillAtDecode(stream);
--- a/src/dispatch/stream_state.h
+++ b/src/dispatch/stream_state.h
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "absl/time/time.h"
+#include "dispatch/decode_place.h"
 #include "dispatch/decode_runs.h"
 #include "dispatch/dispatch_state.h"
 #include "dispatch/kv_lease.h"
@@ -39,8 +40,8 @@
   /// Prefills of the prompt at prefill engines; set once one was sent.
   std::optional<prompt_prefill> prefill;
   kv_lease lease;
-  /// The decode engine that is reserved, or was reserved last.
-  fleet_upstream decode;
+  /// Changed only through the functions of `decode_place`.
+  decode_place place;
   /// Set once the stream has started.
   std::optional<decode_runs> decodes;
   /// Time of the last event that was passed on.
