Begin no attempt at a completion whose caller has left

What callers saw: nothing. In anvilridged an engine prefilled and decoded a completion for nobody, for up to two seconds, and its place was kept from others.

Cause: a caller with events that leaves has two seconds to come back through another daemon. Between two attempts no engine holds what it could come back for, yet the request stayed open, and a place that was promised meanwhile was used.

Change: a caller that leaves between two attempts ends its completion at once. No attempt is begun, no retry taken and no stream adopted for reading once the caller has left.

Test: left_completion_test failed before (placed again 0.2 s after its caller had left, decoded for 1.8 s) and passes now.

--- a/src/requests/completion_attempt.cc
+++ b/src/requests/completion_attempt.cc
@@ -233,7 +233,7 @@
 }  // namespace
 
 void BeginAttempt(const completion_ptr& flow) {
-  if (flow->over || !MayUseEngines(*flow)) return;
+  if (!IsServed(*flow) || !MayUseEngines(*flow)) return;
   if (!ServicesOf(*flow).may_act(ServicesOf(*flow).owner())) {
     return RunAfter(flow->context.thread, kLeasePause,
                     [flow] { BeginAttempt(flow); });
@@ -266,6 +266,7 @@
             {"detail", QtText(why.message())}});
   CancelAtEngines(*flow);
   FinishPlacement(*flow);
+  if (!IsServed(*flow)) return;
   if (!engine.empty()) flow->avoid.emplace_back(engine);
   // Who resumes a stream knows neither its prompt nor its earlier text.
   if (flow->attempts >= kMaxAttempts || flow->resumed) {
--- a/src/requests/completion_flow.cc
+++ b/src/requests/completion_flow.cc
@@ -20,9 +20,16 @@
 // How long a started answer is kept for a caller that may come back.
 constexpr absl::Duration kResumeGrace = absl::Seconds(2);
 
+// Whether an engine holds what the caller could come back for. None does
+// between two attempts.
+bool IsHeldForResume(const completion_state& flow) {
+  return flow.writer.stream && flow.writer.next_index > 0 &&
+         (flow.resumed || flow.outcome.decode_started);
+}
+
 void CallerLeft(const completion_ptr& flow) {
   if (flow->over) return;
-  const bool may_resume = flow->writer.stream && flow->writer.next_index > 0;
+  const bool may_resume = IsHeldForResume(*flow);
   LogEvent(log_level::info, "caller_left",
            {{"request_id", QtText(flow->request.request_id)},
             {"stage", QtText(flow->stage)},
--- a/src/requests/completion_ownership.cc
+++ b/src/requests/completion_ownership.cc
@@ -37,7 +37,7 @@
 void Readopt(const completion_ptr& flow) {
   StopCall(*flow);
   // Once the caller has left, what it may come back for is cancelled later.
-  if (flow->over || flow->writer.ended) return;
+  if (!IsServed(*flow)) return;
   const std::string old_owner = flow->grant.owner;
   const std::string new_owner = ServicesOf(*flow).owner();
   if (!ServicesOf(*flow).may_act(new_owner)) {
@@ -58,6 +58,8 @@
   AdoptFromAny(flow->context, SourceOf(*flow),
                [flow](const absl::Status& adopted) {
                  if (flow->over) return CancelAtEngines(*flow);
+                 // What its caller may come back for is cancelled later.
+                 if (!IsServed(*flow)) return;
                  if (!adopted.ok()) return FailCompletion(*flow, adopted);
                  ReadDecodeStream(flow);
                });
--- a/src/requests/completion_state.cc
+++ b/src/requests/completion_state.cc
@@ -31,6 +31,10 @@
   ServicesOf(flow).update(ActiveRequest(flow, stage));
 }
 
+bool IsServed(const completion_state& flow) {
+  return !flow.over && !flow.writer.ended;
+}
+
 bool LeaseLost(const completion_state& flow) {
   return !ServicesOf(flow).may_act(flow.grant.owner);
 }
--- a/src/requests/completion_state.h
+++ b/src/requests/completion_state.h
@@ -84,6 +84,9 @@
 
 void SetStage(completion_state& flow, absl::string_view stage);
 
+/// Whether the completion goes on: it has not ended, and its caller is there.
+bool IsServed(const completion_state& flow);
+
 /// Whether the incarnation that the attempt belongs to may no longer act.
 bool LeaseLost(const completion_state& flow);
 
