Tell callers of the last connections to leave

What callers saw: while the port closed, an answer on a connection that the kernel had held didn't say `connection: close`, and the connection was closed 100 ms later. A request that crossed the close was not passed on.

Cause: the threads of the port were told of the close after they had been given these connections, so a request on one could be answered in between.

Change: the threads are told first.

--- a/src/caller/caller_port.cc
+++ b/src/caller/caller_port.cc
@@ -207,12 +207,14 @@
 
 void caller_port::BeginClose() {
   if (!impl_->listener) return;
-  impl_->listener->TakeAllAndClose();
+  // Before the last connections are taken, so that the answers on them already
+  // tell their callers to leave.
   for (const auto& slot : impl_->slots) {
     PostTo(slot->thread, [slot] {
       if (slot->worker) slot->worker->BeginClose();
     });
   }
+  impl_->listener->TakeAllAndClose();
 }
 
 void caller_port::OnRefuse(std::function<void(const absl::Status&)> listener) {
