Keep no request of connections that rest

What callers saw: postings in progress were lost when a daemon ran over the memory of its machine (LOST), with about 300 resting channels that had sent 110 KB each.

Cause: each connection had a request object of Qt's HTTP server, which keeps the last request until the next one, and the buffers that fed it kept their capacity: about three times the request for each connection, counted by no bound.

Change: the connections of a thread share one feed to Qt's server, which is made anew behind a request of more than 64 KiB and behind one that Qt rejects. The scanner frees what it kept beyond 4 KiB. Parsing was synchronous before, so that nothing waits for the shared feed.

--- a/src/caller/caller_connection.cc
+++ b/src/caller/caller_connection.cc
@@ -92,8 +92,6 @@
     tls->setSslConfiguration(*context.tls);
     tls->startServerEncryption();
   }
-  feed_ = std::make_unique<request_feed>(socket_->peerAddress());
-  context_.server->Add(feed_.get());
   BecomeIdle();
   if (refuse) {
     Refuse(MakeError(error_kind::too_many_connections,
@@ -274,8 +272,9 @@
                                    "too many requests are in progress"),
                          request, keyed);
   }
-  auto parsed = feed_->Parse(request);
+  auto parsed = context_.server->Parse(request);
   if (!parsed.ok()) return RefuseRequest(parsed.status(), request, keyed);
+  parsed->remote_address = socket_->peerAddress().toString().toStdString();
   parsed->received = received_;
   context_.handler(*parsed, StartAnswer(request));
 }
--- a/src/caller/caller_connection.h
+++ b/src/caller/caller_connection.h
@@ -132,7 +132,6 @@
   const connection_context& context_;
   std::unique_ptr<QTcpSocket> socket_;
   request_scanner scanner_;
-  std::unique_ptr<request_feed> feed_;
   QTimer timer_;
   phase phase_ = phase::idle;
   // When the first byte of the request in progress arrived.
--- a/src/caller/held_bytes_test.cc
+++ b/src/caller/held_bytes_test.cc
@@ -1,11 +1,14 @@
 // Load pattern: callers that send large requests, or don't take large answers,
 // over many connections, beside others that behave.
+#include <malloc.h>
+
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
 #include "caller/caller_world_for_test.h"
 #include "gtest/gtest.h"
 
@@ -95,5 +98,36 @@
   EXPECT_TRUE(other->WaitForText("GET /short"));
 }
 
+// Returns the bytes that this process has allocated.
+size_t AllocatedBytes() {
+  const struct mallinfo2 info = ::mallinfo2();
+  return info.uordblks + info.hblkhd;
+}
+
+// Guards against connections that keep their last request while they rest.
+TEST_F(held_bytes_thread_test, RestingConnectionsKeepNoRequest) {
+  constexpr size_t kCallers = 40;
+  constexpr size_t kBodyBytes = 256 << 10;
+  constexpr size_t kKeptByEach = 32 << 10;
+  std::vector<std::unique_ptr<raw_caller>> callers;
+  const auto ask_all = [&](size_t body_bytes, size_t answers) {
+    for (const auto& caller : callers) {
+      caller->Send(absl::StrCat(
+          "POST /stream HTTP/1.1\r\nHost: a\r\nContent-Length: ", body_bytes,
+          "\r\n\r\n", std::string(body_bytes, 'x')));
+      EXPECT_TRUE(WaitFor([&] {
+        const std::vector<std::string> ends =
+            absl::StrSplit(caller->Text(), "0\r\n\r\n");
+        return ends.size() == answers + 1;
+      }));
+    }
+  };
+  for (size_t i = 0; i < kCallers; ++i) callers.push_back(Connect());
+  ask_all(1, 1);
+  const size_t before = AllocatedBytes();
+  ask_all(kBodyBytes, 2);
+  EXPECT_LT(AllocatedBytes(), before + kCallers * kKeptByEach);
+}
+
 }  // namespace
 }  // namespace anvilridge
--- a/src/caller/request_feed.cc
+++ b/src/caller/request_feed.cc
@@ -17,6 +17,9 @@
 namespace anvilridge {
 namespace {
 
+/// Longest body that may stay with the feed until the next request.
+constexpr size_t kMaxKeptBody = 64 << 10;
+
 /// Fields that describe the connection; the scanner has dealt with them.
 bool IsConnectionField(absl::string_view name) {
   constexpr std::array kNames = {
@@ -86,8 +89,7 @@
 
 }  // namespace
 
-request_feed::request_feed(const QHostAddress& peer) {
-  setPeerAddress(peer);
+request_feed::request_feed() {
   setSocketState(QAbstractSocket::ConnectedState);
   setOpenMode(QIODevice::ReadWrite);
 }
@@ -103,13 +105,13 @@
   const std::string text = Serialized(request);
   bytes_ = QByteArray(text.data(), static_cast<qsizetype>(text.size()));
   Q_EMIT readyRead();
+  bytes_.clear();
   if (!parsed_) {
     return MakeError(error_kind::malformed_request,
                      "the request can't be parsed");
   }
   result_.method = request.method;
   SetTarget(request.target, result_);
-  result_.remote_address = peerAddress().toString().toStdString();
   return std::move(result_);
 }
 
@@ -160,6 +162,8 @@
   // Owned by `server`, which takes it over in bind().
   feed_source* source = new feed_source;
   parsing_server server;
+  // Last, as it must be deleted before the server.
+  std::unique_ptr<request_feed> feed;
 };
 
 feed_server::feed_server() : impl_(std::make_unique<impl>()) {
@@ -171,6 +175,17 @@
 
 feed_server::~feed_server() = default;
 
-void feed_server::Add(request_feed* feed) { impl_->source->Add(feed); }
+absl::StatusOr<inbound_request> feed_server::Parse(
+    const scanned_request& request) {
+  if (!impl_->feed) {
+    impl_->feed = std::make_unique<request_feed>();
+    impl_->source->Add(impl_->feed.get());
+  }
+  auto parsed = impl_->feed->Parse(request);
+  // Qt keeps a large request with its feed, and may not go on behind one that
+  // it has rejected.
+  if (!parsed.ok() || parsed->body.size() > kMaxKeptBody) impl_->feed.reset();
+  return parsed;
+}
 
 }  // namespace anvilridge
--- a/src/caller/request_feed.h
+++ b/src/caller/request_feed.h
@@ -18,11 +18,11 @@
 /// while the one before it is being answered.
 class request_feed : public QTcpSocket {
  public:
-  explicit request_feed(const QHostAddress& peer);
+  request_feed();
   ~request_feed() override;
 
-  /// Has Qt's server parse `request`. Returns it as parsed, or
-  /// `malformed_request` when the server does not take it.
+  /// Has Qt's server parse `request`. Returns it as parsed, without the address
+  /// of its caller, or `malformed_request` when the server does not take it.
   absl::StatusOr<inbound_request> Parse(const scanned_request& request);
 
   /// Called by the server with the parsed request.
@@ -45,14 +45,16 @@
   inbound_request result_;
 };
 
-/// Qt's HTTP server of one traffic thread, which reads from `request_feed`s.
+/// Qt's HTTP server of one traffic thread. All connections share one feed: Qt
+/// keeps the last request of each, which would add up over resting connections.
 class feed_server {
  public:
   feed_server();
   ~feed_server();
 
-  /// Has the server read from `feed`, which must be deleted before this.
-  void Add(request_feed* feed);
+  /// Returns `request` as parsed, without the address of its caller, or
+  /// `malformed_request` when Qt's server does not take it.
+  absl::StatusOr<inbound_request> Parse(const scanned_request& request);
 
  private:
   struct impl;
--- a/src/caller/request_scanner.cc
+++ b/src/caller/request_scanner.cc
@@ -17,6 +17,9 @@
 constexpr absl::string_view kLineEnd = "\r\n";
 constexpr absl::string_view kHeadEnd = "\r\n\r\n";
 
+/// Capacity that a connection keeps for the next request.
+constexpr size_t kMaxKeptCapacity = 4096;
+
 /// Longest chunk size line, extensions included.
 constexpr size_t kMaxChunkLineBytes = 256;
 
@@ -121,6 +124,7 @@
   framing_bytes_ = 0;
   expects_continue_ = false;
   fields_read_ = false;
+  if (pending_.capacity() > kMaxKeptCapacity) pending_.shrink_to_fit();
   return request;
 }
 
