--- a/tests/queued_stream_test.cc
+++ b/tests/queued_stream_test.cc
@@ -259,15 +259,20 @@
   EXPECT_EQ(Decodes(), 0);
 }
 
-// Guards against a place that is refused while the stream of another place is
-// sent: its caller was told that it hadn't run, or was cut off.
-TEST_F(queued_stream_test, ARefusedPlaceDoesNotEndAStreamThatWasSent) {
+// A place that is refused while the stream of another place is sent.
+class refused_place_test : public queued_stream_test,
+                           public testing::WithParamInterface<int> {};
+
+// Guards against telling a caller that its stream has not run, or cutting it
+// off, when a place is refused beside a send.
+TEST_P(refused_place_test, DoesNotEndAStreamThatWasSent) {
+  const int events = GetParam();
   ASSERT_NO_FATAL_FAILURE(
       Start(prefill_end::answered,
-            [](QTcpSocket& socket, const raw_request& request) {
-              BeginStream(socket, request, 1);
+            [events](QTcpSocket& socket, const raw_request& request) {
+              BeginStream(socket, request, events);
               After(kBehindLatestStart - kEnginesCome, socket,
-                    [](QTcpSocket& to) { EndStream(to, 2); });
+                    [events](QTcpSocket& to) { EndStream(to, events + 1); });
             }));
   SendWatched(/*resumable=*/false);
   WaitUntil(kEnginesCome);
@@ -275,6 +280,9 @@
   ExpectWholeAndOnce();
 }
 
+INSTANTIATE_TEST_SUITE_P(events_before, refused_place_test,
+                         testing::Values(0, 1));
+
 // Guards against a stream that is queued again at each check of a prefill that
 // hangs.
 TEST_F(queued_stream_test, AHungPrefillQueuesItsStreamOnce) {
