--- a/src/dispatch/decode_runs.h
+++ b/src/dispatch/decode_runs.h
@@ -53,8 +53,7 @@
   /// progress. The engine may be one that it was sent to before, which counts
   /// no further attempt.
   /// @param lease cache of the prefilled prompt. Without a usable one the
-  /// engine
-  ///     prefills the prompt itself. Empty afterwards.
+  ///     engine prefills the prompt itself. Empty afterwards.
   void Send(const reserved_decode& place, kv_lease& lease);
   /// Records that an event of the current run was passed on to the caller.
   void OnEvent();
--- a/src/dispatch/stream_decode.cc
+++ b/src/dispatch/stream_decode.cc
@@ -48,8 +48,8 @@
 
 // Has another decode engine reserved in place of `left`, which has become
 // unavailable.
-void PlaceAgain(stream_state& stream, const fleet_upstream& left,
-                absl::Time now) {
+void ReserveAgain(stream_state& stream, const fleet_upstream& left,
+                  absl::Time now) {
   if (!EnterQueue(stream.place)) return;
   LogEvent(log_level::info, "reserved_engine_unavailable",
            {{"request", QtText(stream.request.id)},
@@ -81,7 +81,7 @@
   }
   const auto engine = ReservedEngine(stream.place);
   if (engine && !IsStillAvailable(stream.state, *engine, now)) {
-    return PlaceAgain(stream, *engine, now);
+    return ReserveAgain(stream, *engine, now);
   }
   const auto begun = BeginDecode(stream.place);
   if (begun) stream.decodes->Send(*begun, stream.lease);
