--- a/tests/queued_stream_test.cc
+++ b/tests/queued_stream_test.cc
@@ -3,6 +3,7 @@
 // silent while the reserved engine leaves and no other engine has a free slot,
 // so that the stream waits for a place beside its prefill.
 #include <QTimer>
+#include <csignal>
 #include <functional>
 #include <memory>
 #include <ostream>
@@ -298,6 +299,43 @@
   ExpectWholeAndOnce();
 }
 
+// Guards against a decode for a caller that has left while its stream was
+// queued beside its prefill.
+TEST_F(queued_stream_test, AQueuedStreamWhoseCallerLeavesIsNotSent) {
+  ASSERT_NO_FATAL_FAILURE(
+      Start(prefill_end::answered,
+            [](QTcpSocket& socket, const raw_request& request) {
+              BeginStream(socket, request, 0);
+              EndStream(socket, 1);
+            }));
+  SendWatched(/*resumable=*/false);
+  ASSERT_TRUE(Eventually(
+      kBound, [&] { return Logged("reserved_engine_unavailable"); }));
+  watched_->Cut();
+  WaitUntil(kEnginesCome);
+  Register("d3", "ready");
+  absl::SleepFor(absl::Seconds(1));
+  EXPECT_EQ(Decodes(), 0);
+}
+
+// Guards against a refusal in a stop that leaves a place in the queue.
+TEST_F(queued_stream_test, AQueuedStreamThatAStopRefusesIsNotSent) {
+  ASSERT_NO_FATAL_FAILURE(Start(
+      prefill_end::never, [](QTcpSocket& socket, const raw_request& request) {
+        BeginStream(socket, request, 0);
+        EndStream(socket, 1);
+      }));
+  SendWatched(/*resumable=*/false);
+  ASSERT_TRUE(Eventually(
+      kBound, [&] { return Logged("reserved_engine_unavailable"); }));
+  scene_.Daemon().Signal(SIGTERM);
+  ASSERT_TRUE(watched_->WaitForEnd(kBound));
+  EXPECT_EQ(watched_->Answer().status, 503);
+  Register("d3", "ready");
+  absl::SleepFor(absl::Seconds(1));
+  EXPECT_EQ(Decodes(), 0);
+}
+
 // Guards against an engine that holds the cache of a prompt for a stream which
 // was sent without it: a prefill that ends while its stream is queued is used.
 TEST_F(queued_stream_test, AQueuedStreamTakesTheCacheOfItsLatePrefill) {
