--- a/src/caller/request_scanner.cc
+++ b/src/caller/request_scanner.cc
@@ -124,7 +124,11 @@
   framing_bytes_ = 0;
   expects_continue_ = false;
   fields_read_ = false;
-  if (pending_.capacity() > kMaxKeptCapacity) pending_.shrink_to_fit();
+  // While much is pending, the capacity is in use.
+  if (pending_.capacity() > kMaxKeptCapacity &&
+      pending_.size() <= kMaxKeptCapacity) {
+    pending_.shrink_to_fit();
+  }
   return request;
 }
 
