Bound what is kept for callers in sum

The bodies of refused requests, the requests sent ahead and the copies of a body on its way to an upstream were not counted, and reads were 64 KiB each. Now one account counts them, the connection that holds the most without progress is ended first, and only the head of a request passes through Qt's server.

--- a/src/caller/caller_connection.cc
+++ b/src/caller/caller_connection.cc
@@ -38,8 +38,16 @@
 /// How long bytes that lie unread when a timer runs out may wait to be read.
 constexpr absl::Duration kLateRead = absl::Milliseconds(10);
 
-/// Most bytes taken from the network at a time.
-constexpr int64_t kReadBufferBytes = 64 << 10;
+/// Most bytes taken from the network at a time. A connection keeps up to as
+/// many of further requests while it answers one.
+constexpr int64_t kReadBufferBytes = 16 << 10;
+
+/// Copies of a body until its answer begins: the request itself, and what is
+/// sent to an upstream.
+constexpr int64_t kBodyCopies = 3;
+
+/// Time without a byte sent or taken after which a caller makes no progress.
+constexpr absl::Duration kNoProgress = absl::Milliseconds(250);
 
 /// Bytes that each connection may hold beyond the bound for all.
 constexpr int64_t kReservedBytes = 64 << 10;
@@ -165,6 +173,7 @@
     case phase::flushing:
       // A pipelined request stays in the socket, whose buffer is bounded.
       if (!next_received_) next_received_ = MonotonicNow();
+      UpdateHeld();
       break;
     case phase::lingering:
       DropRequest(View(socket_->readAll()));
@@ -187,6 +196,8 @@
   received_ = next_received_.value_or(now);
   next_received_.reset();
   received_bytes_ = 0;
+  body_bytes_ = 0;
+  answer_begun_ = false;
   deadline_ = now + limits.request_timeout;
   read_late_ = false;
   awaits_fields_ = true;
@@ -195,12 +206,15 @@
 void caller_connection::Receive(absl::string_view bytes) {
   if (phase_ == phase::idle) BeginRequest();
   received_bytes_ += static_cast<int64_t>(bytes.size());
-  CountHeld(received_bytes_);
+  last_progress_ = MonotonicNow();
   const auto progress = scanner_.Take(bytes);
+  UpdateHeld();
   if (!progress.ok()) {
     Refuse(progress.status());
     return;
   }
+  if (ExceedsHeldBytes()) context_.make_room();
+  if (phase_ == phase::gone) return;
   if (ExceedsHeldBytes()) {
     Refuse(MakeError(error_kind::overloaded,
                      absl::StrCat("no memory left for a request of at least ",
@@ -261,7 +275,7 @@
   if (HasCallerClosed()) return Leave();
   request_id_ =
       std::string(scanner_.HeaderField(context_.counters->request_id_field));
-  const scanned_request request = scanner_.Release();
+  scanned_request request = scanner_.Release();
   if (scanner_.HasExcess()) next_received_ = received_;
   if (!request.keep_alive) close_after_answer_ = true;
   const bool full =
@@ -272,18 +286,27 @@
                                    "too many requests are in progress"),
                          request, keyed);
   }
-  auto parsed = context_.server->Parse(request);
-  if (!parsed.ok()) return RefuseRequest(parsed.status(), request, keyed);
+  body_bytes_ = static_cast<int64_t>(request.body.size());
+  scanned_request head;
+  head.method = request.method;
+  head.http_1_0 = request.http_1_0;
+  auto parsed = context_.server->Parse(std::move(request));
+  if (!parsed.ok()) return RefuseRequest(parsed.status(), head, keyed);
   parsed->remote_address = socket_->peerAddress().toString().toStdString();
   parsed->received = received_;
-  context_.handler(*parsed, StartAnswer(request));
+  const std::shared_ptr<caller_exchange> exchange = StartAnswer(head);
+  UpdateHeld();
+  context_.handler(*parsed, exchange);
 }
 
 void caller_connection::Refuse(const absl::Status& error) {
   request_id_ =
       std::string(scanner_.HeaderField(context_.counters->request_id_field));
   close_after_answer_ = true;
-  RefuseRequest(error, scanned_request{}, scanner_.MayHaveKey());
+  const bool may_have_key = scanner_.MayHaveKey();
+  // The rest is read and dropped.
+  scanner_.Discard();
+  RefuseRequest(error, scanned_request{}, may_have_key);
 }
 
 void caller_connection::RefuseRequest(const absl::Status& error,
@@ -324,6 +347,44 @@
   SetTimer(std::min(delay, last_arrival_ - MonotonicNow()));
 }
 
+void caller_connection::UpdateHeld() {
+  int64_t bytes =
+      scanner_.KeptBytes() + socket_->bytesAvailable() + UnsentBytes();
+  if (phase_ == phase::answering) {
+    bytes += (answer_begun_ ? 1 : kBodyCopies) * body_bytes_;
+  }
+  CountHeld(bytes);
+}
+
+int64_t caller_connection::BytesWithoutProgress(absl::Time now) const {
+  if (now - last_progress_ < kNoProgress) return 0;
+  switch (phase_) {
+    case phase::receiving:
+      return held_bytes_;
+    case phase::flushing:
+      return UnsentBytes() > 0 ? held_bytes_ : 0;
+    case phase::answering:
+      // Without unsent bytes it is the upstream that makes no progress.
+      return UnsentBytes();
+    case phase::idle:
+    case phase::lingering:
+    case phase::gone:
+      break;
+  }
+  return 0;
+}
+
+void caller_connection::GiveUpForMemory() {
+  if (phase_ == phase::receiving) {
+    Refuse(MakeError(error_kind::overloaded,
+                     "no memory left for a request that doesn't arrive whole",
+                     run_state::not_run, kMemoryRetryAfter));
+    return;
+  }
+  ReportCutOfRequest(cut_reason::no_memory);
+  Break(/*reset=*/true);
+}
+
 void caller_connection::CountHeld(int64_t bytes) {
   context_.counters->held_bytes += bytes - held_bytes_;
   held_bytes_ = bytes;
@@ -349,15 +410,19 @@
 
 void caller_connection::Send(absl::string_view bytes) {
   if (phase_ == phase::gone) return;
+  if (phase_ == phase::answering) answer_begun_ = true;
+  if (UnsentBytes() == 0) last_progress_ = MonotonicNow();
   socket_->write(bytes.data(), static_cast<qint64>(bytes.size()));
-  CountHeld(received_bytes_ + UnsentBytes());
+  UpdateHeld();
   // From here on the caller must keep taking bytes.
   if (!timer_.isActive()) SetTimer(context_.limits.request_timeout);
 }
 
 void caller_connection::OnBytesWritten() {
-  if (phase_ == phase::answering) CountHeld(received_bytes_ + UnsentBytes());
-  if (phase_ == phase::flushing) CountHeld(UnsentBytes());
+  if (phase_ == phase::answering || phase_ == phase::flushing) {
+    last_progress_ = MonotonicNow();
+    UpdateHeld();
+  }
   if (phase_ == phase::answering) {
     timer_.stop();
     if (UnsentBytes() > 0) SetTimer(context_.limits.request_timeout);
@@ -371,7 +436,7 @@
 void caller_connection::EndAnswer() {
   SetPhase(phase::flushing);
   exchange_.reset();
-  CountHeld(UnsentBytes());
+  UpdateHeld();
   SetTimer(context_.limits.request_timeout);
   FinishIfFlushed();
 }
@@ -396,7 +461,7 @@
 
 void caller_connection::BecomeIdle() {
   SetPhase(phase::idle);
-  CountHeld(0);
+  UpdateHeld();
   idle_since_ = MonotonicNow();
   idle_end_ = idle_since_ + context_.limits.idle_timeout;
   SetArrivalTimer(draining_ ? kStopGrace : context_.limits.idle_timeout);
--- a/src/caller/caller_connection.h
+++ b/src/caller/caller_connection.h
@@ -26,8 +26,9 @@
   std::atomic<int> receiving{0};
   /// Answers begun or due, up to their last byte sent.
   std::atomic<int> answering{0};
-  /// Bytes of requests that arrive or are in progress, and of answers that
-  /// their callers have not taken.
+  /// Bytes that are kept for callers: of requests that arrive or are in
+  /// progress, of further ones behind them, and of answers that their callers
+  /// have not taken.
   std::atomic<int64_t> held_bytes{0};
   /// Bound on `held_bytes`, beyond which longer requests are refused. Set
   /// before the first connection.
@@ -51,6 +52,9 @@
   feed_server* server = nullptr;
   /// Runs what must not run inside a call of a handler; lives on the thread.
   QObject* thread = nullptr;
+  /// Called when more than the bound is held, and has the connection refused or
+  /// cut that holds the most without progress.
+  std::function<void()> make_room;
   /// Told once, when the connection has nothing more to do.
   std::function<void(class caller_connection*)> on_gone;
 };
@@ -74,6 +78,14 @@
   /// request that doesn't arrive whole soon.
   void BeginClose();
 
+  /// Returns how much the connection keeps for its caller, in bytes; 0 while it
+  /// makes progress, or if it can't be ended for another one's sake.
+  int64_t BytesWithoutProgress(absl::Time now) const;
+
+  /// Refuses the request that arrives, or cuts an answer that its caller
+  /// doesn't take, for lack of memory.
+  void GiveUpForMemory();
+
   /// Applies changed limits of the context to an idle connection; others keep
   /// theirs until their next request.
   void OnLimitsChanged();
@@ -113,7 +125,8 @@
   // Cuts the connection if callers have not taken so much of their answers that
   // the memory for them is used up.
   void CutWithoutMemory();
-  // Counts `bytes` as held for this connection.
+  // Counts what is kept for this connection as held.
+  void UpdateHeld();
   void CountHeld(int64_t bytes);
   // Whether the request that arrives may not be held.
   bool ExceedsHeldBytes() const;
@@ -140,6 +153,12 @@
   int64_t received_bytes_ = 0;
   // Bytes that are counted as held.
   int64_t held_bytes_ = 0;
+  // Body of the request in progress, in bytes.
+  int64_t body_bytes_ = 0;
+  // Whether bytes of its answer were sent.
+  bool answer_begun_ = false;
+  // Last time at which the caller sent or took bytes.
+  absl::Time last_progress_ = absl::InfinitePast();
   std::string request_id_;
   // When the whole request must have arrived.
   absl::Time deadline_;
--- a/src/caller/port_worker.cc
+++ b/src/caller/port_worker.cc
@@ -5,8 +5,18 @@
 #include <utility>
 
 #include "absl/container/flat_hash_map.h"
+#include "base/clock.h"
 
 namespace anvilridge {
+namespace {
+
+// Minimum time between two searches for a connection to end, which look at all
+// of them.
+constexpr absl::Duration kMakeRoomInterval = absl::Milliseconds(10);
+// Bytes up to which ending a connection makes too little room.
+constexpr int64_t kLeastRoom = 4 << 10;
+
+}  // namespace
 
 owned_descriptor::~owned_descriptor() {
   if (descriptor_ >= 0) ::close(descriptor_);
@@ -19,11 +29,30 @@
   connection_context context;
   bool stopping = false;
   bool closing = false;
+  absl::Time made_room_at = absl::InfinitePast();
   // Last: connections use all of the above until they are gone.
   absl::flat_hash_map<caller_connection*, std::unique_ptr<caller_connection>>
       connections;
+
+  // Ends the connection that holds the most without progress.
+  void MakeRoom();
 };
 
+void port_worker::impl::MakeRoom() {
+  const absl::Time now = MonotonicNow();
+  if (now - made_room_at < kMakeRoomInterval) return;
+  made_room_at = now;
+  caller_connection* largest = nullptr;
+  int64_t most = kLeastRoom;
+  for (const auto& [connection, owned] : connections) {
+    const int64_t bytes = connection->BytesWithoutProgress(now);
+    if (bytes <= most) continue;
+    largest = connection;
+    most = bytes;
+  }
+  if (largest != nullptr) largest->GiveUpForMemory();
+}
+
 port_worker::port_worker(const limit_settings& limits,
                          std::optional<QSslConfiguration> tls,
                          inbound_handler handler,
@@ -36,6 +65,7 @@
   context.counters = std::move(counters);
   context.server = &impl_->server;
   context.thread = this;
+  context.make_room = [this] { impl_->MakeRoom(); };
   context.on_gone = [this](caller_connection* connection) {
     impl_->connections.erase(connection);
   };
--- a/src/caller/request_feed.cc
+++ b/src/caller/request_feed.cc
@@ -17,9 +17,6 @@
 namespace anvilridge {
 namespace {
 
-/// Longest body that may stay with the feed until the next request.
-constexpr size_t kMaxKeptBody = 64 << 10;
-
 /// Fields that describe the connection; the scanner has dealt with them.
 bool IsConnectionField(absl::string_view name) {
   constexpr std::array kNames = {
@@ -35,6 +32,8 @@
   return std::find(kNames.begin(), kNames.end(), name) != kNames.end();
 }
 
+// Returns the head of `request`. Its body is framed already, and Qt's server
+// would copy it several times.
 std::string Serialized(const scanned_request& request) {
   std::string text =
       absl::StrCat(request.method, " ", request.target, " HTTP/1.1\r\n");
@@ -42,8 +41,7 @@
     if (IsConnectionField(name)) continue;
     absl::StrAppend(&text, name, ": ", value, "\r\n");
   }
-  absl::StrAppend(&text, "content-length: ", request.body.size(), "\r\n\r\n",
-                  request.body);
+  absl::StrAppend(&text, "\r\n");
   return text;
 }
 
@@ -98,8 +96,7 @@
   setSocketState(QAbstractSocket::UnconnectedState);
 }
 
-absl::StatusOr<inbound_request> request_feed::Parse(
-    const scanned_request& request) {
+absl::StatusOr<inbound_request> request_feed::Parse(scanned_request request) {
   parsed_ = false;
   result_ = {};
   const std::string text = Serialized(request);
@@ -110,8 +107,11 @@
     return MakeError(error_kind::malformed_request,
                      "the request can't be parsed");
   }
-  result_.method = request.method;
+  result_.method = std::move(request.method);
   SetTarget(request.target, result_);
+  result_.headers.emplace_back("content-length",
+                               absl::StrCat(request.body.size()));
+  result_.body = std::move(request.body);
   return std::move(result_);
 }
 
@@ -121,7 +121,6 @@
     result_.headers.emplace_back(absl::AsciiStrToLower(name.toStdString()),
                                  value.toStdString());
   }
-  result_.body = request.body().toStdString();
 }
 
 qint64 request_feed::bytesAvailable() const {
@@ -175,16 +174,14 @@
 
 feed_server::~feed_server() = default;
 
-absl::StatusOr<inbound_request> feed_server::Parse(
-    const scanned_request& request) {
+absl::StatusOr<inbound_request> feed_server::Parse(scanned_request request) {
   if (!impl_->feed) {
     impl_->feed = std::make_unique<request_feed>();
     impl_->source->Add(impl_->feed.get());
   }
-  auto parsed = impl_->feed->Parse(request);
-  // Qt keeps a large request with its feed, and may not go on behind one that
-  // it has rejected.
-  if (!parsed.ok() || parsed->body.size() > kMaxKeptBody) impl_->feed.reset();
+  auto parsed = impl_->feed->Parse(std::move(request));
+  // Qt may not go on behind a request that it has rejected.
+  if (!parsed.ok()) impl_->feed.reset();
   return parsed;
 }
 
--- a/src/caller/request_feed.h
+++ b/src/caller/request_feed.h
@@ -21,9 +21,10 @@
   request_feed();
   ~request_feed() override;
 
-  /// Has Qt's server parse `request`. Returns it as parsed, without the address
-  /// of its caller, or `malformed_request` when the server does not take it.
-  absl::StatusOr<inbound_request> Parse(const scanned_request& request);
+  /// Has Qt's server parse the head of `request`. Returns it as parsed, with
+  /// its body and without the address of its caller, or `malformed_request`
+  /// when the server does not take it.
+  absl::StatusOr<inbound_request> Parse(scanned_request request);
 
   /// Called by the server with the parsed request.
   void SetParsed(const QHttpServerRequest& request);
@@ -54,7 +55,7 @@
 
   /// Returns `request` as parsed, without the address of its caller, or
   /// `malformed_request` when Qt's server does not take it.
-  absl::StatusOr<inbound_request> Parse(const scanned_request& request);
+  absl::StatusOr<inbound_request> Parse(scanned_request request);
 
  private:
   struct impl;
--- a/src/caller/request_scanner.cc
+++ b/src/caller/request_scanner.cc
@@ -132,6 +132,17 @@
   return request;
 }
 
+void request_scanner::Discard() {
+  const bool in_request = InRequest();
+  std::string().swap(pending_);
+  request_ = {};
+  part_ = in_request ? part::done : part::head;
+}
+
+int64_t request_scanner::KeptBytes() const {
+  return static_cast<int64_t>(pending_.size() + request_.body.size());
+}
+
 bool request_scanner::InRequest() const {
   return part_ != part::head || !pending_.empty();
 }
--- a/src/caller/request_scanner.h
+++ b/src/caller/request_scanner.h
@@ -53,6 +53,13 @@
   /// that arrived beyond it.
   scanned_request Release();
 
+  /// Drops what has arrived of a request that is refused. The connection can't
+  /// be framed any more then.
+  void Discard();
+
+  /// Returns the number of bytes of the request and behind it that are kept.
+  int64_t KeptBytes() const;
+
   /// Whether a part of a request has arrived.
   bool InRequest() const;
 
