--- a/src/metrics/health_port.cc
+++ b/src/metrics/health_port.cc
@@ -11,13 +11,19 @@
 namespace anvilridge {
 namespace {
 
-/// Bounds for pollers and scrapers, which send small requests.
+/// Bytes that a port keeps for all its callers, which send small requests. The
+/// longest answers are the metrics.
+constexpr int64_t kMaxHeldBytes = 4 << 20;
+
+/// Bounds for pollers and scrapers, which send small requests and take their
+/// answers at once. Others must not keep the connections from them.
 limit_settings HealthLimits() {
   limit_settings limits;
   limits.max_body_bytes = 1 << 10;
   limits.max_header_bytes = 8 << 10;
-  limits.max_connections = 64;
-  limits.max_requests = 64;
+  limits.max_connections = 256;
+  limits.max_requests = 256;
+  limits.request_timeout = absl::Seconds(2);
   return limits;
 }
 
@@ -87,6 +93,7 @@
                          health_sources sources, health_paths paths)
     : impl_(new impl{std::move(sources), std::move(paths),
                      caller_port(std::move(port), HealthLimits(), {context})}) {
+  impl_->port.SetMaxHeldBytes(kMaxHeldBytes);
 }
 
 health_port::~health_port() = default;
