--- a/bench/capacity.sh
+++ b/bench/capacity.sh
@@ -33,6 +33,8 @@
     claims) runs claims_cost 1000 10000 100000 ;;
     # TEAMS UPSTREAMS LINES
     limits) runs limits_cost "100 10 1000" "400 100 3000" "990 1000 5000" ;;
+    # TEAMS DAEMONS
+    teams) runs teams_cost "16 34" "990 20" ;;
     # MEMBERS OFFSET_CHANGES
     membership) runs membership_cost "8 0" "32 0" "128 0" "370 0" "370 1" \
       "370 4" ;;
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -63,7 +63,7 @@
                                                const fleet_route& route,
                                                fleet_request& request) {
   if (!config.teams.needs_keys) return nullptr;
-  const absl::StatusOr<const fleet_team*> team =
+  absl::StatusOr<const fleet_team*> team =
       IdentifyTeam(config, route, state.protocol.take_credential(request));
   if (team.ok() && *team != nullptr) request.team = (*team)->name;
   return team;
@@ -76,9 +76,8 @@
   if (team == nullptr) return team_charge();
   const auto tokens =
       static_cast<double>(request.prompt_tokens + request.max_output_tokens);
-  const double units = UnitsOf(team->cap.value_or(usage_cap()), tokens);
   absl::StatusOr<team_charge> charge =
-      state.teams.Admit(*team, units, MonotonicNow());
+      state.teams.Admit(*team, tokens, MonotonicNow());
   state.metrics->CountTeamRequest(team->name, charge.ok());
   return charge;
 }
--- a/src/teams/team_usage.cc
+++ b/src/teams/team_usage.cc
@@ -518,15 +518,15 @@
 }
 
 absl::StatusOr<team_charge> team_usage::Admit(const fleet_team& team,
-                                              double units, absl::Time now) {
+                                              double tokens, absl::Time now) {
   const auto found = impl_->accounts.find(team.key);
   if (found == impl_->accounts.end()) return team_charge();
   impl_->Advance(now);
   team_account& account = *found->second;
   impl_->AdvanceAccount(account, now);
   constexpr double kMostUnits = 1 << 30;
-  const auto counted =
-      static_cast<uint32_t>(std::ceil(std::clamp(units, 0.0, kMostUnits)));
+  const auto counted = static_cast<uint32_t>(
+      std::ceil(std::clamp(UnitsOf(account.cap, tokens), 0.0, kMostUnits)));
   // A request that the bucket can't hold is admitted once that is full.
   const double needed = std::min<double>(counted, account.Capacity());
   if (account.Available() < needed) return impl_->Refuse(account, counted, now);
--- a/src/teams/team_usage.h
+++ b/src/teams/team_usage.h
@@ -106,10 +106,11 @@
   /// daemon assumes that there are many others.
   void SetDaemonCount(int daemons, absl::Time now);
 
-  /// Admits a request of `team` that counts `units`.
+  /// Admits a request of `team`.
+  /// @param tokens tokens that the request states; 0 if it states none.
   /// @return `rate_limited`, with the time after which to retry, if the team
   ///     has used up its cap.
-  absl::StatusOr<team_charge> Admit(const fleet_team& team, double units,
+  absl::StatusOr<team_charge> Admit(const fleet_team& team, double tokens,
                                     absl::Time now);
 
   /// Records the use that the daemon `peer` reports.
--- a/src/teams/team_usage_test.cc
+++ b/src/teams/team_usage_test.cc
@@ -207,8 +207,7 @@
 // by all of them together, and against daemons that refuse everything.
 TEST_F(team_usage_test, DaemonsThatAreCutOffShareTheCap) {
   Start(10);
-  std::vector<int> alone;
-  for (int i = 0; i < 10; ++i) alone.push_back(i);
+  const std::vector<int> alone = {0, 1, 2, 3, 4, 5, 6, 7, 8, 9};
   // Recent use decides the shares: daemon 0 has half of it.
   for (int i = 0; i < 40; ++i) {
     Pass(absl::Milliseconds(250));
@@ -280,6 +279,7 @@
   Start(1);
   team_.cap.reset();
   daemons_[0]->SetTeams({&team_, 1}, kTolerance, 1, now_);
+  // The requests still count as their tokens.
   EXPECT_LE(SendAll(0), kBound);
 }
 
