--- a/bench/capacity.sh
+++ b/bench/capacity.sh
@@ -1,12 +1,12 @@
 #!/usr/bin/env bash
 # Runs the measurements behind docs/CAPACITY.md and prints one JSON line each,
 # with the load average beside them: bench/capacity.sh [BUILD_FOLDER] [PART...]
-# Parts: config home peer claims limits membership idle entry first_token (all
+# Parts: config home peer claims limits teams membership idle entry first_token (all
 # by default).
 set -euo pipefail
 build=$(cd "${1:-build}" && pwd)
 shift || true
-parts=${*:-config home peer claims limits membership idle entry first_token}
+parts=${*:-config home peer claims limits teams membership idle entry first_token}
 
 runs() {  # runs PROGRAM SIZES...
   local program=$1
