Serve waiting streams by their latest start and priority

Streams that are due within 0.8 s waited behind others that are due within 2 s, and the priority of routes and teams had no effect. Equal streams are served in order of arrival, as before.

--- a/src/dispatch/decode_admission.cc
+++ b/src/dispatch/decode_admission.cc
@@ -8,6 +8,7 @@
 #include "dispatch/engine_candidates.h"
 #include "dispatch/resumed_admission.h"
 #include "dispatch/stop_admission.h"
+#include "dispatch/stream_order.h"
 
 namespace anvilridge {
 namespace {
@@ -165,8 +166,8 @@
   while (!list.empty()) {
     const auto reservation = ChooseEnginesInTurn(
         state, list.front(), list.size(), late, memory_share, now);
-    // Streams are served in order of arrival, so that smaller streams don't use
-    // up the capacity that a large one waits for.
+    // Streams are served in the order of the queue, so that smaller streams
+    // don't use up the capacity that a large one waits for.
     if (!reservation) return;
     const waiting_stream stream = std::move(list.front());
     list.pop_front();
@@ -191,10 +192,7 @@
 // Moves streams that can no longer be on time to the queue of late streams, and
 // refuses late streams whose latest start has passed.
 void DemoteLateStreams(dispatch_state& state, absl::Time now) {
-  while (!state.waiting.empty() &&
-         state.waiting.front().latest_on_time_start <= now) {
-    state.late.splice(state.late.end(), state.waiting, state.waiting.begin());
-  }
+  MoveLateStreams(state.waiting, state.late, now);
   while (!state.late.empty() && state.late.front().latest_start <= now) {
     const auto done = std::move(state.late.front().done);
     state.late.pop_front();
@@ -337,18 +335,18 @@
       state.waiting.empty() && AdmitOrQueueResumed(state, stream, now)) {
     return;
   }
-  if (state.waiting.empty()) {
+  const size_t ahead_here = StreamsAhead(state.waiting, stream);
+  if (ahead_here == 0) {
     if (const auto reservation = ChooseEnginesInTurn(
             state, stream, 1, false, kReservableMemoryShare, now)) {
       return AdmitStream(state, stream, *reservation, now);
     }
   }
-  const size_t ahead =
-      state.waiting.size() +
-      static_cast<size_t>(StreamsWaitingAtPeers(state.ledger, now));
+  const size_t ahead = ahead_here + static_cast<size_t>(StreamsWaitingAtPeers(
+                                        state.ledger, now));
   if (now + ForecastWait(state, stream, ahead, now) <=
       stream.latest_on_time_start) {
-    state.waiting.push_back(std::move(stream));
+    QueueInOrder(state.waiting, std::move(stream));
     if (state.on_ledger_change) state.on_ledger_change();
     return;
   }
@@ -365,6 +363,7 @@
                        absl::Time now) {
   // A stream that has been admitted before stays ahead even once it is late.
   stream.latest_on_time_start = stream.latest_start;
+  stream.goes_first = true;
   if (const auto reservation = ChooseEnginesInTurn(
           state, stream, 1, false, kReservableMemoryShare, now)) {
     return AdmitStream(state, stream, *reservation, now);
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -55,6 +55,11 @@
   double generated = 0;
   /// Tokens that are expected to be generated.
   double output = 0;
+  /// Priority of the request; 0 is the most urgent.
+  int priority = 5;
+  /// Whether no other stream may pass it in the queue: it has been admitted
+  /// before.
+  bool goes_first = false;
   /// Longest pause between events with which the stream is still on time.
   absl::Duration gap_target = absl::InfiniteDuration();
   /// Latest start with which the first event can still be on time.
@@ -117,7 +122,7 @@
   std::map<std::string, recent_durations, std::less<>> token_times;
   /// Recent calls to plain services, by route.
   std::map<std::string, recent_durations, std::less<>> call_durations;
-  /// Queued streams that can still be on time, in order of arrival.
+  /// Queued streams that can still be on time, by `QueueInOrder`.
   std::list<waiting_stream> waiting;
   /// Queued streams that can no longer be on time, in the order in which they
   /// were queued here.
--- a/src/dispatch/stream_size.cc
+++ b/src/dispatch/stream_size.cc
@@ -56,6 +56,7 @@
   waiting.service = service;
   waiting.prompt = static_cast<double>(request.prompt_tokens);
   waiting.generated = TokensOf(routed, events);
+  waiting.priority = routed.priority;
   waiting.output = ExpectedTokens(routed, length, waiting.generated);
   if (route.gap_target > absl::ZeroDuration()) {
     waiting.gap_target = route.gap_target;
