--- a/src/fleet_daemon/fleet_daemon.cc
+++ b/src/fleet_daemon/fleet_daemon.cc
@@ -1,5 +1,7 @@
 #include "fleet_daemon/fleet_daemon.h"
 
+#include <malloc.h>
+
 #include <QCoreApplication>
 #include <QJsonObject>
 #include <csignal>
@@ -34,6 +36,10 @@
 namespace anvilridge {
 namespace {
 
+// Size of an allocation from which it is returned to the system when it is
+// freed. Without a fixed size, the C library raises it once a body has been
+// freed, and later bodies fragment the heap.
+constexpr int kMmapThresholdBytes = 128 << 10;
 constexpr int kExitOk = 0;
 constexpr int kExitFailed = 1;
 constexpr absl::Duration kStopPollInterval = absl::Milliseconds(10);
@@ -475,6 +481,7 @@
 int RunFleetDaemon(const fleet_settings& settings,
                    const fleet_platform& platform,
                    const settings_loader& load) {
+  ::mallopt(M_MMAP_THRESHOLD, kMmapThresholdBytes);
   int count = 1;
   char name[] = "anvilridge_fleet";
   char* arguments[] = {name, nullptr};
