--- a/src/settings/settings_reference.cc
+++ b/src/settings/settings_reference.cc
@@ -19,7 +19,12 @@
     "fields before `request_timeout`. What it lacks is left to the file.\n"
     "Its `[memory] machine_mb`, an integer from 16 to 1048576 with default\n"
     "512, is the memory of its machine in MiB, and bounds what it keeps of\n"
-    "incomplete responses.\n";
+    "incomplete responses and, in another eighth, for callers. `[caps]` says\n"
+    "by how much all daemons together may exceed the caps of teams: in any\n"
+    "`window` (a time above 0, default 8s), by the part `excess` (0 to 1,\n"
+    "default 0) of the cap and `slack` units (up to 1000000000, default 0).\n"
+    "Its ports for readiness and metrics have 256 connections, keep 4 MiB for\n"
+    "callers and cut those that take nothing of an answer for 2 s.\n";
 
 std::string DefaultText(const settings_key& row) {
   if (row.required) return "required";
