--- a/src/caller/caller_connection.cc
+++ b/src/caller/caller_connection.cc
@@ -42,16 +42,6 @@
 /// many of further requests while it answers one.
 constexpr int64_t kReadBufferBytes = 16 << 10;
 
-/// Copies of a body until its answer begins: the request itself, and what is
-/// sent to an upstream.
-constexpr int64_t kBodyCopies = 3;
-
-/// Time without a byte sent or taken after which a caller makes no progress.
-constexpr absl::Duration kNoProgress = absl::Milliseconds(250);
-
-/// Bytes that each connection may hold beyond the bound for all.
-constexpr int64_t kReservedBytes = 64 << 10;
-
 /// When a caller that was refused for lack of memory may come back.
 constexpr absl::Duration kMemoryRetryAfter = absl::Milliseconds(500);
 
@@ -347,67 +337,6 @@
   SetTimer(std::min(delay, last_arrival_ - MonotonicNow()));
 }
 
-void caller_connection::UpdateHeld() {
-  int64_t bytes =
-      scanner_.KeptBytes() + socket_->bytesAvailable() + UnsentBytes();
-  if (phase_ == phase::answering) {
-    bytes += (answer_begun_ ? 1 : kBodyCopies) * body_bytes_;
-  }
-  CountHeld(bytes);
-}
-
-int64_t caller_connection::BytesWithoutProgress(absl::Time now) const {
-  if (now - last_progress_ < kNoProgress) return 0;
-  switch (phase_) {
-    case phase::receiving:
-      return held_bytes_;
-    case phase::flushing:
-      return UnsentBytes() > 0 ? held_bytes_ : 0;
-    case phase::answering:
-      // Without unsent bytes it is the upstream that makes no progress.
-      return UnsentBytes();
-    case phase::idle:
-    case phase::lingering:
-    case phase::gone:
-      break;
-  }
-  return 0;
-}
-
-void caller_connection::GiveUpForMemory() {
-  if (phase_ == phase::receiving) {
-    Refuse(MakeError(error_kind::overloaded,
-                     "no memory left for a request that doesn't arrive whole",
-                     run_state::not_run, kMemoryRetryAfter));
-    return;
-  }
-  ReportCutOfRequest(cut_reason::no_memory);
-  Break(/*reset=*/true);
-}
-
-void caller_connection::CountHeld(int64_t bytes) {
-  context_.counters->held_bytes += bytes - held_bytes_;
-  held_bytes_ = bytes;
-}
-
-bool caller_connection::ExceedsHeldBytes() const {
-  const port_counters& counters = *context_.counters;
-  const int64_t bound = received_bytes_ <= kReservedBytes
-                            ? 2 * counters.max_held_bytes
-                            : counters.max_held_bytes;
-  return counters.held_bytes.load() > bound;
-}
-
-void caller_connection::CutWithoutMemory() {
-  const port_counters& counters = *context_.counters;
-  if (UnsentBytes() <= kReservedBytes ||
-      counters.held_bytes.load() <= 2 * counters.max_held_bytes) {
-    return;
-  }
-  ReportCutOfRequest(cut_reason::no_memory);
-  Break(/*reset=*/true);
-}
-
 void caller_connection::Send(absl::string_view bytes) {
   if (phase_ == phase::gone) return;
   if (phase_ == phase::answering) answer_begun_ = true;
--- a/src/teams/team_usage.cc
+++ b/src/teams/team_usage.cc
@@ -12,6 +12,7 @@
 #include "base/milliseconds.h"
 #include "base/qt_text.h"
 #include "log/decision_log.h"
+#include "teams/team_account.h"
 
 namespace anvilridge {
 namespace {
@@ -33,15 +34,10 @@
 constexpr double kAllowancePart = 0.1;
 // Number of daemons that is assumed until it is known.
 constexpr int kUnknownDaemons = 64;
-// Time constant of the moving averages of the use by each daemon.
-constexpr absl::Duration kAveragingTime = absl::Seconds(4);
 // Least age of the averages that are announced. It is longer than `kSilence`,
 // so that what a daemon sends before it notices a cut doesn't raise its share:
 // the others can't know of it.
 constexpr absl::Duration kSettleTime = absl::Milliseconds(700);
-// Part of the cap that is divided evenly in the shares of the daemons, so that
-// a daemon without recent use has a share too.
-constexpr double kEvenPart = 0.05;
 // Time for which a change is announced. Several messages fall within it, since
 // each may be lost.
 constexpr absl::Duration kAnnouncePeriod = absl::Seconds(1);
@@ -55,26 +51,6 @@
 // Time without a refusal after which a team counts as no longer refused.
 constexpr absl::Duration kRefusalPause = absl::Seconds(2);
 
-// A moving average of a rate.
-struct average_rate {
-  // Units per second as of `updated`.
-  double rate = 0;
-  absl::Time updated = absl::InfinitePast();
-};
-
-double RateAt(const average_rate& average, absl::Time now) {
-  if (average.updated == absl::InfinitePast()) return 0;
-  const double elapsed = absl::FDivDuration(
-      std::max(absl::ZeroDuration(), now - average.updated), kAveragingTime);
-  return average.rate * std::exp(-elapsed);
-}
-
-void AddUse(average_rate& average, double units, absl::Time now) {
-  average.rate =
-      RateAt(average, now) + units / absl::ToDoubleSeconds(kAveragingTime);
-  average.updated = now;
-}
-
 // What is known of another daemon.
 struct peer_daemon {
   uint64_t incarnation = 0;
@@ -86,143 +62,8 @@
   std::vector<uint32_t> holding;
 };
 
-// Use of one team by another daemon.
-struct peer_use {
-  team_use reported;
-  // The process that has reported it.
-  uint64_t incarnation = 0;
-  average_rate average;
-  // While the daemon is silent: its share of the cap, the units that it is
-  // assumed to have used, and those of them that were taken from the bucket.
-  double share = 0;
-  double assumed = 0;
-  double taken = 0;
-};
-
 }  // namespace
 
-struct team_account {
-  std::string name;
-  usage_cap cap;
-  double capacity = 0;
-  // Largest assumed use by silent daemons that is not taken from the bucket.
-  double allowance = 0;
-  // Units in the bucket as of `updated`; negative if more was sent than it had.
-  double level = 0;
-  absl::Time updated = absl::InfinitePast();
-  // Use by this daemon.
-  int64_t sent = 0;
-  uint32_t held = 0;
-  average_rate average;
-  // `average` as it was at the two last times of settling, the older one first,
-  // and the time of the newer.
-  average_rate settled;
-  average_rate settling;
-  absl::Time settled_at = absl::InfinitePast();
-  // What the other daemons were told of it.
-  average_rate announced;
-  // Whether `sent` or `held` has changed since `changed`, the time at which the
-  // last change was noticed.
-  bool has_changed = false;
-  absl::Time changed = absl::InfinitePast();
-  absl::flat_hash_map<std::string, peer_use> peers;
-  // Sum of the units that the other daemons hold.
-  double peers_held = 0;
-  // Sum of the shares of the silent ones of `peers`.
-  double peers_share = 0;
-  // Share of the cap and assumed use of daemons that exist but were not heard.
-  double unheard_share = 0;
-  double unheard_assumed = 0;
-  double unheard_taken = 0;
-  // Units that this daemon has told callers to return with, as of `updated`.
-  double promised = 0;
-  // Refusals in the current time of refusals; 0 outside of one.
-  int refusals = 0;
-  absl::Time last_refusal = absl::InfinitePast();
-  double Available() const { return level - held - peers_held; }
-
-  // Share of the cap that the daemons have which can't be heard.
-  double SilentShare() const {
-    return std::min(1.0, peers_share + unheard_share);
-  }
-
-  // Units that the bucket may hold: daemons that can't be heard fill theirs.
-  double Capacity() const { return capacity * (1 - SilentShare()); }
-
-  // Recent use by all daemons, with the part that is divided evenly.
-  double TotalUse(size_t daemons, absl::Time now) const {
-    const double even = EvenUse(daemons);
-    double total = RateAt(announced, now) + even;
-    for (const auto& [peer, use] : peers) {
-      total += RateAt(use.average, now) + even;
-    }
-    return total;
-  }
-
-  double EvenUse(size_t daemons) const {
-    return kEvenPart * cap.rate / static_cast<double>(daemons);
-  }
-
-  // Share of this daemon in the recent use by all.
-  double OwnShare(size_t daemons, absl::Time now) const {
-    const double own = RateAt(announced, now) + EvenUse(daemons);
-    return own / std::max(own, TotalUse(daemons, now));
-  }
-};
-
-team_charge::team_charge(std::shared_ptr<team_account> account, uint32_t units)
-    : account_(std::move(account)), units_(units), holds_(true) {
-  account_->held += units_;
-  account_->has_changed = true;
-}
-
-team_charge::~team_charge() { Release(); }
-
-team_charge::team_charge(team_charge&& other) noexcept
-    : account_(std::move(other.account_)),
-      units_(other.units_),
-      holds_(std::exchange(other.holds_, false)),
-      sends_(other.sends_) {}
-
-team_charge& team_charge::operator=(team_charge&& other) noexcept {
-  if (this == &other) return *this;
-  Release();
-  account_ = std::move(other.account_);
-  units_ = other.units_;
-  holds_ = std::exchange(other.holds_, false);
-  sends_ = other.sends_;
-  return *this;
-}
-
-void team_charge::Release() {
-  if (!std::exchange(holds_, false)) return;
-  account_->held -= units_;
-  account_->has_changed = true;
-}
-
-void team_charge::RecordSend(absl::Time now) {
-  if (!account_) return;
-  Release();
-  ++sends_;
-  account_->sent += units_;
-  account_->level -= units_;
-  AddUse(account_->average, units_, now);
-  account_->has_changed = true;
-}
-
-void team_charge::RecordNotRun(absl::Time now) {
-  if (!account_ || sends_ == 0) return;
-  --sends_;
-  account_->sent -= units_;
-  account_->level = std::min(account_->capacity, account_->level + units_);
-  AddUse(account_->average, -static_cast<double>(units_), now);
-  account_->has_changed = true;
-  // Held again, in case that the request is sent to another upstream.
-  if (sends_ > 0) return;
-  holds_ = true;
-  account_->held += units_;
-}
-
 struct team_usage::impl {
   cap_tolerance tolerance;
   // By the key of the team.
