Pass no key of a caller on to other daemons

A reader of the store reported the record of the configuration as it was, with the keys of the teams. It now puts digests in their place. Without the change, ReportsOfTheConfigurationHaveNoKeys fails: the report has the record itself.

--- a/bench/capacity/teams_cost.cc
+++ b/bench/capacity/teams_cost.cc
@@ -23,7 +23,7 @@
     team.name = absl::StrCat("team-with-a-name-", i);
     team.cap = usage_cap{1e9, 1e9, true, 200};
     keys.push_back(absl::StrCat("key-of-twenty-bytes-", i));
-    AddTeam(directory, team, {keys.back()});
+    AddTeam(directory, team, {DigestOf(keys.back())});
   }
   const double directory_heap = HeapBytes() - before;
   bool found = true;
--- a/src/fleet/fleet_team.cc
+++ b/src/fleet/fleet_team.cc
@@ -45,7 +45,7 @@
 }
 
 void AddTeam(team_directory& directory, fleet_team team,
-             const std::vector<std::string>& keys) {
+             absl::Span<const key_digest> keys) {
   if (team.name.empty()) {
     directory.unusable.emplace_back("a team without a name");
     return;
@@ -63,8 +63,7 @@
   }
   team.key = TeamKey(team.name);
   const size_t index = directory.teams.size();
-  for (const std::string& key : keys) {
-    const key_digest digest = DigestOf(key);
+  for (const key_digest& digest : keys) {
     const auto [entry, is_new] = directory.keys.try_emplace(
         IndexOf(digest), team_directory::key_entry{digest, index});
     if (is_new || entry->second.team == index) continue;
--- a/src/fleet/fleet_team.h
+++ b/src/fleet/fleet_team.h
@@ -11,6 +11,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/status/status.h"
 #include "absl/strings/string_view.h"
+#include "absl/types/span.h"
 
 namespace anvilridge {
 
@@ -82,11 +83,11 @@
 /// Returns the digest of a caller's key.
 key_digest DigestOf(absl::string_view key);
 
-/// Adds `team` with `keys`. A key that another team has stays with that one; a
-/// team without a name or keys, and one whose name is taken, is not added. What
-/// isn't added is noted in `unusable`.
+/// Adds `team` with the digests of its keys. A key that another team has stays
+/// with that one; a team without a name or keys, and one whose name is taken,
+/// is not added. What isn't added is noted in `unusable`.
 void AddTeam(team_directory& directory, fleet_team team,
-             const std::vector<std::string>& keys);
+             absl::Span<const key_digest> keys);
 
 /// Returns the team that has `key`, or null if none has. The comparison takes
 /// the same time wherever the digests differ.
--- a/src/fleet/fleet_team_test.cc
+++ b/src/fleet/fleet_team_test.cc
@@ -11,6 +11,13 @@
 using testing::ElementsAre;
 using testing::IsEmpty;
 
+std::vector<key_digest> Digests(const std::vector<std::string>& keys) {
+  std::vector<key_digest> digests;
+  digests.reserve(keys.size());
+  for (const std::string& key : keys) digests.push_back(DigestOf(key));
+  return digests;
+}
+
 fleet_team Team(absl::string_view name) {
   fleet_team team;
   team.name = std::string(name);
@@ -21,8 +28,8 @@
 fleet_config Config() {
   fleet_config config;
   config.teams.needs_keys = true;
-  AddTeam(config.teams, Team("north"), {"n1", "n2"});
-  AddTeam(config.teams, Team("south"), {"s1"});
+  AddTeam(config.teams, Team("north"), Digests({"n1", "n2"}));
+  AddTeam(config.teams, Team("south"), Digests({"s1"}));
   return config;
 }
 
@@ -57,7 +64,7 @@
 // Guards against a team that takes over the callers of another one.
 TEST(fleet_team_test, AKeyStaysWithTheFirstTeam) {
   fleet_config config = Config();
-  AddTeam(config.teams, Team("west"), {"w1", "n1"});
+  AddTeam(config.teams, Team("west"), Digests({"w1", "n1"}));
   EXPECT_EQ(FindTeamOfKey(config.teams, "n1")->name, "north");
   EXPECT_EQ(FindTeamOfKey(config.teams, "w1")->name, "west");
   EXPECT_THAT(config.teams.unusable,
@@ -66,9 +73,9 @@
 
 TEST(fleet_team_test, NotesTeamsThatCannotBeUsed) {
   fleet_config config = Config();
-  AddTeam(config.teams, Team(""), {"x1"});
-  AddTeam(config.teams, Team("north"), {"x2"});
-  AddTeam(config.teams, Team("empty"), {});
+  AddTeam(config.teams, Team(""), Digests({"x1"}));
+  AddTeam(config.teams, Team("north"), Digests({"x2"}));
+  AddTeam(config.teams, Team("empty"), Digests({}));
   EXPECT_EQ(config.teams.teams.size(), 2u);
   for (const char* key : {"x1", "x2"}) {
     EXPECT_EQ(FindTeamOfKey(config.teams, key), nullptr) << key;
@@ -127,7 +134,7 @@
 TEST(fleet_team_test, UnusableTeamsLetNobodyIn) {
   fleet_config config;
   config.teams.needs_keys = true;
-  AddTeam(config.teams, Team("empty"), {});
+  AddTeam(config.teams, Team("empty"), Digests({}));
   EXPECT_FALSE(IdentifyTeam(config, fleet_route(), Key("x")).ok());
 }
 
--- a/src/fleet_daemon/fleet_control.cc
+++ b/src/fleet_daemon/fleet_control.cc
@@ -56,6 +56,9 @@
   std::vector<upstream_change> ParseChanges(
       const std::vector<keyed_record>& records) const;
   void PublishView();
+  // Returns `report`, of the configuration's topic, without callers' keys: they
+  // don't leave the daemon.
+  topic_report WithoutKeys(topic_report report) const;
   // Reports both topics, without records.
   void ReportTopics();
 };
@@ -169,6 +172,14 @@
   on_view(view);
 }
 
+topic_report fleet_control::impl::WithoutKeys(topic_report report) const {
+  for (keyed_record& record : report.records) {
+    if (record.key != sources.config_key || !record.value) continue;
+    record.value = sources.without_keys(*record.value);
+  }
+  return report;
+}
+
 void fleet_control::impl::ReportTopics() {
   on_report({config_follower->Report(), upstream_follower->Report()});
 }
@@ -194,7 +205,8 @@
   };
   config_events.on_news = [self](const topic_report& report) {
     if (!self->report_timer) return;
-    self->on_report({report, self->upstream_follower->Report()});
+    self->on_report(
+        {self->WithoutKeys(report), self->upstream_follower->Report()});
   };
   topic_events upstream_events = self->MakeOutageHandlers("upstreams");
   upstream_events.on_listing = [self](const record_listing& listing) {
--- a/src/fleet_daemon/fleet_control.h
+++ b/src/fleet_daemon/fleet_control.h
@@ -26,6 +26,10 @@
   /// Parses the value of the configuration's record, or returns an error.
   std::function<absl::StatusOr<fleet_config>(absl::string_view value)>
       parse_config;
+  /// Returns the value of the configuration's record without the callers' keys,
+  /// for other daemons; `parse_config` parses that, too.
+  std::function<std::string(absl::string_view value)> without_keys =
+      [](absl::string_view value) { return std::string(value); };
   /// Parses the entry of the upstream `id`, or returns an error.
   std::function<absl::StatusOr<fleet_upstream>(absl::string_view id,
                                                absl::string_view value)>
--- a/src/fleet_daemon/fleet_control_test.cc
+++ b/src/fleet_daemon/fleet_control_test.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
 #include "base/error_kind.h"
 #include "base/event_loop.h"
 #include "base/testing/run_loop.h"
@@ -118,5 +119,42 @@
   EXPECT_FALSE(control_->IsReader());
 }
 
+// Guards against callers' keys that a reader passes on to other daemons.
+TEST_F(fleet_control_test, ReportsOfTheConfigurationHaveNoKeys) {
+  std::vector<std::string> reported;
+  QObject context;
+  fleet_sources sources;
+  sources.config_key = kKey;
+  sources.parse_config = [](absl::string_view) {
+    return absl::StatusOr<fleet_config>(fleet_config());
+  };
+  sources.without_keys = [](absl::string_view value) {
+    return absl::StrCat(value, " without keys");
+  };
+  sources.config_topic.list = [](const auto& done) { done(record_listing()); };
+  sources.config_topic.read = [&context](int64_t from, const auto& done) {
+    if (from > 0) return;
+    // Answers once the daemon reports what it reads.
+    RunAfter(&context, absl::Milliseconds(50), [done] {
+      record_batch batch;
+      batch.records = Records({"record"});
+      batch.next = 1;
+      done(std::move(batch));
+    });
+  };
+  sources.upstream_topic.list = [](const auto&) {};
+  control_.emplace(
+      std::move(sources), [](const std::shared_ptr<const fleet_view>&) {},
+      [&reported](const store_report& report) {
+        for (const keyed_record& record : report.config.records) {
+          reported.push_back(record.value.value_or(""));
+        }
+      });
+  control_->Start();
+  control_->SetReader(true);
+  ASSERT_TRUE(RunUntil([&reported] { return !reported.empty(); }));
+  EXPECT_EQ(reported.front(), "record without keys");
+}
+
 }  // namespace
 }  // namespace anvilridge
