Tell callers beyond a cap a time that follows the rate that is left

While daemons can't be heard, their share of the rate is kept for them, but the time to return was worked out from the whole rate, and had no room behind it.

--- a/src/teams/team_usage.cc
+++ b/src/teams/team_usage.cc
@@ -23,8 +23,8 @@
 constexpr absl::Duration kSilence = absl::Milliseconds(600);
 // Number of windows of silence after which a daemon is no longer counted.
 constexpr int kForgetWindows = 2;
-// Interval at which the use by silent daemons is assumed anew.
-constexpr absl::Duration kAssumeInterval = absl::Milliseconds(50);
+// Interval at which daemons are checked for silence.
+constexpr absl::Duration kSilenceCheckInterval = absl::Milliseconds(50);
 // Parts of the tolerance: a bucket may hold the first beyond the burst, so that
 // what stays within the bound isn't refused, and the use by silent daemons is
 // not taken from it up to the second. The rest covers what several daemons
@@ -33,7 +33,7 @@
 constexpr double kCapacityPart = 0.6;
 constexpr double kAllowancePart = 0.1;
 // Number of daemons that is assumed until it is known.
-constexpr int kUnknownDaemons = 64;
+constexpr int kAssumedDaemons = 64;
 // Least age of the averages that are announced. It is longer than `kSilence`,
 // so that what a daemon sends before it notices a cut doesn't raise its share:
 // the others can't know of it.
@@ -72,14 +72,14 @@
   // Number of daemons; 0 until it is known.
   int daemons = 0;
   absl::Time started = absl::InfinitePast();
-  absl::Time assumed_at = absl::InfinitePast();
+  absl::Time silence_checked = absl::InfinitePast();
   // Until when the use of all teams is announced.
   absl::Time announce_all_until = absl::InfinitePast();
   absl::BitGen random;
 
   size_t DaemonCount() const {
     const size_t counted =
-        static_cast<size_t>(daemons == 0 ? kUnknownDaemons : daemons);
+        static_cast<size_t>(daemons == 0 ? kAssumedDaemons : daemons);
     return std::max(counted, peers.size() + 1);
   }
 
@@ -118,8 +118,8 @@
 // Notes which daemons have fallen silent, and forgets those that are silent for
 // long.
 void team_usage::impl::Advance(absl::Time now) {
-  if (now - assumed_at < kAssumeInterval) return;
-  assumed_at = now;
+  if (now - silence_checked < kSilenceCheckInterval) return;
+  silence_checked = now;
   const absl::Duration forget = kForgetWindows * tolerance.window;
   for (auto entry = peers.begin(); entry != peers.end();) {
     peer_daemon& peer = entry->second;
@@ -304,9 +304,12 @@
               {"held_by_others", account.peers_held},
               {"silent_share", account.SilentShare()}});
   }
-  const absl::Duration wait =
-      std::clamp(absl::Seconds(missing / account.cap.rate), kMinRetryAfter,
-                 kMaxRetryAfter);
+  // The rest of the rate is kept for daemons that can't be heard.
+  const double rate = account.cap.rate * (1 - account.SilentShare());
+  const absl::Duration wait = rate > 0
+                                  ? std::clamp(absl::Seconds(missing / rate),
+                                               kMinRetryAfter, kMaxRetryAfter)
+                                  : kMaxRetryAfter;
   const double spread = absl::Uniform(random, 0.0, kRetrySpread);
   return MakeError(error_kind::rate_limited,
                    absl::StrCat("team ", account.name, " has used up its cap"),
--- a/src/teams/team_usage_test.cc
+++ b/src/teams/team_usage_test.cc
@@ -170,6 +170,19 @@
   EXPECT_GE(last, absl::Seconds(19 * kUnits / kRate));
 }
 
+// Guards against callers that are told to return while most of the rate is kept
+// for daemons that can't be heard.
+TEST_F(team_usage_test, TheTimeToReturnFollowsTheRateThatIsLeft) {
+  Start(10);
+  const std::vector<int> alone = {0, 1, 2, 3, 4, 5, 6, 7, 8, 9};
+  for (int i = 0; i < 10; ++i) Pass(absl::Milliseconds(100), alone);
+  SendAll(0, 1000);
+  const auto refused = daemons_[0]->Admit(team_, 1000, now_);
+  ASSERT_FALSE(refused.ok());
+  // Two refused requests at a tenth of the rate; the first may lack little.
+  EXPECT_GE(RetryAfterOf(refused.status()), absl::Seconds(1000 / (kRate / 10)));
+}
+
 // All daemons are restarted: guards against a second burst.
 TEST_F(team_usage_test, StartsWithAnEmptyBucket) {
   team_ = Team();
