--- a/src/caller/caller_connection.cc
+++ b/src/caller/caller_connection.cc
@@ -42,9 +42,6 @@
 /// many of further requests while it answers one.
 constexpr int64_t kReadBufferBytes = 16 << 10;
 
-/// When a caller that was refused for lack of memory may come back.
-constexpr absl::Duration kMemoryRetryAfter = absl::Milliseconds(500);
-
 /// Whether `bytes` hold nothing but line ends, which some callers send behind
 /// a body.
 bool IsBlank(absl::string_view bytes) {
--- a/src/caller/caller_connection.h
+++ b/src/caller/caller_connection.h
@@ -14,11 +14,15 @@
 #include "caller/caller_port.h"
 #include "caller/request_feed.h"
 #include "caller/request_scanner.h"
+#include "caller/room_choice.h"
 
 namespace anvilridge {
 
 class caller_exchange;
 
+/// When a caller that was refused for lack of memory may come back.
+inline constexpr absl::Duration kMemoryRetryAfter = absl::Milliseconds(500);
+
 /// Counts of one port over all its threads.
 struct port_counters {
   std::atomic<int> connections{0};
@@ -78,9 +82,8 @@
   /// request that doesn't arrive whole soon.
   void BeginClose();
 
-  /// Returns how much the connection keeps for its caller, in bytes; 0 while it
-  /// makes progress, or if it can't be ended for another one's sake.
-  int64_t BytesWithoutProgress(absl::Time now) const;
+  /// Returns what the connection keeps for its caller.
+  held_connection Held() const;
 
   /// Refuses the request that arrives, or cuts an answer that its caller
   /// doesn't take, for lack of memory.
--- a/src/caller/connection_memory.cc
+++ b/src/caller/connection_memory.cc
@@ -13,12 +13,6 @@
 /// sent to an upstream.
 constexpr int64_t kBodyCopies = 3;
 
-/// Time without a byte sent or taken after which a caller makes no progress.
-constexpr absl::Duration kNoProgress = absl::Milliseconds(250);
-
-/// When a caller whose request was given up for lack of memory may come back.
-constexpr absl::Duration kMemoryRetryAfter = absl::Milliseconds(500);
-
 }  // namespace
 
 void caller_connection::UpdateHeld() {
@@ -30,22 +24,26 @@
   CountHeld(bytes);
 }
 
-int64_t caller_connection::BytesWithoutProgress(absl::Time now) const {
-  if (now - last_progress_ < kNoProgress) return 0;
+held_connection caller_connection::Held() const {
+  held_connection held;
+  held.last_progress = last_progress_;
   switch (phase_) {
     case phase::receiving:
-      return held_bytes_;
+      held.bytes = held_bytes_;
+      break;
     case phase::flushing:
-      return UnsentBytes() > 0 ? held_bytes_ : 0;
+      if (UnsentBytes() > 0) held.bytes = held_bytes_;
+      break;
     case phase::answering:
       // Without unsent bytes it is the upstream that makes no progress.
-      return UnsentBytes();
+      held.bytes = UnsentBytes();
+      break;
     case phase::idle:
     case phase::lingering:
     case phase::gone:
       break;
   }
-  return 0;
+  return held;
 }
 
 void caller_connection::GiveUpForMemory() {
--- a/src/caller/port_worker.cc
+++ b/src/caller/port_worker.cc
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <utility>
+#include <vector>
 
 #include "absl/container/flat_hash_map.h"
 #include "base/clock.h"
@@ -13,8 +14,6 @@
 // Minimum time between two searches for a connection to end, which look at all
 // of them.
 constexpr absl::Duration kMakeRoomInterval = absl::Milliseconds(10);
-// Bytes up to which ending a connection makes too little room.
-constexpr int64_t kLeastRoom = 4 << 10;
 
 }  // namespace
 
@@ -34,7 +33,7 @@
   absl::flat_hash_map<caller_connection*, std::unique_ptr<caller_connection>>
       connections;
 
-  // Ends the connection that holds the most without progress.
+  // Ends a connection in favour of others.
   void MakeRoom();
 };
 
@@ -42,15 +41,16 @@
   const absl::Time now = MonotonicNow();
   if (now - made_room_at < kMakeRoomInterval) return;
   made_room_at = now;
-  caller_connection* largest = nullptr;
-  int64_t most = kLeastRoom;
+  std::vector<caller_connection*> all;
+  std::vector<held_connection> held;
+  all.reserve(connections.size());
+  held.reserve(connections.size());
   for (const auto& [connection, owned] : connections) {
-    const int64_t bytes = connection->BytesWithoutProgress(now);
-    if (bytes <= most) continue;
-    largest = connection;
-    most = bytes;
+    all.push_back(connection);
+    held.push_back(connection->Held());
   }
-  if (largest != nullptr) largest->GiveUpForMemory();
+  const auto chosen = ChooseConnectionToEnd(held, now);
+  if (chosen) all[*chosen]->GiveUpForMemory();
 }
 
 port_worker::port_worker(const limit_settings& limits,
--- a/tests/outside_callers_test.cc
+++ b/tests/outside_callers_test.cc
@@ -1,4 +1,4 @@
-// Callers that stay inside each limit but not in their number: guards against a
+// Callers that are each within the limits, but too many: guards against a
 // process that runs out of memory or stops answering.
 #include <arpa/inet.h>
 #include <dirent.h>
@@ -29,8 +29,9 @@
 
 // Memory of the machine that the daemon is told, and so the bound on its own.
 constexpr int64_t kMachineMb = 64;
-// Connections of a crowd, and the bound on the descriptors of the process.
-constexpr int kCrowd = 120;
+// Connections at the same time, and the bound on the descriptors of the
+// process.
+constexpr int kConnections = 120;
 constexpr int kMaxDescriptors = 400;
 // A body of legal size.
 constexpr size_t kBodyBytes = 1 << 20;
@@ -41,9 +42,9 @@
 
 // A connection that sends what it is given as far as it is taken, and reads no
 // answer.
-class deaf_caller {
+class unread_answers_caller {
  public:
-  explicit deaf_caller(uint16_t port)
+  explicit unread_answers_caller(uint16_t port)
       : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
     sockaddr_in address = {};
     address.sin_family = AF_INET;
@@ -58,9 +59,9 @@
     }
     ::fcntl(fd_, F_SETFL, O_NONBLOCK);
   }
-  ~deaf_caller() { Close(); }
-  deaf_caller(const deaf_caller&) = delete;
-  deaf_caller& operator=(const deaf_caller&) = delete;
+  ~unread_answers_caller() { Close(); }
+  unread_answers_caller(const unread_answers_caller&) = delete;
+  unread_answers_caller& operator=(const unread_answers_caller&) = delete;
 
   // Sends a part of `text` that was not sent yet, of at most `bytes`. Returns
   // false once all is sent, or if the daemon takes nothing more.
@@ -92,16 +93,16 @@
  protected:
   void SetUp() override { ASSERT_TRUE(scene_.Start(kSettings)); }
 
-  // Has `kCrowd` connections to `port` send `text`, in parts of `bytes` taken
-  // in turn, and stay open.
-  void SendCrowd(uint16_t port, const std::string& text, size_t bytes) {
-    for (int i = 0; i < kCrowd; ++i) {
-      crowd_.push_back(std::make_unique<deaf_caller>(port));
+  // Has `kConnections` connections to `port` send `text`, in parts of `bytes`
+  // taken in turn, and stay open.
+  void SendFromAll(uint16_t port, const std::string& text, size_t bytes) {
+    for (int i = 0; i < kConnections; ++i) {
+      callers_.push_back(std::make_unique<unread_answers_caller>(port));
     }
     bool more = true;
     while (more) {
       more = false;
-      for (const auto& caller : crowd_) {
+      for (const auto& caller : callers_) {
         if (caller->SendSome(text, bytes)) more = true;
       }
       CheckProcess();
@@ -171,20 +172,20 @@
   }
 
   platform_scene scene_;
-  std::vector<std::unique_ptr<deaf_caller>> crowd_;
+  std::vector<std::unique_ptr<unread_answers_caller>> callers_;
 };
 
 TEST_F(outside_callers_test, BodiesThatStopJustShortOfTheirEnd) {
   const std::string text = Head(absl::StrCat("Content-Length: ", kBodyBytes)) +
                            std::string(kBodyBytes - 1, 'x');
-  SendCrowd(scene_.CallerPort(), text, text.size());
+  SendFromAll(scene_.CallerPort(), text, text.size());
   ExpectUnharmed();
 }
 
 TEST_F(outside_callers_test, BodiesInPartsThatStopJustShortOfTheirEnd) {
   const std::string text = Head(absl::StrCat("Content-Length: ", kBodyBytes)) +
                            std::string(kBodyBytes - 1, 'x');
-  SendCrowd(scene_.CallerPort(), text, 16 << 10);
+  SendFromAll(scene_.CallerPort(), text, 16 << 10);
   ExpectUnharmed();
 }
 
@@ -193,21 +194,21 @@
   const std::string chunk =
       absl::StrCat("1000\r\n", std::string(0x1000, 'x'), "\r\n");
   for (size_t i = 0; i < kBodyBytes / 0x1000; ++i) text += chunk;
-  SendCrowd(scene_.CallerPort(), text, 16 << 10);
+  SendFromAll(scene_.CallerPort(), text, 16 << 10);
   ExpectUnharmed();
 }
 
 TEST_F(outside_callers_test, WholeBodies) {
   const std::string text = Head(absl::StrCat("Content-Length: ", kBodyBytes)) +
                            std::string(kBodyBytes, 'x');
-  SendCrowd(scene_.CallerPort(), text, text.size());
+  SendFromAll(scene_.CallerPort(), text, text.size());
   ExpectUnharmed();
 }
 
 TEST_F(outside_callers_test, PipelinedRequestsAtThePathThatSaysReady) {
   const std::string text =
       Pipelined("GET /readyz HTTP/1.1\r\nHost: a.example\r\n\r\n", 1 << 20);
-  SendCrowd(scene_.ReadyPort(), text, 64 << 10);
+  SendFromAll(scene_.ReadyPort(), text, 64 << 10);
   ExpectUnharmed();
   EXPECT_TRUE(Eventually(kBound, [&] {
     return Get(scene_.ReadyPort(), "/readyz").status == 200;
@@ -218,14 +219,14 @@
   const std::string text = Pipelined(
       "GET /none/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: q\r\n\r\n",
       1 << 20);
-  SendCrowd(scene_.CallerPort(), text, 64 << 10);
+  SendFromAll(scene_.CallerPort(), text, 64 << 10);
   ExpectUnharmed();
 }
 
 TEST_F(outside_callers_test, HeaderFieldsOneByteAtATime) {
   const std::string text = absl::StrCat(
       "GET /read/1 HTTP/1.1\r\nHost: a.example\r\nX: ", std::string(60, 'x'));
-  SendCrowd(scene_.CallerPort(), text, 1);
+  SendFromAll(scene_.CallerPort(), text, 1);
   ExpectUnharmed();
 }
 
