--- a/src/dispatch/decode_admission_test.cc
+++ b/src/dispatch/decode_admission_test.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/str_cat.h"
 #include "base/error_kind.h"
 #include "base/testing/run_loop.h"
+#include "dispatch/stream_order.h"
 #include "gtest/gtest.h"
 
 namespace anvilridge {
@@ -170,6 +171,35 @@
   EXPECT_EQ(prefilled, (std::vector<bool>{true, false}));
 }
 
+// Two kinds of streams compete for one engine: readings that are due within
+// 0.8 s and others that are due within 2 s. Guards against the former being
+// late behind a queue of the latter, which all have time.
+TEST_F(decode_admission_test, AStreamThatIsDueSoonPassesOthersWithTime) {
+  state_.view = OneDecodeEngine();
+  Run("1", "a", 60000);
+  std::vector<std::string> admitted;
+  const auto queue = [&](const std::string& id, int due_ms) {
+    waiting_stream stream = Stream(kPrompt);
+    stream.request_id = id;
+    stream.latest_on_time_start = now_ + absl::Milliseconds(due_ms);
+    stream.latest_start = now_ + absl::Seconds(9);
+    stream.done = [&admitted,
+                   id](const absl::StatusOr<engine_reservation>& reservation) {
+      if (reservation.ok()) admitted.push_back(id);
+    };
+    QueueInOrder(state_.waiting, std::move(stream));
+  };
+  queue("routine-1", 1200);
+  queue("routine-2", 1201);
+  queue("disputed", 480);
+  ASSERT_TRUE(admitted.empty());
+  EndRun(state_.ledger, "1");
+  now_ += absl::Milliseconds(100);
+  AdmitWaiting(state_, now_);
+  ASSERT_FALSE(admitted.empty());
+  EXPECT_EQ(admitted.front(), "disputed");
+}
+
 // Herd: after all daemons have lost power, callers resume their streams at two
 // restarted daemons at the same moment, before either daemon has received the
 // other's load. Guards against two resumed streams prefilled at one engine.
