--- a/src/fleet/fleet_config.h
+++ b/src/fleet/fleet_config.h
@@ -117,8 +117,7 @@
 /// Returns the team of the caller of a request on `route`; null if its requests
 /// count for none.
 /// @return `missing_credential` or `unknown_credential` if the route needs a
-/// key
-///     and `credential` has none of a team.
+///     key and `credential` has none of a team.
 absl::StatusOr<const fleet_team*> IdentifyTeam(
     const fleet_config& config, const fleet_route& route,
     const caller_credential& credential);
