Choose engines by the work that is not reported yet

Cause: a daemon chose the engine with the least load, as reported 10 to 450 ms before, and broke near ties by a random number of fixed weight.

Change: load_choice estimates the work that other daemons have sent meanwhile, and chooses with the probability with which that work levels the loads. A metric counts prompts that are queued while another engine is idle.

--- a/src/dispatch/decode_admission.cc
+++ b/src/dispatch/decode_admission.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/algorithm/container.h"
 #include "absl/strings/str_cat.h"
 #include "base/error_kind.h"
 #include "dispatch/engine_candidates.h"
@@ -112,12 +113,25 @@
   });
 }
 
+// Counts the choice of the prefill engine at `chosen` for `service`.
+void CountPrefillChoice(const dispatch_state& state, absl::string_view service,
+                        absl::Span<const prefill_candidate> engines,
+                        size_t chosen) {
+  if (state.metrics == nullptr) return;
+  const bool queued = engines[chosen].backlog > 0;
+  const bool beside_idle = absl::c_any_of(
+      engines,
+      [](const prefill_candidate& engine) { return engine.backlog <= 0; });
+  state.metrics->CountPrefillChoice(service, queued && beside_idle);
+}
+
 // Chooses among `engines` for `stream`. Returns nothing when no decode engine
 // has capacity.
 std::optional<engine_reservation> ChooseEngines(
     const dispatch_state& state, const engine_candidates& engines,
     const waiting_stream& stream, absl::Time now) {
-  const auto decode = ChooseDecode(engines.decodes, ExpectedRun(stream, now));
+  const auto decode = ChooseDecode(engines.decodes, ExpectedRun(stream, now),
+                                   engines.decode_spread);
   if (!decode) return std::nullopt;
   engine_reservation reservation;
   reservation.decode = *engines.decodes[*decode].upstream;
@@ -127,8 +141,9 @@
       reservation.decode = *on_time;
     }
   }
-  const auto prefill = ChoosePrefill(engines.prefills, stream.prompt,
-                                     reservation.decode.failure_domain);
+  const auto prefill =
+      ChoosePrefill(engines.prefills, stream.prompt,
+                    reservation.decode.failure_domain, engines.prefill_spread);
   if (!prefill) return reservation;
   // When the prefill queue would make the stream late, a decode engine prefills
   // the prompt, if there is one that can do so with its other streams on time.
@@ -141,6 +156,7 @@
       return reservation;
     }
   }
+  CountPrefillChoice(state, stream.service, engines.prefills, *prefill);
   reservation.prefill = *engines.prefills[*prefill].upstream;
   return reservation;
 }
@@ -227,6 +243,9 @@
                                    PrefillBacklog(state.ledger,
                                                   reservation.prefill->id, now))
           : absl::ZeroDuration();
+  service_work& sent = state.sent_work[stream.service];
+  RecordWork(sent.streams, 1, now);
+  if (reservation.prefill) RecordWork(sent.prefill_tokens, stream.prompt, now);
   ReserveDecode(state, stream.request_id, reservation.decode, stream,
                 now + prefill);
   SetTokensToPrefill(
@@ -245,7 +264,8 @@
   auto on_time = ChooseOnTimeLocalPrefillEngine(
       state, engines, stream, stream.prompt + stream.generated, now);
   if (on_time) return on_time;
-  const auto chosen = ChooseDecode(engines.decodes, ExpectedRun(stream, now));
+  const auto chosen = ChooseDecode(engines.decodes, ExpectedRun(stream, now),
+                                   engines.decode_spread);
   if (!chosen) return std::nullopt;
   return *engines.decodes[*chosen].upstream;
 }
@@ -256,7 +276,8 @@
   if (!has_cache) return ChooseLocalPrefillEngine(state, stream, tried, now);
   const engine_candidates engines = FindEngineCandidates(
       state, stream.service, tried, kReservableMemoryShare, now);
-  const auto chosen = ChooseDecode(engines.decodes, ExpectedRun(stream, now));
+  const auto chosen = ChooseDecode(engines.decodes, ExpectedRun(stream, now),
+                                   engines.decode_spread);
   if (!chosen) return std::nullopt;
   return *engines.decodes[*chosen].upstream;
 }
@@ -267,7 +288,8 @@
     absl::Time now) {
   const engine_candidates engines =
       FindEngineCandidates(state, service, tried, kReservableMemoryShare, now);
-  const auto prefill = ChoosePrefill(engines.prefills, tokens, decode_domain);
+  const auto prefill = ChoosePrefill(engines.prefills, tokens, decode_domain,
+                                     engines.prefill_spread);
   if (!prefill) return std::nullopt;
   return *engines.prefills[*prefill].upstream;
 }
--- a/src/dispatch/dispatch_metrics.cc
+++ b/src/dispatch/dispatch_metrics.cc
@@ -19,6 +19,10 @@
                             "Time that streams waited for decode memory"};
 constexpr metric_name kSends{"anvil_fleet_sends_total",
                              "Sends to upstreams, by outcome"};
+constexpr metric_name kPrefillChoices{
+    "anvil_fleet_prefill_choices_total",
+    "Choices of a prefill engine, by whether prompts were ahead there while "
+    "another engine was idle"};
 constexpr metric_name kExtraSends{"anvil_fleet_extra_sends_total",
                                   "Sends of a request after its first one"};
 constexpr metric_name kRefusals{"anvil_fleet_refusals_total",
@@ -86,6 +90,15 @@
       .Increment();
 }
 
+void dispatch_metrics::CountPrefillChoice(absl::string_view service,
+                                          bool queued_beside_idle) {
+  registry_
+      .Counter(kPrefillChoices,
+               {{"service", std::string(service)},
+                {"queued_beside_idle", queued_beside_idle ? "yes" : "no"}})
+      .Increment();
+}
+
 void dispatch_metrics::CountExtraSend(absl::string_view service,
                                       absl::string_view reason) {
   registry_
--- a/src/dispatch/dispatch_metrics.h
+++ b/src/dispatch/dispatch_metrics.h
@@ -26,6 +26,11 @@
   void ObserveWaitTime(absl::Duration elapsed);
   /// Counts a send to an upstream of `service` that ended with `outcome`.
   void CountSend(absl::string_view service, absl::string_view outcome);
+  /// Counts the choice of a prefill engine of `service`.
+  /// @param queued_beside_idle whether prompts are known to be ahead there
+  /// while
+  ///     another engine is known to be idle.
+  void CountPrefillChoice(absl::string_view service, bool queued_beside_idle);
   /// Counts a send of a request after its first one, made because of `reason`.
   void CountExtraSend(absl::string_view service, absl::string_view reason);
   /// Counts a request that was refused or failed with an error of `kind`.
--- a/src/dispatch/engine_candidates.cc
+++ b/src/dispatch/engine_candidates.cc
@@ -29,6 +29,25 @@
          kMaxPauseShare * gap_target;
 }
 
+// Sets how much the other daemons are expected to have sent to `service` that
+// is not known here. They are assumed to send as much as this one.
+void SetSpreads(dispatch_state& state, absl::string_view service,
+                absl::Time now, engine_candidates& candidates) {
+  candidates.decode_spread.draw = absl::Uniform(state.random, 0.0, 1.0);
+  candidates.prefill_spread.draw = absl::Uniform(state.random, 0.0, 1.0);
+  const auto sent = state.sent_work.find(service);
+  if (sent == state.sent_work.end()) return;
+  absl::Duration unheard;
+  for (const auto& [name, peer] : state.ledger.peers) {
+    if (IsFresh(peer, now)) unheard += UnheardTime(now - peer.received);
+  }
+  const double seconds = absl::ToDoubleSeconds(unheard);
+  candidates.decode_spread.unheard =
+      WorkPerSecond(sent->second.streams, now) * seconds;
+  candidates.prefill_spread.unheard =
+      WorkPerSecond(sent->second.prefill_tokens, now) * seconds;
+}
+
 }  // namespace
 
 engine_candidates FindEngineCandidates(dispatch_state& state,
@@ -38,12 +57,12 @@
   engine_candidates candidates;
   const engine_traits* traits = FindEngineTraits(state, service);
   if (traits == nullptr) return candidates;
+  SetSpreads(state, service, now, candidates);
   for (const fleet_upstream* upstream :
        UsableUpstreams(state, service, tried, now)) {
     if (upstream->stage == engine_stage::prefill) {
       candidates.prefills.push_back(
-          {upstream, PrefillBacklog(state.ledger, upstream->id, now),
-           absl::Uniform(state.random, 0.0, 1.0)});
+          {upstream, PrefillBacklog(state.ledger, upstream->id, now)});
       continue;
     }
     decode_candidate candidate;
@@ -75,7 +94,8 @@
       on_time.push_back(engine);
     }
   }
-  const auto chosen = ChooseDecode(on_time, ExpectedRun(stream, now));
+  const auto chosen =
+      ChooseDecode(on_time, ExpectedRun(stream, now), engines.decode_spread);
   if (!chosen) return std::nullopt;
   return *on_time[*chosen].upstream;
 }
--- a/src/dispatch/engine_candidates.h
+++ b/src/dispatch/engine_candidates.h
@@ -15,6 +15,10 @@
 struct engine_candidates {
   std::vector<decode_candidate> decodes;
   std::vector<prefill_candidate> prefills;
+  /// For choices among `decodes`, in streams.
+  choice_spread decode_spread;
+  /// For choices among `prefills`, in tokens.
+  choice_spread prefill_spread;
 };
 
 /// Returns the engines of `service` that may receive new work, except those in
--- a/src/dispatch/engine_choice.cc
+++ b/src/dispatch/engine_choice.cc
@@ -13,9 +13,6 @@
 // the backlog of an engine in the decode engine's domain may be larger by as
 // much.
 constexpr double kCrossDomainPromptFactor = 1.0;
-// Backlogs that differ by less count as equal: the tokens that an engine
-// prefills in the 20 ms until daemons have received each other's load.
-constexpr double kEqualBacklogTokens = 1000;
 
 // Returns the largest number of tokens that `engine` is expected to hold once
 // `run` has been added.
@@ -33,41 +30,38 @@
 }
 
 std::optional<size_t> ChooseDecode(absl::Span<const decode_candidate> engines,
-                                   const decode_run& run) {
-  std::optional<size_t> best;
-  double best_load = std::numeric_limits<double>::infinity();
-  for (size_t i = 0; i < engines.size(); ++i) {
-    const decode_candidate& engine = engines[i];
+                                   const decode_run& run,
+                                   const choice_spread& spread) {
+  std::vector<double> costs;
+  costs.reserve(engines.size());
+  double capacity = 0;
+  for (const decode_candidate& engine : engines) {
+    capacity = std::max(capacity, engine.capacity);
+    costs.push_back(std::numeric_limits<double>::infinity());
     if (static_cast<int>(engine.runs.size()) >= engine.slots) continue;
     const double peak = PeakTokensWith(engine, run);
     if (peak > engine.capacity) continue;
-    const double load = peak / engine.capacity -
-                        (engine.same_domain ? kSameDomainAdvantage : 0);
-    if (load < best_load) {
-      best_load = load;
-      best = i;
-    }
+    costs.back() = peak / engine.capacity -
+                   (engine.same_domain ? kSameDomainAdvantage : 0);
   }
-  return best;
+  choice_spread in_shares = spread;
+  in_shares.unheard *=
+      capacity > 0 ? (run.context + run.remaining) / capacity : 0;
+  return ChooseByCost(costs, in_shares);
 }
 
 std::optional<size_t> ChoosePrefill(absl::Span<const prefill_candidate> engines,
                                     double tokens,
-                                    absl::string_view decode_domain) {
-  std::optional<size_t> best;
-  double best_cost = std::numeric_limits<double>::infinity();
-  for (size_t i = 0; i < engines.size(); ++i) {
-    const bool same_domain =
-        engines[i].upstream->failure_domain == decode_domain;
-    const double cost = engines[i].backlog +
-                        (same_domain ? 0 : kCrossDomainPromptFactor * tokens) +
-                        kEqualBacklogTokens * engines[i].draw;
-    if (cost < best_cost) {
-      best_cost = cost;
-      best = i;
-    }
+                                    absl::string_view decode_domain,
+                                    const choice_spread& spread) {
+  std::vector<double> costs;
+  costs.reserve(engines.size());
+  for (const prefill_candidate& engine : engines) {
+    const bool same_domain = engine.upstream->failure_domain == decode_domain;
+    costs.push_back(engine.backlog +
+                    (same_domain ? 0 : kCrossDomainPromptFactor * tokens));
   }
-  return best;
+  return ChooseByCost(costs, spread);
 }
 
 }  // namespace anvilridge
--- a/src/dispatch/engine_choice.h
+++ b/src/dispatch/engine_choice.h
@@ -7,6 +7,7 @@
 
 #include "absl/types/span.h"
 #include "dispatch/decode_memory.h"
+#include "dispatch/load_choice.h"
 #include "fleet/fleet_upstream.h"
 
 namespace anvilridge {
@@ -29,27 +30,30 @@
   const fleet_upstream* upstream = nullptr;
   /// Prompt tokens that the engine has yet to prefill.
   double backlog = 0;
-  /// Random number from 0 to 1, drawn for this choice. Decides between engines
-  /// with nearly equal backlogs, so that daemons don't all choose the same one.
-  double draw = 0;
 };
 
 /// Whether `engine` has a slot and memory for `run` now.
 bool HasCapacity(const decode_candidate& engine, const decode_run& run);
 
-/// Returns the index of the engine that has the largest share of its memory
-/// free once `run` has been added, among those with capacity for it; nothing
-/// when no engine has capacity. Prefers engines in the daemon's failure domain
-/// unless another is clearly emptier.
+/// Chooses the engine that has the largest share of its memory free once `run`
+/// has been added, among those with capacity for it. Prefers engines in the
+/// daemon's failure domain unless another is clearly emptier.
+/// @param spread work of other daemons that is not known yet, in streams like
+///     `run`.
+/// @return its index, or nothing when no engine has capacity.
 std::optional<size_t> ChooseDecode(absl::Span<const decode_candidate> engines,
-                                   const decode_run& run);
-
-/// Returns the index of the engine that is expected to finish the prefill of a
-/// prompt of `tokens` first, with a cost added for the transfer out of a
-/// failure domain other than `decode_domain`; nothing when `engines` is empty.
+                                   const decode_run& run,
+                                   const choice_spread& spread);
+
+/// Chooses the engine that is expected to finish the prefill of a prompt of
+/// `tokens` first, with a cost added for the transfer out of a failure domain
+/// other than `decode_domain`.
+/// @param spread work of other daemons that is not known yet, in tokens.
+/// @return its index, or nothing when `engines` is empty.
 std::optional<size_t> ChoosePrefill(absl::Span<const prefill_candidate> engines,
                                     double tokens,
-                                    absl::string_view decode_domain);
+                                    absl::string_view decode_domain,
+                                    const choice_spread& spread);
 
 }  // namespace anvilridge
 
--- a/src/dispatch/engine_choice_test.cc
+++ b/src/dispatch/engine_choice_test.cc
@@ -17,6 +17,16 @@
   return engines;
 }
 
+std::vector<prefill_candidate> Idle(
+    const std::vector<fleet_upstream>& engines) {
+  std::vector<prefill_candidate> candidates;
+  candidates.reserve(engines.size());
+  for (const fleet_upstream& engine : engines) {
+    candidates.push_back({&engine, 0});
+  }
+  return candidates;
+}
+
 // Guards against a herd in a burst: 40 daemons that observe the same idle
 // engines at the same moment must not all choose the same one.
 TEST(engine_choice_test, DaemonsSpreadPromptsOverIdleEngines) {
@@ -25,21 +35,46 @@
   std::uniform_real_distribution<double> draw;
   std::set<size_t> chosen;
   for (int daemon = 0; daemon < 40; ++daemon) {
-    std::vector<prefill_candidate> candidates;
-    candidates.reserve(engines.size());
-    for (const fleet_upstream& engine : engines) {
-      candidates.push_back({&engine, 0, draw(random)});
-    }
-    chosen.insert(*ChoosePrefill(candidates, 5000, "a"));
+    chosen.insert(
+        *ChoosePrefill(Idle(engines), 5000, "a", {1000, draw(random)}));
   }
   EXPECT_EQ(chosen, (std::set<size_t>{0, 2, 4, 6}));
 }
 
+// Guards against engines of other failure domains that stay idle while those of
+// one are overrun by prompts that are not reported yet.
+TEST(engine_choice_test, ManyUnheardPromptsReachOtherDomains) {
+  const std::vector<fleet_upstream> engines = Engines(8);
+  EXPECT_EQ(ChoosePrefill(Idle(engines), 5000, "a", {60'000, 0.05}), 0u);
+  EXPECT_EQ(ChoosePrefill(Idle(engines), 5000, "a", {60'000, 0.999}), 7u);
+}
+
 TEST(engine_choice_test, ChoosesAnEngineWithAClearlySmallerBacklog) {
   const std::vector<fleet_upstream> engines = Engines(3);
-  const std::vector<prefill_candidate> candidates = {{&engines[0], 9000, 0},
-                                                     {&engines[2], 5000, 1}};
-  EXPECT_EQ(ChoosePrefill(candidates, 5000, "a"), 1u);
+  const std::vector<prefill_candidate> candidates = {{&engines[0], 9000},
+                                                     {&engines[2], 5000}};
+  for (const double draw : {0.0, 0.5, 0.999}) {
+    EXPECT_EQ(ChoosePrefill(candidates, 5000, "a", {1000, draw}), 1u);
+  }
+}
+
+// Guards against a full engine that is chosen for the sake of even load.
+TEST(engine_choice_test, OnlyEnginesWithCapacityAreChosen) {
+  const std::vector<fleet_upstream> engines = Engines(3);
+  std::vector<decode_candidate> candidates(3);
+  for (size_t i = 0; i < candidates.size(); ++i) {
+    candidates[i].upstream = &engines[i];
+    candidates[i].capacity = 70'000;
+    candidates[i].slots = 2;
+  }
+  candidates[0].runs.resize(2);
+  candidates[2].capacity = 3000;
+  const decode_run run = {5000, 300, absl::UnixEpoch()};
+  for (const double draw : {0.0, 0.5, 0.999}) {
+    EXPECT_EQ(ChooseDecode(candidates, run, {50, draw}), 1u);
+  }
+  candidates[1].slots = 0;
+  EXPECT_EQ(ChooseDecode(candidates, run, {50, 0.5}), std::nullopt);
 }
 
 }  // namespace
--- a/src/dispatch/resumed_admission.cc
+++ b/src/dispatch/resumed_admission.cc
@@ -56,7 +56,8 @@
   engine_reservation reservation;
   reservation.decode = *decode;
   const auto prefill =
-      ChoosePrefill(engines.prefills, stream.prompt, decode->failure_domain);
+      ChoosePrefill(engines.prefills, stream.prompt, decode->failure_domain,
+                    engines.prefill_spread);
   if (prefill) reservation.prefill = *engines.prefills[*prefill].upstream;
   return reservation;
 }
