--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -15,6 +15,7 @@
 #include "absl/strings/str_cat.h"
 #include "base/clock.h"
 #include "base/event_loop.h"
+#include "base/heap_blocks.h"
 #include "base/signal_watch.h"
 #include "caller/caller_port.h"
 #include "daemon/control_plane.h"
@@ -59,6 +60,7 @@
     StartTrafficThreads();
     caller_ = std::make_unique<caller_port>(settings_.caller, settings_.limits,
                                             ThreadContexts());
+    caller_->SetMaxHeldBytes(settings_.limits.max_held_bytes);
     caller_->OnRefuse(
         [refused = MakeRequestMetrics(metrics_)](const absl::Status& error) {
           CountFailure(refused, "", error);
@@ -173,6 +175,7 @@
 }  // namespace
 
 int RunDaemon(const daemon_settings& settings) {
+  ReturnLargeBlocksWhenFreed();
   int count = 1;
   char name[] = "anvilridged";
   char* arguments[] = {name, nullptr};
--- a/src/daemon/operator_port.cc
+++ b/src/daemon/operator_port.cc
@@ -122,6 +122,7 @@
         api(ServicesOf(control), BootstrapHash(bootstrap_key)),
         port(control.settings.operators, control.settings.limits,
              {&control.context}) {
+    port.SetMaxHeldBytes(control.settings.limits.max_held_bytes);
     state.config.OnChange([this](const config_service::state_ptr& in_force) {
       api.ConfigChanged(in_force);
     });
--- a/src/dispatch/load_choice_test.cc
+++ b/src/dispatch/load_choice_test.cc
@@ -19,8 +19,9 @@
   std::vector<double> shares(costs.size());
   for (int i = 0; i < kDraws; ++i) {
     const auto chosen = ChooseByCost(costs, {unheard, (i + 0.5) / kDraws});
-    shares[*chosen] += 1.0 / kDraws;
+    ++shares[*chosen];
   }
+  for (double& share : shares) share /= kDraws;
   return shares;
 }
 
--- a/src/fleet_daemon/fleet_daemon.cc
+++ b/src/fleet_daemon/fleet_daemon.cc
@@ -1,7 +1,5 @@
 #include "fleet_daemon/fleet_daemon.h"
 
-#include <malloc.h>
-
 #include <QCoreApplication>
 #include <QJsonObject>
 #include <csignal>
@@ -17,6 +15,7 @@
 #include "base/error_kind.h"
 #include "base/event_loop.h"
 #include "base/event_thread.h"
+#include "base/heap_blocks.h"
 #include "base/published.h"
 #include "base/qt_text.h"
 #include "base/signal_watch.h"
@@ -36,10 +35,6 @@
 namespace anvilridge {
 namespace {
 
-// Size of an allocation from which it is returned to the system when it is
-// freed. Without a fixed size, the C library raises it once a body has been
-// freed, and later bodies fragment the heap.
-constexpr int kMmapThresholdBytes = 128 << 10;
 constexpr int kExitOk = 0;
 constexpr int kExitFailed = 1;
 constexpr absl::Duration kStopPollInterval = absl::Milliseconds(10);
@@ -484,7 +479,7 @@
 int RunFleetDaemon(const fleet_settings& settings,
                    const fleet_platform& platform,
                    const settings_loader& load) {
-  ::mallopt(M_MMAP_THRESHOLD, kMmapThresholdBytes);
+  ReturnLargeBlocksWhenFreed();
   int count = 1;
   char name[] = "anvilridge_fleet";
   char* arguments[] = {name, nullptr};
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -48,6 +48,9 @@
   absl::Duration idle_timeout = absl::Seconds(60);
   /// Unsent bytes of one answer past which its reader is cut off.
   int64_t max_unsent_bytes = 256 << 10;
+  /// Bytes kept for the callers of one port beyond which longer requests are
+  /// refused. The fleet daemon derives its own from its machine's memory.
+  int64_t max_held_bytes = 256 << 20;
 };
 
 /// `[platform]`: the platform's services.
--- a/src/settings/parse_settings_test.cc
+++ b/src/settings/parse_settings_test.cc
@@ -72,6 +72,7 @@
       "[limits]\nmax_body_bytes = 2048\nmax_header_bytes = 4096\n"
       "max_connections = 5\nmax_requests = 6\nrequest_timeout = 500ms\n"
       "idle_timeout = 7m\nmax_unsent_bytes = 8192\n"
+      "max_held_bytes = 2097152\n"
       "[platform]\nlog = 127.0.0.1:1\nvm_list = 127.0.0.1:2\n"
       "weight_store = 127.0.0.1:3\n"
       "log_appends_per_second = 9\nlog_retention = 48h\n"
--- a/src/settings/settings_table.cc
+++ b/src/settings/settings_table.cc
@@ -108,6 +108,12 @@
        "Unsent bytes of one streamed answer past which its reader is cut off."},
       4 * kKibibyte, 16 * kMebibyte,
       [](auto& s) -> auto& { return s.limits.max_unsent_bytes; }));
+  rows.push_back(IntegerKey<int64_t>(
+      {"limits", "max_held_bytes",
+       "Bytes kept for the callers of one port, of requests and of answers "
+       "that they have not taken, beyond which requests are refused."},
+      kMebibyte, 1024 * 64 * kMebibyte,
+      [](auto& s) -> auto& { return s.limits.max_held_bytes; }));
 }
 
 void AddPlatform(key_rows& rows) {
--- a/tests/outside_callers_test.cc
+++ b/tests/outside_callers_test.cc
@@ -1,25 +1,10 @@
 // Callers that are each within the limits, but too many: guards against a
 // process that runs out of memory or stops answering.
-#include <arpa/inet.h>
-#include <dirent.h>
-#include <fcntl.h>
-#include <netinet/in.h>
-#include <poll.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
-#include <algorithm>
-#include <cerrno>
-#include <fstream>
 #include <string>
-#include <thread>
-#include <vector>
 
-#include "absl/strings/match.h"
-#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
-#include "base/clock.h"
 #include "gtest/gtest.h"
+#include "harness/caller_crowd.h"
 #include "harness/eventually.h"
 #include "harness/platform_scene.h"
 #include "harness/test_http.h"
@@ -40,55 +25,6 @@
     "slack = 50\n[memory]\nmachine_mb = 64\n"
     "[limits]\nmax_body_bytes = 1048576\nmax_connections = 300\n";
 
-// A connection that sends what it is given as far as it is taken, and reads no
-// answer.
-class unread_answers_caller {
- public:
-  explicit unread_answers_caller(uint16_t port)
-      : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
-    sockaddr_in address = {};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(port);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    const int small = 4096;
-    ::setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
-    if (::connect(fd_, reinterpret_cast<const sockaddr*>(&address),
-                  sizeof(address)) != 0) {
-      Close();
-      return;
-    }
-    ::fcntl(fd_, F_SETFL, O_NONBLOCK);
-  }
-  ~unread_answers_caller() { Close(); }
-  unread_answers_caller(const unread_answers_caller&) = delete;
-  unread_answers_caller& operator=(const unread_answers_caller&) = delete;
-
-  // Sends a part of `text` that was not sent yet, of at most `bytes`. Returns
-  // false once all is sent, or if the daemon takes nothing more.
-  bool SendSome(const std::string& text, size_t bytes) {
-    if (fd_ < 0 || sent_ >= text.size()) return false;
-    pollfd ready = {fd_, POLLOUT, 0};
-    // Long enough for a busy daemon; one that doesn't read takes nothing more.
-    constexpr int kTakeMs = 200;
-    if (::poll(&ready, 1, kTakeMs) <= 0) return false;
-    const ssize_t taken =
-        ::send(fd_, text.data() + sent_, std::min(bytes, text.size() - sent_),
-               MSG_NOSIGNAL);
-    if (taken < 0 && errno != EAGAIN) Close();
-    if (taken > 0) sent_ += static_cast<size_t>(taken);
-    return taken > 0;
-  }
-
- private:
-  void Close() {
-    if (fd_ >= 0) ::close(fd_);
-    fd_ = -1;
-  }
-
-  int fd_;
-  size_t sent_ = 0;
-};
-
 class outside_callers_test : public testing::Test {
  protected:
   void SetUp() override { ASSERT_TRUE(scene_.Start(kSettings)); }
@@ -96,50 +32,18 @@
   // Has `kConnections` connections to `port` send `text`, in parts of `bytes`
   // taken in turn, and stay open.
   void SendFromAll(uint16_t port, const std::string& text, size_t bytes) {
-    for (int i = 0; i < kConnections; ++i) {
-      callers_.push_back(std::make_unique<unread_answers_caller>(port));
-    }
-    bool more = true;
-    while (more) {
-      more = false;
-      for (const auto& caller : callers_) {
-        if (caller->SendSome(text, bytes)) more = true;
-      }
+    callers_.Connect(port, kConnections);
+    callers_.Send(text, bytes, [this] {
       CheckProcess();
-      if (HasFailure()) return;
-    }
-  }
-
-  // Returns a number from the process's status, in the unit that it has there.
-  int64_t Status(absl::string_view field) {
-    std::ifstream status(
-        absl::StrCat("/proc/", scene_.Daemon().Pid(), "/status"));
-    std::string line;
-    while (std::getline(status, line)) {
-      if (!absl::StartsWith(line, field)) continue;
-      int64_t number = 0;
-      const size_t digit = line.find_first_of("0123456789");
-      const std::string text =
-          line.substr(digit, line.find(' ', digit) - digit);
-      return absl::SimpleAtoi(text, &number) ? number : -1;
-    }
-    return -1;
-  }
-
-  int Descriptors() {
-    DIR* folder =
-        ::opendir(absl::StrCat("/proc/", scene_.Daemon().Pid(), "/fd").c_str());
-    if (folder == nullptr) return -1;
-    int count = 0;
-    while (::readdir(folder) != nullptr) ++count;
-    ::closedir(folder);
-    return count;
+      return !HasFailure();
+    });
   }
 
   void CheckProcess() {
     ASSERT_TRUE(scene_.Daemon().Running());
-    ASSERT_LE(Status("VmHWM:"), kMachineMb * 1024);
-    ASSERT_LE(Descriptors(), kMaxDescriptors);
+    const pid_t pid = scene_.Daemon().Pid();
+    ASSERT_LE(ProcessStatus(pid, "VmHWM:"), kMachineMb * 1024);
+    ASSERT_LE(OpenDescriptors(pid), kMaxDescriptors);
   }
 
   // An ordinary caller comes back as it is told to.
@@ -172,7 +76,7 @@
   }
 
   platform_scene scene_;
-  std::vector<std::unique_ptr<unread_answers_caller>> callers_;
+  caller_crowd callers_;
 };
 
 TEST_F(outside_callers_test, BodiesThatStopJustShortOfTheirEnd) {
@@ -230,5 +134,47 @@
   ExpectUnharmed();
 }
 
+// Callers that connect and say nothing.
+TEST_F(outside_callers_test, SilentConnections) {
+  SendFromAll(scene_.CallerPort(), "", 1);
+  SendFromAll(scene_.ReadyPort(), "", 1);
+  ExpectUnharmed();
+}
+
+// Callers that leave at once: what they have asked for is still in progress.
+TEST_F(outside_callers_test, ResetsRightAfterARequest) {
+  const std::string text = Head(absl::StrCat("Content-Length: ", kBodyBytes)) +
+                           std::string(kBodyBytes, 'x');
+  constexpr int kRounds = 4;
+  for (int round = 0; round < kRounds; ++round) {
+    SendFromAll(scene_.CallerPort(), text, text.size());
+    callers_.Reset();
+  }
+  ExpectUnharmed();
+}
+
+// Streams whose engine sends much, and whose callers read none of it.
+TEST_F(outside_callers_test, StreamsWhoseEventsAreNotRead) {
+  scene_.OnDecode([](QTcpSocket& socket, const raw_request& request) {
+    const std::string head = absl::StrCat(platform_scene::Head(request, 200),
+                                          "Transfer-Encoding: chunked\r\n\r\n");
+    socket.write(head.data(), static_cast<qint64>(head.size()));
+    constexpr int kEvents = 2000;
+    constexpr size_t kEventBytes = 1024;
+    for (int i = 1; i <= kEvents; ++i) {
+      const std::string event = absl::StrCat(
+          "id: ", i, "\ndata: ", std::string(kEventBytes, 'x'), "\n\n");
+      const std::string chunk =
+          absl::StrCat(absl::Hex(event.size()), "\r\n", event, "\r\n");
+      socket.write(chunk.data(), static_cast<qint64>(chunk.size()));
+    }
+  });
+  SendFromAll(scene_.CallerPort(),
+              "POST /draft/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: q\r\n"
+              "Token-Count: 100,2000\r\nContent-Length: 2\r\n\r\nhi",
+              1024);
+  ExpectUnharmed();
+}
+
 }  // namespace
 }  // namespace anvilridge
