Let the soak have teams with keys and caps

The soak had no teams, so nothing but the property test and one process test checked keys and caps beside ends, freezes and cuts of the store. Checked: the team that upstreams are told, keys that reach upstreams, revoked keys, the sum of each window, starvation, and valid keys that are refused. A planted daemon without caps is caught.

--- a/tests/soak/planted_daemon.cc
+++ b/tests/soak/planted_daemon.cc
@@ -116,6 +116,24 @@
       };
 }
 
+// Knows no caps of teams.
+void PlantNoCaps(fleet_platform& platform) {
+  platform.open_sources = [open = platform.open_sources](
+                              const fleet_settings& settings) {
+    fleet_sources sources = open(settings);
+    sources.parse_config = [parse =
+                                sources.parse_config](absl::string_view value) {
+      absl::StatusOr<fleet_config> config = parse(value);
+      if (!config.ok()) return config;
+      for (fleet_team& team : config->teams.teams) {
+        team.cap = usage_cap();
+      }
+      return config;
+    };
+    return sources;
+  };
+}
+
 bool Plant(fleet_platform& platform, const std::string& fault) {
   if (fault == "resend") {
     PlantResend(platform);
@@ -131,6 +149,8 @@
     PlantNoParts(platform);
   } else if (fault == "late_calls") {
     PlantLateCalls(platform);
+  } else if (fault == "no_caps") {
+    PlantNoCaps(platform);
   } else {
     return false;
   }
--- a/tests/soak/soak_callers.cc
+++ b/tests/soak/soak_callers.cc
@@ -14,6 +14,7 @@
 #include "http1/channel_client.h"
 #include "soak/soak_checks.h"
 #include "soak/soak_config.h"
+#include "soak/soak_teams.h"
 
 namespace anvilridge {
 namespace {
@@ -29,6 +30,11 @@
 // parts that the others have in common.
 constexpr int kDeadly = 10;
 constexpr int kSharedParts = 50;
+// Tokens of a stream's prompt and the most of its answer, where they aren't
+// varied.
+constexpr int kPromptTokens = 100;
+constexpr int kOutputTokens = 300;
+constexpr int kStreamTokens = kPromptTokens + kOutputTokens;
 constexpr int kLeaveAfterMs = 200;
 constexpr int kLeaveWithinMs = 1000;
 // What varied requests take at their upstreams; most take little.
@@ -90,6 +96,17 @@
                      absl::Hex(record.callers.size() + 0x10000), ":40"));
   }
 
+  // Draws the caller's team and key.
+  void AddCredential(caller_record& caller, http_call& call) {
+    const int latest =
+        record.configs.empty() ? 1 : record.configs.back().version;
+    caller.tokens =
+        caller.kind == request_kind::stream ? kStreamTokens : kPlainTokens;
+    const std::string key = DrawCredential(caller, Draw(100), latest);
+    if (key.empty()) return;
+    call.headers.emplace_back("authorization", absl::StrCat("Token ", key));
+  }
+
   // Draws the rest of a varied request, to `target` on the upstream.
   void Vary(caller_record& caller, http_call& call) {
     const double share = Draw(1000) / 1000.0;
@@ -176,11 +193,14 @@
     call.target = "/draft/1";
     call.body = "text";
     // The prompt's, and the most that the answer may have.
-    call.headers.emplace_back("token-count",
-                              impl_->varied ? "100,1200" : "100,300");
+    call.headers.emplace_back(
+        "token-count", impl_->varied
+                           ? "100,1200"
+                           : absl::StrCat(kPromptTokens, ",", kOutputTokens));
     if (impl_->crashing_prompts) impl_->DrawParts(caller, call);
   }
   if (impl_->varied) impl_->Vary(caller, call);
+  if (impl_->record.teams) impl_->AddCredential(caller, call);
   impl_->record.callers.push_back(std::move(caller));
   impl_->Send(index, std::move(call));
 }
--- a/tests/soak/soak_checks.cc
+++ b/tests/soak/soak_checks.cc
@@ -10,6 +10,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "soak/soak_config.h"
+#include "soak/soak_teams.h"
 
 namespace anvilridge {
 namespace {
@@ -148,6 +149,10 @@
     CheckConfigs();
     CheckWords();
     CheckCrashes();
+    if (record_.teams) {
+      const std::vector<std::string> of_teams = BrokenTeamPromises(record_);
+      broken_.insert(broken_.end(), of_teams.begin(), of_teams.end());
+    }
     CheckSendBudget("model", {request_kind::stream});
     CheckSendBudget("ledger", {request_kind::posting, request_kind::read});
     return broken_;
@@ -243,6 +248,7 @@
     if (caller.ended == absl::InfiniteFuture()) return;
     // Nobody could serve it in its time.
     if (caller.work + kWay >= TimeLimit(caller)) return;
+    if (record_.teams && MayBeRefused(caller)) return;
     if (caller.status >= kFirstFailure || !caller.whole) {
       Break("not served on a calm day", Describe(caller));
     }
--- a/tests/soak/soak_checks_test.cc
+++ b/tests/soak/soak_checks_test.cc
@@ -1,6 +1,7 @@
 // Each check of the soak bites, shown on records made by hand.
 #include "soak/soak_checks.h"
 
+#include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "gmock/gmock.h"
 #include "gtest/gtest.h"
@@ -310,5 +311,77 @@
   EXPECT_THAT(Broken(), HasSubstr("an upstream that wants none"));
 }
 
+class soak_team_checks_test : public soak_checks_test {
+ protected:
+  soak_team_checks_test() { record_.teams = true; }
+
+  // A caller of `team` that was served at `at`, under an id of its own.
+  caller_record& Served(const std::string& team, absl::Time at) {
+    caller_record& caller = Caller(request_kind::posting, 200, "", at);
+    caller.id = absl::StrCat("t", record_.callers.size());
+    caller.body = absl::StrCat("done ", caller.id);
+    caller.team = team;
+    caller.tokens = 100;
+    upstream_record& upstream = record_.upstreams[caller.id];
+    upstream.arrivals.push_back({.at = at});
+    upstream.runs.push_back(at);
+    if (!team.empty()) upstream.teams.insert(team);
+    return caller;
+  }
+};
+
+TEST_F(soak_team_checks_test, CallersOfATeamBreakNothing) {
+  Served("north", kStart);
+  EXPECT_EQ(Broken(), "");
+}
+
+TEST_F(soak_team_checks_test, AKeyAtAnUpstreamIsSeen) {
+  record_.upstreams[Served("north", kStart).id].saw_key = true;
+  EXPECT_THAT(Broken(), HasSubstr("a key reached an upstream"));
+}
+
+TEST_F(soak_team_checks_test, AnotherTeamIsSeen) {
+  record_.upstreams[Served("north", kStart).id].teams = {"hot"};
+  EXPECT_THAT(Broken(), HasSubstr("under another team"));
+}
+
+TEST_F(soak_team_checks_test, CallersWithoutAKeyAreSeen) {
+  Served("", kStart);
+  EXPECT_THAT(Broken(), HasSubstr("sent on without a key"));
+}
+
+TEST_F(soak_team_checks_test, ARevokedKeyIsSeen) {
+  record_.configs = {{2, kStart}};
+  Served("moving", kStart + absl::Seconds(2)).key_version = 1;
+  EXPECT_EQ(Broken(), "");
+  Served("moving", kStart + absl::Seconds(4)).key_version = 1;
+  EXPECT_THAT(Broken(), HasSubstr("with a revoked key"));
+}
+
+TEST_F(soak_team_checks_test, AValidKeyThatIsRefusedIsSeen) {
+  Caller(request_kind::posting, 401, "").team = "north";
+  EXPECT_THAT(Broken(), HasSubstr("a valid key was refused"));
+}
+
+TEST_F(soak_team_checks_test, UseBeyondACapIsSeen) {
+  // Within one window the cap allows 55 requests of 100 tokens.
+  for (int i = 0; i < 55; ++i) {
+    Served("hot", kStart + absl::Milliseconds(100 * i));
+  }
+  EXPECT_EQ(Broken(), "");
+  Served("hot", kStart + absl::Seconds(7));
+  EXPECT_THAT(Broken(), HasSubstr("beyond the cap of team hot"));
+}
+
+TEST_F(soak_team_checks_test, AStarvingTeamIsSeen) {
+  for (int i = 0; i < 30; ++i) {
+    Served("north", kStart);
+    caller_record& refused = Caller(request_kind::posting, 429, "");
+    refused.team = "small";
+    refused.retry_after = "1";
+  }
+  EXPECT_THAT(Broken(), HasSubstr("team small starves"));
+}
+
 }  // namespace
 }  // namespace anvilridge
--- a/tests/soak/soak_config.cc
+++ b/tests/soak/soak_config.cc
@@ -22,7 +22,7 @@
 }  // namespace
 
 std::string ConfigText(int version, absl::Duration call_limit,
-                       absl::Duration stream_limit) {
+                       absl::Duration stream_limit, const QJsonArray& teams) {
   QJsonObject stream =
       Route("draft", "/draft/", "stream", "model", stream_limit, 900);
   stream["GapTargetMs"] = 300;
@@ -30,12 +30,13 @@
   once["Name"] = "once";
   once["PathPrefix"] = "/once/";
   stream["CanResume"] = true;
+  QJsonObject versioned = Route("version", QString("/v%1/").arg(version),
+                                "safe", "ledger", kCallLimit, 150);
+  if (!teams.isEmpty()) versioned["Public"] = true;
   const QJsonArray routes{
       stream, once,
       Route("post", "/post/", "unsafe", "ledger", call_limit, 150),
-      Route("read", "/read/", "safe", "ledger", call_limit, 150),
-      Route("version", QString("/v%1/").arg(version), "safe", "ledger",
-            kCallLimit, 150)};
+      Route("read", "/read/", "safe", "ledger", call_limit, 150), versioned};
   const QJsonObject engine{{"Slots", 12},        {"KvCapacity", 100000},
                            {"KvTokenBytes", 16}, {"LinkMbps", 1000},
                            {"HandleTtlS", 5},    {"StageSwitchS", 6},
@@ -43,8 +44,9 @@
   const QJsonArray services{
       QJsonObject{{"Name", "model"}, {"MaxConns", 64}, {"Engine", engine}},
       QJsonObject{{"Name", "ledger"}, {"MaxConns", 256}}};
-  const QJsonObject config{
+  QJsonObject config{
       {"Version", version}, {"Routes", routes}, {"Services", services}};
+  if (!teams.isEmpty()) config["Tenants"] = teams;
   return QJsonDocument(config).toJson(QJsonDocument::Compact).toStdString();
 }
 
--- a/tests/soak/soak_config.h
+++ b/tests/soak/soak_config.h
@@ -1,6 +1,7 @@
 #ifndef ANVILRIDGE_TESTS_SOAK_SOAK_CONFIG_H_
 #define ANVILRIDGE_TESTS_SOAK_SOAK_CONFIG_H_
 
+#include <QJsonArray>
 #include <cstddef>
 #include <string>
 
@@ -24,9 +25,11 @@
 
 /// Returns the record of configuration `version`: streams that can be resumed
 /// and that can't, postings and reads, and a route `/vVERSION/` that no other
-/// version has.
+/// version has and that needs no key.
+/// @param teams the teams whose callers are served; without any, all are.
 std::string ConfigText(int version, absl::Duration call_limit = kCallLimit,
-                       absl::Duration stream_limit = kStreamLimit);
+                       absl::Duration stream_limit = kStreamLimit,
+                       const QJsonArray& teams = {});
 
 /// Part of prompts on which engines crash, and the first part of all prompts.
 inline constexpr char kDeadlyPart[] = "dead";
--- a/tests/soak/soak_daemon.cc
+++ b/tests/soak/soak_daemon.cc
@@ -9,6 +9,7 @@
 #include "absl/strings/str_split.h"
 #include "harness/temp_folder.h"
 #include "soak/soak_config.h"
+#include "soak/soak_teams.h"
 
 namespace anvilridge {
 struct soak_daemon::impl {
@@ -53,6 +54,8 @@
                      slack, "\n[store]\naddress = ", store_link.Address(),
                      "\n[stop]\ngrace = ", absl::ToInt64Seconds(kStopGrace),
                      "s\n[memory]\nmachine_mb = ", machine_mb,
+                     "\n[caps]\nwindow = ", absl::ToInt64Seconds(kCapWindow),
+                     "s\nexcess = ", kCapExcess, "\nslack = ", kCapSlack,
                      "\n[log]\ndestination = stdout\n"));
   }
 
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -25,6 +25,7 @@
   options.crashing_prompts = parsed["crashing-prompts"].as<bool>();
   options.failing_prefills = parsed["failing-prefills"].as<bool>();
   options.endless_answers = parsed["endless-answers"].as<bool>();
+  options.teams = parsed["teams"].as<bool>();
   options.program = parsed["program"].as<std::string>();
   if (const auto plant = parsed["plant"].as<std::string>();
       plant == "lost_cancel") {
@@ -96,11 +97,13 @@
       "A service and an engine send bytes without end, beside other "
       "disturbances");
   add("failing-prefills", "Prefill engines fail all the time in all forms");
+  add("teams",
+      "Callers have keys of teams with caps, beside other disturbances");
   add("logs", "Folder for the daemons' logs",
       cxxopts::value<std::string>()->default_value(""));
   add("plant",
       "Fault to plant: resend, stale_view, false_refusal, no_patience, "
-      "deafness, no_parts, late_calls, lost_cancel or no_bound",
+      "deafness, no_parts, late_calls, no_caps, lost_cancel or no_bound",
       cxxopts::value<std::string>()->default_value(""));
   add("help", "Show this text");
   try {
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -51,6 +51,9 @@
   /// A service and a decode engine send bytes without end in place of answers,
   /// beside other disturbances.
   bool endless_answers = false;
+  /// Callers have keys of teams with caps, keys change again and again, and one
+  /// team sends several times its cap, beside other disturbances.
+  bool teams = false;
   /// Memory of a daemon's machine as its settings give it.
   int machine_mb = 64;
   /// Program of the daemons, and what it is given besides its settings.
--- a/tests/soak/soak_record.h
+++ b/tests/soak/soak_record.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,12 @@
   absl::Duration work;
   /// Whether its prompt has a part that crashes engines.
   bool deadly = false;
+  /// Team whose key it has; none if nobody holds the key, or without one.
+  std::string team = {};
+  /// The one version of the configuration with its key; 0 if all have it.
+  int key_version = 0;
+  /// Tokens by which it counts towards the cap of its team.
+  int tokens = 0;
   /// Whether a connection was made, over which it was sent.
   bool sent = false;
   /// 0 when no answer began.
@@ -63,6 +70,9 @@
   /// broke off or failed it.
   bool silenced = false;
   bool failed = false;
+  /// Teams that upstreams were told, and whether they saw a caller's key.
+  std::set<std::string> teams;
+  bool saw_key = false;
   std::vector<upstream_word> words;
   /// Times at which an upstream began to run it.
   std::vector<absl::Time> runs;
@@ -105,6 +115,8 @@
   std::vector<fault_span> faults;
   std::vector<config_record> configs;
   std::vector<config_probe> probes;
+  /// Whether callers need keys of teams.
+  bool teams = false;
   /// When engines crashed on a prompt.
   std::vector<absl::Time> crashes;
   /// Slack of the daemons' send budget; the largest if it changes.
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -18,6 +18,7 @@
 #include "soak/soak_callers.h"
 #include "soak/soak_config.h"
 #include "soak/soak_daemon.h"
+#include "soak/soak_teams.h"
 #include "soak/soak_upstreams.h"
 
 namespace anvilridge {
@@ -34,6 +35,7 @@
 // Exit codes above it name the signal that ended a process.
 constexpr int kSignalExit = 128;
 constexpr absl::Duration kProbeInterval = absl::Milliseconds(400);
+constexpr absl::Duration kKeyChangeInterval = absl::Milliseconds(2500);
 constexpr absl::Duration kPollInterval = absl::Milliseconds(50);
 // Memory that a daemon may take, by the capacity target.
 constexpr int64_t kMostMemoryKb = 128 * int64_t{1024};
@@ -67,6 +69,7 @@
 class soak_run {
  public:
   explicit soak_run(const soak_options& options) : options_(options) {
+    result_.record.teams = options.teams;
     ChangeConfig();
     result_.record.configs.clear();
     result_.record.only_stops = options.stops;
@@ -101,9 +104,14 @@
     for (const soak_step& step : MakePlan(options_)) {
       RunAfter(&context_, step.at, [this, step] { Disturb(step); });
     }
+    std::unique_ptr<QTimer> change_keys;
+    if (options_.teams) {
+      change_keys = RunEvery(kKeyChangeInterval, [this] { ChangeConfig(); });
+    }
     SetUpstreamFaults(/*disturbed=*/true);
     Wait(options_.disturbed);
     SetUpstreamFaults(/*disturbed=*/false);
+    change_keys.reset();
     if (!RunUntil([this] { return disturbances_ == 0 && AllReady(); },
                   kStartBound)) {
       Find("not all daemons were ready again in time");
@@ -425,10 +433,13 @@
 
   void ChangeConfig() {
     ++config_version_;
-    store_.Put("keyed.op", "config",
-               options_.stops
-                   ? ConfigText(config_version_, kLongLimit, kLongLimit)
-                   : ConfigText(config_version_));
+    const absl::Duration call_limit = options_.stops ? kLongLimit : kCallLimit;
+    const absl::Duration stream_limit =
+        options_.stops ? kLongLimit : kStreamLimit;
+    store_.Put(
+        "keyed.op", "config",
+        ConfigText(config_version_, call_limit, stream_limit,
+                   options_.teams ? TeamsOf(config_version_) : QJsonArray()));
     result_.record.configs.push_back({config_version_, MonotonicNow()});
   }
 
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -185,6 +185,27 @@
 
 INSTANTIATE_TEST_SUITE_P(short_runs, soak_endless_test, testing::Values(1, 2));
 
+soak_options Teams(uint64_t seed) {
+  soak_options options;
+  options.teams = true;
+  options.seed = seed;
+  options.disturbed = absl::Seconds(12);
+  options.decode_engines = 8;
+  options.rate = 60;
+  return options;
+}
+
+// Guards against teams that use more than their caps, keys that are valid after
+// they were revoked or reach upstreams, and teams that starve, beside ends,
+// freezes and cuts of the store.
+class soak_team_test : public testing::TestWithParam<uint64_t> {};
+
+TEST_P(soak_team_test, KeysAndCapsHold) {
+  EXPECT_EQ(Broken(Teams(GetParam())), "");
+}
+
+INSTANTIATE_TEST_SUITE_P(short_runs, soak_team_test, testing::Values(1, 2));
+
 soak_options Planted(const char* fault) {
   soak_options options;
   options.program = "planted_daemon";
@@ -251,6 +272,13 @@
               HasSubstr("prompts that crash engines reach more of them"));
 }
 
+TEST(soak_planted_test, IgnoringCapsIsCaught) {
+  soak_options options = Teams(1);
+  options.program = "planted_daemon";
+  options.arguments = {"no_caps"};
+  EXPECT_THAT(Broken(options), HasSubstr("beyond the cap of team hot"));
+}
+
 TEST(soak_planted_test, KeepingAllOfEndlessAnswersIsCaught) {
   soak_options options = EndlessAnswers(1);
   options.machine_mb = kUnboundedMachineMb;
--- a/tests/soak/soak_upstreams.cc
+++ b/tests/soak/soak_upstreams.cc
@@ -13,6 +13,7 @@
 #include "harness/platform_scene.h"
 #include "soak/soak_checks.h"
 #include "soak/soak_config.h"
+#include "soak/soak_teams.h"
 #include "upstreams/testing/raw_server.h"
 
 namespace anvilridge {
@@ -103,7 +104,11 @@
 }
 
 size_t soak_upstream::impl::RecordArrival(const raw_request& request) {
-  std::vector<upstream_arrival>& arrivals = RecordOf(request).arrivals;
+  upstream_record& record = RecordOf(request);
+  const std::string team = platform_scene::Field(request, "tenant");
+  if (!team.empty()) record.teams.insert(team);
+  if (absl::StrContains(request.head, kKeyPrefix)) record.saw_key = true;
+  std::vector<upstream_arrival>& arrivals = record.arrivals;
   arrivals.push_back({.at = MonotonicNow(), .upstream = id});
   return arrivals.size() - 1;
 }
