Send calls again that recent ones took too long for

Cause: a call is refused at once if no call of the last 10 to 20 s was as short as its time limit. While calls are refused none ends, so a daemon went on refusing after its upstreams were fast again. Seen in the soak with endless answers beside load: one daemon refused calls for 8 s and more of a calm span.

Change: that evidence ends 2 s after the last call has ended.

--- a/src/dispatch/recent_durations.cc
+++ b/src/dispatch/recent_durations.cc
@@ -12,6 +12,7 @@
     durations.current = {};
     durations.span_start = now;
   }
+  durations.last = now;
   duration_span& span = durations.current;
   ++span.count;
   span.longest = std::max(span.longest, duration);
--- a/src/dispatch/recent_durations.h
+++ b/src/dispatch/recent_durations.h
@@ -21,6 +21,8 @@
   duration_span current;
   /// The span before the current one.
   duration_span previous;
+  /// When a duration was recorded last.
+  absl::Time last = absl::InfinitePast();
 };
 
 /// A duration counts for one to two of these spans.
--- a/src/dispatch/stop_admission.cc
+++ b/src/dispatch/stop_admission.cc
@@ -11,6 +11,10 @@
 
 // Least number of recent calls from which the longest one is told.
 constexpr int kMinCalls = 20;
+// Time without the end of a call after which calls that seem to take too long
+// are sent again: while they are refused, nothing shows that upstreams have
+// become faster.
+constexpr absl::Duration kLongestCallRefusal = absl::Seconds(2);
 // Multiple of the longest recent call that a further one may take.
 constexpr double kLongestCallFactor = 3;
 // Multiple of its expected duration that a run may take, by the pace of the
@@ -75,7 +79,8 @@
                             absl::string_view route, absl::Time now) {
   const auto entry = state.call_durations.find(route);
   if (entry == state.call_durations.end() ||
-      RecentCount(entry->second, now) < kMinCalls) {
+      RecentCount(entry->second, now) < kMinCalls ||
+      now - entry->second.last >= kLongestCallRefusal) {
     return absl::ZeroDuration();
   }
   return *ShortestRecent(entry->second, now);
--- a/src/dispatch/stop_admission.h
+++ b/src/dispatch/stop_admission.h
@@ -21,6 +21,9 @@
 
 /// Returns the shortest time that a call on `route` is expected to take; zero
 /// if few have ended lately.
+/// Load pattern: upstreams are slower than the callers' time limits for some
+/// seconds. Calls that can't end in time are refused at once, and tried again
+/// every few seconds.
 absl::Duration ShortestCall(const dispatch_state& state,
                             absl::string_view route, absl::Time now);
 
--- a/src/dispatch/stop_admission_test.cc
+++ b/src/dispatch/stop_admission_test.cc
@@ -72,6 +72,19 @@
   std::vector<std::string> refused_;
 };
 
+// Guards against a daemon that refuses calls for many seconds because all took
+// long before, although their upstreams are fast again.
+TEST_F(stop_admission_test, LongCallsCountOnlyWhileCallsEnd) {
+  recent_durations& durations = state_.call_durations[kRoute];
+  for (int i = 0; i < 30; ++i) {
+    RecordDuration(durations, absl::Seconds(2), now_);
+  }
+  EXPECT_EQ(ShortestCall(state_, kRoute, now_ + absl::Seconds(1)),
+            absl::Seconds(2));
+  EXPECT_EQ(ShortestCall(state_, kRoute, now_ + absl::Seconds(3)),
+            absl::ZeroDuration());
+}
+
 TEST_F(stop_admission_test, EverythingEndsBeforeNoStop) {
   EXPECT_TRUE(EndsBeforeStop(state_, absl::InfiniteFuture(),
                              absl::InfiniteDuration(), now_));
