--- a/bench/capacity/load_choice_cost.cc
+++ b/bench/capacity/load_choice_cost.cc
@@ -48,6 +48,7 @@
 void PrintCost(int engines) {
   constexpr int kChoices = 200'000;
   std::vector<double> costs;
+  costs.reserve(static_cast<size_t>(engines));
   for (int i = 0; i < engines; ++i) costs.push_back(i * 37 % 101);
   size_t sum = 0;
   const auto begin = std::chrono::steady_clock::now();
--- a/src/dispatch/testing/stale_choice_model.h
+++ b/src/dispatch/testing/stale_choice_model.h
@@ -141,6 +141,7 @@
 
   size_t Choose(choice_policy policy, int sender, double rate_per_ms) {
     std::vector<double> costs;
+    costs.reserve(Count(usable_));
     for (int i = 0; i < usable_; ++i) {
       costs.push_back(Known(engines_[Count(i)], sender,
                             policy != choice_policy::least_reported));
