--- a/src/dispatch/decode_admission.cc
+++ b/src/dispatch/decode_admission.cc
@@ -130,8 +130,7 @@
 std::optional<engine_reservation> ChooseEngines(
     const dispatch_state& state, const engine_candidates& engines,
     const waiting_stream& stream, absl::Time now) {
-  const auto decode = ChooseDecode(engines.decodes, ExpectedRun(stream, now),
-                                   engines.decode_spread);
+  const auto decode = ChooseDecode(engines.decodes, ExpectedRun(stream, now));
   if (!decode) return std::nullopt;
   engine_reservation reservation;
   reservation.decode = *engines.decodes[*decode].upstream;
@@ -243,9 +242,9 @@
                                    PrefillBacklog(state.ledger,
                                                   reservation.prefill->id, now))
           : absl::ZeroDuration();
-  service_work& sent = state.sent_work[stream.service];
-  RecordWork(sent.streams, 1, now);
-  if (reservation.prefill) RecordWork(sent.prefill_tokens, stream.prompt, now);
+  if (reservation.prefill) {
+    RecordWork(state.sent_tokens[stream.service], stream.prompt, now);
+  }
   ReserveDecode(state, stream.request_id, reservation.decode, stream,
                 now + prefill);
   SetTokensToPrefill(
@@ -264,8 +263,7 @@
   auto on_time = ChooseOnTimeLocalPrefillEngine(
       state, engines, stream, stream.prompt + stream.generated, now);
   if (on_time) return on_time;
-  const auto chosen = ChooseDecode(engines.decodes, ExpectedRun(stream, now),
-                                   engines.decode_spread);
+  const auto chosen = ChooseDecode(engines.decodes, ExpectedRun(stream, now));
   if (!chosen) return std::nullopt;
   return *engines.decodes[*chosen].upstream;
 }
@@ -276,8 +274,7 @@
   if (!has_cache) return ChooseLocalPrefillEngine(state, stream, tried, now);
   const engine_candidates engines = FindEngineCandidates(
       state, stream.service, tried, kReservableMemoryShare, now);
-  const auto chosen = ChooseDecode(engines.decodes, ExpectedRun(stream, now),
-                                   engines.decode_spread);
+  const auto chosen = ChooseDecode(engines.decodes, ExpectedRun(stream, now));
   if (!chosen) return std::nullopt;
   return *engines.decodes[*chosen].upstream;
 }
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -45,14 +45,6 @@
   std::optional<fleet_upstream> prefill;
 };
 
-/// Work that this daemon sends to one service's engines.
-struct service_work {
-  /// Streams that are admitted.
-  work_rate streams;
-  /// Tokens of the prompts that are sent to prefill engines.
-  work_rate prefill_tokens;
-};
-
 /// A streamed request that waits for decode memory.
 struct waiting_stream {
   std::string request_id;
@@ -146,8 +138,9 @@
   double late_success_rate = 1;
   /// Statistics of responses' lengths, by service.
   std::map<std::string, length_statistics, std::less<>> lengths;
-  /// Work sent to the engines, by service.
-  std::map<std::string, service_work, std::less<>> sent_work;
+  /// Tokens of the prompts that this daemon sends to prefill engines, by
+  /// service.
+  std::map<std::string, work_rate, std::less<>> sent_tokens;
   /// Stream sizes and engine speeds for the planning of stages, by service.
   std::map<std::string, stream_workload, std::less<>> workloads;
   /// Time by which all requests must have their final response because this
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -165,7 +165,7 @@
   // A malformed request is refused once it has arrived whole.
   if (!request.ok()) return absl::OkStatus();
   const fleet_route* route = FindRoute(config, request->host, request->path);
-  const absl::Status checked =
+  absl::Status checked =
       route == nullptr ? NoRouteError()
                        : TeamOfCaller(state, config, *route, *request).status();
   if (!checked.ok()) {
--- a/src/dispatch/engine_candidates.cc
+++ b/src/dispatch/engine_candidates.cc
@@ -29,23 +29,22 @@
          kMaxPauseShare * gap_target;
 }
 
-// Sets how much the other daemons are expected to have sent to `service` that
-// is not known here. They are assumed to send as much as this one.
-void SetSpreads(dispatch_state& state, absl::string_view service,
-                absl::Time now, engine_candidates& candidates) {
-  candidates.decode_spread.draw = absl::Uniform(state.random, 0.0, 1.0);
-  candidates.prefill_spread.draw = absl::Uniform(state.random, 0.0, 1.0);
-  const auto sent = state.sent_work.find(service);
-  if (sent == state.sent_work.end()) return;
+// Returns how many tokens of prompts the other daemons are expected to have
+// sent to `service` that are not known here. They are assumed to send as many
+// as this one.
+choice_spread PrefillSpread(dispatch_state& state, absl::string_view service,
+                            absl::Time now) {
+  choice_spread spread;
+  spread.draw = absl::Uniform(state.random, 0.0, 1.0);
+  const auto sent = state.sent_tokens.find(service);
+  if (sent == state.sent_tokens.end()) return spread;
   absl::Duration unheard;
   for (const auto& [name, peer] : state.ledger.peers) {
     if (IsFresh(peer, now)) unheard += UnheardTime(now - peer.received);
   }
-  const double seconds = absl::ToDoubleSeconds(unheard);
-  candidates.decode_spread.unheard =
-      WorkPerSecond(sent->second.streams, now) * seconds;
-  candidates.prefill_spread.unheard =
-      WorkPerSecond(sent->second.prefill_tokens, now) * seconds;
+  spread.unheard =
+      WorkPerSecond(sent->second, now) * absl::ToDoubleSeconds(unheard);
+  return spread;
 }
 
 }  // namespace
@@ -57,7 +56,7 @@
   engine_candidates candidates;
   const engine_traits* traits = FindEngineTraits(state, service);
   if (traits == nullptr) return candidates;
-  SetSpreads(state, service, now, candidates);
+  candidates.prefill_spread = PrefillSpread(state, service, now);
   for (const fleet_upstream* upstream :
        UsableUpstreams(state, service, tried, now)) {
     if (upstream->stage == engine_stage::prefill) {
@@ -94,8 +93,7 @@
       on_time.push_back(engine);
     }
   }
-  const auto chosen =
-      ChooseDecode(on_time, ExpectedRun(stream, now), engines.decode_spread);
+  const auto chosen = ChooseDecode(on_time, ExpectedRun(stream, now));
   if (!chosen) return std::nullopt;
   return *on_time[*chosen].upstream;
 }
--- a/src/dispatch/engine_candidates.h
+++ b/src/dispatch/engine_candidates.h
@@ -15,9 +15,7 @@
 struct engine_candidates {
   std::vector<decode_candidate> decodes;
   std::vector<prefill_candidate> prefills;
-  /// For choices among `decodes`, in streams.
-  choice_spread decode_spread;
-  /// For choices among `prefills`, in tokens.
+  /// Work of other daemons at `prefills` that is not known yet, in tokens.
   choice_spread prefill_spread;
 };
 
--- a/src/dispatch/engine_choice.cc
+++ b/src/dispatch/engine_choice.cc
@@ -30,24 +30,22 @@
 }
 
 std::optional<size_t> ChooseDecode(absl::Span<const decode_candidate> engines,
-                                   const decode_run& run,
-                                   const choice_spread& spread) {
-  std::vector<double> costs;
-  costs.reserve(engines.size());
-  double capacity = 0;
-  for (const decode_candidate& engine : engines) {
-    capacity = std::max(capacity, engine.capacity);
-    costs.push_back(std::numeric_limits<double>::infinity());
+                                   const decode_run& run) {
+  std::optional<size_t> best;
+  double best_load = std::numeric_limits<double>::infinity();
+  for (size_t i = 0; i < engines.size(); ++i) {
+    const decode_candidate& engine = engines[i];
     if (static_cast<int>(engine.runs.size()) >= engine.slots) continue;
     const double peak = PeakTokensWith(engine, run);
     if (peak > engine.capacity) continue;
-    costs.back() = peak / engine.capacity -
-                   (engine.same_domain ? kSameDomainAdvantage : 0);
+    const double load = peak / engine.capacity -
+                        (engine.same_domain ? kSameDomainAdvantage : 0);
+    if (load < best_load) {
+      best_load = load;
+      best = i;
+    }
   }
-  choice_spread in_shares = spread;
-  in_shares.unheard *=
-      capacity > 0 ? (run.context + run.remaining) / capacity : 0;
-  return ChooseByCost(costs, in_shares);
+  return best;
 }
 
 std::optional<size_t> ChoosePrefill(absl::Span<const prefill_candidate> engines,
--- a/src/dispatch/engine_choice.h
+++ b/src/dispatch/engine_choice.h
@@ -35,15 +35,12 @@
 /// Whether `engine` has a slot and memory for `run` now.
 bool HasCapacity(const decode_candidate& engine, const decode_run& run);
 
-/// Chooses the engine that has the largest share of its memory free once `run`
-/// has been added, among those with capacity for it. Prefers engines in the
-/// daemon's failure domain unless another is clearly emptier.
-/// @param spread work of other daemons that is not known yet, in streams like
-///     `run`.
-/// @return its index, or nothing when no engine has capacity.
+/// Returns the index of the engine that has the largest share of its memory
+/// free once `run` has been added, among those with capacity for it; nothing
+/// when no engine has capacity. Prefers engines in the daemon's failure domain
+/// unless another is clearly emptier.
 std::optional<size_t> ChooseDecode(absl::Span<const decode_candidate> engines,
-                                   const decode_run& run,
-                                   const choice_spread& spread);
+                                   const decode_run& run);
 
 /// Chooses the engine that is expected to finish the prefill of a prompt of
 /// `tokens` first, with a cost added for the transfer out of a failure domain
--- a/src/dispatch/engine_ledger.cc
+++ b/src/dispatch/engine_ledger.cc
@@ -114,8 +114,6 @@
                       absl::Time now) {
   const uint32_t key = EngineKey(engine_id);
   double tokens = 0;
-  double largest = 0;
-  absl::Time oldest = now;
   for (const auto& [id, own] : ledger.prefills) {
     if (own.engine == key) tokens += own.tokens;
   }
@@ -126,16 +124,11 @@
     if (!IsFresh(peer, now)) continue;
     const auto found = peer.load.engines.find(key);
     if (found == peer.load.engines.end()) continue;
-    tokens += found->second.prefill_tokens;
-    if (found->second.prefill_tokens <= 0) continue;
-    largest = std::max(largest, found->second.prefill_tokens);
-    oldest = std::min(oldest, peer.received);
+    const double prefilled = absl::ToDoubleMilliseconds(now - peer.received) *
+                             ledger.prefill_tokens_per_ms;
+    tokens += std::max(0.0, found->second.prefill_tokens - prefilled);
   }
-  // The engine prefills one prompt after the other, and each daemon reports the
-  // end of its own. Only one of them can be partly done.
-  const double prefilled =
-      absl::ToDoubleMilliseconds(now - oldest) * ledger.prefill_tokens_per_ms;
-  return tokens - std::min(largest, prefilled);
+  return tokens;
 }
 
 int StreamsWaitingAtPeers(const engine_ledger& ledger, absl::Time now) {
--- a/src/settings/settings_table.cc
+++ b/src/settings/settings_table.cc
@@ -78,6 +78,7 @@
 void AddLimits(key_rows& rows) {
   constexpr int64_t kKibibyte = 1 << 10;
   constexpr int64_t kMebibyte = 1 << 20;
+  constexpr int64_t kGibibyte = 1 << 30;
   rows.push_back(IntegerKey<int64_t>(
       {"limits", "max_body_bytes", "Largest request body."}, kKibibyte,
       64 * kMebibyte,
@@ -112,7 +113,7 @@
       {"limits", "max_held_bytes",
        "Bytes kept for the callers of one port, of requests and of answers "
        "that they have not taken, beyond which requests are refused."},
-      kMebibyte, 1024 * 64 * kMebibyte,
+      kMebibyte, 64 * kGibibyte,
       [](auto& s) -> auto& { return s.limits.max_held_bytes; }));
 }
 
