--- a/src/fleet_daemon/fleet_program.cc
+++ b/src/fleet_daemon/fleet_program.cc
@@ -43,7 +43,8 @@
   try {
     const auto parsed = options.parse(count, arguments);
     if (parsed.count("help") > 0) {
-      std::cout << options.help();
+      // The process ends without flushing its streams.
+      std::cout << options.help() << std::flush;
       return 0;
     }
     check_only = parsed.count("check") > 0;
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -588,5 +588,12 @@
                                 "event: error\ndata: no\n\n"}),
     [](const auto& answer) { return std::string(answer.param.name); });
 
+// Guards against a help text that is lost with the buffer that it is in.
+TEST(fleet_program_test, HelpIsPrinted) {
+  child_process program("anvilridge_fleet", {"--help"});
+  EXPECT_EQ(program.WaitForExit(absl::Seconds(10)), 0);
+  EXPECT_NE(program.Out().find("--config"), std::string::npos);
+}
+
 }  // namespace
 }  // namespace anvilridge
