--- a/src/caller/caller_connection.cc
+++ b/src/caller/caller_connection.cc
@@ -238,16 +238,14 @@
 }
 
 bool caller_connection::RefuseByHead() {
-  const head_check& check = context_.counters->check_head;
-  if (!check) return false;
+  const std::optional<head_check>& check = context_.counters->check_head;
+  if (!check || !check->applies()) return false;
   auto head = context_.server->Parse(scanner_.Head());
-  if (!head.ok()) {
-    Refuse(head.status());
-    return true;
-  }
+  // A request that can't be parsed is refused once it has arrived whole.
+  if (!head.ok()) return false;
   head->remote_address = socket_->peerAddress().toString().toStdString();
   head->received = received_;
-  const absl::Status checked = check(*head);
+  const absl::Status checked = check->check(*head);
   if (checked.ok()) return false;
   Refuse(checked);
   return true;
@@ -322,7 +320,8 @@
   const auto exchange = StartAnswer(request);
   const absl::Status refusal =
       WithRunState(error, RunStateOfRefused(may_have_key));
-  RespondProblem(*exchange, refusal, NewId());
+  RespondProblem(*exchange, refusal,
+                 request_id_.empty() ? NewId() : request_id_);
 }
 
 void caller_connection::SetPhase(phase next) {
--- a/src/caller/caller_connection.h
+++ b/src/caller/caller_connection.h
@@ -40,9 +40,9 @@
   /// Told of requests that were refused before their handler; set before the
   /// first connection.
   std::function<void(const absl::Status&)> on_refuse;
-  /// Refuses requests before their bodies have arrived, if set; set before the
-  /// first connection.
-  head_check check_head;
+  /// Refuses requests before their bodies have arrived, if it is set; set
+  /// before the first connection.
+  std::optional<head_check> check_head;
   /// Told of connections that are ended with a request on them; set before the
   /// first connection.
   cut_listener on_cut;
--- a/src/caller/caller_port.h
+++ b/src/caller/caller_port.h
@@ -64,10 +64,14 @@
     std::function<void(const inbound_request& request,
                        std::shared_ptr<inbound_exchange> exchange)>;
 
-/// Returns an error for a request that is refused before its body is kept.
-/// Runs on a traffic thread.
-/// @param head the request without its body.
-using head_check = std::function<absl::Status(const inbound_request& head)>;
+/// Refuses requests before their bodies are kept. Used on the traffic threads.
+struct head_check {
+  /// Returns whether requests are checked now.
+  std::function<bool()> applies;
+  /// Returns an error for a request that is refused.
+  /// @param head the request without its body.
+  std::function<absl::Status(const inbound_request& head)> check;
+};
 
 /// An HTTP port whose connections are spread over traffic threads. What is
 /// too large, too slow or malformed is answered here as a problem document.
@@ -88,8 +92,8 @@
   /// that is refused before its handler. To be called before listening.
   void OnRefuse(std::function<void(const absl::Status&)> listener);
 
-  /// Calls `check` once the header fields of a request have arrived whose body
-  /// doesn't arrive with them. To be called before listening.
+  /// Applies `check` once the header fields of a request have arrived whose
+  /// body doesn't arrive with them. To be called before listening.
   void SetHeadCheck(head_check check);
 
   /// Calls `listener` with each connection that the port ends although a
--- a/src/caller/caller_world_for_test.h
+++ b/src/caller/caller_world_for_test.h
@@ -217,7 +217,9 @@
     port_ =
         std::make_unique<caller_port>(settings_, limits_, threads_.Contexts());
     port_->OnCut([this](const connection_cut& cut) { cuts_.Add(cut); }, "x-id");
-    if (check_) port_->SetHeadCheck(check_);
+    if (check_) {
+      port_->SetHeadCheck({[this] { return checks_.load(); }, check_});
+    }
     const absl::Status status = port_->Listen([this](size_t i) {
       QObject* thread = threads_.Contexts()[i];
       return [this, thread](const inbound_request& request,
@@ -252,7 +254,9 @@
   traffic_threads threads_;
   port_settings settings_;
   limit_settings limits_;
-  head_check check_;
+  /// Check of requests before their bodies, applied while `checks_` is set.
+  std::function<absl::Status(const inbound_request&)> check_;
+  std::atomic<bool> checks_{true};
   std::unique_ptr<caller_port> port_;
 };
 
--- a/src/caller/head_check_test.cc
+++ b/src/caller/head_check_test.cc
@@ -14,8 +14,8 @@
 namespace {
 
 std::string Head(absl::string_view target, absl::string_view fields = "") {
-  return absl::StrCat("POST ", target, " HTTP/1.1\r\nHost: a\r\n", fields,
-                      "Content-Length: 4\r\n\r\n");
+  return absl::StrCat("POST ", target, " HTTP/1.1\r\nHost: a\r\nX-Id: r7\r\n",
+                      fields, "Content-Length: 4\r\n\r\n");
 }
 
 class head_check_thread_test : public caller_port_thread_test {
@@ -41,6 +41,7 @@
   ASSERT_TRUE(caller.WaitForText("HTTP/1.1 401 "));
   EXPECT_EQ(caller.Problem()["type"].toString(), "unknown_credential");
   EXPECT_EQ(caller.Problem()["ran"].toString(), "not_run");
+  EXPECT_EQ(caller.Problem()["request_id"].toString(), "r7");
   EXPECT_EQ(seen_.requests, 0);
   // The rest is no request of its own.
   caller.Send("d" + Get("/a"));
@@ -78,5 +79,15 @@
   EXPECT_EQ(checked_, 0);
 }
 
+// Guards against requests that are checked where nothing calls for it.
+TEST_F(head_check_thread_test, NothingIsCheckedUnlessTheCheckApplies) {
+  checks_ = false;
+  raw_caller caller(port_->Port());
+  caller.Send(Head("/closed") + "ab");
+  caller.Send("cd");
+  EXPECT_TRUE(caller.WaitForText("POST /closed?  abcd"));
+  EXPECT_EQ(checked_, 0);
+}
+
 }  // namespace
 }  // namespace anvilridge
--- a/src/dispatch/dispatch_metrics.cc
+++ b/src/dispatch/dispatch_metrics.cc
@@ -21,8 +21,8 @@
                              "Sends to upstreams, by outcome"};
 constexpr metric_name kPrefillChoices{
     "anvil_fleet_prefill_choices_total",
-    "Choices of a prefill engine, by whether prompts were ahead there while "
-    "another engine was idle"};
+    "Prefill engines chosen for admitted streams, by whether prompts were "
+    "ahead there while another engine was idle"};
 constexpr metric_name kExtraSends{"anvil_fleet_extra_sends_total",
                                   "Sends of a request after its first one"};
 constexpr metric_name kRefusals{"anvil_fleet_refusals_total",
--- a/src/dispatch/dispatch_metrics.h
+++ b/src/dispatch/dispatch_metrics.h
@@ -26,7 +26,7 @@
   void ObserveWaitTime(absl::Duration elapsed);
   /// Counts a send to an upstream of `service` that ended with `outcome`.
   void CountSend(absl::string_view service, absl::string_view outcome);
-  /// Counts the choice of a prefill engine of `service`.
+  /// Counts the choice of a prefill engine of `service` for an admitted stream.
   /// @param queued_beside_idle whether prompts are known to be ahead there
   /// while
   ///     another engine is known to be idle.
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -154,13 +154,16 @@
   AdmitWaiting(state, MonotonicNow());
 }
 
+bool dispatcher::ChecksHeads() const {
+  const dispatch_state& state = impl_->state;
+  return !state.closing && state.view && state.view->config &&
+         state.view->config->teams.needs_keys;
+}
+
 absl::Status dispatcher::CheckHead(const inbound_request& head) {
+  if (!ChecksHeads()) return absl::OkStatus();
   dispatch_state& state = impl_->state;
-  if (state.closing || !state.view || !state.view->config) {
-    return absl::OkStatus();
-  }
   const fleet_config& config = *state.view->config;
-  if (!config.teams.needs_keys) return absl::OkStatus();
   absl::StatusOr<fleet_request> request = state.protocol.parse_request(head);
   // A malformed request is refused once it has arrived whole.
   if (!request.ok()) return absl::OkStatus();
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -41,9 +41,11 @@
   /// Returns the number of cells into which the deployment is divided.
   int Cells() const;
 
+  /// Returns whether the configuration has teams, so that `CheckHead` is to be
+  /// called.
+  bool ChecksHeads() const;
   /// Returns an error, which it logs and counts, for a request that needs a key
-  /// of a team and has none, or that no route matches. Requests are checked
-  /// only if the configuration has teams.
+  /// of a team and has none, or that no route matches.
   /// @param head the request without its body, which has not arrived whole.
   absl::Status CheckHead(const inbound_request& head);
 
--- a/src/dispatch/load_choice.cc
+++ b/src/dispatch/load_choice.cc
@@ -15,8 +15,10 @@
 constexpr absl::Duration kReportDelay = absl::Milliseconds(20);
 // Longest time between two reports of a daemon whose load doesn't change.
 constexpr absl::Duration kMaxReportInterval = absl::Milliseconds(450);
-// Work below which the cheapest upstreams count as equal.
+// Bounds of the unheard work, beyond which it makes no difference: upstreams
+// whose costs differ by less than the least count as equal.
 constexpr double kLeastWork = 1e-9;
+constexpr double kMostWork = 1e15;
 
 }  // namespace
 
@@ -50,27 +52,28 @@
 
 std::optional<size_t> ChooseByCost(absl::Span<const double> costs,
                                    const choice_spread& spread) {
+  // Relative to the least cost, so that small amounts of work aren't lost
+  // beside large costs.
+  double least = std::numeric_limits<double>::infinity();
+  for (const double cost : costs) least = std::min(least, cost);
+  if (!std::isfinite(least)) return std::nullopt;
   std::vector<double> finite;
   finite.reserve(costs.size());
   for (const double cost : costs) {
-    if (std::isfinite(cost)) finite.push_back(cost);
+    if (std::isfinite(cost)) finite.push_back(cost - least);
   }
-  if (finite.empty()) return std::nullopt;
   std::sort(finite.begin(), finite.end());
-  const double work = std::max(kLeastWork, spread.unheard);
+  const double work = std::clamp(spread.unheard, kLeastWork, kMostWork);
   const double level = FillLevel(finite, work);
   double left = spread.draw * work;
   std::optional<size_t> chosen;
   for (size_t i = 0; i < costs.size(); ++i) {
-    if (!(costs[i] < level)) continue;
+    if (!(costs[i] - least < level)) continue;
     chosen = i;
-    left -= level - costs[i];
+    left -= level - (costs[i] - least);
     if (left < 0) break;
   }
-  if (chosen) return chosen;
-  // The work is too small for the precision of the costs.
-  return static_cast<size_t>(std::min_element(costs.begin(), costs.end()) -
-                             costs.begin());
+  return chosen;
 }
 
 }  // namespace anvilridge
--- a/src/dispatch/load_choice_test.cc
+++ b/src/dispatch/load_choice_test.cc
@@ -59,6 +59,8 @@
 // Guards against work that is lost between large costs.
 TEST(load_choice_test, LargeCostsAreToldApart) {
   EXPECT_EQ(Shares({1e18, 1e18 + 1e4}, 0), (std::vector<double>{1, 0}));
+  EXPECT_NEAR(Shares({3e6, 3e6}, 0)[0], 0.5, 0.001);
+  EXPECT_NEAR(Shares({0, 0}, kInfinity)[0], 0.5, 0.001);
 }
 
 TEST(load_choice_test, TheRateFollowsTheWork) {
@@ -102,8 +104,9 @@
 };
 
 // Guards against waits that grow with the age of reports, and against a choice
-// that is worse than the ones weighed against it (docs/design/even-load.md).
-TEST_P(load_choice_model_test, PromptsWaitNoLongerThanByOtherChoices) {
+// that is clearly worse than the ones weighed against it
+// (docs/design/even-load.md).
+TEST_P(load_choice_model_test, PromptsWaitAboutAsLittleAsByTheBestChoice) {
   for (const int age_ms : {10, 50, 200, 900}) {
     SCOPED_TRACE(age_ms);
     const absl::Duration age = absl::Milliseconds(age_ms);
--- a/src/dispatch/testing/stale_choice_model.h
+++ b/src/dispatch/testing/stale_choice_model.h
@@ -11,7 +11,8 @@
 
 namespace anvilridge {
 
-/// How a daemon of the model chooses an engine.
+/// How a daemon of the model chooses an engine. What the engine is expected to
+/// have done of one prompt since the reports is deducted.
 enum class choice_policy {
   /// The engine with the least reported load.
   least_reported,
@@ -22,8 +23,7 @@
   /// The least loaded of a third of the engines that differs by daemon, with
   /// the daemon's own sends.
   own_subset,
-  /// By `ChooseByCost`, with the daemon's own sends. What an engine is expected
-  /// to have done of one prompt since the reports is deducted.
+  /// By `ChooseByCost`, with the daemon's own sends.
   by_unheard_work,
 };
 
@@ -146,6 +146,9 @@
       costs.push_back(Known(engines_[Count(i)], sender,
                             policy != choice_policy::least_reported));
     }
+    const double done =
+        absl::ToDoubleMilliseconds(world_.report_age) / kPromptMs;
+    for (double& cost : costs) cost -= std::min({1.0, cost, done});
     std::uniform_real_distribution<double> draw;
     switch (policy) {
       case choice_policy::least_reported:
@@ -166,9 +169,6 @@
         const double unheard = rate_per_ms * (world_.daemons - 1) /
                                world_.daemons *
                                absl::ToDoubleMilliseconds(world_.report_age);
-        const double done =
-            absl::ToDoubleMilliseconds(world_.report_age) / kPromptMs;
-        for (double& cost : costs) cost -= std::min({1.0, cost, done});
         return *ChooseByCost(costs, {unheard, draw(random_)});
       }
     }
--- a/src/fleet_daemon/fleet_daemon.cc
+++ b/src/fleet_daemon/fleet_daemon.cc
@@ -98,9 +98,11 @@
                         ReadinessPaths(settings)),
         metrics_port_(settings.metrics, &context_, MetricsSources()) {
     caller_port_->SetMaxHeldBytes(settings.memory / kCallerMemoryParts);
-    caller_port_->SetHeadCheck([this](const inbound_request& head) {
-      return dispatcher_ ? dispatcher_->CheckHead(head) : absl::OkStatus();
-    });
+    caller_port_->SetHeadCheck(
+        {[this] { return dispatcher_ && dispatcher_->ChecksHeads(); },
+         [this](const inbound_request& head) {
+           return dispatcher_->CheckHead(head);
+         }});
     caller_port_->OnCut(
         [this](const connection_cut& cut) {
           ReportConnectionCut(cut, metrics_);
--- a/src/settings/parse_settings.cc
+++ b/src/settings/parse_settings.cc
@@ -199,6 +199,17 @@
                             SettingsDurationText(health.first_ejection)));
 }
 
+// A request inside the limits must be served while there are no others.
+void CheckHeldBytes(settings_check& check) {
+  const limit_settings& limits = check.settings.limits;
+  const int64_t least = limits.max_body_bytes + limits.max_header_bytes;
+  if (limits.max_held_bytes >= least) return;
+  AddFindingOn(check, "limits", "max_held_bytes",
+               absl::StrCat("allowed is at least max_body_bytes and "
+                            "max_header_bytes together, which are ",
+                            least));
+}
+
 settings_check CheckText(absl::string_view text, absl::string_view file) {
   settings_check check;
   check.file = std::string(file);
@@ -212,6 +223,7 @@
   CheckPortsDiffer(check);
   CheckLease(check);
   CheckEjections(check);
+  CheckHeldBytes(check);
   return check;
 }
 
--- a/src/settings/parse_settings_test.cc
+++ b/src/settings/parse_settings_test.cc
@@ -152,6 +152,9 @@
       {"[health]\nfirst_ejection = 2s\nlongest_ejection = 1s\n",
        "a.ini:11: [health] longest_ejection = 1s: allowed is at least "
        "first_ejection, which is 2s"},
+      {"[limits]\nmax_body_bytes = 2097152\nmax_held_bytes = 1048576\n",
+       "a.ini:11: [limits] max_held_bytes = 1048576: allowed is at least "
+       "max_body_bytes and max_header_bytes together, which are 2113536"},
       {"seeds = 10.0.0.1:0\n",
        "a.ini:9: [peers] seeds = 10.0.0.1:0: allowed is a list of ip:port "
        "separated by commas"},
--- a/tests/harness/caller_crowd.cc
+++ b/tests/harness/caller_crowd.cc
@@ -77,6 +77,8 @@
     return taken > 0;
   }
 
+  bool IsOpen() const { return fd_ >= 0; }
+
   void Reset() {
     const linger at_once = {.l_onoff = 1, .l_linger = 0};
     ::setsockopt(fd_, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
@@ -96,10 +98,13 @@
 caller_crowd::caller_crowd() = default;
 caller_crowd::~caller_crowd() = default;
 
-void caller_crowd::Connect(uint16_t port, int connections) {
+int caller_crowd::Connect(uint16_t port, int connections) {
+  int made = 0;
   for (int i = 0; i < connections; ++i) {
     connections_.push_back(std::make_unique<connection>(port));
+    if (connections_.back()->IsOpen()) ++made;
   }
+  return made;
 }
 
 void caller_crowd::Send(const std::string& text, size_t bytes,
--- a/tests/harness/caller_crowd.h
+++ b/tests/harness/caller_crowd.h
@@ -31,8 +31,9 @@
   caller_crowd(const caller_crowd&) = delete;
   caller_crowd& operator=(const caller_crowd&) = delete;
 
-  /// Adds `connections` connections to `port` of the loopback address.
-  void Connect(uint16_t port, int connections);
+  /// Adds `connections` connections to `port` of the loopback address. Returns
+  /// how many of them were made.
+  int Connect(uint16_t port, int connections);
 
   /// Has each connection send `text`, in parts of at most `bytes` taken in
   /// turn, and stay open. Calls `go_on` after each round, and ends when it
--- a/tests/outside_callers_daemon_test.cc
+++ b/tests/outside_callers_daemon_test.cc
@@ -39,7 +39,7 @@
   // Has `kConnections` connections to `port` send `text`, in parts of `bytes`
   // taken in turn, and stay open.
   void SendFromAll(uint16_t port, const std::string& text, size_t bytes) {
-    callers_.Connect(port, kConnections);
+    ASSERT_EQ(callers_.Connect(port, kConnections), kConnections);
     callers_.Send(text, bytes, [this] {
       CheckProcess();
       return !HasFailure();
@@ -49,8 +49,12 @@
   void CheckProcess() {
     ASSERT_TRUE(daemon_.process->Running());
     const pid_t pid = daemon_.process->Pid();
-    ASSERT_LE(ProcessStatus(pid, "VmHWM:"), kMachineMb * 1024);
-    ASSERT_LE(OpenDescriptors(pid), kMaxDescriptors);
+    const int64_t memory_kb = ProcessStatus(pid, "VmHWM:");
+    ASSERT_GT(memory_kb, 0);
+    ASSERT_LE(memory_kb, kMachineMb * 1024);
+    const int descriptors = OpenDescriptors(pid);
+    ASSERT_GT(descriptors, 0);
+    ASSERT_LE(descriptors, kMaxDescriptors);
   }
 
   // An ordinary caller comes back as it is told to.
--- a/tests/outside_callers_test.cc
+++ b/tests/outside_callers_test.cc
@@ -32,7 +32,7 @@
   // Has `kConnections` connections to `port` send `text`, in parts of `bytes`
   // taken in turn, and stay open.
   void SendFromAll(uint16_t port, const std::string& text, size_t bytes) {
-    callers_.Connect(port, kConnections);
+    ASSERT_EQ(callers_.Connect(port, kConnections), kConnections);
     callers_.Send(text, bytes, [this] {
       CheckProcess();
       return !HasFailure();
@@ -42,8 +42,12 @@
   void CheckProcess() {
     ASSERT_TRUE(scene_.Daemon().Running());
     const pid_t pid = scene_.Daemon().Pid();
-    ASSERT_LE(ProcessStatus(pid, "VmHWM:"), kMachineMb * 1024);
-    ASSERT_LE(OpenDescriptors(pid), kMaxDescriptors);
+    const int64_t memory_kb = ProcessStatus(pid, "VmHWM:");
+    ASSERT_GT(memory_kb, 0);
+    ASSERT_LE(memory_kb, kMachineMb * 1024);
+    const int descriptors = OpenDescriptors(pid);
+    ASSERT_GT(descriptors, 0);
+    ASSERT_LE(descriptors, kMaxDescriptors);
   }
 
   // An ordinary caller comes back as it is told to.
@@ -138,6 +142,9 @@
 TEST_F(outside_callers_test, SilentConnections) {
   SendFromAll(scene_.CallerPort(), "", 1);
   SendFromAll(scene_.ReadyPort(), "", 1);
+  EXPECT_TRUE(Eventually(kBound, [this] {
+    return OpenDescriptors(scene_.Daemon().Pid()) > 2 * kConnections;
+  }));
   ExpectUnharmed();
 }
 
@@ -173,8 +180,41 @@
               "POST /draft/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: q\r\n"
               "Token-Count: 100,2000\r\nContent-Length: 2\r\n\r\nhi",
               1024);
+  // As many as the engine has slots, and more once the first are cut off.
+  constexpr size_t kStreams = 8;
+  EXPECT_TRUE(Eventually(kBound, [this] {
+    CheckProcess();
+    return HasFailure() || scene_.AtDecode().size() >= kStreams;
+  }));
   ExpectUnharmed();
 }
 
+// Callers whose key nobody holds, with bodies that stop just short of their
+// end.
+TEST_F(outside_callers_test, BodiesWithoutAKey) {
+  scene_.Put("keyed.op", "config",
+             R"({"Version":7,"Routes":[{"Name":"post","Host":"a.example",)"
+             R"("PathPrefix":"/post/","Kind":"unsafe","TimeoutMs":2000,)"
+             R"("LatencyTargetMs":150,"Attempts":1,"Service":"ledger"}],)"
+             R"("Services":[{"Name":"ledger","MaxConns":9}],)"
+             R"("Tenants":[{"Name":"north","ApiKeys":["k-north-7c1f09"]}]})");
+  test_request request;
+  request.method = "POST";
+  request.port = scene_.CallerPort();
+  request.target = "/post/1";
+  request.headers = {{"Host", "a.example"}, {"Request-Id", "q1"}};
+  request.body = "fee";
+  ASSERT_TRUE(Eventually(kBound, [&] { return Send(request).status == 401; }));
+  const std::string text =
+      Head(absl::StrCat("Authorization: Token k-west-000000\r\n",
+                        "Content-Length: ", kBodyBytes)) +
+      std::string(kBodyBytes - 1, 'x');
+  SendFromAll(scene_.CallerPort(), text, 16 << 10);
+  CheckProcess();
+  request.headers.emplace_back("Authorization", "Token k-north-7c1f09");
+  EXPECT_TRUE(Eventually(kBound, [&] { return Send(request).status == 200; }));
+  CheckProcess();
+}
+
 }  // namespace
 }  // namespace anvilridge
--- a/tests/soak/soak_callers.cc
+++ b/tests/soak/soak_callers.cc
@@ -30,11 +30,10 @@
 // parts that the others have in common.
 constexpr int kDeadly = 10;
 constexpr int kSharedParts = 50;
-// Tokens of a stream's prompt and the most of its answer, where they aren't
-// varied.
+// Tokens of a stream's prompt and the most of its answer.
 constexpr int kPromptTokens = 100;
 constexpr int kOutputTokens = 300;
-constexpr int kStreamTokens = kPromptTokens + kOutputTokens;
+constexpr int kVariedOutputTokens = 1200;
 constexpr int kLeaveAfterMs = 200;
 constexpr int kLeaveWithinMs = 1000;
 // What varied requests take at their upstreams; most take little.
@@ -96,13 +95,20 @@
                      absl::Hex(record.callers.size() + 0x10000), ":40"));
   }
 
+  int OutputTokens() const {
+    return varied ? kVariedOutputTokens : kOutputTokens;
+  }
+
   // Draws the caller's team and key.
   void AddCredential(caller_record& caller, http_call& call) {
     const int latest =
         record.configs.empty() ? 1 : record.configs.back().version;
-    caller.tokens =
-        caller.kind == request_kind::stream ? kStreamTokens : kPlainTokens;
-    const std::string key = DrawCredential(caller, Draw(100), latest);
+    caller.tokens = caller.kind == request_kind::stream
+                        ? kPromptTokens + OutputTokens()
+                        : kPlainTokens;
+    // Half of the callers whose key changes have the latest one.
+    const int version = Draw(2) == 0 ? latest : 1 + Draw(latest);
+    const std::string key = DrawCredential(caller, Draw(100), version, latest);
     if (key.empty()) return;
     call.headers.emplace_back("authorization", absl::StrCat("Token ", key));
   }
@@ -194,9 +200,7 @@
     call.body = "text";
     // The prompt's, and the most that the answer may have.
     call.headers.emplace_back(
-        "token-count", impl_->varied
-                           ? "100,1200"
-                           : absl::StrCat(kPromptTokens, ",", kOutputTokens));
+        "token-count", absl::StrCat(kPromptTokens, ",", impl_->OutputTokens()));
     if (impl_->crashing_prompts) impl_->DrawParts(caller, call);
   }
   if (impl_->varied) impl_->Vary(caller, call);
--- a/tests/soak/soak_checks_test.cc
+++ b/tests/soak/soak_checks_test.cc
@@ -363,6 +363,20 @@
   EXPECT_THAT(Broken(), HasSubstr("a valid key was refused"));
 }
 
+TEST_F(soak_team_checks_test, ANewKeyThatIsRefusedIsSeen) {
+  record_.configs = {{2, kStart}};
+  caller_record& early =
+      Caller(request_kind::posting, 401, "", kStart + absl::Seconds(2));
+  early.team = "moving";
+  early.key_version = 2;
+  EXPECT_EQ(Broken(), "");
+  caller_record& late =
+      Caller(request_kind::posting, 401, "", kStart + absl::Seconds(4));
+  late.team = "moving";
+  late.key_version = 2;
+  EXPECT_THAT(Broken(), HasSubstr("a valid key was refused"));
+}
+
 TEST_F(soak_team_checks_test, UseBeyondACapIsSeen) {
   // Within one window the cap allows 55 requests of 100 tokens.
   for (int i = 0; i < 55; ++i) {
@@ -375,9 +389,11 @@
 
 TEST_F(soak_team_checks_test, AStarvingTeamIsSeen) {
   for (int i = 0; i < 30; ++i) {
-    Served("north", kStart);
-    caller_record& refused = Caller(request_kind::posting, 429, "");
+    const absl::Time at = kStart + absl::Milliseconds(100 * i);
+    Served("north", at);
+    caller_record& refused = Caller(request_kind::posting, 429, "", at);
     refused.team = "small";
+    refused.tokens = 100;
     refused.retry_after = "1";
   }
   EXPECT_THAT(Broken(), HasSubstr("team small starves"));
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -35,7 +35,7 @@
 // Exit codes above it name the signal that ended a process.
 constexpr int kSignalExit = 128;
 constexpr absl::Duration kProbeInterval = absl::Milliseconds(400);
-constexpr absl::Duration kKeyChangeInterval = absl::Milliseconds(2500);
+constexpr absl::Duration kKeyChangeInterval = absl::Seconds(4);
 constexpr absl::Duration kPollInterval = absl::Milliseconds(50);
 // Memory that a daemon may take, by the capacity target.
 constexpr int64_t kMostMemoryKb = 128 * int64_t{1024};
--- a/tests/soak/soak_teams.cc
+++ b/tests/soak/soak_teams.cc
@@ -23,26 +23,23 @@
   int share;
 };
 
+constexpr char kUncappedTeam[] = "north";
 constexpr char kMovingTeam[] = "moving";
-constexpr char kSmallTeam[] = "small";
 // The hot team sends some six times its cap, the small one two streams a
 // second.
 constexpr std::array kTeams = {
-    soak_team{"north", 0, 40},
+    soak_team{kUncappedTeam, 0, 40},
     soak_team{"hot", 400, 25},
-    soak_team{kSmallTeam, 800, 6},
+    soak_team{"small", 800, 6},
     soak_team{kMovingTeam, 0, 17},
 };
 // Of a hundred callers, those with a key that nobody holds; the rest has none.
 constexpr int kUnknownKeys = 7;
-// Of a hundred callers of the team whose key changes, those with the key
-// before.
-constexpr int kOldKeys = 30;
 
 // Within which a configuration must be in force: the sites' bound.
 constexpr absl::Duration kConfigBound = absl::Seconds(3);
-// Share of the callers served, in relation to all, below which a team starves,
-// and the number of its callers from which that is told.
+// Share of what is owed to a team below which it starves, and the number of its
+// callers from which that is told.
 constexpr double kStarvedShare = 0.25;
 constexpr int kLeastCallers = 20;
 
@@ -56,26 +53,50 @@
   return found == record.upstreams.end() ? nullptr : &found->second;
 }
 
-// Returns when the version behind the one that has the key of `caller` had to
-// be in force at its daemon; infinite if none, or if the daemon or its way to
-// the store was disturbed.
-absl::Time RevokedAt(const soak_record& record, const caller_record& caller) {
-  if (caller.key_version == 0) return absl::InfiniteFuture();
+// Whether the daemon of `caller` or its way to the store was disturbed between
+// `from` and the request.
+bool WasDisturbed(const soak_record& record, const caller_record& caller,
+                  absl::Time from) {
+  return std::any_of(
+      record.faults.begin(), record.faults.end(), [&](const fault_span& fault) {
+        return fault.place != fault_place::upstream &&
+               (fault.daemon < 0 || fault.daemon == caller.daemon) &&
+               fault.from < caller.began && from < fault.to;
+      });
+}
+
+// Returns when the version behind the one that has the key of `caller` was
+// written; infinite if there is none.
+absl::Time ReplacedAt(const soak_record& record, const caller_record& caller) {
   for (const config_record& config : record.configs) {
-    if (config.version <= caller.key_version) continue;
-    const absl::Time from = config.written - kCalmBefore;
-    const bool disturbed = std::any_of(
-        record.faults.begin(), record.faults.end(),
-        [&](const fault_span& fault) {
-          return fault.place != fault_place::upstream &&
-                 (fault.daemon < 0 || fault.daemon == caller.daemon) &&
-                 fault.from < caller.began && from < fault.to;
-        });
-    return disturbed ? absl::InfiniteFuture() : config.written + kConfigBound;
+    if (config.version > caller.key_version) return config.written;
   }
   return absl::InfiniteFuture();
 }
 
+// Whether the key of `caller` had to be refused by then.
+bool IsRevoked(const soak_record& record, const caller_record& caller) {
+  if (caller.key_version == 0) return false;
+  const absl::Time replaced = ReplacedAt(record, caller);
+  return caller.began > replaced + kConfigBound &&
+         !WasDisturbed(record, caller, replaced - kCalmBefore);
+}
+
+// Whether the key of `caller` had to be accepted by then.
+bool IsInForce(const soak_record& record, const caller_record& caller) {
+  if (caller.team.empty()) return false;
+  if (caller.key_version == 0) return true;
+  // The first version is written before the run.
+  absl::Time written = absl::InfinitePast();
+  for (const config_record& config : record.configs) {
+    if (config.version == caller.key_version) written = config.written;
+  }
+  return caller.began > written + kConfigBound &&
+         ReplacedAt(record, caller) > caller.ended &&
+         !WasDisturbed(record, caller,
+                       caller.began - kConfigBound - kCalmBefore);
+}
+
 std::string Describe(const caller_record& caller) {
   return absl::StrCat("request ", caller.id, " of team ", caller.team,
                       " at daemon ", caller.daemon, ", status ", caller.status);
@@ -104,7 +125,7 @@
       broken.push_back(
           absl::StrCat("sent on under another team: ", Describe(caller)));
     }
-    if (reached && caller.began > RevokedAt(record, caller)) {
+    if (reached && IsRevoked(record, caller)) {
       broken.push_back(
           absl::StrCat("sent on with a revoked key: ", Describe(caller)));
     }
@@ -139,38 +160,45 @@
   }
 }
 
-// A team with a small cap is served beside one that sends more than its cap.
-void CheckStarvation(const soak_record& record,
+// A team gets at least a fourth of what its cap allows, or of what it asks if
+// that is less, in relation to a team without a cap.
+void CheckStarvation(const soak_record& record, const soak_team& team,
                      std::vector<std::string>& broken) {
-  int asked = 0;
-  int served = 0;
-  int asked_small = 0;
-  int served_small = 0;
+  int uncapped = 0;
+  int uncapped_served = 0;
+  int callers = 0;
+  double asked = 0;
+  double served = 0;
+  absl::Time first = absl::InfiniteFuture();
+  absl::Time last = absl::InfinitePast();
   for (const caller_record& caller : record.callers) {
-    if (caller.team.empty() || caller.team == kMovingTeam) continue;
     if (caller.left < absl::InfiniteFuture()) continue;
     const bool is_served = caller.status == kOk;
-    ++asked;
-    served += is_served ? 1 : 0;
-    if (caller.team != kSmallTeam) continue;
-    ++asked_small;
-    served_small += is_served ? 1 : 0;
-  }
-  if (asked_small < kLeastCallers) return;
-  if (1.0 * served_small / asked_small >= kStarvedShare * served / asked) {
-    return;
+    if (caller.team == kUncappedTeam) {
+      ++uncapped;
+      if (is_served) ++uncapped_served;
+    }
+    if (caller.team != team.name) continue;
+    ++callers;
+    asked += caller.tokens;
+    if (is_served) served += caller.tokens;
+    first = std::min(first, caller.began);
+    last = std::max(last, caller.began);
   }
-  broken.push_back(absl::StrCat("team small starves: ", served_small, " of ",
-                                asked_small, " served, of all ", served, " of ",
-                                asked));
+  if (callers < kLeastCallers || uncapped == 0) return;
+  const double allowed = team.rate * absl::ToDoubleSeconds(last - first);
+  const double owed = std::min(asked, allowed) * uncapped_served /
+                      static_cast<double>(uncapped);
+  if (served >= kStarvedShare * owed) return;
+  broken.push_back(absl::StrCat("team ", team.name, " starves: ", served,
+                                " tokens served of ", owed));
 }
 
 // A valid key is not refused. A daemon that has no configuration answers 503.
 void CheckRefusals(const soak_record& record,
                    std::vector<std::string>& broken) {
   for (const caller_record& caller : record.callers) {
-    const bool valid = !caller.team.empty() && caller.key_version == 0;
-    if (valid && caller.status == kUnauthorized) {
+    if (caller.status == kUnauthorized && IsInForce(record, caller)) {
       broken.push_back(
           absl::StrCat("a valid key was refused: ", Describe(caller)));
     }
@@ -197,19 +225,16 @@
   return teams;
 }
 
-std::string DrawCredential(caller_record& caller, int drawn, int latest) {
+std::string DrawCredential(caller_record& caller, int drawn, int version,
+                           int latest) {
   for (const soak_team& team : kTeams) {
     if (drawn >= team.share) {
       drawn -= team.share;
       continue;
     }
     caller.team = team.name;
-    int version = latest;
-    if (caller.team == kMovingTeam) {
-      // `drawn` is uniform below the team's share.
-      if (drawn * 100 < kOldKeys * team.share && latest > 1) --version;
-      caller.key_version = version;
-    }
+    if (caller.team != kMovingTeam) return KeyOf(team.name, latest);
+    caller.key_version = version;
     return KeyOf(team.name, version);
   }
   return drawn < kUnknownKeys ? absl::StrCat(kKeyPrefix, "of-nobody") : "";
@@ -227,9 +252,10 @@
   CheckCredentials(record, broken);
   CheckRefusals(record, broken);
   for (const soak_team& team : kTeams) {
-    if (team.rate > 0) CheckCap(record, team, broken);
+    if (team.rate == 0) continue;
+    CheckCap(record, team, broken);
+    CheckStarvation(record, team, broken);
   }
-  CheckStarvation(record, broken);
   return broken;
 }
 
--- a/tests/soak/soak_teams.h
+++ b/tests/soak/soak_teams.h
@@ -27,10 +27,15 @@
 /// changes with each version.
 QJsonArray TeamsOf(int version);
 
-/// Sets the credential of `caller` by `drawn`, a random number below 100.
+/// Sets the credential of `caller`.
+/// @param drawn random number below 100.
+/// @param version of the configuration whose key is used by a caller of the
+/// team
+///     whose key changes.
 /// @param latest version of the latest configuration.
 /// @return the key, or "" for a caller without one.
-std::string DrawCredential(caller_record& caller, int drawn, int latest);
+std::string DrawCredential(caller_record& caller, int drawn, int version,
+                           int latest);
 
 /// Whether `caller` may be refused, also when nothing is disturbed, since its
 /// key may not be valid or its team may be beyond its cap.
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -279,6 +279,15 @@
   EXPECT_THAT(Broken(options), HasSubstr("beyond the cap of team hot"));
 }
 
+TEST(soak_planted_test, KeysThatStayValidAreCaught) {
+  soak_options options = Teams(1);
+  options.program = "planted_daemon";
+  options.arguments = {"stale_view"};
+  const std::string broken = Broken(options);
+  EXPECT_THAT(broken, HasSubstr("sent on with a revoked key"));
+  EXPECT_THAT(broken, HasSubstr("a valid key was refused"));
+}
+
 TEST(soak_planted_test, KeepingAllOfEndlessAnswersIsCaught) {
   soak_options options = EndlessAnswers(1);
   options.machine_mb = kUnboundedMachineMb;
