Say how much work the average of a daemon's rate covers

The comment named some dozens of streams. 27 streams a second over 72 daemons, or 32 over 34, are two to five within 5 s. No change of behaviour.

--- a/src/dispatch/load_choice.cc
+++ b/src/dispatch/load_choice.cc
@@ -7,8 +7,8 @@
 namespace anvilridge {
 namespace {
 
-// Time constant of the moving average of work: some dozens of streams at a
-// daemon of a large deployment.
+// Time constant of the moving average of work: a daemon of a large deployment
+// sends a few streams within it, and bursts last about as long.
 constexpr absl::Duration kRateTime = absl::Seconds(5);
 // Time from a send to its receipt in a report by the other daemons: reports are
 // at least 10 ms apart, and slow machines need as long to send and read them.
