review: show that a new address of the store is not adopted

Cause: a reload applies the budget and the grace of a stop only; the store client keeps its first address, and the daemon stays ready.

--- a/review/lab/lab.cc
+++ b/review/lab/lab.cc
@@ -403,13 +403,19 @@
 }
 
 daemon::daemon(const machine& machine, int store_port)
-    : caller_port_(FreePort(SOCK_STREAM)),
+    : machine_(machine),
+      caller_port_(FreePort(SOCK_STREAM)),
       ready_port_(FreePort(SOCK_STREAM)),
       metrics_port_(FreePort(SOCK_STREAM)),
       sharing_port_(FreePort(SOCK_DGRAM)) {
   char folder[] = "/tmp/anvilridge-review-XXXXXX";
   folder_ = ::mkdtemp(folder) == nullptr ? "" : folder;
-  std::ofstream(folder_ + "/settings.ini")
+  WriteSettings(store_port);
+}
+
+void daemon::WriteSettings(int store_port) const {
+  const std::string file = folder_ + "/settings.ini";
+  std::ofstream(file + ".new")
       << "[daemon]\nname = front-a-1\nfailure_domain = a\n"
       << "[caller]\nlisten = " << Listen(caller_port_) << "\n"
       << "[readiness]\nlisten = " << Listen(ready_port_)
@@ -419,11 +425,12 @@
       << "[store]\naddress = " << Listen(store_port) << "\n"
       << "[limits]\nmax_body_bytes = 8388608\nmax_header_bytes = 65536\n"
       << "idle_timeout = 60s\n"
-      << "[memory]\nmachine_mb = " << machine.memory_mb << "\n"
+      << "[memory]\nmachine_mb = " << machine_.memory_mb << "\n"
       << "[budget]\nratio = 0.2\nslack = 52\nwindow = 10s\n"
       << "[orders]\nlease = 3000ms\n"
-      << "[stop]\ngrace = " << machine.grace_s << "s\n"
+      << "[stop]\ngrace = " << machine_.grace_s << "s\n"
       << "[log]\nlevel = info\ndestination = stdout\n";
+  std::rename((file + ".new").c_str(), file.c_str());
 }
 
 daemon::~daemon() {
--- a/review/lab/lab.h
+++ b/review/lab/lab.h
@@ -132,6 +132,8 @@
   void Put(const std::string& topic, const std::string& key,
            const std::string& value);
   int Port() const { return server_.Port(); }
+  /// Serves one connection; for further addresses of the same store.
+  void Serve(int descriptor);
 
  private:
   struct entry {
@@ -139,7 +141,6 @@
     std::string value;
   };
 
-  void Serve(int descriptor);
   std::string Read(const std::string& target);
   std::string Newest(const std::string& target);
   std::string Join(const std::string& body);
@@ -172,6 +173,8 @@
 
   /// Starts the process. Returns whether it became ready within 10 s.
   bool Start();
+  /// Replaces the settings file by one with another address of the store.
+  void WriteSettings(int store_port) const;
   /// Sends `signal` to the process.
   void Signal(int signal) const;
   /// Returns whether the process runs.
@@ -185,6 +188,7 @@
   int SharingPort() const { return sharing_port_; }
 
  private:
+  machine machine_;
   std::string folder_;
   int caller_port_;
   int ready_port_;
