review: show that large bodies of legal size exceed the memory of a machine

Cause: what connections hold is bounded by the bytes of their content, not by the memory that these take, and each may hold 64 KB beyond the bound.

--- /dev/null
+++ b/review/lab/crowd.cc
@@ -0,0 +1,203 @@
+#include "lab/crowd.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cerrno>
+#include <mutex>
+#include <set>
+#include <thread>
+#include <vector>
+
+#include "lab/lab.h"
+
+namespace lab {
+namespace {
+
+constexpr int64_t kMemoryMb = 110;
+// Ordinary callers, each on a channel that it keeps.
+constexpr int kOrdinary = 12;
+// Time for which the service works on a posting.
+constexpr double kWork = 0.1;
+constexpr double kWatched = 15;
+// Bytes that one caller of the crowd sends at a time.
+constexpr size_t kPieceBytes = 64 << 10;
+// Requests without an answer up to which the rule is kept.
+constexpr size_t kLostAllowed = 3;
+
+// Requests by their ids.
+class ledger {
+ public:
+  void Add(const std::string& id) {
+    const std::lock_guard lock(mutex_);
+    ids_.insert(id);
+  }
+  std::set<std::string> Ids() {
+    const std::lock_guard lock(mutex_);
+    return ids_;
+  }
+
+ private:
+  std::mutex mutex_;
+  std::set<std::string> ids_;
+};
+
+void ServeApp(int descriptor, ledger& ran) {
+  reader in(descriptor);
+  message request;
+  while (in.Read(request)) {
+    ran.Add(request.Field("request-id"));
+    Sleep(kWork);
+    SendAll(descriptor,
+            AnswerHead(request, 200) + "Content-Length: 4\r\n\r\ndone");
+  }
+}
+
+// Sends postings on one channel until it ends or `done` is set.
+void PostOnOneChannel(int port, int caller, const std::atomic<bool>& done,
+                      ledger& kept, ledger& answered) {
+  const int descriptor = Connect(port);
+  if (descriptor < 0) return;
+  SetReadTimeout(descriptor, 3);
+  reader in(descriptor);
+  for (int i = 0; !done; ++i) {
+    const std::string id =
+        "o" + std::to_string(caller) + "-" + std::to_string(i);
+    const bool sent =
+        SendAll(descriptor,
+                "POST /u/2 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: " + id +
+                    "\r\nDeadline-Ms: 1000\r\n"
+                    "Content-Length: 3\r\n\r\nfee");
+    if (sent && i > 0) kept.Add(id);
+    message answer;
+    if (!sent || !in.Read(answer)) break;
+    answered.Add(id);
+  }
+  ::close(descriptor);
+}
+
+struct crowd_caller {
+  int descriptor = -1;
+  std::string request;
+  size_t sent = 0;
+};
+
+// Connects a caller with a request.
+crowd_caller Join(int port, std::string request) {
+  crowd_caller caller;
+  caller.descriptor = Connect(port);
+  caller.request = std::move(request);
+  if (caller.descriptor >= 0) ::fcntl(caller.descriptor, F_SETFL, O_NONBLOCK);
+  return caller;
+}
+
+// Sends the next piece of a caller's request as far as it is taken.
+void SendPiece(crowd_caller& caller) {
+  if (caller.descriptor < 0 || caller.sent == caller.request.size()) return;
+  const size_t size =
+      std::min(kPieceBytes, caller.request.size() - caller.sent);
+  const ssize_t sent =
+      ::send(caller.descriptor, caller.request.data() + caller.sent, size,
+             MSG_NOSIGNAL | MSG_DONTWAIT);
+  if (sent > 0) caller.sent += static_cast<size_t>(sent);
+}
+
+// What remains of a run for its verdict.
+struct ordinary_work {
+  ledger ran;
+  ledger kept;
+  ledger answered;
+};
+
+size_t CountLost(ordinary_work& work, record& record) {
+  size_t lost = 0;
+  const std::set<std::string> answered = work.answered.Ids();
+  const std::set<std::string> kept = work.kept.Ids();
+  for (const std::string& id : work.ran.Ids()) {
+    if (answered.contains(id) || !kept.contains(id)) continue;
+    record.Add("posting " + id + " of a kept channel ran and has no answer");
+    ++lost;
+  }
+  record.Add(std::to_string(answered.size()) + " ordinary postings answered");
+  return lost;
+}
+
+// Has the crowd send until the daemon is killed for its memory or the time is
+// up. Returns whether it was killed.
+bool SendFromCrowd(const crowd& crowd, const daemon& daemon,
+                   std::vector<crowd_caller>& callers, record& record) {
+  const double end = Now() + kWatched;
+  while (Now() < end) {
+    if (!IsCalm() && static_cast<int>(callers.size()) < crowd.callers) {
+      const int number = static_cast<int>(callers.size());
+      callers.push_back(Join(daemon.CallerPort(), crowd.request(number)));
+      SendPiece(callers.back());
+    } else {
+      for (crowd_caller& caller : callers) SendPiece(caller);
+      Sleep(0.005);
+    }
+    const int64_t used_mb = daemon.StatusKb("VmRSS:") / 1024;
+    if (used_mb <= kMemoryMb) continue;
+    size_t bytes = 0;
+    for (const crowd_caller& caller : callers) bytes += caller.sent;
+    record.Add(std::to_string(callers.size()) + " callers have sent " +
+               std::to_string(bytes >> 10) + " KB, VmRSS is " +
+               std::to_string(used_mb) + " MB: the platform kills the process");
+    daemon.Signal(SIGKILL);
+    return true;
+  }
+  record.Add("most memory " + std::to_string(daemon.StatusKb("VmHWM:") / 1024) +
+             " MB");
+  return false;
+}
+
+}  // namespace
+
+int RunCrowd(const std::string& folder, const crowd& crowd) {
+  record record(folder + "/record.txt");
+  ordinary_work work;
+  server app([&work](int descriptor) { ServeApp(descriptor, work.ran); });
+  store store;
+  store.Put("keyed.op", "config", Config(1));
+  store.Put("keyed.servers", "i-app", Entry("app", app.Port(), "", 6));
+  daemon daemon({.memory_mb = kMemoryMb}, store.Port());
+  if (!daemon.Start()) {
+    record.Add("the daemon doesn't become ready");
+    return kCouldNotRun;
+  }
+  std::atomic<bool> done = false;
+  std::vector<std::thread> ordinary;
+  for (int i = 0; i < kOrdinary; ++i) {
+    ordinary.emplace_back([&, i] {
+      PostOnOneChannel(daemon.CallerPort(), i, done, work.kept, work.answered);
+    });
+  }
+  Sleep(1);
+  const size_t before = work.answered.Ids().size();
+  record.Add(std::to_string(kOrdinary) + " ordinary callers post, " +
+             std::to_string(before) + " postings answered; VmRSS " +
+             std::to_string(daemon.StatusKb("VmRSS:") / 1024) + " MB of " +
+             std::to_string(kMemoryMb));
+  if (!IsCalm()) {
+    record.Add(std::to_string(crowd.callers) +
+               " callers join: " + crowd.description);
+  }
+  std::vector<crowd_caller> callers;
+  SendFromCrowd(crowd, daemon, callers, record);
+  done = true;
+  for (std::thread& caller : ordinary) caller.join();
+  for (const crowd_caller& caller : callers) ::close(caller.descriptor);
+  const size_t lost = CountLost(work, record);
+  if (before == 0) return kCouldNotRun;
+  const bool broken = lost > kLostAllowed;
+  record.Add(std::to_string(lost) + " lost, more than " +
+             std::to_string(kLostAllowed) +
+             " break the rule: " + (broken ? "broken" : "held"));
+  return broken ? kBroken : kHeld;
+}
+
+}  // namespace lab
