--- a/review/8/late_stream.cc
+++ b/review/8/late_stream.cc
@@ -14,7 +14,7 @@
 #include <thread>
 #include <vector>
 
-#include "lab/lab.h"
+#include "../lab/lab.h"
 
 namespace {
 
@@ -114,12 +114,23 @@
   }
 }
 
+// Returns the id of a part of the prompt that only the request `id` has.
+std::string OwnPart(const std::string& id) {
+  std::string hex;
+  for (const char c : id) {
+    char digits[4];
+    std::snprintf(digits, sizeof(digits), "%02x", c);
+    hex += digits;
+  }
+  return hex;
+}
+
 std::string Request(const std::string& id, int hint, int tokens) {
   const std::string body = std::to_string(tokens);
   return "POST /s/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: " + id +
          "\r\nModel: m\r\nToken-Count: 200," + std::to_string(kLimit) +
          "\r\nLength-Hint: " + std::to_string(hint) +
-         "\r\nPrompt-Prefix: " + id +
+         "\r\nPrompt-Prefix: " + OwnPart(id) +
          ":200\r\nDeadline-Ms: 14000\r\nContent-Length: " +
          std::to_string(body.size()) + "\r\n\r\n" + body;
 }
@@ -161,6 +172,7 @@
 void Learn(int port, book& seen) {
   std::atomic<int> next = 0;
   std::vector<std::thread> callers;
+  callers.reserve(kAtOnce);
   for (int i = 0; i < kAtOnce; ++i) {
     callers.emplace_back([&] {
       for (int number = next++; number < kLearned; number = next++) {
@@ -208,6 +220,7 @@
              std::to_string(kFarOffEvery) + " of the short ones has " +
              std::to_string(kFarOff) + " times the tokens of its hint");
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   for (int i = 0; i < kCallers; ++i) {
     callers.emplace_back([&, i] {
       const int descriptor = lab::Connect(daemon.CallerPort());
--- a/review/9/moved_store.cc
+++ b/review/9/moved_store.cc
@@ -7,7 +7,7 @@
 #include <memory>
 #include <string>
 
-#include "lab/lab.h"
+#include "../lab/lab.h"
 
 namespace {
 
@@ -39,7 +39,7 @@
                    "\r\nDeadline-Ms: 1000\r\nContent-Length: 3\r\n\r\nfee");
   lab::reader in(descriptor);
   lab::message answer;
-  const std::string status = in.Read(answer) ? answer.Word() : "";
+  std::string status = in.Read(answer) ? answer.Word() : "";
   ::close(descriptor);
   return status;
 }
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,6 +6,6 @@
 for source in review/[0-9]*/*.cc; do
   case $source in review/[1-5]/*) continue ;; esac
   name=$(basename "$source" .cc)
-  g++ -std=c++20 -O2 -Wall -Wextra -pthread -Ireview "$source" \
+  g++ -std=c++20 -O2 -Wall -Wextra -pthread "$source" \
     review/lab/*.cc -o "target/review-2/$name"
 done
--- a/review/lab/crowd.cc
+++ b/review/lab/crowd.cc
@@ -1,4 +1,4 @@
-#include "lab/crowd.h"
+#include "crowd.h"
 
 #include <fcntl.h>
 #include <signal.h>
@@ -13,7 +13,7 @@
 #include <thread>
 #include <vector>
 
-#include "lab/lab.h"
+#include "lab.h"
 
 namespace lab {
 namespace {
@@ -171,6 +171,7 @@
   }
   std::atomic<bool> done = false;
   std::vector<std::thread> ordinary;
+  ordinary.reserve(kOrdinary);
   for (int i = 0; i < kOrdinary; ++i) {
     ordinary.emplace_back([&, i] {
       PostOnOneChannel(daemon.CallerPort(), i, done, work.kept, work.answered);
--- a/review/lab/lab.cc
+++ b/review/lab/lab.cc
@@ -1,4 +1,4 @@
-#include "lab/lab.h"
+#include "lab.h"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -106,8 +106,8 @@
 int FreePort(int type) {
   const int descriptor = ::socket(AF_INET, type | SOCK_CLOEXEC, 0);
   const sockaddr_in address = Loopback(0);
-  ::bind(descriptor, reinterpret_cast<const sockaddr*>(&address),
-         sizeof(address));
+  (void)::bind(descriptor, reinterpret_cast<const sockaddr*>(&address),
+               sizeof(address));
   const int port = PortOf(descriptor);
   ::close(descriptor);
   return port;
@@ -261,8 +261,8 @@
   constexpr int kBacklog = 512;
   listening_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const sockaddr_in address = Loopback(0);
-  ::bind(listening_, reinterpret_cast<const sockaddr*>(&address),
-         sizeof(address));
+  (void)::bind(listening_, reinterpret_cast<const sockaddr*>(&address),
+               sizeof(address));
   ::listen(listening_, kBacklog);
   port_ = PortOf(listening_);
   accepting_ = std::thread([this] { Accept(); });
@@ -361,8 +361,9 @@
   if (members_.find(member) == members_.end()) ++generation_;
   members_[member] = Now();
   const bool holds = members_.begin()->first == member;
-  return "{\"Generation\":" + std::to_string(generation_) + ",\"parts\":[" +
-         (holds ? "[\"daemons-0\",0,0]" : "") + "]}";
+  return "{\"Generation\":" + std::to_string(generation_) +
+         ",\"TtlMs\":3000,\"parts\":[" + (holds ? "[\"daemons-0\",0,0]" : "") +
+         "]}";
 }
 
 std::string store::Owners() {
@@ -502,10 +503,12 @@
 
 std::string Entry(const std::string& service, int port,
                   const std::string& stage, int slots) {
-  std::string entry =
-      "{\"Service\":\"" + service + "\",\"Addr\":\"" + Listen(port) +
-      "\",\"Zone\":\"a\",\"Version\":\"v1\",\"Slots\":" +
-      std::to_string(slots) + ",\"State\":\"ready\",\"ColdLeftMs\":0,\"Seq\":4";
+  std::string entry = "{\"Service\":\"" + service + "\",\"Addr\":\"" +
+                      Listen(port) +
+                      "\",\"Zone\":\"a\",\"Version\":\"v1\",\"Slots\":" +
+                      std::to_string(slots) +
+                      ",\"State\":\"ready\",\"ColdLeftMs\":0,\"Seq\":4,"
+                      "\"born\":1780000000000";
   if (!stage.empty()) {
     entry += ",\"Stage\":\"" + stage +
              "\",\"Models\":[{\"Name\":\"m\",\"Version\":1,\"Adapters\":[]}]";
