review: show that three cut-off readers hold all removals of engines back

Cause: daemons take the reports of readers that have lost the store for an outage, though their own calls succeed, and each end of it puts off all pending removals.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review-2/moved_store review/9
+exec target/review-2/cut_readers review/9
