Dispatch: a late request in a stop begins only if its end is certain

Cause: a stream was admitted by a length that one in a hundred exceeds by the lengths of others, a call by three times the longest of the recent ones, and a stream without a token limit counted as one of no tokens.

From 2.5 s after SIGTERM on, when the load balancer sends no new callers, a call now begins only if its time limit ends before the stop, and a stream by its time limit or by all the tokens that it may have at the pace of the slowest recent one and a quarter more, whether or not lengths are known. Streams that would leave a queue only then are refused at once. Earlier ones go on by estimate, as the load balancer may still send callers that know no other daemon.

--- a/src/dispatch/call_flow.cc
+++ b/src/dispatch/call_flow.cc
@@ -115,10 +115,8 @@
 
   // Returns whether a send would have its response before this daemon stops.
   bool MayEndBeforeStop() const {
-    if (!IsStopping(state_)) return true;
-    const absl::Time now = MonotonicNow();
-    return EndsBeforeStop(state_, ResponseDeadline(request_, route_),
-                          LongestCall(state_, route_.name, now), now);
+    return MayBeginCall(state_, route_.name, ResponseDeadline(request_, route_),
+                        MonotonicNow());
   }
 
   // Returns whether an upstream could respond within the request's time limit.
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -69,10 +69,13 @@
   absl::Time latest_start;
   /// Time limit of the request.
   absl::Time deadline = absl::InfiniteFuture();
-  /// Shortest and longest time that the stream is expected to take once it
-  /// begins.
+  /// Shortest time that the stream is expected to take once it begins.
   absl::Duration shortest_run;
+  /// Time that the stream takes once it begins if it uses all the tokens that
+  /// its request allows; infinite if that is unknown.
   absl::Duration longest_run;
+  /// As `longest_run`, with the tokens that one stream in a hundred exceeds.
+  absl::Duration estimated_run = absl::InfiniteDuration();
   /// Until when a resumed stream waits for an engine that can prefill the
   /// `generated` tokens without making its other streams late. Infinitely past
   /// until that wait has begun.
--- a/src/dispatch/stop_admission.cc
+++ b/src/dispatch/stop_admission.cc
@@ -20,6 +20,9 @@
 // Multiple of its expected duration that a run may take, by the pace of the
 // slowest recent stream: engines slow down while they fill.
 constexpr double kSlowRunFactor = 1.25;
+// Longest time between a SIGTERM and its handling, on a machine whose processor
+// is busy.
+constexpr absl::Duration kMaxSignalDelay = absl::Milliseconds(500);
 // Shortest retry delay for requests that are refused during a stop: callers
 // reach another daemon almost at once.
 constexpr absl::Duration kMinRetryAfter = absl::Milliseconds(50);
@@ -42,8 +45,8 @@
   for (auto it = list.begin(); it != list.end();) {
     const auto stream = it++;
     const absl::Duration wait = ForecastWait(state, *stream, ahead, now);
-    if (EndsBeforeStop(state, stream->deadline, wait + stream->longest_run,
-                       now)) {
+    const absl::Time start = now + wait;
+    if (MayBeginStream(state, *stream, start, start)) {
       ++ahead;
       continue;
     }
@@ -112,6 +115,30 @@
   return std::min(deadline, now + longest) <= state.stop_deadline;
 }
 
+bool MayBeginByEstimate(const dispatch_state& state, absl::Time admission) {
+  return !IsStopping(state) ||
+         admission < state.earliest_stop_end - kMaxSignalDelay;
+}
+
+bool MayBeginStream(const dispatch_state& state, const waiting_stream& stream,
+                    absl::Time admission, absl::Time start) {
+  const absl::Duration longest =
+      MayBeginByEstimate(state, admission)
+          ? std::min(stream.estimated_run, stream.longest_run)
+          : stream.longest_run;
+  return EndsBeforeStop(state, stream.deadline, longest, start);
+}
+
+bool MayBeginCall(const dispatch_state& state, absl::string_view route,
+                  absl::Time deadline, absl::Time now) {
+  // Told only in a stop, as it looks at all open requests.
+  if (!IsStopping(state)) return true;
+  const absl::Duration longest = MayBeginByEstimate(state, now)
+                                     ? LongestCall(state, route, now)
+                                     : absl::InfiniteDuration();
+  return EndsBeforeStop(state, deadline, longest, now);
+}
+
 std::optional<absl::Duration> StopLeft(const dispatch_state& state,
                                        absl::Time now) {
   if (!IsStopping(state)) return std::nullopt;
--- a/src/dispatch/stop_admission.h
+++ b/src/dispatch/stop_admission.h
@@ -29,7 +29,7 @@
 
 /// Returns the longest time that an engine of `service` is expected to need for
 /// `tokens` more tokens of a stream; infinite if no stream has ended lately.
-/// @param tokens largest plausible number of tokens.
+/// @param tokens largest number of tokens; may be infinite.
 /// @param tokens_to_prefill tokens that must be prefilled before.
 absl::Duration LongestRun(const dispatch_state& state,
                           absl::string_view service, double tokens,
@@ -43,13 +43,34 @@
                            absl::Time now);
 
 /// Returns whether a request that begins `now` has its final response before
-/// this daemon stops: its time limit has passed by then, or it is expected to
-/// take less time. True unless the daemon is stopping.
+/// this daemon stops: its time limit has passed by then, or it takes less time.
+/// True unless the daemon is stopping.
 /// @param deadline time limit of the request.
-/// @param longest longest time that it is expected to take.
+/// @param longest longest time that it takes.
 bool EndsBeforeStop(const dispatch_state& state, absl::Time deadline,
                     absl::Duration longest, absl::Time now);
 
+/// Returns whether a request that is admitted at `admission` may be begun by an
+/// estimate of its duration that some requests exceed. True unless the daemon
+/// is stopping, and in a stop while the load balancer still sends callers here.
+/// Later ones come on connections that they have kept and can go elsewhere, so
+/// they are begun only if they are certain to end before the stop.
+bool MayBeginByEstimate(const dispatch_state& state, absl::Time admission);
+
+/// Returns whether `stream` may be begun: whether it has its final response
+/// before this daemon stops. True unless the daemon is stopping.
+/// @param admission when engines are reserved for the stream.
+/// @param start when its decode begins.
+bool MayBeginStream(const dispatch_state& state, const waiting_stream& stream,
+                    absl::Time admission, absl::Time start);
+
+/// Returns whether a call on `route` may be begun `now`: whether it has its
+/// response before this daemon stops. Its time limit is the only certain bound
+/// of its duration. True unless the daemon is stopping.
+/// @param deadline time limit of the call.
+bool MayBeginCall(const dispatch_state& state, absl::string_view route,
+                  absl::Time deadline, absl::Time now);
+
 /// Returns the time until this daemon is expected to have ended its stop: when
 /// its streams are expected to end, but within the bounds of the stop. Nothing
 /// unless it is stopping.
--- a/src/dispatch/stop_admission_test.cc
+++ b/src/dispatch/stop_admission_test.cc
@@ -162,6 +162,73 @@
             absl::InfiniteDuration());
 }
 
+// Guards against streams that are begun late in a stop by an estimate that some
+// of them exceed, and cut when the daemon ends.
+TEST_F(stop_admission_test, EstimatesCountOnlyWhileNewCallersAreSentHere) {
+  waiting_stream stream = Stream("long", absl::Seconds(20));
+  stream.estimated_run = absl::Seconds(1);
+  EXPECT_TRUE(MayBeginStream(state_, stream, now_, now_));
+  BeginStop();
+  const absl::Time early = now_ + absl::Seconds(1);
+  const absl::Time late = now_ + absl::Seconds(3);
+  EXPECT_TRUE(MayBeginStream(state_, stream, now_, now_));
+  EXPECT_TRUE(MayBeginStream(state_, stream, early, early));
+  EXPECT_FALSE(MayBeginStream(state_, stream, late, late));
+  // Its prefill took long.
+  EXPECT_TRUE(MayBeginStream(state_, stream, early, late));
+  EXPECT_FALSE(
+      MayBeginStream(state_, stream, early, now_ + absl::Milliseconds(7500)));
+  // All the tokens that its request allows fit in.
+  stream.longest_run = absl::Seconds(5);
+  EXPECT_TRUE(MayBeginStream(state_, stream, late, late));
+  EXPECT_FALSE(
+      MayBeginStream(state_, stream, late, late + absl::Milliseconds(1)));
+  // So does its time limit.
+  stream.longest_run = absl::InfiniteDuration();
+  stream.deadline = now_ + absl::Seconds(8);
+  EXPECT_TRUE(MayBeginStream(state_, stream, late, late));
+}
+
+// Guards against callers that a late SIGTERM handler takes for early ones.
+TEST_F(stop_admission_test, EstimatesEndBeforeTheLoadBalancerDoes) {
+  BeginStop();
+  EXPECT_TRUE(MayBeginByEstimate(state_, now_ + absl::Milliseconds(2499)));
+  EXPECT_FALSE(MayBeginByEstimate(state_, now_ + absl::Milliseconds(2500)));
+}
+
+// Guards against streams that stay queued in a stop until they could be begun
+// only by an estimate.
+TEST_F(stop_admission_test, QueuedStreamsThatBeginLateNeedACertainEnd) {
+  state_.ledger.tokens_per_ms = 1;
+  ReserveRun(state_.ledger, "running", "engine", 100, 3500, now_);
+  waiting_stream stream = Stream("estimated", absl::Seconds(20));
+  stream.estimated_run = absl::Seconds(1);
+  state_.waiting.push_back(stream);
+  stream = Stream("certain", absl::Seconds(3));
+  stream.estimated_run = absl::Seconds(1);
+  state_.late.push_back(stream);
+  BeginStop();
+  RefuseStreamsThatOutlastStop(state_, now_);
+  EXPECT_EQ(refused_, std::vector<std::string>{"estimated"});
+  EXPECT_EQ(state_.late.size(), 1u);
+}
+
+// Guards against calls that are begun late in a stop because earlier ones of
+// their route were quick.
+TEST_F(stop_admission_test, ALateCallIsBegunOnlyWithinItsTimeLimit) {
+  for (int i = 0; i < 30; ++i) {
+    RecordDuration(state_.call_durations[kRoute], absl::Milliseconds(10), now_);
+  }
+  BeginStop();
+  const absl::Time late = now_ + absl::Seconds(3);
+  const absl::Time far = now_ + absl::Seconds(30);
+  EXPECT_TRUE(MayBeginCall(state_, kRoute, far, now_));
+  EXPECT_FALSE(MayBeginCall(state_, kRoute, far, late));
+  EXPECT_TRUE(MayBeginCall(state_, kRoute, now_ + absl::Seconds(8), late));
+  EXPECT_FALSE(
+      MayBeginCall(state_, kRoute, now_ + absl::Milliseconds(8001), late));
+}
+
 // Guards against streams that are left in a queue in a stop until they are cut.
 TEST_F(stop_admission_test, QueuedStreamsThatOutlastTheStopAreRefused) {
   state_.waiting.push_back(Stream("long", absl::Seconds(9)));
--- a/src/dispatch/stream_decode.cc
+++ b/src/dispatch/stream_decode.cc
@@ -21,8 +21,7 @@
 // in any case, since its caller can't be told otherwise.
 bool MayBegin(const stream_state& stream, absl::Time now) {
   if (stream.relay.HeadersSent() || stream.decodes->MayHaveRun()) return true;
-  const waiting_stream rest = RestOf(stream);
-  return EndsBeforeStop(stream.state, rest.deadline, rest.longest_run, now);
+  return MayBeginStream(stream.state, RestOf(stream), stream.admission, now);
 }
 
 // Reserves `engine`, which may be reserved already, for the rest of the stream.
@@ -96,6 +95,7 @@
   if (!reservation.ok()) return RefuseStream(stream, reservation.status());
   const fleet_upstream& decode = reservation->decode;
   if (!ReserveEngine(stream.place, decode)) return;
+  stream.admission = MonotonicNow();
   LogEvent(log_level::info, "engines_chosen",
            {{"request", QtText(request.id)},
             {"route", QtText(stream.route.name)},
@@ -174,8 +174,7 @@
 void AwaitEngines(stream_state& stream) {
   const absl::Time now = MonotonicNow();
   waiting_stream waiting = RestOf(stream);
-  if (!EndsBeforeStop(stream.state, waiting.deadline, waiting.longest_run,
-                      now)) {
+  if (!MayBeginStream(stream.state, waiting, now, now)) {
     return RefuseStream(stream, StoppingStreamError(stream));
   }
   if (!EnterQueue(stream.place)) return;
--- a/src/dispatch/stream_size.cc
+++ b/src/dispatch/stream_size.cc
@@ -1,6 +1,7 @@
 #include "dispatch/stream_size.h"
 
 #include <algorithm>
+#include <limits>
 
 #include "base/clock.h"
 #include "dispatch/stop_admission.h"
@@ -14,13 +15,23 @@
   return static_cast<double>(routed.request.max_output_tokens);
 }
 
-// Returns how many more tokens there may plausibly be after `generated` ones.
-double LongestRest(const dispatch_state& state, const routed_request& routed,
-                   const length_distribution& length, double generated) {
+// Returns the largest number of tokens that the request allows after `events`
+// events, each of which has one token at least; infinite if it has no limit.
+double LongestRest(const routed_request& routed, int events) {
   const double limit = TokenLimit(routed);
-  return KnowsLengths(state, routed.service->name)
-             ? EstimateLongestRemaining(length, generated, limit)
-             : limit - generated;
+  if (limit <= 0) return std::numeric_limits<double>::infinity();
+  return std::max(0.0, limit - events);
+}
+
+// Returns the number of tokens after `generated` ones that one stream in a
+// hundred exceeds; infinite if too few lengths are known.
+double EstimatedRest(const dispatch_state& state, const routed_request& routed,
+                     const length_distribution& length, double generated) {
+  const double limit = TokenLimit(routed);
+  if (limit <= 0 || !KnowsLengths(state, routed.service->name)) {
+    return std::numeric_limits<double>::infinity();
+  }
+  return EstimateLongestRemaining(length, generated, limit);
 }
 
 // Returns how many more tokens there are at least after `generated` ones.
@@ -66,9 +77,12 @@
   waiting.shortest_run =
       ShortestRun(state, service,
                   ShortestRest(state, routed, length, waiting.generated), now);
-  waiting.longest_run = LongestRun(
-      state, service, LongestRest(state, routed, length, waiting.generated),
-      waiting.prompt + waiting.generated, now);
+  const double to_prefill = waiting.prompt + waiting.generated;
+  waiting.longest_run =
+      LongestRun(state, service, LongestRest(routed, events), to_prefill, now);
+  waiting.estimated_run = LongestRun(
+      state, service, EstimatedRest(state, routed, length, waiting.generated),
+      to_prefill, now);
   waiting.latest_start =
       LatestStart(request, route, waiting.output, state.ledger.tokens_per_ms,
                   waiting.deadline);
--- a/src/dispatch/stream_state.h
+++ b/src/dispatch/stream_state.h
@@ -44,6 +44,8 @@
   decode_place place;
   /// Set once the stream has started.
   std::optional<decode_runs> decodes;
+  /// When engines were first reserved for the stream.
+  absl::Time admission = absl::InfiniteFuture();
   /// Time of the last event that was passed on.
   absl::Time last_event;
   bool ended = false;
--- a/tests/stop_estimate_test.cc
+++ b/tests/stop_estimate_test.cc
@@ -44,12 +44,12 @@
       const std::string text = platform_scene::Head(request, status) +
                                "Content-Length: 4\r\n\r\ndone";
       QTcpSocket* to = &socket;
-      QTimer::singleShot(
-          absl::ToInt64Milliseconds(
-              posting && status == 200 ? kPostWork : absl::Milliseconds(1)),
-          to, [to, text] {
-            to->write(text.data(), static_cast<qint64>(text.size()));
-          });
+      QTimer::singleShot(posting && status == 200 ? post_work_ms_.load()
+                                                  : read_work_ms_.load(),
+                         to, [to, text] {
+                           to->write(text.data(),
+                                     static_cast<qint64>(text.size()));
+                         });
     });
     scene_.Put("keyed.op", "config", kConfig);
     ASSERT_TRUE(Eventually(absl::Seconds(10), [&] {
@@ -57,7 +57,8 @@
     }));
   }
 
-  test_answer Call(const std::string& target, const std::string& id) {
+  test_answer Call(const std::string& target, const std::string& id,
+                   absl::Duration limit = absl::Seconds(20)) {
     test_request request;
     const bool posting = absl::StartsWith(target, "/post/");
     request.method = posting ? "POST" : "GET";
@@ -66,7 +67,9 @@
     request.target = target;
     request.timeout = absl::Seconds(21);
     request.headers = {
-        {"Host", "a.example"}, {"Request-Id", id}, {"Deadline-Ms", "20000"}};
+        {"Host", "a.example"},
+        {"Request-Id", id},
+        {"Deadline-Ms", absl::StrCat(absl::ToInt64Milliseconds(limit))}};
     return Send(request);
   }
 
@@ -85,6 +88,9 @@
   platform_scene scene_;
   // Whether the service refuses all calls.
   std::atomic<bool> refuses_ = false;
+  // Time that the service takes for a posting, and for any other answer.
+  std::atomic<int64_t> post_work_ms_ = absl::ToInt64Milliseconds(kPostWork);
+  std::atomic<int64_t> read_work_ms_ = 1;
 };
 
 // Guards against a posting that is passed on too late in a stop because calls
@@ -96,6 +102,34 @@
   ExpectLatePostingIsRefused();
 }
 
+// Guards against a posting that is passed on late in a stop because earlier
+// ones were quick, and has no answer when the daemon ends. One whose time limit
+// ends before is still passed on.
+TEST_F(stop_estimate_test, QuickPostingsDoNotTellTheTimeOfALateOne) {
+  post_work_ms_ = 1;
+  for (int i = 0; i < kQuickCalls; ++i) {
+    EXPECT_EQ(Call("/post/1", absl::StrCat("p", i)).status, 200);
+  }
+  // It lets the daemon go on after the load balancer's time.
+  read_work_ms_ = 5000;
+  test_answer slow;
+  std::thread reader([&] { slow = Call("/read/1", "slow"); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  scene_.Daemon().Signal(SIGTERM);
+  std::this_thread::sleep_for(std::chrono::milliseconds(3200));
+  EXPECT_EQ(Call("/post/1", "limited", absl::Seconds(1)).status, 200);
+  post_work_ms_ = absl::ToInt64Milliseconds(kPostWork);
+  const test_answer late = Call("/post/1", "late");
+  EXPECT_EQ(late.status, 503) << late.body;
+  EXPECT_NE(late.Header("retry-after"), "");
+  for (const raw_request& request : scene_.AtService()) {
+    EXPECT_NE(platform_scene::Field(request, "request-id"), "late");
+  }
+  reader.join();
+  EXPECT_EQ(slow.status, 200);
+  EXPECT_EQ(scene_.Daemon().WaitForExit(absl::Seconds(8)), 0);
+}
+
 // Guards against a posting that is passed on too late in a stop because its
 // service has refused the calls before it at once.
 TEST_F(stop_estimate_test, RefusalsDoNotTellTheTimeOfAPosting) {
--- a/tests/stop_streams_test.cc
+++ b/tests/stop_streams_test.cc
@@ -91,10 +91,12 @@
     return BeginAt(resumable ? "/draft/1" : "/write/1", limit);
   }
 
+  // @param max_tokens most tokens that the stream may have.
   std::string BeginAt(const std::string& target,
-                      absl::Duration limit = kTimeLimit) {
+                      absl::Duration limit = kTimeLimit,
+                      int max_tokens = 40000) {
     std::string id = absl::StrCat("s", threads_.size());
-    threads_.emplace_back([this, id, target, limit] {
+    threads_.emplace_back([this, id, target, limit, max_tokens] {
       test_request request;
       request.method = "POST";
       request.body = "text";
@@ -104,7 +106,7 @@
       request.headers = {
           {"Host", "a.example"},
           {"Request-Id", id},
-          {"Token-Count", "100,40000"},
+          {"Token-Count", absl::StrCat("100,", max_tokens)},
           {"Deadline-Ms", absl::StrCat(absl::ToInt64Milliseconds(limit))}};
       const test_answer answer = Send(request);
       const std::lock_guard lock(mutex_);
@@ -249,6 +251,48 @@
                                "Ms", absl::ToInt64Milliseconds(info.param));
                          });
 
+// Guards against a stream that is accepted late in a stop because earlier ones
+// were short, and cut when the daemon ends. One whose token limit leaves no
+// doubt is still accepted.
+TEST_F(stop_streams_test, ALateStreamIsNotAcceptedByAnEstimate) {
+  constexpr absl::Duration kShort = absl::Milliseconds(300);
+  // Twice the tokens of `kShort`, at 10 an event.
+  constexpr int kMaxTokens = 300;
+  SetDecodeSlots("d1", 100);
+  Learn(kShort);
+  scene_.OnDecode([kShort](QTcpSocket& socket, const raw_request& request) {
+    const bool limited =
+        absl::EndsWith(platform_scene::Field(request, "token-count"), ",300");
+    Generate(socket, request, limited ? kShort : absl::Seconds(6));
+  });
+  stream_callers callers(scene_);
+  // It lets the daemon go on after the load balancer's time.
+  const std::string open = callers.Begin();
+  std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+  scene_.Daemon().Signal(SIGTERM);
+  std::this_thread::sleep_for(std::chrono::milliseconds(3200));
+  std::vector<std::string> refused;
+  std::vector<std::string> accepted;
+  for (const char* target : {"/draft/1", "/write/1"}) {
+    refused.push_back(callers.BeginAt(target));
+    accepted.push_back(callers.BeginAt(target, kTimeLimit, kMaxTokens));
+  }
+  EXPECT_EQ(scene_.Daemon().WaitForExit(absl::Seconds(6)), 0);
+  callers.Join();
+  std::map<std::string, test_answer> answers = callers.Answers();
+  EXPECT_EQ(answers[open].body, WholeStream(absl::Seconds(6)));
+  const std::multiset<std::string> ran = AtDecode();
+  for (const std::string& id : refused) {
+    EXPECT_EQ(answers[id].status, 503) << answers[id].body;
+    EXPECT_NE(answers[id].Header("retry-after"), "");
+    EXPECT_EQ(ran.count(id), 0u);
+  }
+  for (const std::string& id : accepted) {
+    EXPECT_EQ(answers[id].status, 200) << answers[id].body;
+    EXPECT_EQ(answers[id].body, WholeStream(kShort)) << answers[id].error;
+  }
+}
+
 // Guards against a refusal that sends callers of a daemon without others back
 // at once, where they are refused again until they have no retries left.
 TEST_F(stop_streams_test, ARefusalOfTheOnlyDaemonNamesItsReturn) {
