Fleet: go by own calls to the store, not by a reader's word that it is lost

Cause: a report of a lost store counted as an outage though this daemon's own calls succeeded. Its next reply ended the outage and put off all pending removals by 2.2 s once more, three times a second.

Such a report now counts only as long as this daemon has no reply of its own. After 0.5 s without a usable report it makes the daemon read by itself, and the first read after a rest isn't held by the store, so that its own reply comes before the word of others is all that it has. A reply after 2.1 s without any known one, while readers report a lost store, ends an outage that was not noticed.

Evidence: cut_readers_test.CutOffReadersAreNoOutageOfTheStore (60 daemons) fails with the code before by silence, refusals and resets, with 11 or 12 outages at each of 57 daemons, and passes now with none; CutOffReadersPutOffNoRemoval fails before, too.

--- a/src/fleet/topic_follower.cc
+++ b/src/fleet/topic_follower.cc
@@ -44,6 +44,12 @@
   // is.
   bool calling = false;
   bool rest_end_scheduled = false;
+  // Whether readers are suspected to have lost the store.
+  bool doubts_readers = false;
+  // Whether this daemon has rested since the last reply to it, and whether a
+  // call is in progress that the store doesn't hold.
+  bool rested = false;
+  bool reading_now = false;
   // Whether the scheduled call is a retry, and the number of that call.
   bool retry_scheduled = false;
   uint64_t scheduled_call = 0;
@@ -61,8 +67,15 @@
 
   // Returns whether the reports make calls of this daemon needless.
   bool MayRest(absl::Time now) const {
-    return !is_reader && next_offset && reported_next <= *next_offset &&
-           HearsReader(now);
+    return !is_reader && !doubts_readers && next_offset &&
+           reported_next <= *next_offset && HearsReader(now);
+  }
+
+  // Whether this daemon's own calls show whether the store is available, or are
+  // about to. Then the reports of others don't count.
+  bool KnowsByItself(absl::Time now) const {
+    return reading_now ||
+           (!call_failed && !rested && now - last_reply < kMaxReplyAge);
   }
 
   void CallAfter(absl::Duration delay) {
@@ -90,6 +103,7 @@
     calling = false;
     // What the last call showed is outdated when the next one begins.
     call_failed = false;
+    rested = true;
     if (std::exchange(rest_end_scheduled, true)) return;
     const absl::Time end = std::min(last_report + kMaxReportSilence,
                                     reported_reply + kMaxReplyAge);
@@ -118,8 +132,14 @@
     if (delay > absl::ZeroDuration()) return CallAfter(delay);
     read_started = now;
     read_from = *next_offset;
-    calls.read(*next_offset, [weak](const absl::StatusOr<record_batch>& batch) {
-      if (const auto self = weak.lock()) self->HandleBatch(batch);
+    // After a rest this daemon must know soon whether the store is available.
+    reading_now = rested && calls.read_now;
+    const auto& read = reading_now ? calls.read_now : calls.read;
+    read(*next_offset, [weak](const absl::StatusOr<record_batch>& batch) {
+      const auto self = weak.lock();
+      if (!self) return;
+      self->reading_now = false;
+      self->HandleBatch(batch);
     });
   }
 
@@ -163,11 +183,23 @@
 
   void HandleSuccess() {
     const absl::Time now = MonotonicNow();
+    const bool missed_outage = MayHaveMissedOutage(now);
     last_reply = now;
     complete_at = now;
+    rested = false;
     retry_delay = kInitialRetryDelay;
     if (std::exchange(call_failed, false)) call_recovered = now;
-    if (std::exchange(store_lost, false)) events.on_store_returned();
+    if (std::exchange(store_lost, false) || missed_outage) {
+      events.on_store_returned();
+    }
+  }
+
+  // Returns whether the store may have been unavailable before its reply at
+  // `now` without a failed call of this daemon: readers have lost it, and no
+  // reply to anybody is known for too long.
+  bool MayHaveMissedOutage(absl::Time now) const {
+    return now - last_lost_report < kMaxReportSilence &&
+           now - complete_at > kMaxUnseenTime;
   }
 
   void HandleFailure(const absl::Status& error) {
@@ -190,6 +222,7 @@
     if (report.store_lost) return HandleReportedOutage(now);
     if (report.next < 0 || report.reply_age > kMaxReplyAge) return;
     last_report = now;
+    doubts_readers = false;
     reported_reply = std::max(reported_reply, now - report.reply_age);
     reported_next = std::max(reported_next, report.next);
     // The grace period after an outage must begin before the records are
@@ -210,13 +243,17 @@
     if (!is_reader) EndRetryDelay();
   }
 
-  // Notes that a reader has lost the store. If others reach it, that concerns
-  // only the reader.
+  // Notes that a reader has lost the store. If this daemon or another reader
+  // reaches it, that concerns only the reader.
   void HandleReportedOutage(absl::Time now) {
     last_lost_report = now;
-    if (is_reader || HearsReader(now) || std::exchange(store_lost, true)) {
-      return;
+    if (is_reader) return;
+    if (next_offset && now - last_report >= kMaxDoubtfulSilence) {
+      doubts_readers = true;
+      WakeUp();
     }
+    if (HearsReader(now) || KnowsByItself(now)) return;
+    if (std::exchange(store_lost, true)) return;
     events.on_store_lost(absl::UnavailableError("reported by a reader"));
   }
 
--- a/src/fleet/topic_follower.h
+++ b/src/fleet/topic_follower.h
@@ -31,9 +31,14 @@
 /// once, from the event loop. `read` fails with `absl::StatusCode::kOutOfRange`
 /// if the store no longer keeps the records from offset `from` on.
 struct topic_calls {
+  /// The store may hold the call until there are new records.
   std::function<void(int64_t from,
                      std::function<void(absl::StatusOr<record_batch>)> done)>
       read;
+  /// As `read`, but the store replies at once. If not set, `read` is used.
+  std::function<void(int64_t from,
+                     std::function<void(absl::StatusOr<record_batch>)> done)>
+      read_now;
   std::function<void(std::function<void(absl::StatusOr<record_listing>)> done)>
       list;
 };
@@ -61,7 +66,13 @@
 /// A daemon that isn't a reader makes no calls while reports of readers arrive
 /// that show that it misses nothing. It takes new records from the reports, and
 /// reads them itself where a report doesn't contain them, or when the reports
-/// stop. Must be used on one thread with a Qt event loop.
+/// stop.
+///
+/// A reader that reports a lost store has only lost the store itself: its way
+/// there may be cut, or the store may reject it alone. Such a report makes this
+/// daemon call the store, and counts as an outage of the store only as long as
+/// this daemon's own calls don't succeed. Must be used on one thread with a Qt
+/// event loop.
 class topic_follower {
  public:
   /// Delay before the retry of a failed call. It doubles with each failure, up
@@ -80,11 +91,22 @@
   /// change must be in force.
   static constexpr absl::Duration kMaxReportSilence = absl::Seconds(1);
 
+  /// Time without a usable report after which the report of a lost store makes
+  /// a daemon read by itself. More than the interval of one reader's reports,
+  /// and less than `kMaxReportSilence`, so that this daemon has a reply of its
+  /// own before the word of others is all that it has.
+  static constexpr absl::Duration kMaxDoubtfulSilence = absl::Milliseconds(500);
+
   /// Age of the youngest reply of the store to a reader from which on a daemon
   /// reads by itself: the readers may all have lost the store without knowing.
   /// The store holds a read for 1 s at most.
   static constexpr absl::Duration kMaxReplyAge = absl::Milliseconds(1800);
 
+  /// Time without any known reply of the store that may hide an outage: this
+  /// daemon's first call after `kMaxReplyAge` is answered within it unless the
+  /// store was unavailable.
+  static constexpr absl::Duration kMaxUnseenTime = absl::Milliseconds(2100);
+
   /// Delay before the retry of a failed call while readers report that they
   /// have lost the store, too. They retry sooner, and report its return.
   static constexpr absl::Duration kMaxFollowerRetryDelay = absl::Seconds(2);
--- a/src/fleet_daemon/fleet_control_test.cc
+++ b/src/fleet_daemon/fleet_control_test.cc
@@ -119,6 +119,61 @@
   EXPECT_FALSE(control_->IsReader());
 }
 
+// Guards against a removed upstream that stays in use while the daemons that
+// read the store for all are cut off from it, though the store answers this
+// one.
+TEST_F(fleet_control_test, CutOffReadersPutOffNoRemoval) {
+  constexpr absl::Duration kReadHold = absl::Milliseconds(400);
+  constexpr absl::Duration kReportInterval = absl::Milliseconds(100);
+  constexpr absl::Duration kMaxDelay = absl::Seconds(1);
+  const keyed_record entry{"engine", "entry", 0};
+  const keyed_record removal{"engine", std::nullopt, 1};
+  bool removed = false;
+  QObject context;
+  topic_calls calls;
+  calls.list = [&](const auto& done) { done(record_listing{{entry}, 1}); };
+  calls.read_now = [&](int64_t from, const auto& done) {
+    record_batch batch;
+    batch.next = from;
+    if (removed && from == 1) batch = {{removal}, 2};
+    RunAfter(&context, absl::Milliseconds(4), [done, batch] { done(batch); });
+  };
+  calls.read = [&](int64_t from, const auto& done) {
+    RunAfter(&context, kReadHold,
+             [&calls, from, done] { calls.read_now(from, done); });
+  };
+  fleet_sources sources;
+  sources.config_key = kKey;
+  sources.config_topic = calls;
+  sources.upstream_topic = calls;
+  sources.parse_upstream = [](absl::string_view id, absl::string_view) {
+    fleet_upstream upstream;
+    upstream.id = std::string(id);
+    return absl::StatusOr<fleet_upstream>(upstream);
+  };
+  bool used = false;
+  control_.emplace(std::move(sources),
+                   [&used](const std::shared_ptr<const fleet_view>& view) {
+                     used = !view->upstreams.empty();
+                   });
+  control_->Start();
+  control_->SetReader(false);
+  topic_report topic;
+  topic.next = 1;
+  topic.from = 1;
+  topic.reply_age = absl::ZeroDuration();
+  const auto reports = RunEvery(kReportInterval, [&] {
+    topic.reply_age += topic.store_lost ? kReportInterval : absl::Duration();
+    control_->HandleReport({topic, topic});
+  });
+  RunUntil([] { return false; }, absl::Seconds(1));
+  topic.store_lost = true;
+  RunUntil([] { return false; }, absl::Seconds(3));
+  ASSERT_TRUE(used);
+  removed = true;
+  EXPECT_TRUE(RunUntil([&used] { return !used; }, kMaxDelay));
+}
+
 // Guards against callers' keys that a reader passes on to other daemons.
 TEST_F(fleet_control_test, ReportsOfTheConfigurationHaveNoKeys) {
   std::vector<std::string> reported;
--- a/src/fleet_daemon/store_call_count.cc
+++ b/src/fleet_daemon/store_call_count.cc
@@ -28,6 +28,10 @@
                        const char* topic) {
   calls.read =
       Counted(std::move(calls.read), CallCounter(metrics, topic, "read"));
+  if (calls.read_now) {
+    calls.read_now =
+        Counted(std::move(calls.read_now), CallCounter(metrics, topic, "read"));
+  }
   calls.list =
       Counted(std::move(calls.list), CallCounter(metrics, topic, "list"));
   return calls;
--- a/src/sharing/followed_topic_test.cc
+++ b/src/sharing/followed_topic_test.cc
@@ -28,6 +28,9 @@
 constexpr absl::Duration kReportInterval = absl::Milliseconds(300);
 constexpr double kDatagramLoss = 0.05;
 
+// How a daemon's calls end that the store doesn't answer.
+enum class loss { silence, refusal, reset };
+
 // A store with one topic that holds reads until a record is there.
 class fake_store {
  public:
@@ -48,10 +51,14 @@
         done(record_listing{records_, End()});
       });
     };
+    calls.read_now = [this, name](int64_t from, const auto& done) {
+      ++call_count_;
+      Reply({name, from, done, absl::ZeroDuration()});
+    };
     calls.read = [this, name](int64_t from, const auto& done) {
       ++call_count_;
-      const held_read read{name, from, done};
-      if (cut_off_.contains(name)) return FailLate(read);
+      const held_read read{name, from, done, kReadHold};
+      if (cut_off_.contains(name)) return Fail(read);
       if (from < End()) return Reply(read);
       const int id = ++last_id_;
       waiting_[id] = read;
@@ -68,7 +75,20 @@
 
   // Lets the calls of `name` from now on, and those that are held, get no
   // reply.
-  void CutOff(const std::string& name) { cut_off_.insert(name); }
+  void CutOff(const std::string& name, loss how = loss::silence) {
+    cut_off_[name] = how;
+    if (how != loss::reset) return;
+    // Held calls end with their connections.
+    const auto held = waiting_;
+    for (const auto& [id, read] : held) {
+      if (read.name != name) continue;
+      waiting_.erase(id);
+      Fail(read);
+    }
+  }
+
+  // Lets the store answer everybody again.
+  void EndCuts() { cut_off_.clear(); }
 
   int64_t End() const { return static_cast<int64_t>(records_.size()); }
   int CallCount() const { return call_count_; }
@@ -81,16 +101,18 @@
     std::string name;
     int64_t from = 0;
     std::function<void(absl::StatusOr<record_batch>)> done;
+    // Longest time for which the store holds the read.
+    absl::Duration hold;
   };
 
-  void FailLate(const held_read& read) {
-    RunAfter(&context_, kReadHold + kResponseTimeout, [read] {
-      read.done(absl::UnavailableError("no progress in time"));
-    });
+  void Fail(const held_read& read) {
+    const bool silent = cut_off_[read.name] == loss::silence;
+    RunAfter(&context_, silent ? read.hold + kResponseTimeout : kStoreLatency,
+             [read] { read.done(absl::UnavailableError("no reply")); });
   }
 
   void Reply(const held_read& read) {
-    if (cut_off_.contains(read.name)) return FailLate(read);
+    if (cut_off_.contains(read.name)) return Fail(read);
     RunAfter(&context_, kStoreLatency, [this, read] {
       record_batch batch;
       batch.records.assign(records_.begin() + read.from, records_.end());
@@ -103,7 +125,7 @@
   std::vector<keyed_record> records_;
   std::vector<absl::Time> written_at_;
   std::map<int, held_read> waiting_;
-  std::set<std::string> cut_off_;
+  std::map<std::string, loss> cut_off_;
   int last_id_ = 0;
   int call_count_ = 0;
 };
@@ -115,6 +137,9 @@
   // Next offset that it expects, and the longest time that a record took.
   int64_t next = 0;
   absl::Duration longest_delay = absl::ZeroDuration();
+  // Outages of the store that it noticed, and the ends of outages.
+  int lost = 0;
+  int returned = 0;
 };
 
 class followed_topic_test : public event_loop_test {
@@ -145,8 +170,8 @@
                      MonotonicNow() - store_.WrittenAt(record.offset));
       }
     };
-    events.on_store_lost = [](const absl::Status&) {};
-    events.on_store_returned = [] {};
+    events.on_store_lost = [&each](const absl::Status&) { ++each.lost; };
+    events.on_store_returned = [&each] { ++each.returned; };
     events.on_news = [this, &each](const topic_report& report) {
       if (each.is_reader) Send(each, report);
     };
@@ -268,6 +293,66 @@
             topic_follower::kMaxReplyAge + absl::Milliseconds(500));
 }
 
+class cut_readers_test : public followed_topic_test,
+                         public testing::WithParamInterface<loss> {};
+
+// Guards against an outage that daemons conclude from the reports of readers
+// that are cut off, while their own calls succeed: they would put off all
+// removals until the cut ends.
+TEST_P(cut_readers_test, CutOffReadersAreNoOutageOfTheStore) {
+  StartDaemons();
+  RunWithChanges(absl::Seconds(2));
+  const std::vector<std::string> readers = Readers();
+  ASSERT_EQ(readers.size(), static_cast<size_t>(kStoreReaders));
+  for (const std::string& reader : readers) {
+    store_.CutOff(reader, GetParam());
+  }
+  const std::set<std::string> cut(readers.begin(), readers.end());
+  RunWithChanges(absl::Seconds(6));
+  EXPECT_TRUE(RunUntil([&] { return AllHaveAllBut(cut); }, absl::Seconds(5)));
+  store_.EndCuts();
+  RunWithChanges(absl::Seconds(3));
+  for (const auto& each : daemons_) {
+    if (cut.contains(each->name)) continue;
+    EXPECT_EQ(each->lost, 0) << each->name;
+    EXPECT_EQ(each->returned, 0) << each->name;
+    EXPECT_LT(each->longest_delay,
+              topic_follower::kMaxReplyAge + absl::Milliseconds(500))
+        << each->name;
+  }
+}
+
+// Guards against an outage of the store that some daemons don't notice, as they
+// make no calls: they would take what it removed for gone.
+TEST_P(cut_readers_test, AnOutageOfTheStoreIsNoticedByAll) {
+  StartDaemons();
+  RunWithChanges(absl::Seconds(2));
+  for (const auto& each : daemons_) store_.CutOff(each->name, GetParam());
+  RunUntil([] { return false; }, absl::Seconds(5));
+  store_.EndCuts();
+  store_.Append("engine-lapsed");
+  EXPECT_TRUE(RunUntil([&] { return AllHaveAll(); }, absl::Seconds(5)));
+  for (const auto& each : daemons_) {
+    EXPECT_GE(each->lost + each->returned, 1) << each->name;
+    EXPECT_GE(each->returned, 1) << each->name;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(ways, cut_readers_test,
+                         testing::Values(loss::silence, loss::refusal,
+                                         loss::reset),
+                         [](const auto& info) {
+                           switch (info.param) {
+                             case loss::silence:
+                               return "Silence";
+                             case loss::refusal:
+                               return "Refusal";
+                             case loss::reset:
+                               return "Reset";
+                           }
+                           return "";
+                         });
+
 TEST_F(followed_topic_test, ReadersThatLagDelayAChangeByTheirLagAtMost) {
   lag_ = absl::Milliseconds(700);
   StartDaemons();
