Upstreams: a status line has three digits from 100 to 599

An engine in trouble that answered "HTTP/1.1 000" held its call, and its slot, until the engine closed or the time limit came: the fleet daemon's reader took any status below 200 for an interim response. libcurl's client took 600 and 999 for answers, and a line such as "HTTP 200 X" for one with the status 0.

Both clients now share ParseStatusLine. Anything else, and 101, which no call asks for, fails the call at once with an unknown fate, so that a call that may be repeated, a prefill or a stream goes elsewhere.

Evidence: response_reader_test.RefusesAStatusLineWithoutAStatus and http_client_test.AMalformedStatusFailsAtOnce fail with the code before; with real processes, AnAnswerWithoutAStatusFailsAtOnce and AStreamLeavesAnEngineWithoutAStatusAtOnce pass now.

--- a/src/http1/response_reader.cc
+++ b/src/http1/response_reader.cc
@@ -9,6 +9,7 @@
 #include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
 #include "base/error_kind.h"
+#include "upstreams/status_line.h"
 
 namespace anvilridge {
 
@@ -21,9 +22,13 @@
   size_t head_bytes = 0;
   // Bytes taken while the final response's head is incomplete.
   size_t unfinished_head_bytes = 0;
+  // First bytes of the head of the final or interim response being read.
+  std::string status_line;
   bool head_request = false;
   bool in_value = false;
   bool interim = false;
+  // Whether the parser has paused behind an interim response.
+  bool interim_ended = false;
   bool complete = false;
   bool keep_alive = false;
   // Whether the final response's head is complete.
@@ -39,13 +44,32 @@
     headers.clear();
     head_bytes = 0;
     unfinished_head_bytes = 0;
+    status_line.clear();
     in_value = false;
     interim = false;
+    interim_ended = false;
     complete = false;
     keep_alive = false;
     has_head = false;
   }
 
+  // Adds the beginning of `bytes`, with which a head begins or continues.
+  void NoteStatusLine(absl::string_view bytes) {
+    // The parser passes over line ends before a head.
+    if (status_line.empty()) {
+      bytes.remove_prefix(
+          std::min(bytes.find_first_not_of("\r\n"), bytes.size()));
+    }
+    absl::StrAppend(&status_line,
+                    bytes.substr(0, kStatusLineBytes - status_line.size()));
+  }
+
+  bool HasStatus() const {
+    const absl::string_view line = status_line;
+    return ParseStatusLine(line.substr(0, line.find_first_of("\r\n")))
+        .has_value();
+  }
+
   bool Count(size_t bytes) {
     head_bytes += bytes;
     return head_bytes <= kMaxHeadBytes;
@@ -58,6 +82,7 @@
 constexpr int kStop = 1;
 // http_parser's return values of its header callback.
 constexpr int kSkipBody = 1;
+constexpr int kMalformedHead = -1;
 
 }  // namespace
 
@@ -86,7 +111,8 @@
   };
   impl_->callbacks.on_headers_complete = [](http_parser* parser) {
     impl& self = impl::Of(parser);
-    self.interim = parser->status_code < 200;
+    if (!self.HasStatus()) return kMalformedHead;
+    self.interim = parser->status_code < kFirstFinalStatus;
     if (self.interim) return kGoOn;
     self.has_head = true;
     self.keep_alive = http_should_keep_alive(parser) != 0;
@@ -106,6 +132,10 @@
     if (self.interim) {
       self.headers.clear();
       self.in_value = false;
+      self.status_line.clear();
+      // The next head begins where the parser stops.
+      self.interim_ended = true;
+      http_parser_pause(parser, 1);
       return kGoOn;
     }
     self.complete = true;
@@ -125,9 +155,23 @@
 
 absl::StatusOr<response_reader::progress> response_reader::Take(
     absl::string_view bytes, size_t& taken) {
-  taken = http_parser_execute(&impl_->parser, &impl_->callbacks, bytes.data(),
-                              bytes.size());
+  taken = 0;
+  do {
+    const absl::string_view rest = bytes.substr(taken);
+    impl_->NoteStatusLine(rest);
+    taken += http_parser_execute(&impl_->parser, &impl_->callbacks, rest.data(),
+                                 rest.size());
+    if (std::exchange(impl_->interim_ended, false)) {
+      http_parser_pause(&impl_->parser, 0);
+    } else {
+      break;
+    }
+  } while (taken < bytes.size());
   if (impl_->complete) return progress::complete;
+  if (impl_->status_line.size() == kStatusLineBytes && !impl_->HasStatus()) {
+    return MakeError(error_kind::upstream_failed,
+                     "not an HTTP response: it begins with no status line");
+  }
   // Status lines and interim responses have bytes that no callback counts.
   if (!impl_->has_head) impl_->unfinished_head_bytes += bytes.size();
   if (impl_->unfinished_head_bytes > kMaxHeadBytes) {
--- a/src/http1/response_reader_test.cc
+++ b/src/http1/response_reader_test.cc
@@ -2,7 +2,9 @@
 
 #include <string>
 
+#include "absl/strings/str_cat.h"
 #include "gtest/gtest.h"
+#include "upstreams/testing/malformed_statuses.h"
 
 namespace anvilridge {
 namespace {
@@ -97,6 +99,37 @@
   EXPECT_GT(Feed("SSH-2.0-x\r\n\r\n"), 13u);
 }
 
+// Guards against a call that waits until its time limit behind a status below
+// 100, which isn't one of an interim response.
+TEST_F(response_reader_test, RefusesAStatusLineWithoutAStatus) {
+  for (const std::string& line : MalformedStatusLines()) {
+    for (const char* before : {"", "\r\n", "HTTP/1.1 100 X\r\n\r\n"}) {
+      const std::string head = absl::StrCat(before, line, "\r\n");
+      Begin();
+      EXPECT_GT(Feed(head), head.size()) << testing::PrintToString(head);
+      Begin();
+      size_t taken = 0;
+      EXPECT_FALSE(reader_.Take(head, taken).ok())
+          << testing::PrintToString(head);
+    }
+  }
+  EXPECT_EQ(seen_.status, 0);
+}
+
+// Guards against bytes of an interim response that are taken for the status
+// line behind it.
+TEST_F(response_reader_test, PassesOverInterimResponsesInOneRead) {
+  const std::string bytes =
+      "\r\nHTTP/1.1 102 X\r\n\r\nHTTP/1.0 103 X\r\nA: b\r\n\r\n"
+      "HTTP/1.1 204\r\n\r\nHTTP";
+  size_t taken = 0;
+  const auto progress = reader_.Take(bytes, taken);
+  ASSERT_TRUE(progress.ok()) << progress.status();
+  EXPECT_EQ(*progress, response_reader::progress::complete);
+  EXPECT_EQ(taken, bytes.size() - 4);
+  EXPECT_EQ(seen_.status, 204);
+}
+
 TEST_F(response_reader_test, RefusesAHeadWithoutEnd) {
   std::string head = "HTTP/1.1 200 OK\r\nX: ";
   head.append(response_reader::kMaxHeadBytes + 1, 'a');
--- a/src/upstreams/curl_transfer.cc
+++ b/src/upstreams/curl_transfer.cc
@@ -2,6 +2,7 @@
 
 #include <QHostAddress>
 #include <algorithm>
+#include <optional>
 #include <vector>
 
 #include "absl/strings/ascii.h"
@@ -10,6 +11,7 @@
 #include "absl/strings/str_split.h"
 #include "absl/strings/strip.h"
 #include "base/error_kind.h"
+#include "upstreams/status_line.h"
 
 namespace anvilridge {
 namespace {
@@ -61,19 +63,20 @@
          kFramingFields.end();
 }
 
-/// Parses the status of a line such as `HTTP/1.1 200 OK`; 0 if it is none.
-int ParseStatusLine(absl::string_view line) {
-  const std::vector<absl::string_view> parts =
-      absl::StrSplit(line, absl::MaxSplits(' ', 2));
-  int status = 0;
-  if (parts.size() < 2 || !absl::SimpleAtoi(parts[1], &status)) return 0;
-  return status;
+/// Begins a response, or an interim one before it. libcurl takes more for a
+/// status line than is one.
+void TakeStatusLine(curl_transfer& transfer, absl::string_view line) {
+  const std::optional<int> status = ParseStatusLine(line);
+  transfer.status_malformed = !status;
+  transfer.in_head = true;
+  transfer.result.http_status = status.value_or(0);
+  transfer.result.headers.clear();
+  transfer.body_length.reset();
 }
 
 void EndHeaders(curl_transfer& transfer) {
-  const bool interim =
-      transfer.result.http_status >= 100 && transfer.result.http_status < 200;
-  if (!interim) transfer.headers_complete = true;
+  transfer.in_head = false;
+  transfer.headers_complete = transfer.result.http_status >= kFirstFinalStatus;
 }
 
 /// Takes a `Content-Length`, whose value may be a list of equal numbers.
@@ -117,16 +120,14 @@
   absl::string_view line(data, length);
   absl::ConsumeSuffix(&line, "\n");
   absl::ConsumeSuffix(&line, "\r");
-  if (absl::StartsWith(line, "HTTP/")) {
-    transfer.result.http_status = ParseStatusLine(line);
-    transfer.result.headers.clear();
-    transfer.body_length.reset();
+  if (!transfer.in_head) {
+    TakeStatusLine(transfer, line);
   } else if (line.empty()) {
     EndHeaders(transfer);
   } else {
     AddField(transfer, line);
   }
-  if (transfer.body_length_unclear) return 0;
+  if (transfer.status_malformed || transfer.body_length_unclear) return 0;
   return length;
 }
 
@@ -295,6 +296,10 @@
     return MakeError(error_kind::upstream_failed,
                      "the header fields of the answer are too long", ran);
   }
+  if (transfer.status_malformed) {
+    return MakeError(error_kind::upstream_failed,
+                     "the answer begins with no status line", ran);
+  }
   if (transfer.body_length_unclear) {
     return MakeError(error_kind::upstream_failed,
                      "the answer names no clear Content-Length", ran);
--- a/src/upstreams/curl_transfer.h
+++ b/src/upstreams/curl_transfer.h
@@ -46,6 +46,10 @@
   /// Whether the deadline was found past at the last check.
   bool overdue = false;
   size_t header_bytes = 0;
+  /// Whether the status line of a response, final or interim, has arrived and
+  /// not yet the end of its header fields.
+  bool in_head = false;
+  bool status_malformed = false;
   bool headers_complete = false;
   bool headers_delivered = false;
   /// Whether a connection existed, so that the request may have been sent.
--- a/src/upstreams/http_client_test.cc
+++ b/src/upstreams/http_client_test.cc
@@ -17,6 +17,7 @@
 #include "gtest/gtest.h"
 #include "upstreams/kept_bytes.h"
 #include "upstreams/testing/endless_server.h"
+#include "upstreams/testing/malformed_statuses.h"
 #include "upstreams/testing/raw_server.h"
 
 namespace anvilridge {
@@ -75,6 +76,47 @@
   EXPECT_EQ(seen.head.find("Expect"), std::string::npos);
 }
 
+// Guards against an answer with the status 0 for a status line that has none.
+TEST_F(http_client_test, AMalformedStatusFailsAtOnce) {
+  for (const std::string& line : MalformedStatusLines()) {
+    SCOPED_TRACE(line);
+    // The connection stays open.
+    raw_server server([&line](QTcpSocket& socket, const raw_request&) {
+      const std::string text = line + "Content-Length: 4\r\n\r\ndone";
+      socket.write(text.data(), static_cast<qint64>(text.size()));
+    });
+    const http_result result = Run(Post(server));
+    EXPECT_EQ(KindOf(result.status), error_kind::upstream_failed);
+    EXPECT_EQ(RunStateOf(result.status), run_state::unknown);
+    EXPECT_EQ(result.http_status, 0);
+  }
+}
+
+// Guards against an early answer without a length that counts as whole although
+// its connection was reset while the request was still being written.
+TEST_F(http_client_test, AResetBesideAnUploadIsNoEnd) {
+  constexpr size_t kMoreThanBuffersHold = 32 << 20;
+  for (const int delay_ms : {0, 5, 100}) {
+    SCOPED_TRACE(delay_ms);
+    QTcpServer server;
+    QObject::connect(&server, &QTcpServer::newConnection, [&] {
+      QTcpSocket* socket = server.nextPendingConnection();
+      socket->setReadBufferSize(1);
+      socket->write("HTTP/1.1 200 OK\r\n\r\nhalf");
+      QTimer::singleShot(delay_ms, socket,
+                         [socket] { raw_server::Reset(*socket); });
+    });
+    ASSERT_TRUE(server.listen(QHostAddress::LocalHost));
+    http_call call;
+    call.method = "POST";
+    call.address = absl::StrCat("127.0.0.1:", server.serverPort());
+    call.body = std::string(kMoreThanBuffersHold, 'x');
+    const http_result result = Run(std::move(call));
+    EXPECT_EQ(KindOf(result.status), error_kind::upstream_failed);
+    EXPECT_EQ(RunStateOf(result.status), run_state::unknown);
+  }
+}
+
 // A server that reads a posting and closes has counted it; a client that sends
 // it again books a fee twice.
 TEST_F(http_client_test, PostIsDeliveredOnceWhenServerCloses) {
--- a/tests/cut_answer_path_test.cc
+++ b/tests/cut_answer_path_test.cc
@@ -1,14 +1,24 @@
 // Answers of upstreams that break off, over a real daemon of a fleet: what its
 // callers see, and what is sent again.
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <QTcpSocket>
+#include <atomic>
+#include <string>
 #include <thread>
+#include <utility>
 
+#include "base/clock.h"
 #include "dispatch/daemon_count.h"
 #include "gtest/gtest.h"
 #include "harness/eventually.h"
 #include "harness/platform_scene.h"
 #include "harness/test_http.h"
 #include "upstreams/testing/cut_answers.h"
+#include "upstreams/testing/malformed_statuses.h"
 
 namespace anvilridge {
 namespace {
@@ -24,10 +34,12 @@
 class cut_answer_path_test : public testing::Test {
  protected:
   void SetUp() override {
-    ASSERT_TRUE(scene_.Start("slack = 2000\nratio = 1"));
+    ASSERT_TRUE(scene_.Start(
+        "slack = 2000\nratio = 1\n[limits]\nmax_body_bytes = 4194304"));
   }
 
-  test_answer Ask(const std::string& method, const std::string& target) {
+  test_answer Ask(const std::string& method, const std::string& target,
+                  const std::string& body = "fee") {
     test_request request;
     request.method = method;
     request.port = scene_.CallerPort();
@@ -36,7 +48,7 @@
                        {"Request-Id", absl::StrCat("q", ++last_id_)},
                        {"Token-Count", "100,400"},
                        {"Deadline-Ms", "4000"}};
-    if (method == "POST") request.body = "fee";
+    if (method == "POST") request.body = body;
     return Send(request);
   }
 
@@ -130,6 +142,159 @@
   RecordProperty("answered", answered);
 }
 
+// Guards against a posting that waits until its time limit behind an answer
+// without a status, and against a caller who gets one.
+TEST_F(cut_answer_path_test, AnAnswerWithoutAStatusFailsAtOnce) {
+  constexpr absl::Duration kAtOnce = absl::Seconds(2);
+  for (const std::string& line : MalformedStatusLines()) {
+    scene_.OnService([&line](QTcpSocket& socket, const raw_request& request) {
+      const std::string head = platform_scene::Head(request, 200);
+      Write(socket, absl::StrCat(line, head.substr(head.find('\n') + 1),
+                                 "Content-Length: 4\r\n\r\ndone"));
+    });
+    // A service that fails is left alone for a while.
+    EXPECT_TRUE(Eventually(kBound, [&] {
+      const absl::Time start = MonotonicNow();
+      const test_answer answer = Ask("POST", "/post/1");
+      EXPECT_LT(MonotonicNow() - start, kAtOnce) << line;
+      EXPECT_TRUE(answer.status == kBadGateway || answer.status == kUnavailable)
+          << line << answer.status;
+      return answer.status == kBadGateway;
+    })) << line;
+  }
+}
+
+// Guards against the same on the way of a stream: its prefill or its decode is
+// sent elsewhere at once.
+TEST_F(cut_answer_path_test, AStreamLeavesAnEngineWithoutAStatusAtOnce) {
+  constexpr absl::Duration kAtOnce = absl::Seconds(2);
+  ASSERT_NO_FATAL_FAILURE(
+      AddUpstream("p2", "model", scene_.PrefillAddress(), "prefill"));
+  ASSERT_NO_FATAL_FAILURE(
+      AddUpstream("d2", "model", scene_.DecodeAddress(), "decode"));
+  const std::string malformed = "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n";
+  bool fails_prefill = false;
+  bool fails_decode = false;
+  scene_.OnPrefill([&](QTcpSocket& socket, const raw_request& request) {
+    if (std::exchange(fails_prefill, false)) return Write(socket, malformed);
+    const std::string body = R"({"Handle":"h1","Tokens":100,"Version":1})";
+    Write(socket,
+          absl::StrCat(platform_scene::Head(request, 200),
+                       "Content-Length: ", body.size(), "\r\n\r\n", body));
+  });
+  scene_.OnDecode([&](QTcpSocket& socket, const raw_request& request) {
+    if (std::exchange(fails_decode, false)) return Write(socket, malformed);
+    Write(socket, absl::StrCat(platform_scene::Head(request, 200),
+                               "Transfer-Encoding: chunked\r\n\r\n"));
+    platform_scene::Events(socket, 1, 3);
+    Write(socket, "0\r\n\r\n");
+  });
+  for (bool* fails : {&fails_prefill, &fails_decode}) {
+    *fails = true;
+    const absl::Time start = MonotonicNow();
+    const test_answer answer = Ask("POST", "/draft/1");
+    EXPECT_LT(MonotonicNow() - start, kAtOnce);
+    EXPECT_EQ(answer.status, 200) << answer.body;
+    EXPECT_FALSE(*fails);
+  }
+}
+
+// Answers each request as soon as its head has arrived, and then resets the
+// connection while the body is still being sent. Serves one at a time, on a
+// thread of its own.
+class early_resetting_server {
+ public:
+  // @param body of each answer; it has no length.
+  explicit early_resetting_server(std::string body) : body_(std::move(body)) {
+    listener_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    (void)::bind(listener_, reinterpret_cast<const sockaddr*>(&address), size);
+    ::listen(listener_, 16);
+    ::getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
+    address_ = absl::StrCat("127.0.0.1:", ntohs(address.sin_port));
+    thread_ = std::thread([this] { Serve(); });
+  }
+  ~early_resetting_server() {
+    ::shutdown(listener_, SHUT_RDWR);
+    thread_.join();
+    ::close(listener_);
+  }
+  early_resetting_server(const early_resetting_server&) = delete;
+  early_resetting_server& operator=(const early_resetting_server&) = delete;
+
+  std::string Address() const { return address_; }
+  // Returns the number of requests that were answered.
+  int Answered() const { return answered_; }
+
+ private:
+  void Serve() {
+    for (;;) {
+      const int caller = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
+      if (caller < 0) return;
+      raw_request request;
+      char byte = 0;
+      while (!absl::EndsWith(request.head, "\r\n\r\n") &&
+             ::recv(caller, &byte, 1, 0) == 1) {
+        request.head += byte;
+      }
+      if (absl::StartsWith(request.head, "POST")) {
+        const std::string answer =
+            absl::StrCat(platform_scene::Head(request, 200), "\r\n", body_);
+        (void)::send(caller, answer.data(), answer.size(), MSG_NOSIGNAL);
+        // Some resets come before the answer is read, some behind it.
+        std::this_thread::sleep_for(
+            std::chrono::milliseconds(5 * (answered_ % 3)));
+        ++answered_;
+      }
+      const linger at_once{.l_onoff = 1, .l_linger = 0};
+      ::setsockopt(caller, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+      ::close(caller);
+    }
+  }
+
+  const std::string body_;
+  int listener_ = -1;
+  std::string address_;
+  std::atomic<int> answered_ = 0;
+  std::thread thread_;
+};
+
+// Guards against a part of a stream, or an answer to its prefill, that counts
+// as whole though its engine has reset the connection beside the upload.
+TEST_F(cut_answer_path_test, AnEarlyAnswerThatIsResetIsNotWhole) {
+  constexpr size_t kPromptBytes = 3 << 20;
+  constexpr int kRequestsEach = 12;
+  const early_resetting_server decode("id: 1\ndata: t1\n\nid: 2\ndata: t2\n\n");
+  const early_resetting_server prefill(
+      R"({"Handle":"h1","Tokens":100,"Version":1})");
+  const std::string prompt(kPromptBytes, 'x');
+  scene_.OnDecode([](QTcpSocket& socket, const raw_request& request) {
+    Write(socket, absl::StrCat(platform_scene::Head(request, 200),
+                               "Transfer-Encoding: chunked\r\n\r\n"));
+    platform_scene::Events(socket, 1, 3);
+    Write(socket, "0\r\n\r\n");
+  });
+  ASSERT_NO_FATAL_FAILURE(
+      AddUpstream("p1", "model", prefill.Address(), "prefill"));
+  for (int i = 0; i < kRequestsEach; ++i) Ask("POST", "/draft/1", prompt);
+  EXPECT_GT(prefill.Answered(), 0);
+  for (const raw_request& request : scene_.AtDecode()) {
+    EXPECT_EQ(platform_scene::Field(request, "kv-source"), "");
+  }
+  ASSERT_NO_FATAL_FAILURE(
+      AddUpstream("d1", "model", decode.Address(), "decode"));
+  for (int i = 0; i < kRequestsEach; ++i) {
+    const test_answer answer = Ask("POST", "/draft/1", prompt);
+    // 0 is a stream that broke off.
+    EXPECT_TRUE(answer.status == 0 || answer.status >= kBadGateway)
+        << answer.status << answer.body.substr(0, 200);
+  }
+  EXPECT_GT(decode.Answered(), 0);
+}
+
 // Guards against a stream with a hole, or one that is complete without its
 // events, when its engine closes inside its head, before its body or inside it.
 TEST_F(cut_answer_path_test, AStreamGoesOnElsewhereOrFails) {
