Handshake filter: the linter's findings

Cause: the linter's first run on the new files asked for sized integer types and for the result of connect to be used. No change of behaviour; linter clean on the files of the change, and their tests pass.

--- a/src/caller/closing_handshakes_test.cc
+++ b/src/caller/closing_handshakes_test.cc
@@ -7,7 +7,9 @@
 
 #include <atomic>
 #include <cerrno>
+#include <cstdint>
 #include <thread>
+#include <tuple>
 #include <vector>
 
 #include "caller/caller_world_for_test.h"
@@ -28,7 +30,7 @@
   std::atomic<int> broken{0};
 };
 
-bool Await(int socket, short event, int patience_ms) {
+bool Await(int socket, int16_t event, int patience_ms) {
   pollfd awaited{.fd = socket, .events = event, .revents = 0};
   return ::poll(&awaited, 1, patience_ms) > 0;
 }
@@ -42,7 +44,8 @@
   address.sin_family = AF_INET;
   address.sin_port = htons(port);
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  ::connect(made, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+  std::ignore = ::connect(made, reinterpret_cast<const sockaddr*>(&address),
+                          sizeof(address));
   return made;
 }
 
--- a/src/caller/handshake_filter.cc
+++ b/src/caller/handshake_filter.cc
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <cerrno>
+#include <cstdint>
 
 namespace anvilridge {
 namespace {
@@ -26,7 +27,7 @@
       BPF_STMT(BPF_RET | BPF_K, kDrop),
       BPF_STMT(BPF_RET | BPF_K, kKeepWhole),
   }};
-  const sock_fprog filter{.len = static_cast<unsigned short>(program.size()),
+  const sock_fprog filter{.len = static_cast<uint16_t>(program.size()),
                           .filter = program.data()};
   if (::setsockopt(listening, SOL_SOCKET, SO_ATTACH_FILTER, &filter,
                    sizeof(filter)) != 0) {
--- a/src/caller/handshake_filter_test.cc
+++ b/src/caller/handshake_filter_test.cc
@@ -8,7 +8,9 @@
 
 #include <array>
 #include <cerrno>
+#include <cstdint>
 #include <string>
+#include <tuple>
 
 #include "gtest/gtest.h"
 
@@ -34,7 +36,7 @@
     if (descriptor_ >= 0) ::close(descriptor_);
     descriptor_ = -1;
   }
-  bool Ready(short event, int patience_ms) const {
+  bool Ready(int16_t event, int patience_ms) const {
     pollfd awaited{.fd = descriptor_, .events = event, .revents = 0};
     return ::poll(&awaited, 1, patience_ms) > 0;
   }
@@ -85,7 +87,7 @@
   }
   sockaddr* Address() { return reinterpret_cast<sockaddr*>(&address_); }
   void Connect(const test_socket& caller) {
-    ::connect(caller.Get(), Address(), sizeof(address_));
+    std::ignore = ::connect(caller.Get(), Address(), sizeof(address_));
   }
 
   sockaddr_in6 address_ = Loopback();
