Review: let leaving engines say so, and send postings in rounds

Cause: by the users' pages an engine that leaves says so in all its answers, which the stand-in did not. With it, daemons learn from the first answer.

Change: the stand-in has the field; the case of the leaving engine sends 24 postings together every 3 s.

--- a/review/12/gone_engine.cc
+++ b/review/12/gone_engine.cc
@@ -19,16 +19,22 @@
 // Time in which the store must have been stable, and some more.
 constexpr int64_t kStableMs = 5000;
 constexpr int64_t kDrainMs = 2000;
-// How long the engine serves behind its report, `kDrainMs` and longer.
-constexpr int64_t kServesMs = 6000;
-constexpr int64_t kPostingIntervalMs = 25;
+// Postings come together, every `kRoundMs`: a quiet hour.
+constexpr int kPostingsToEach = 6;
+constexpr int64_t kRoundMs = 3000;
+constexpr int kRoundsBefore = 2;
+// Rounds in which the engine serves behind its report.
+constexpr int kRoundsBehind = 3;
 
 int Run(const std::string& folder) {
   LimitRunTime();
   scene run(folder);
   if (!run.Start()) return kNotRun;
-  run.StartPostings(kPostingIntervalMs);
   SleepMs(kSettleMs);
+  for (int i = 0; i < kRoundsBefore; ++i) {
+    run.SendPostings(kPostingsToEach);
+    SleepMs(kRoundMs);
+  }
 
   run.store.TakeCopy();
   engine& released = run.StartPlainEngine(14, "ledger", kColdMs);
@@ -44,13 +50,15 @@
   }
   SleepMs(kStableMs);
 
+  run.SendPostings(kPostingsToEach);
   released.Drain();
   const int64_t confirmed = NowMs();
   run.record.Add("the store has confirmed that s14 drains");
-  SleepMs(kServesMs);
+  for (int i = 0; i < kRoundsBehind; ++i) {
+    SleepMs(kRoundMs);
+    run.SendPostings(kPostingsToEach);
+  }
   released.End();
-  SleepMs(500);
-  run.StopPostings();
 
   std::map<std::string, int> late;
   int total = 0;
--- a/review/drill/engines.cc
+++ b/review/drill/engines.cc
@@ -25,14 +25,6 @@
       .count();
 }
 
-std::string IdField(const message& request) {
-  return "Request-Id: " + request.Field("request-id") + "\r\n";
-}
-
-std::string NotRun(int status, const message& request) {
-  return JsonResponse(status, IdField(request) + "Not-Run: 1\r\n", "{}");
-}
-
 // Returns the two numbers of a request's `Token-Count`.
 std::pair<int, int> TokenCount(const message& request) {
   const std::string text = request.Field("token-count");
@@ -110,6 +102,16 @@
   store_.Put(kTopic, setup_.id, std::nullopt);
 }
 
+std::string engine::Marks(const message& request) {
+  const std::lock_guard lock(mutex_);
+  return "Request-Id: " + request.Field("request-id") + "\r\n" +
+         (draining_ ? "Server-Leaving: 1\r\n" : "");
+}
+
+std::string engine::NotRun(int status, const message& request) {
+  return JsonResponse(status, Marks(request) + "Not-Run: 1\r\n", "{}");
+}
+
 std::string engine::Entry(bool with_seq) {
   std::string entry =
       R"({"Service":")" + setup_.service + R"(","Addr":")" + setup_.ip + ":" +
@@ -166,12 +168,12 @@
   if (request.target == "/api/order") return AnswerOrder(request, with);
   if (!setup_.stage.empty()) return AnswerModelRequest(request, with);
   if (request.target == "/api/report") {
-    with.Send(JsonResponse(404, "", "{}"));
+    with.Send(JsonResponse(404, Marks(request), "{}"));
     return;
   }
   log_.Add({setup_.id, request.Field("request-id"), setup_.service, NowMs()});
   SleepMs(setup_.work_ms);
-  with.Send(JsonResponse(200, IdField(request) + "Response-Seal: s1\r\n",
+  with.Send(JsonResponse(200, Marks(request) + "Response-Seal: s1\r\n",
                          R"({"done":true})"));
 }
 
@@ -202,7 +204,7 @@
   log_.Add(order);
   record_.Add("engine " + setup_.id + ": order " + request.body + " from " +
               order.holder + " answered " + std::to_string(order.status));
-  with.Send(JsonResponse(order.status, "", "{}"));
+  with.Send(JsonResponse(order.status, Marks(request), "{}"));
 }
 
 void engine::AnswerModelRequest(const message& request, connection& with) {
@@ -221,11 +223,11 @@
              R"("Handles":0})";
   }
   if (request.target == "/api/report") {
-    with.Send(JsonResponse(200, "", report));
+    with.Send(JsonResponse(200, Marks(request), report));
     return;
   }
   if (request.method == "DELETE") {
-    with.Send(JsonResponse(200, "", "{}"));
+    with.Send(JsonResponse(200, Marks(request), "{}"));
     return;
   }
   if (busy) {
@@ -244,7 +246,7 @@
 void engine::Prefill(const message& request, connection& with) {
   const int tokens = TokenCount(request).first;
   SleepMs(static_cast<int64_t>(tokens / kPrefillTokensPerMs));
-  with.Send(JsonResponse(200, IdField(request),
+  with.Send(JsonResponse(200, Marks(request),
                          R"({"Handle":")" + setup_.id + "x" +
                              std::to_string(++handles_) + R"(","Tokens":)" +
                              std::to_string(tokens) + R"(,"Version":1})"));
@@ -253,7 +255,7 @@
 void engine::Decode(const message& request, connection& with) {
   log_.Add({setup_.id, request.Field("request-id"), setup_.service, NowMs()});
   const std::string head = ResponseHead(
-      200, IdField(request) +
+      200, Marks(request) +
                "Response-Seal: s1\r\nContent-Type: text/event-stream\r\n"
                "Transfer-Encoding: chunked\r\n\r\n");
   if (!with.Send(head)) return;
--- a/review/drill/engines.h
+++ b/review/drill/engines.h
@@ -84,6 +84,9 @@
   void WriteAgain() { write_again_ = true; }
 
  private:
+  // Returns the fields that all of its answers have.
+  std::string Marks(const message& request);
+  std::string NotRun(int status, const message& request);
   std::string Entry(bool with_seq);
   void Beat();
   bool Write();
--- a/review/drill/scene.cc
+++ b/review/drill/scene.cc
@@ -1,6 +1,8 @@
 #include "scene.h"
 
 #include <algorithm>
+#include <mutex>
+#include <thread>
 #include <utility>
 
 namespace review {
@@ -34,6 +36,13 @@
          R"("HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}})";
 }
 
+client_request Posting(int64_t number) {
+  client_request request;
+  request.path = "/post/" + std::to_string(number);
+  request.body = R"({"amount":1})";
+  return request;
+}
+
 }  // namespace
 
 scene::scene(const std::string& folder)
@@ -98,13 +107,26 @@
 void scene::StartPostings(int64_t interval_ms) {
   for (const auto& daemon : daemons) {
     postings_.push_back(std::make_unique<client_load>(
-        "post-" + daemon->Ip(), daemon->Ip(), interval_ms, [](int64_t number) {
-          client_request request;
-          request.path = "/post/" + std::to_string(number);
-          request.body = R"({"amount":1})";
-          return request;
-        }));
+        "post-" + daemon->Ip(), daemon->Ip(), interval_ms, Posting));
+  }
+}
+
+void scene::SendPostings(int to_each) {
+  std::mutex mutex;
+  std::vector<std::thread> sending;
+  ++rounds_;
+  for (const auto& daemon : daemons) {
+    for (int i = 0; i < to_each; ++i) {
+      const int number = 100 * rounds_ + i;
+      sending.emplace_back([this, &mutex, number, ip = daemon->Ip()] {
+        const client_answer seen = Ask(
+            ip, Posting(number), "post-" + ip + "-" + std::to_string(number));
+        const std::lock_guard lock(mutex);
+        sent_at_once_.push_back(seen);
+      });
+    }
   }
+  for (std::thread& one : sending) one.join();
 }
 
 void scene::StopPostings() {
@@ -112,7 +134,7 @@
 }
 
 std::vector<client_answer> scene::Postings() {
-  std::vector<client_answer> all;
+  std::vector<client_answer> all = sent_at_once_;
   for (const auto& load : postings_) {
     const std::vector<client_answer> some = load->Answers();
     all.insert(all.end(), some.begin(), some.end());
--- a/review/drill/scene.h
+++ b/review/drill/scene.h
@@ -36,6 +36,8 @@
   /// Begins postings, which may run once at most, to each daemon.
   void StartPostings(int64_t interval_ms);
   void StopPostings();
+  /// Sends postings to each daemon, all at once, and waits for the answers.
+  void SendPostings(int to_each);
   std::vector<client_answer> Postings();
 
   /// Writes all requests and answers to the record.
@@ -56,6 +58,9 @@
   const std::string folder_;
   std::vector<std::unique_ptr<engine>> engines_;
   std::vector<std::unique_ptr<client_load>> postings_;
+  // Postings that were sent at once, and the number of those.
+  std::vector<client_answer> sent_at_once_;
+  int rounds_ = 0;
 };
 
 }  // namespace review
