--- a/review/drill/fleet.cc
+++ b/review/drill/fleet.cc
@@ -92,7 +92,7 @@
 }
 
 daemon_process::daemon_process(const addresses& at, int number,
-                               const std::string& folder)
+                               const std::string& folder, int memory_mb)
     : ip_(at.Daemon(number)) {
   const std::string port_of = ":";
   const std::map<std::string, std::string> values = {
@@ -103,7 +103,7 @@
       {"Listen.Ready", ip_ + port_of + std::to_string(kReadyPort)},
       {"PortRange.0", std::to_string(kSharingPort)},
       {"Platform.Addr", at.Store() + port_of + std::to_string(kStorePort)},
-      {"Limits.MemoryMb", "520"},
+      {"Limits.MemoryMb", std::to_string(memory_mb)},
       {"Bounds.RetryRatio", "0.2"},
       {"Bounds.RetrySlack", "58"},
       {"Bounds.RetryWindowS", "10"},
@@ -159,20 +159,46 @@
   return pid_ > 0 && ::waitpid(pid_, nullptr, WNOHANG) == 0;
 }
 
+int64_t daemon_process::ResidentKb() const {
+  std::ifstream in("/proc/" + std::to_string(pid_) + "/status");
+  std::string name;
+  while (in >> name) {
+    if (name != "VmRSS:") continue;
+    int64_t kb = 0;
+    in >> kb;
+    return kb;
+  }
+  return 0;
+}
+
+void daemon_process::Kill() {
+  if (pid_ > 0) ::kill(pid_, SIGKILL);
+}
+
 client_answer Ask(const std::string& ip, const client_request& request,
                   const std::string& id) {
+  const auto with = Connect(ip, kCallerPort);
+  if (with) return AskOn(*with, ip, request, id);
   client_answer seen;
   seen.id = id;
   seen.ip = ip;
   seen.sent_ms = NowMs();
-  const auto with = Connect(ip, kCallerPort);
-  if (!with) return seen;
-  with->Send("POST " + request.path + " HTTP/1.1\r\nHost: a.example\r\n" +
-             "Request-Id: " + id + "\r\nDeadline-Ms: " +
-             std::to_string(request.deadline_ms) + "\r\n" + request.fields +
-             "Content-Length: " + std::to_string(request.body.size()) +
-             "\r\n\r\n" + request.body);
-  const auto answer = with->Read(seen.sent_ms + request.deadline_ms, nullptr);
+  return seen;
+}
+
+client_answer AskOn(connection& channel, const std::string& ip,
+                    const client_request& request, const std::string& id) {
+  client_answer seen;
+  seen.id = id;
+  seen.ip = ip;
+  seen.sent_ms = NowMs();
+  channel.Send("POST " + request.path + " HTTP/1.1\r\nHost: a.example\r\n" +
+               "Request-Id: " + id + "\r\nDeadline-Ms: " +
+               std::to_string(request.deadline_ms) + "\r\n" + request.fields +
+               "Content-Length: " + std::to_string(request.body.size()) +
+               "\r\n\r\n" + request.body);
+  const auto answer = channel.Read(seen.sent_ms + request.deadline_ms, nullptr);
+  seen.ended_ms = NowMs();
   if (!answer) return seen;
   seen.status = answer->status;
   seen.has_seal = !answer->Field("response-seal").empty();
--- a/review/drill/fleet.h
+++ b/review/drill/fleet.h
@@ -45,7 +45,9 @@
 class daemon_process {
  public:
   /// @param folder for its settings file and its log.
-  daemon_process(const addresses& at, int number, const std::string& folder);
+  /// @param memory_mb memory of its machine.
+  daemon_process(const addresses& at, int number, const std::string& folder,
+                 int memory_mb);
   ~daemon_process();
   daemon_process(const daemon_process&) = delete;
   daemon_process& operator=(const daemon_process&) = delete;
@@ -57,6 +59,10 @@
   /// Returns the text of its log.
   std::string Log() const;
   bool Runs() const;
+  /// Returns the memory of the process in KB, 0 once it has ended.
+  int64_t ResidentKb() const;
+  /// Ends the process as the platform does with one over its memory.
+  void Kill();
 
  private:
   std::string ip_;
@@ -72,6 +78,7 @@
   bool has_seal = false;
   std::string ip;
   int64_t sent_ms = 0;
+  int64_t ended_ms = 0;
 };
 
 /// A request of a client.
@@ -86,6 +93,11 @@
 client_answer Ask(const std::string& ip, const client_request& request,
                   const std::string& id);
 
+/// Sends a request on `channel`, a kept one to the daemon at `ip`, and reads
+/// its answer.
+client_answer AskOn(connection& channel, const std::string& ip,
+                    const client_request& request, const std::string& id);
+
 /// Clients that send requests at a steady rate until they are stopped.
 class client_load {
  public:
--- a/review/drill/scene.cc
+++ b/review/drill/scene.cc
@@ -8,7 +8,6 @@
 namespace review {
 namespace {
 
-constexpr int kDaemons = 4;
 constexpr int64_t kReadyLimitMs = 15000;
 constexpr int kModelSlots = 48;
 
@@ -57,7 +56,7 @@
   engines_.clear();
 }
 
-bool scene::Start() {
+bool scene::Start(size_t daemon_count, int memory_mb, int64_t work_ms) {
   if (!store.Ok() || folder_.empty()) return false;
   PutConfig(1, "ledger");
   for (int i = 1; i <= 5; ++i) {
@@ -69,12 +68,13 @@
     setup.slots = kModelSlots;
     AddEngine(setup);
   }
-  for (int i = 11; i <= 13; ++i) StartPlainEngine(i, "ledger", 0);
-  for (int i = 1; i <= kDaemons; ++i) {
-    daemons.push_back(std::make_unique<daemon_process>(at, i, folder_));
+  for (int i = 11; i <= 13; ++i) StartPlainEngine(i, "ledger", 0, work_ms);
+  for (size_t i = 1; i <= daemon_count; ++i) {
+    daemons.push_back(std::make_unique<daemon_process>(at, static_cast<int>(i),
+                                                       folder_, memory_mb));
   }
-  return WaitFor(kReadyLimitMs, [this] {
-    return store.Members().size() == kDaemons &&
+  return WaitFor(kReadyLimitMs, [this, daemon_count] {
+    return store.Members().size() == daemon_count &&
            std::all_of(daemons.begin(), daemons.end(),
                        [](const auto& daemon) { return daemon->IsReady(); });
   });
@@ -85,12 +85,13 @@
 }
 
 engine& scene::StartPlainEngine(int number, const std::string& service,
-                                int64_t cold_ms) {
+                                int64_t cold_ms, int64_t work_ms) {
   engine_setup setup;
   setup.id = "s" + std::to_string(number);
   setup.service = service;
   setup.ip = at.Engine(number);
   setup.cold_ms = cold_ms;
+  setup.work_ms = work_ms;
   AddEngine(setup);
   return *engines_.back();
 }
--- a/review/drill/scene.h
+++ b/review/drill/scene.h
@@ -11,8 +11,8 @@
 
 namespace review {
 
-/// A small deployment: four daemons, the store, a model service with five
-/// engines and a plain service with three.
+/// A small deployment: daemons, four unless told otherwise, the store, a model
+/// service with five engines and a plain service with three.
 class scene {
  public:
   /// @param folder of the case, for its record.
@@ -22,11 +22,13 @@
   scene& operator=(const scene&) = delete;
 
   /// Starts all. Returns false if the daemons don't get ready.
-  bool Start();
+  /// @param work_ms time for one request of the plain service.
+  bool Start(size_t daemon_count = 4, int memory_mb = 520,
+             int64_t work_ms = 30);
 
   /// Starts an engine of the plain service at address `number`.
   engine& StartPlainEngine(int number, const std::string& service,
-                           int64_t cold_ms);
+                           int64_t cold_ms, int64_t work_ms = 30);
   engine& EngineOf(const std::string& id);
 
   /// Writes a configuration: the one at the start, with its version and with
