--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -3,6 +3,6 @@
 # TROUBLE=0 leaves the disruption out.
 set -u
 cd "$(dirname "$0")/../.." || exit 2
-program=target/review-3/old_route
+program=target/review-3/gone_engine
 [ -x "$program" ] && [ -x target/anvilridge_fleet ] || exit 2
 exec "$program" review/13
