Tests: reserve the names of racing operators' teams

Cause: the tasks of OneOfEachPairOfRacingOperatorsIsAccepted read teams[i] by reference while the loop's push_back moves the vector, a data race of the test's own program. Change: the vector's room is reserved first.

--- a/tests/config_in_force_test.cc
+++ b/tests/config_in_force_test.cc
@@ -177,6 +177,8 @@
   offset_watch watch(fleet);
   std::vector<std::future<race_answers>> races;
   std::vector<std::string> teams;
+  // The races read their names while later ones are added.
+  teams.reserve(kTeams);
   for (int i = 0; i < kTeams; ++i) {
     teams.push_back(absl::StrCat("team-", i));
     const int64_t version = fleet.Append(
