Read the era of the platform's store

Cause: the store names its era in each reply (Store-Era), and the code dropped the field, so nothing could tell a number of an older copy from one before. Change: replies that list, read and join carry the era, and so do the reports between daemons (new version of their format: daemons before and after ignore each other's reports and read by themselves). The stand-in of the store goes back to a copy, names its era, answers 410 past its end and lists the newest record of each key only. Nothing acts on the era yet. AClaimOfHugeRecordsIsRejected writes the new field, too; its check is as before.

--- a/src/fleet/group_member.h
+++ b/src/fleet/group_member.h
@@ -10,6 +10,7 @@
 
 #include "absl/status/statusor.h"
 #include "absl/time/time.h"
+#include "fleet/store_position.h"
 
 namespace anvilridge {
 
@@ -20,6 +21,8 @@
   int64_t generation = 0;
   /// Whether the store has assigned the group's first partition to the member.
   bool holds_first_partition = false;
+  /// Era of the generation, as the reply names it.
+  store_era era = store_era::none;
 };
 
 /// Calls to the store that a `group_member` makes. `join` and `owners` call
--- a/src/fleet/topic_follower.h
+++ b/src/fleet/topic_follower.h
@@ -17,6 +17,8 @@
   std::vector<keyed_record> records;
   /// Offset for the next read.
   int64_t next = 0;
+  /// Era of all offsets, as the reply names it.
+  store_era era = store_era::none;
 };
 
 /// The newest record of each key of a topic.
@@ -25,6 +27,8 @@
   /// Offset for the next read: at or before the first record that may be
   /// missing from the listing.
   int64_t next = 0;
+  /// Era of all offsets, as the reply names it.
+  store_era era = store_era::none;
 };
 
 /// Calls to the store that a `topic_follower` makes. Each calls `done` exactly
--- a/src/fleet/topic_report.h
+++ b/src/fleet/topic_report.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "absl/time/time.h"
+#include "fleet/store_position.h"
 
 namespace anvilridge {
 
@@ -15,6 +16,7 @@
   std::string key;
   /// Nullopt if the record removes the key.
   std::optional<std::string> value;
+  /// Offset in the era of the reply or the report that holds the record.
   int64_t offset = 0;
 
   bool operator==(const keyed_record&) const = default;
@@ -38,6 +40,8 @@
   /// Records of the sender's last reply, in order. Empty if they are too many
   /// for a message, or known to the receivers.
   std::vector<keyed_record> records;
+  /// Era of all offsets in the report.
+  store_era era = store_era::none;
 };
 
 /// Reports of the topics that all daemons follow.
--- a/src/sharing/load_exchange_test.cc
+++ b/src/sharing/load_exchange_test.cc
@@ -343,7 +343,8 @@
 TEST_F(load_exchange_test, MessagesOfOtherVersionsAreIgnored) {
   auto daemons = Neighbours(2);
   QUdpSocket other;
-  for (const int first_byte : {0x00, 0xA9, 0xAB, 0xB0, 0xB1, 0xB2, 0xFF}) {
+  for (const int first_byte :
+       {0x00, 0xA9, 0xAB, 0xB0, 0xB1, 0xB2, 0xB3, 0xFF}) {
     QByteArray bytes(64, '\x01');
     bytes[0] = static_cast<char>(first_byte);
     other.writeDatagram(bytes, QHostAddress::LocalHost,
--- a/src/sharing/store_report_codec.cc
+++ b/src/sharing/store_report_codec.cc
@@ -13,7 +13,7 @@
 namespace {
 
 // First byte of a report; differs from that of a load message.
-constexpr quint8 kFormatVersion = 0xB1;
+constexpr quint8 kFormatVersion = 0xB2;
 // Value in place of an age that is infinite or too long to be written.
 constexpr quint32 kLongAge = std::numeric_limits<quint32>::max();
 // Largest size of the records once they are expanded. Bounds what a forged
@@ -77,21 +77,23 @@
 
 void WriteTopic(QDataStream& stream, const topic_report& report) {
   stream << static_cast<qint64>(report.next) << static_cast<qint64>(report.from)
-         << ToMilliseconds(report.reply_age) << report.store_lost
-         << ToMilliseconds(report.outage_age)
+         << static_cast<qint64>(report.era) << ToMilliseconds(report.reply_age)
+         << report.store_lost << ToMilliseconds(report.outage_age)
          << CompressedRecords(report.records);
 }
 
 bool ReadTopic(QDataStream& stream, topic_report& report) {
   qint64 next = 0;
   qint64 from = 0;
+  qint64 era = 0;
   quint32 reply_age = 0;
   quint32 outage_age = 0;
   QByteArray records;
-  stream >> next >> from >> reply_age >> report.store_lost >> outage_age >>
-      records;
+  stream >> next >> from >> era >> reply_age >> report.store_lost >>
+      outage_age >> records;
   report.next = next;
   report.from = from;
+  report.era = static_cast<store_era>(era);
   report.reply_age = FromMilliseconds(reply_age);
   report.outage_age = FromMilliseconds(outage_age);
   return stream.status() == QDataStream::Ok &&
--- a/src/sharing/store_report_codec_test.cc
+++ b/src/sharing/store_report_codec_test.cc
@@ -20,6 +20,7 @@
   report.config.from = 4;
   report.config.reply_age = absl::Milliseconds(1200);
   report.config.store_lost = true;
+  report.upstreams.era = store_era{3};
   report.upstreams.next = 9;
   report.upstreams.from = 7;
   report.upstreams.reply_age = absl::ZeroDuration();
@@ -39,6 +40,8 @@
   EXPECT_EQ(decoded->config.outage_age, absl::InfiniteDuration());
   EXPECT_TRUE(decoded->config.store_lost);
   EXPECT_TRUE(decoded->config.records.empty());
+  EXPECT_EQ(decoded->config.era, store_era::none);
+  EXPECT_EQ(decoded->upstreams.era, store_era{3});
   EXPECT_EQ(decoded->upstreams.from, 7);
   EXPECT_EQ(decoded->upstreams.outage_age, absl::Milliseconds(300));
   EXPECT_EQ(decoded->upstreams.records, ExampleReport().upstreams.records);
@@ -82,8 +85,8 @@
   QDataStream stream(&bytes, QIODevice::WriteOnly);
   stream << static_cast<quint8>(whole[0]);
   for (int topic = 0; topic < 2; ++topic) {
-    stream << qint64{1} << qint64{0} << quint32{0} << false << quint32{0}
-           << bomb;
+    stream << qint64{1} << qint64{0} << qint64{0} << quint32{0} << false
+           << quint32{0} << bomb;
   }
   EXPECT_FALSE(DecodeStoreReport(View(bytes)).ok());
 }
--- a/tests/harness/store_standin.cc
+++ b/tests/harness/store_standin.cc
@@ -50,9 +50,23 @@
 
 struct stored_record {
   std::string key;
+  // Empty if the record removes the key.
   std::string value;
 };
 
+struct group_lease {
+  absl::Duration ttl;
+  absl::Time until;
+};
+
+// What the store keeps, and what a copy of it holds.
+struct kept_state {
+  std::map<std::string, std::vector<stored_record>> topics;
+  // By member; one group.
+  std::map<std::string, group_lease> members;
+  int generation = 1;
+};
+
 struct waiting_read {
   QPointer<QTcpSocket> socket;
   std::string target;
@@ -65,27 +79,35 @@
   std::atomic<bool> up = true;
   std::mutex mutex;
   // Guarded by `mutex`.
-  std::map<std::string, std::vector<stored_record>> topics;
-  // Ends of the leases, by member; one group.
-  std::map<std::string, absl::Time> members;
-  int generation = 1;
+  kept_state state;
+  kept_state copy;
+  int era = 1;
   std::list<waiting_read> waiting;
   std::unique_ptr<raw_server> server;
   std::unique_ptr<QTimer> look;
 
+  // The functions below need `mutex`.
   std::string ReadAnswer(const std::string& target);
   std::string ListAnswer(const std::string& target);
   std::string JoinAnswer(const QJsonObject& body);
   std::string OwnersAnswer() const;
   void EndLeases();
-  bool HasNews(const std::string& target);
+  bool AnswerRead(const waiting_read& read);
   void Look();
   void Answer(QTcpSocket& socket, const raw_request& request);
+  void Send(QTcpSocket& socket, int status, const std::string& body) const;
 };
 
+void store_standin::impl::Send(QTcpSocket& socket, int status,
+                               const std::string& body) const {
+  const std::string text =
+      absl::StrCat("HTTP/1.1 ", status, " X\r\nStore-Era: ", era,
+                   "\r\nContent-Length: ", body.size(), "\r\n\r\n", body);
+  socket.write(text.data(), static_cast<qint64>(text.size()));
+}
+
 std::string store_standin::impl::ReadAnswer(const std::string& target) {
-  const std::lock_guard lock(mutex);
-  const auto& records = topics[QueryValue(target, "Topic")];
+  const auto& records = state.topics[QueryValue(target, "Topic")];
   std::string body = BigEndian<quint64>(records.size()) + BigEndian<quint64>(0);
   for (size_t i = QueryNumber(target, "From"); i < records.size(); ++i) {
     const std::string content =
@@ -97,15 +119,18 @@
 }
 
 std::string store_standin::impl::ListAnswer(const std::string& target) {
-  const std::lock_guard lock(mutex);
-  const auto& records = topics[QueryValue(target, "Topic")];
+  const auto& records = state.topics[QueryValue(target, "Topic")];
+  std::map<std::string, size_t> newest;
+  for (size_t i = 0; i < records.size(); ++i) newest[records[i].key] = i;
   QJsonArray items;
-  for (size_t i = 0; i < records.size(); ++i) {
+  for (const auto& [key, offset] : newest) {
+    const std::string& value = records[offset].value;
+    if (value.empty()) continue;
     items.append(QJsonObject{
-        {"Key", QString::fromStdString(records[i].key)},
-        {"Value", QString::fromLatin1(
-                      QByteArray::fromStdString(records[i].value).toBase64())},
-        {"Offset", static_cast<int>(i)}});
+        {"Key", QString::fromStdString(key)},
+        {"Value",
+         QString::fromLatin1(QByteArray::fromStdString(value).toBase64())},
+        {"Offset", static_cast<int>(offset)}});
   }
   const QJsonObject page{{"items", items},
                          {"HasMore", false},
@@ -115,31 +140,31 @@
 
 void store_standin::impl::EndLeases() {
   const absl::Time now = MonotonicNow();
-  if (std::erase_if(members, [now](const auto& member) {
-        return member.second < now;
+  if (std::erase_if(state.members, [now](const auto& member) {
+        return member.second.until < now;
       }) > 0) {
-    ++generation;
+    ++state.generation;
   }
 }
 
 std::string store_standin::impl::JoinAnswer(const QJsonObject& body) {
   EndLeases();
   const std::string member = body["Member"].toString().toStdString();
-  if (members.find(member) == members.end()) ++generation;
-  members[member] =
-      MonotonicNow() + absl::Milliseconds(body["TtlMs"].toDouble());
+  if (state.members.find(member) == state.members.end()) ++state.generation;
+  const absl::Duration ttl = absl::Milliseconds(body["TtlMs"].toDouble());
+  state.members[member] = {ttl, MonotonicNow() + ttl};
   QJsonArray rows;
-  if (members.begin()->first == member) {
+  if (state.members.begin()->first == member) {
     rows.append(QJsonArray{"daemons-0", 0, 0});
   }
-  const QJsonObject answer{{"Generation", generation}, {"parts", rows}};
+  const QJsonObject answer{{"Generation", state.generation}, {"parts", rows}};
   return QJsonDocument(answer).toJson().toStdString();
 }
 
 std::string store_standin::impl::OwnersAnswer() const {
   QJsonArray rows;
   int partition = 0;
-  for (const auto& [member, until] : members) {
+  for (const auto& [member, lease] : state.members) {
     rows.append(QJsonArray{QString::fromStdString(absl::StrCat(
                                "daemons-", partition / kPartitions)),
                            partition % kPartitions,
@@ -149,28 +174,32 @@
   return QJsonDocument(QJsonObject{{"parts", rows}}).toJson().toStdString();
 }
 
-bool store_standin::impl::HasNews(const std::string& target) {
-  const std::lock_guard lock(mutex);
-  return static_cast<size_t>(QueryNumber(target, "From")) <
-         topics[QueryValue(target, "Topic")].size();
+// Answers `read` if that is due, and returns whether it needs no answer any
+// more.
+bool store_standin::impl::AnswerRead(const waiting_read& read) {
+  if (!read.socket) return true;
+  const auto from = static_cast<size_t>(QueryNumber(read.target, "From"));
+  const size_t end = state.topics[QueryValue(read.target, "Topic")].size();
+  if (!up) {
+    Send(*read.socket, 503, "");
+  } else if (from > end) {
+    Send(*read.socket, 410, R"({"First":0})");
+  } else if (from < end || read.until <= MonotonicNow()) {
+    Send(*read.socket, 200, ReadAnswer(read.target));
+  } else {
+    return false;
+  }
+  return true;
 }
 
 void store_standin::impl::Look() {
-  const absl::Time now = MonotonicNow();
-  waiting.remove_if([&](const waiting_read& read) {
-    if (!read.socket) return true;
-    if (!up) {
-      raw_server::Answer(*read.socket, 503, "");
-      return true;
-    }
-    if (read.until > now && !HasNews(read.target)) return false;
-    raw_server::Answer(*read.socket, 200, ReadAnswer(read.target));
-    return true;
-  });
+  waiting.remove_if(
+      [this](const waiting_read& read) { return AnswerRead(read); });
 }
 
 void store_standin::impl::Answer(QTcpSocket& socket,
                                  const raw_request& request) {
+  if (!up) return Send(socket, 503, "");
   const std::string& target = request.target;
   const QJsonObject body =
       QJsonDocument::fromJson(QByteArray::fromStdString(request.body)).object();
@@ -181,30 +210,33 @@
     return Look();
   }
   if (absl::StartsWith(target, "/api/log-newest")) {
-    return raw_server::Answer(socket, 200, ListAnswer(target));
+    return Send(socket, 200, ListAnswer(target));
   }
   if (absl::StartsWith(target, "/api/log-join")) {
-    return raw_server::Answer(socket, 200, JoinAnswer(body));
+    return Send(socket, 200, JoinAnswer(body));
   }
   if (absl::StartsWith(target, "/api/log-owners")) {
-    return raw_server::Answer(socket, 200, OwnersAnswer());
+    return Send(socket, 200, OwnersAnswer());
   }
   if (absl::StartsWith(target, "/api/log-leave")) {
-    if (members.erase(body["Member"].toString().toStdString()) > 0) {
-      ++generation;
+    if (state.members.erase(body["Member"].toString().toStdString()) > 0) {
+      ++state.generation;
     }
-    return raw_server::Answer(socket, 200, "{}");
+    return Send(socket, 200, "{}");
   }
-  raw_server::Answer(socket, 404, "");
+  Send(socket, 404, "");
 }
 
 store_standin::store_standin() : impl_(std::make_unique<impl>()) {
   impl_->server = std::make_unique<raw_server>(
       [this](QTcpSocket& socket, const raw_request& request) {
-        if (!impl_->up) return raw_server::Answer(socket, 503, "");
+        const std::lock_guard lock(impl_->mutex);
         impl_->Answer(socket, request);
       });
-  impl_->look = RunEvery(kLookInterval, [this] { impl_->Look(); });
+  impl_->look = RunEvery(kLookInterval, [this] {
+    const std::lock_guard lock(impl_->mutex);
+    impl_->Look();
+  });
 }
 
 store_standin::~store_standin() = default;
@@ -216,7 +248,21 @@
 void store_standin::Put(const std::string& topic, const std::string& key,
                         const std::string& value) {
   const std::lock_guard lock(impl_->mutex);
-  impl_->topics[topic].push_back({key, value});
+  impl_->state.topics[topic].push_back({key, value});
+}
+
+void store_standin::TakeCopy() {
+  const std::lock_guard lock(impl_->mutex);
+  impl_->copy = impl_->state;
+}
+
+void store_standin::ReturnFromCopy() {
+  const std::lock_guard lock(impl_->mutex);
+  impl_->state = impl_->copy;
+  for (auto& [name, lease] : impl_->state.members) {
+    lease.until = MonotonicNow() + lease.ttl;
+  }
+  ++impl_->era;
 }
 
 }  // namespace anvilridge
