Group: make fencing tokens of era and generation

Cause: the token was the generation of the last reply, which goes back with the store; nothing read the era. Change: the token is the era times 2^32 plus the generation, both of one reply, and below 2^53; without an era it is the generation, as before. A new era begins the wait of one lease anew, since the copy may name a holder of long ago. Replies from before the known position confirm nothing. The group is listed anew in a new era, also if the generation is the same.

--- a/src/fleet/group_member.cc
+++ b/src/fleet/group_member.cc
@@ -21,6 +21,10 @@
 // Fraction of the lease in which an order may be sent. The rest covers the time
 // for the order to arrive and clocks that run at different rates.
 constexpr double kUsableLeaseFraction = 0.6;
+// Bits of a fencing token for the generation; the era has those above them. A
+// JSON number holds 53 bits exactly.
+constexpr int kGenerationBits = 32;
+constexpr int kTokenBits = 53;
 
 }  // namespace
 
@@ -31,9 +35,9 @@
   std::function<void(const std::vector<std::string>&)> on_members;
   QObject context;
   // Generation in the last reply of the store.
-  int64_t generation = 0;
-  // Generation whose members were listed last; -1 before the first listing.
-  int64_t listed_generation = -1;
+  store_position generation;
+  // Generation whose members were listed last; unset before the first listing.
+  std::optional<store_position> listed_generation;
   // Whether the store has assigned the group's first partition to this daemon.
   bool holds_partition = false;
   // When `holds_partition` last changed or was confirmed again after a
@@ -50,7 +54,7 @@
     if (left) return;
     const absl::Time sent_at = MonotonicNow();
     const std::weak_ptr<impl> weak = weak_from_this();
-    calls.join(name, generation, lease,
+    calls.join(name, generation.number, lease,
                [weak, sent_at](const absl::StatusOr<group_join_reply>& reply) {
                  if (const auto self = weak.lock()) {
                    self->HandleJoinReply(reply, sent_at);
@@ -62,26 +66,54 @@
                        absl::Time sent_at) {
     RunAfter(&context, lease / kJoinsPerLease, [this] { Join(); });
     if (!reply.ok()) return;
+    if (!MayFollow(*reply)) return;
+    const store_position next = {EraOfReply(reply->era, generation.era),
+                                 reply->generation};
+    const bool joined_before = last_confirmed != absl::InfinitePast();
+    const bool is_new_era = joined_before && next.era > generation.era;
+    if (is_new_era) LogNewEra(next);
     const bool lease_expired = sent_at - last_confirmed > lease;
     last_confirmed = sent_at;
-    generation = reply->generation;
+    generation = next;
+    // An older copy may name a holder that had lost the right since, and the
+    // last holder of the earlier era may send orders until its lease expires.
+    if (lease_expired || is_new_era) held_since = MonotonicNow();
     if (std::exchange(holds_partition, reply->holds_first_partition) !=
         reply->holds_first_partition) {
       LogEvent(log_level::info,
                holds_partition ? "order_right_held" : "order_right_lost",
-               {{"generation", static_cast<double>(generation)}});
-      held_since = MonotonicNow();
-    } else if (lease_expired) {
+               {{"generation", static_cast<double>(generation.number)},
+                {"era", static_cast<double>(generation.era)}});
       held_since = MonotonicNow();
     }
     if (IsListingDue()) FetchOwners();
   }
 
+  // Returns whether `reply` isn't older than the known generation. Without an
+  // era it confirms only that generation: era and generation of a token come
+  // from one reply.
+  bool MayFollow(const group_join_reply& reply) const {
+    if (generation.era == store_era::none) return true;
+    if (reply.era == store_era::none) {
+      return reply.generation == generation.number;
+    }
+    return store_position{reply.era, reply.generation} >= generation;
+  }
+
+  void LogNewEra(store_position next) const {
+    LogEvent(log_level::warn, "store_era_began",
+             {{"topic", "daemons"},
+              {"era", static_cast<double>(next.era)},
+              {"generation", static_cast<double>(next.number)},
+              {"era_before", static_cast<double>(generation.era)},
+              {"generation_before", static_cast<double>(generation.number)}});
+  }
+
   // Returns whether the group is listed after a join call. The draw spreads the
   // listings of all daemons over time.
   bool IsListingDue() {
     if (listed_generation == generation) return false;
-    if (listed_generation < 0) return true;
+    if (!listed_generation) return true;
     const double chance =
         listing_rate * absl::ToDoubleSeconds(lease / kJoinsPerLease);
     return chance >= 1 || absl::Bernoulli(random, chance);
@@ -94,14 +126,26 @@
       const auto self = weak.lock();
       if (!self || !members.ok()) return;
       self->listed_generation = requested_generation;
-      LogEvent(log_level::info, "daemons_listed",
-               {{"generation", static_cast<double>(requested_generation)},
-                {"daemons", static_cast<int>(members->size())}});
+      LogEvent(
+          log_level::info, "daemons_listed",
+          {{"generation", static_cast<double>(requested_generation.number)},
+           {"daemons", static_cast<int>(members->size())}});
       self->on_members(*members);
     });
   }
 };
 
+std::optional<int64_t> FencingToken(store_position generation) {
+  constexpr int64_t kGenerations = int64_t{1} << kGenerationBits;
+  constexpr int64_t kEras = int64_t{1} << (kTokenBits - kGenerationBits);
+  const auto era = static_cast<int64_t>(generation.era);
+  if (era < 0 || era >= kEras || generation.number < 0 ||
+      generation.number >= kGenerations) {
+    return std::nullopt;
+  }
+  return era * kGenerations + generation.number;
+}
+
 group_member::group_member(
     std::string name, absl::Duration lease, group_calls calls,
     std::function<void(const std::vector<std::string>&)> on_members)
@@ -134,7 +178,9 @@
   }
   // An earlier holder may send orders until its lease expires.
   if (now - self.held_since < self.lease) return std::nullopt;
-  return order_right{self.name, self.generation};
+  const std::optional<int64_t> token = FencingToken(self.generation);
+  if (!token) return std::nullopt;
+  return order_right{self.name, *token};
 }
 
 }  // namespace anvilridge
--- a/src/fleet/group_member.h
+++ b/src/fleet/group_member.h
@@ -47,10 +47,18 @@
 struct order_right {
   /// Name of the daemon that holds the right.
   std::string holder;
-  /// Greater than the token of every earlier holder.
+  /// Greater than the token of every earlier holder, over all eras of the
+  /// store.
   int64_t fencing_token = 0;
 };
 
+/// Returns the fencing token of a holder that the store has confirmed at
+/// `generation` of the group. Tokens rise with the era, then with the
+/// generation; without an era, the token is the generation.
+/// @return nullopt if the token would reach 2^53, up to which a JSON number is
+///     exact, or the generation is too large to be told from a later era.
+std::optional<int64_t> FencingToken(store_position generation);
+
 /// Keeps this daemon a member of the store's group of daemons. The group lists
 /// the daemons and determines which of them may send stage orders to engines.
 /// Must be used on the control thread.
@@ -78,7 +86,8 @@
 
   /// Returns the right to send orders if this daemon certainly holds it at
   /// `now`: the store confirmed it recently enough within the lease, and the
-  /// lease of any earlier holder has expired.
+  /// lease of any earlier holder has expired. After a return of the store from
+  /// an older copy, that takes one lease at least.
   std::optional<order_right> OrderRight(absl::Time now) const;
 
  private:
--- a/src/fleet/group_member_test.cc
+++ b/src/fleet/group_member_test.cc
@@ -114,6 +114,118 @@
   ASSERT_TRUE(RunUntil([&] { return !HoldsOrderRight(); }));
 }
 
+// Guards against two holders with one fencing token: after its return from an
+// older copy the store gives out generations again.
+TEST_F(group_member_test, ATokenIsGreaterThanThoseOfEarlierEras) {
+  join_reply_ = {7, true, store_era{1}};
+  member_.Start();
+  ASSERT_TRUE(RunUntil([&] { return HoldsOrderRight(); }));
+  const int64_t before = member_.OrderRight(MonotonicNow())->fencing_token;
+  join_reply_ = {4, false, store_era{2}};
+  ASSERT_TRUE(RunUntil([&] { return !HoldsOrderRight(); }));
+  for (const int64_t generation : {5, 7, 8}) {
+    join_reply_ = {generation, true, store_era{2}};
+    const int calls = join_calls_;
+    ASSERT_TRUE(RunUntil([&] { return join_calls_ > calls + 1; }));
+    ASSERT_TRUE(RunUntil([&] { return HoldsOrderRight(); }));
+    EXPECT_GT(member_.OrderRight(MonotonicNow())->fencing_token, before);
+  }
+}
+
+// Guards against a holder by an old copy that sends orders while the holder of
+// the earlier era still may, and against orders that stop for long.
+TEST_F(group_member_test, AReturnOfTheStoreBeginsTheWaitOfALeaseAnew) {
+  join_reply_ = {7, true, store_era{1}};
+  member_.Start();
+  ASSERT_TRUE(RunUntil([&] { return HoldsOrderRight(); }));
+  join_reply_ = {7, true, store_era{2}};
+  ASSERT_TRUE(RunUntil([&] { return !HoldsOrderRight(); }, kLease));
+  const absl::Time returned_at = MonotonicNow();
+  EXPECT_TRUE(RunUntil([&] { return HoldsOrderRight(); }, 2 * kLease));
+  EXPECT_GE(MonotonicNow() - returned_at, kLease - absl::Milliseconds(10));
+}
+
+// Guards against a change of the group that a return of the store hides, as the
+// generation is the same.
+TEST_F(group_member_test, ListsTheMembersAnewInANewEra) {
+  join_reply_ = {7, false, store_era{1}};
+  member_.Start();
+  ASSERT_TRUE(RunUntil([&] { return join_calls_ == 3; }));
+  EXPECT_EQ(owners_calls_, 1);
+  join_reply_ = {7, false, store_era{2}};
+  ASSERT_TRUE(RunUntil([&] { return join_calls_ == 6; }));
+  EXPECT_EQ(owners_calls_, 2);
+  // The next join call names the generation of the new era.
+  join_reply_ = {5, false, store_era{3}};
+  ASSERT_TRUE(RunUntil([&] { return join_calls_ == 8; }));
+  EXPECT_EQ(last_generation_, 5);
+}
+
+// A reply that was sent before the return of the store, and came after it.
+TEST_F(group_member_test, AnEarlierReplyConfirmsNothing) {
+  join_reply_ = {4, true, store_era{2}};
+  member_.Start();
+  ASSERT_TRUE(RunUntil([&] { return HoldsOrderRight(); }));
+  for (const group_join_reply& earlier :
+       {group_join_reply{9, true, store_era{1}},
+        group_join_reply{3, true, store_era{2}}}) {
+    join_reply_ = earlier;
+    ASSERT_TRUE(RunUntil([&] { return !HoldsOrderRight(); }, 2 * kLease));
+    join_reply_ = {4, true, store_era{2}};
+    ASSERT_TRUE(RunUntil([&] { return HoldsOrderRight(); }, 3 * kLease));
+  }
+}
+
+// A reply that names no era confirms what is known, and nothing else: era and
+// generation of a token come from one reply.
+TEST_F(group_member_test, AReplyWithoutAnEraBringsNoNewToken) {
+  join_reply_ = {7, true, store_era{1}};
+  member_.Start();
+  ASSERT_TRUE(RunUntil([&] { return HoldsOrderRight(); }));
+  const int64_t before = member_.OrderRight(MonotonicNow())->fencing_token;
+  join_reply_ = {7, true};
+  RunUntil([] { return false; }, kLease);
+  ASSERT_TRUE(HoldsOrderRight());
+  EXPECT_EQ(member_.OrderRight(MonotonicNow())->fencing_token, before);
+  join_reply_ = {8, true};
+  EXPECT_TRUE(RunUntil([&] { return !HoldsOrderRight(); }, 2 * kLease));
+  join_reply_ = {8, true, store_era{1}};
+  ASSERT_TRUE(RunUntil([&] { return HoldsOrderRight(); }, 3 * kLease));
+  EXPECT_EQ(member_.OrderRight(MonotonicNow())->fencing_token, before + 1);
+}
+
+// Guards against tokens that engines can't read exactly, as they are sent as
+// JSON numbers.
+TEST_F(group_member_test, ATokenThatIsTooLargeGivesNoRight) {
+  join_reply_ = {int64_t{1} << 32, true, store_era{1}};
+  member_.Start();
+  RunUntil([] { return false; }, 2 * kLease);
+  EXPECT_FALSE(HoldsOrderRight());
+}
+
+TEST(fencing_token_test, RisesWithEraAndGeneration) {
+  constexpr int64_t kMaxGeneration = (int64_t{1} << 32) - 1;
+  constexpr int64_t kMaxEra = (int64_t{1} << 21) - 1;
+  // Largest number below which a JSON number holds each whole number exactly.
+  constexpr int64_t kMaxExact = int64_t{1} << 53;
+  EXPECT_EQ(FencingToken({store_era::none, 41}), 41);
+  std::optional<int64_t> last;
+  for (const int64_t era : {int64_t{0}, int64_t{1}, int64_t{2}, kMaxEra}) {
+    for (const int64_t generation :
+         {int64_t{0}, int64_t{1}, int64_t{41}, kMaxGeneration}) {
+      const auto token = FencingToken({store_era{era}, generation});
+      ASSERT_TRUE(token.has_value());
+      EXPECT_GT(token, last);
+      EXPECT_LT(*token, kMaxExact);
+      last = token;
+    }
+  }
+  EXPECT_FALSE(FencingToken({store_era{kMaxEra + 1}, 0}).has_value());
+  EXPECT_FALSE(FencingToken({store_era{1}, kMaxGeneration + 1}).has_value());
+  EXPECT_FALSE(FencingToken({store_era{-1}, 1}).has_value());
+  EXPECT_FALSE(FencingToken({store_era{1}, -1}).has_value());
+}
+
 TEST_F(group_member_test, DoesNotJoinAgainAfterLeaving) {
   member_.Start();
   member_.Leave();
