Followed topics: list anew in each era of the store

Cause: offsets of the new copy were compared with those before. Reported records below the next offset were dropped, and the highest offset reported by a reader only rose. Change: positions that are kept have their era. A reply of a later era isn't applied but listed; a report of one makes the daemon list once; reports of an earlier one aren't heard. The era of a topic is that of the daemon's own replies, so a wrong report costs one listing. All agree within 2 s, with one listing a daemon and era.

--- a/src/fleet/topic_follower.cc
+++ b/src/fleet/topic_follower.cc
@@ -15,8 +15,13 @@
   topic_calls calls;
   topic_events events;
   QObject context;
-  // Offset of the next read; unset if the topic must be listed first.
-  std::optional<int64_t> next_offset;
+  // Position of the next read; unset if the topic must be listed first.
+  std::optional<store_position> next;
+  // End of the records that were known when `next` was last set.
+  std::optional<store_position> known_end;
+  // Era of the replies to this daemon, and the highest that a reader reported.
+  store_era era = store_era::none;
+  store_era reported_era = store_era::none;
   absl::Duration retry_delay = kInitialRetryDelay;
   bool is_reader = true;
   // Whether this daemon's last call failed.
@@ -34,11 +39,11 @@
   absl::Time last_report = absl::InfinitePast();
   absl::Time reported_reply = absl::InfinitePast();
   absl::Time last_lost_report = absl::InfinitePast();
-  // Highest offset before which a reader has all records.
-  int64_t reported_next = -1;
-  // When the last read began, and at which offset.
+  // Highest position before which a reader has all records.
+  store_position reported_next = {store_era::none, -1};
+  // When the last read began, and where.
   absl::Time read_started = absl::InfinitePast();
-  int64_t read_from = 0;
+  store_position read_from;
   absl::Time call_started = absl::InfinitePast();
   // Whether a call is in progress or scheduled, and whether the end of a rest
   // is.
@@ -67,8 +72,8 @@
 
   // Returns whether the reports make calls of this daemon needless.
   bool MayRest(absl::Time now) const {
-    return !is_reader && !doubts_readers && next_offset &&
-           reported_next <= *next_offset && HearsReader(now);
+    return !is_reader && !doubts_readers && next && reported_next <= *next &&
+           HearsReader(now);
   }
 
   // Whether this daemon's own calls show whether the store is available, or are
@@ -122,7 +127,7 @@
     if (MayRest(now)) return Rest(now);
     calling = true;
     call_started = now;
-    if (!next_offset) {
+    if (!next) {
       calls.list([weak](const absl::StatusOr<record_listing>& listing) {
         if (const auto self = weak.lock()) self->HandleListing(listing);
       });
@@ -131,11 +136,11 @@
     const absl::Duration delay = read_started + kMinReadInterval - now;
     if (delay > absl::ZeroDuration()) return CallAfter(delay);
     read_started = now;
-    read_from = *next_offset;
+    read_from = *next;
     // After a rest this daemon must know soon whether the store is available.
     reading_now = rested && calls.read_now;
     const auto& read = reading_now ? calls.read_now : calls.read;
-    read(*next_offset, [weak](const absl::StatusOr<record_batch>& batch) {
+    read(next->number, [weak](const absl::StatusOr<record_batch>& batch) {
       const auto self = weak.lock();
       if (!self) return;
       self->reading_now = false;
@@ -145,51 +150,84 @@
 
   void HandleListing(const absl::StatusOr<record_listing>& listing) {
     if (!listing.ok()) return HandleFailure(listing.status());
-    HandleSuccess();
-    next_offset = listing->next;
-    events.on_listing(*listing);
+    const store_era listed_era = EraOfReply(listing->era, era);
+    if (listed_era < era) return HandleFailure(EarlierEraError());
+    const store_position end = {listed_era, listing->next};
+    HandleReply(listed_era);
+    if (known_end && known_end->era < listed_era) {
+      events.on_new_era(*known_end, end);
+    }
+    SetNext(end);
+    complete_at = last_reply;
+    record_listing applied = *listing;
+    applied.era = listed_era;
+    events.on_listing(applied);
     events.on_news(Report());
     StartNextCall();
   }
 
   void HandleBatch(const absl::StatusOr<record_batch>& batch) {
     if (absl::IsOutOfRange(batch.status())) {
-      next_offset.reset();
+      next.reset();
       return StartNextCall();
     }
     if (!batch.ok()) return HandleFailure(batch.status());
-    HandleSuccess();
-    if (batch->next > *next_offset) {
-      AddRecords(batch->records, batch->next);
+    const store_era read_era = EraOfReply(batch->era, era);
+    if (read_era < era) return HandleFailure(EarlierEraError());
+    HandleReply(read_era);
+    // Where the read began says nothing in another era, and a reader may have
+    // reported one meanwhile.
+    if (!next || next->era != read_era) {
+      next.reset();
+      return StartNextCall();
+    }
+    complete_at = last_reply;
+    if (batch->next > next->number) {
+      AddRecords(batch->records, {read_era, batch->next});
       topic_report report = Report();
-      report.from = read_from;
+      report.from = read_from.number;
       report.records = batch->records;
       events.on_news(report);
     }
     StartNextCall();
   }
 
-  // Applies the records before `next` that weren't applied before. Reports may
-  // have brought some of a read's records while it was in progress.
-  void AddRecords(absl::Span<const keyed_record> records, int64_t next) {
+  static absl::Status EarlierEraError() {
+    return absl::UnavailableError("the reply is from an earlier era");
+  }
+
+  void SetNext(store_position position) {
+    next = position;
+    known_end = position;
+  }
+
+  // Applies the records before `end` that weren't applied before; both are in
+  // the era of `next`. Reports may have brought some of a read's records while
+  // it was in progress.
+  void AddRecords(absl::Span<const keyed_record> records, store_position end) {
     record_batch fresh;
+    fresh.era = end.era;
     for (const keyed_record& record : records) {
-      if (record.offset >= *next_offset) fresh.records.push_back(record);
+      if (store_position{end.era, record.offset} >= *next) {
+        fresh.records.push_back(record);
+      }
     }
-    fresh.next = std::max(next, *next_offset);
-    next_offset = fresh.next;
+    SetNext(std::max(end, *next));
+    fresh.next = next->number;
     if (!fresh.records.empty()) events.on_batch(fresh);
   }
 
-  void HandleSuccess() {
+  // Notes a reply of the store in `reply_era`, which isn't earlier than `era`.
+  void HandleReply(store_era reply_era) {
     const absl::Time now = MonotonicNow();
     const bool missed_outage = MayHaveMissedOutage(now);
+    const bool is_new_era = reply_era > era && known_end;
+    era = reply_era;
     last_reply = now;
-    complete_at = now;
     rested = false;
     retry_delay = kInitialRetryDelay;
     if (std::exchange(call_failed, false)) call_recovered = now;
-    if (std::exchange(store_lost, false) || missed_outage) {
+    if (std::exchange(store_lost, false) || missed_outage || is_new_era) {
       events.on_store_returned();
     }
   }
@@ -221,20 +259,23 @@
     const absl::Time now = MonotonicNow();
     if (report.store_lost) return HandleReportedOutage(now);
     if (report.next < 0 || report.reply_age > kMaxReplyAge) return;
+    // The sender hasn't noticed that the store has come back.
+    if (report.era < era) return;
     last_report = now;
     doubts_readers = false;
     reported_reply = std::max(reported_reply, now - report.reply_age);
-    reported_next = std::max(reported_next, report.next);
+    reported_next = std::max(reported_next, {report.era, report.next});
     // The grace period after an outage must begin before the records are
     // applied that the outage may have caused.
     if (std::exchange(store_lost, false) || EndsUnnoticedOutage(report, now)) {
       events.on_store_returned();
     }
-    if (!next_offset) return EndRetryDelay();
-    if (report.from <= *next_offset && !report.records.empty()) {
-      AddRecords(report.records, report.next);
+    if (report.era > era && known_end) return ListReportedEra(report.era);
+    if (!next) return EndRetryDelay();
+    if (report.from <= next->number && !report.records.empty()) {
+      AddRecords(report.records, {report.era, report.next});
     }
-    if (reported_next <= *next_offset) {
+    if (reported_next <= *next) {
       complete_at = std::max(complete_at, now - report.reply_age);
     } else {
       WakeUp();
@@ -243,12 +284,23 @@
     if (!is_reader) EndRetryDelay();
   }
 
+  // Lists the topic once for the report of a later era than that of this
+  // daemon's replies, which alone determine the era.
+  void ListReportedEra(store_era later_era) {
+    if (later_era > reported_era) {
+      reported_era = later_era;
+      next.reset();
+    }
+    EndRetryDelay();
+    WakeUp();
+  }
+
   // Notes that a reader has lost the store. If this daemon or another reader
   // reaches it, that concerns only the reader.
   void HandleReportedOutage(absl::Time now) {
     last_lost_report = now;
     if (is_reader) return;
-    if (next_offset && now - last_report >= kMaxDoubtfulSilence) {
+    if (next && now - last_report >= kMaxDoubtfulSilence) {
       doubts_readers = true;
       WakeUp();
     }
@@ -268,10 +320,11 @@
 
   topic_report Report() const {
     topic_report report;
-    if (!next_offset || last_reply == absl::InfinitePast()) return report;
+    if (!next || last_reply == absl::InfinitePast()) return report;
     const absl::Time now = MonotonicNow();
-    report.next = *next_offset;
-    report.from = *next_offset;
+    report.era = next->era;
+    report.next = next->number;
+    report.from = next->number;
     report.reply_age = now - last_reply;
     report.store_lost = call_failed;
     report.outage_age = now - call_recovered;
@@ -292,7 +345,7 @@
 void topic_follower::SetReader(bool is_reader) {
   impl_->is_reader = is_reader;
   // Before `Start`, only the flag is kept.
-  if (is_reader && impl_->next_offset) impl_->WakeUp();
+  if (is_reader && impl_->next) impl_->WakeUp();
 }
 
 void topic_follower::HandleReport(const topic_report& report) {
--- a/src/fleet/topic_follower.h
+++ b/src/fleet/topic_follower.h
@@ -49,15 +49,22 @@
 
 /// Callbacks of a `topic_follower`.
 struct topic_events {
-  /// Receives each complete listing of the topic.
+  /// Receives each complete listing of the topic. Its era is that which counts
+  /// for it, also if the reply names none; so is that of a batch.
   std::function<void(const record_listing&)> on_listing;
   /// Receives the records of each read, unless there are none.
   std::function<void(const record_batch&)> on_batch;
   /// Called with the error of the first failed call of an outage.
   std::function<void(const absl::Status&)> on_store_lost;
   /// Called when a call succeeds again after `on_store_lost`, and when another
-  /// daemon reports the end of an outage.
+  /// daemon reports the end of an outage. Also called before the first listing
+  /// of a new era.
   std::function<void()> on_store_returned;
+  /// Called when the store has come back from an older copy, after
+  /// `on_store_returned`, with the end of the known records in the earlier era
+  /// and that of the first listing in the new one.
+  std::function<void(store_position before, store_position now)> on_new_era =
+      [](store_position, store_position) {};
   /// Receives a report for the other daemons after each reply of the store that
   /// brought something new.
   std::function<void(const topic_report&)> on_news = [](const topic_report&) {};
@@ -65,7 +72,8 @@
 
 /// Follows one topic: lists it, then reads the records after the listing. Lists
 /// it again when the next records are no longer kept, because of a gap or
-/// because the topic was truncated.
+/// because the topic was truncated, and once in each new era of the store,
+/// whose offsets say nothing of those before.
 ///
 /// A daemon that isn't a reader makes no calls while reports of readers arrive
 /// that show that it misses nothing. It takes new records from the reports, and
--- a/src/fleet/topic_follower_test.cc
+++ b/src/fleet/topic_follower_test.cc
@@ -20,7 +20,9 @@
         --failing_list_calls_;
         return done(absl::UnavailableError("away"));
       }
-      done(record_listing{{{"a", "1", 4}}, 5});
+      record_listing listing{{{"a", "1", 4}}, 5};
+      listing.era = listed_era_;
+      done(listing);
     };
     calls.read = [this](int64_t from, auto done) {
       read_offsets_.push_back(from);
@@ -42,6 +44,9 @@
     };
     events.on_store_lost = [this](const absl::Status&) { ++lost_events_; };
     events.on_store_returned = [this] { ++returned_events_; };
+    events.on_new_era = [this](store_position before, store_position now) {
+      new_eras_.push_back({before, now});
+    };
     events.on_news = [this](const topic_report& report) {
       news_.push_back(report);
     };
@@ -49,8 +54,10 @@
   }
 
   // Returns the report of a reader that has all records before `next`.
-  static topic_report ReportUpTo(int64_t next) {
+  static topic_report ReportUpTo(int64_t next,
+                                 store_era era = store_era::none) {
     topic_report report;
+    report.era = era;
     report.next = next;
     report.from = next;
     report.reply_age = absl::Milliseconds(100);
@@ -65,6 +72,26 @@
     return report;
   }
 
+  // Returns the reply to a read that began at offset 5 and found `count`
+  // records.
+  static record_batch BatchOf(int count, store_era era) {
+    record_batch batch;
+    batch.next = 5 + count;
+    batch.era = era;
+    for (int64_t offset = 5; offset < batch.next; ++offset) {
+      batch.records.push_back({"a", "2", offset});
+    }
+    return batch;
+  }
+
+  // Starts in the first era as a daemon that isn't a reader and hears one.
+  void StartBesideReaderInFirstEra() {
+    listed_era_ = store_era{1};
+    follower_->SetReader(false);
+    follower_->HandleReport(ReportUpTo(5, store_era{1}));
+    follower_->Start();
+  }
+
   // Starts as a daemon that isn't a reader and hears one that misses nothing.
   void StartBesideReader() {
     follower_->SetReader(false);
@@ -72,6 +99,9 @@
     follower_->Start();
   }
 
+  // Era that listings name.
+  store_era listed_era_ = store_era::none;
+  std::vector<std::pair<store_position, store_position>> new_eras_;
   int list_calls_ = 0;
   int failing_list_calls_ = 0;
   int listings_ = 0;
@@ -351,5 +381,166 @@
             topic_follower::kMaxReplyAge + absl::Milliseconds(400));
 }
 
+// Guards against records that are never read: the topic of the copy has grown
+// past the old end before the next read, so the store keeps all that is asked.
+TEST_F(topic_follower_test, AReplyOfANewEraIsNotAppliedButListed) {
+  listed_era_ = store_era{1};
+  follower_->Start();
+  ASSERT_EQ(read_offsets_.size(), 1u);
+  listed_era_ = store_era{2};
+  unanswered_read_(BatchOf(3, store_era{2}));
+  EXPECT_TRUE(received_offsets_.empty());
+  EXPECT_EQ(listings_, 2);
+  EXPECT_EQ(returned_events_, 1);
+  ASSERT_EQ(new_eras_.size(), 1u);
+  EXPECT_EQ(new_eras_[0].first, (store_position{store_era{1}, 5}));
+  EXPECT_EQ(new_eras_[0].second, (store_position{store_era{2}, 5}));
+  EXPECT_EQ(news_.back().era, store_era{2});
+  // Reads go on behind the listing.
+  ASSERT_TRUE(RunUntil([&] { return read_offsets_.size() == 2; }));
+  unanswered_read_(BatchOf(1, store_era{2}));
+  EXPECT_EQ(received_offsets_, (std::vector<int64_t>{5}));
+  EXPECT_EQ(list_calls_, 2);
+}
+
+TEST_F(topic_follower_test, AGapOfANewEraIsListedOnce) {
+  listed_era_ = store_era{1};
+  follower_->Start();
+  listed_era_ = store_era{2};
+  unanswered_read_(absl::OutOfRangeError("gone"));
+  EXPECT_EQ(list_calls_, 2);
+  EXPECT_EQ(returned_events_, 1);
+  EXPECT_EQ(new_eras_.size(), 1u);
+  ASSERT_TRUE(RunUntil([&] { return read_offsets_.size() == 2; }));
+  follower_->HandleReport(ReportUpTo(5, store_era{2}));
+  EXPECT_EQ(list_calls_, 2);
+}
+
+// Guards against a daemon that goes by the offsets of the old copy for good
+// while it follows the reports of others.
+TEST_F(topic_follower_test, AReportOfANewEraIsListedOnce) {
+  StartBesideReaderInFirstEra();
+  EXPECT_TRUE(read_offsets_.empty());
+  listed_era_ = store_era{2};
+  topic_report news = NewsOf({{"b", "1", 2}});
+  news.era = store_era{2};
+  follower_->HandleReport(news);
+  EXPECT_EQ(list_calls_, 2);
+  EXPECT_EQ(listings_, 2);
+  EXPECT_TRUE(received_offsets_.empty());
+  for (int64_t next = 3; next < 6; ++next) {
+    follower_->HandleReport(ReportUpTo(next, store_era{2}));
+  }
+  RunUntil([] { return false; }, absl::Milliseconds(400));
+  EXPECT_EQ(list_calls_, 2);
+  news = NewsOf({{"b", "2", 5}});
+  news.era = store_era{2};
+  follower_->HandleReport(news);
+  EXPECT_EQ(received_offsets_, (std::vector<int64_t>{5}));
+}
+
+// Guards against a reader of the old era that holds others back, or makes them
+// read for ever.
+TEST_F(topic_follower_test, AReportOfAnEarlierEraIsNotHeard) {
+  listed_era_ = store_era{2};
+  follower_->SetReader(false);
+  follower_->HandleReport(ReportUpTo(5, store_era{2}));
+  follower_->Start();
+  EXPECT_TRUE(read_offsets_.empty());
+  const absl::Time end = MonotonicNow() + topic_follower::kMaxReportSilence;
+  while (MonotonicNow() < end) {
+    topic_report old = NewsOf({{"old", "1", 5}, {"old", "1", 40}});
+    old.era = store_era{1};
+    follower_->HandleReport(old);
+    RunUntil([] { return false; }, topic_follower::kMaxReportSilence / 4);
+  }
+  EXPECT_TRUE(received_offsets_.empty());
+  // Only such reports are heard, so the daemon reads by itself.
+  EXPECT_EQ(read_offsets_.size(), 1u);
+  EXPECT_EQ(list_calls_, 1);
+  // It rests again beside a reader that has noticed the return.
+  unanswered_read_(BatchOf(0, store_era{2}));
+  follower_->HandleReport(ReportUpTo(5, store_era{2}));
+  RunUntil([] { return false; }, topic_follower::kMinReadInterval * 2);
+  EXPECT_EQ(read_offsets_.size(), 1u);
+}
+
+// A read that was answered before the return, and whose answer came after the
+// report of it.
+TEST_F(topic_follower_test, AReplyBehindAReportOfANewEraIsNotApplied) {
+  listed_era_ = store_era{1};
+  follower_->Start();
+  ASSERT_EQ(read_offsets_.size(), 1u);
+  follower_->HandleReport(ReportUpTo(3, store_era{2}));
+  listed_era_ = store_era{2};
+  unanswered_read_(BatchOf(2, store_era{1}));
+  EXPECT_TRUE(received_offsets_.empty());
+  EXPECT_EQ(list_calls_, 2);
+  EXPECT_EQ(follower_->Report().era, store_era{2});
+}
+
+// While the topic must be listed, a reader must not report what it knew before.
+TEST_F(topic_follower_test, NothingIsReportedBeforeTheListingOfANewEra) {
+  listed_era_ = store_era{1};
+  follower_->Start();
+  failing_list_calls_ = 1;
+  listed_era_ = store_era{2};
+  unanswered_read_(BatchOf(3, store_era{2}));
+  EXPECT_LT(follower_->Report().next, 0);
+  ASSERT_TRUE(RunUntil([&] { return listings_ == 2; }));
+  EXPECT_EQ(follower_->Report().era, store_era{2});
+  EXPECT_EQ(follower_->Report().next, 5);
+}
+
+TEST_F(topic_follower_test, AnAnswerOfAnEarlierEraIsDropped) {
+  listed_era_ = store_era{2};
+  follower_->Start();
+  unanswered_read_(BatchOf(2, store_era{1}));
+  EXPECT_TRUE(received_offsets_.empty());
+  ASSERT_TRUE(RunUntil([&] { return read_offsets_.size() == 2; }));
+  EXPECT_EQ(read_offsets_.back(), 5);
+  EXPECT_EQ(list_calls_, 1);
+  EXPECT_TRUE(new_eras_.empty());
+}
+
+// The next return while the listing of the first one is in progress.
+TEST_F(topic_follower_test, ASecondReturnIsListedToo) {
+  listed_era_ = store_era{1};
+  follower_->Start();
+  listed_era_ = store_era{2};
+  unanswered_read_(BatchOf(1, store_era{2}));
+  listed_era_ = store_era{3};
+  ASSERT_TRUE(RunUntil([&] { return read_offsets_.size() == 2; }));
+  unanswered_read_(BatchOf(1, store_era{3}));
+  EXPECT_TRUE(received_offsets_.empty());
+  EXPECT_EQ(listings_, 3);
+  EXPECT_EQ(returned_events_, 2);
+  ASSERT_EQ(new_eras_.size(), 2u);
+  EXPECT_EQ(new_eras_[1].second.era, store_era{3});
+}
+
+// A wrong report must not make a daemon drop the store's answers.
+TEST_F(topic_follower_test, AWrongReportOfANewEraCostsOneListing) {
+  StartBesideReaderInFirstEra();
+  for (int i = 0; i < 3; ++i) {
+    follower_->HandleReport(ReportUpTo(5, store_era{9}));
+    RunUntil([] { return false; }, topic_follower::kMinReadInterval);
+  }
+  EXPECT_EQ(list_calls_, 2);
+  EXPECT_TRUE(new_eras_.empty());
+  ASSERT_FALSE(read_offsets_.empty());
+  unanswered_read_(BatchOf(2, store_era{1}));
+  EXPECT_EQ(received_offsets_, (std::vector<int64_t>{5, 6}));
+}
+
+TEST_F(topic_follower_test, AReplyWithoutAnEraShowsNoChange) {
+  listed_era_ = store_era{2};
+  follower_->Start();
+  unanswered_read_(BatchOf(2, store_era::none));
+  EXPECT_EQ(received_offsets_, (std::vector<int64_t>{5, 6}));
+  EXPECT_EQ(follower_->Report().era, store_era{2});
+  EXPECT_EQ(list_calls_, 1);
+}
+
 }  // namespace
 }  // namespace anvilridge
--- a/src/sharing/followed_topic_test.cc
+++ b/src/sharing/followed_topic_test.cc
@@ -45,10 +45,14 @@
   // Returns the calls of the daemon `name`.
   topic_calls Calls(const std::string& name) {
     topic_calls calls;
-    calls.list = [this](const auto& done) {
+    calls.list = [this, name](const auto& done) {
       ++call_count_;
-      RunAfter(&context_, kStoreLatency, [this, done] {
-        done(record_listing{records_, End()});
+      ++listings_[name];
+      RunAfter(&context_, kStoreLatency, [this, name, done] {
+        if (cut_off_.contains(name)) {
+          return done(absl::UnavailableError("no reply"));
+        }
+        done(record_listing{records_, End(), era_});
       });
     };
     calls.read_now = [this, name](int64_t from, const auto& done) {
@@ -59,7 +63,7 @@
       ++call_count_;
       const held_read read{name, from, done, kReadHold};
       if (cut_off_.contains(name)) return Fail(read);
-      if (from < End()) return Reply(read);
+      if (from != End()) return Reply(read);
       const int id = ++last_id_;
       waiting_[id] = read;
       RunAfter(&context_, kReadHold, [this, id] {
@@ -90,6 +94,34 @@
   // Lets the store answer everybody again.
   void EndCuts() { cut_off_.clear(); }
 
+  // Goes back to the first `end` records, and then writes `count` records. Held
+  // reads end with their connections.
+  void ReturnFromCopy(int64_t end, int count) {
+    for (const auto& [id, read] : waiting_) {
+      RunAfter(&context_, kStoreLatency,
+               [read = read] { read.done(absl::UnavailableError("reset")); });
+    }
+    waiting_.clear();
+    records_.resize(static_cast<size_t>(end));
+    written_at_.resize(static_cast<size_t>(end));
+    era_ = store_era{static_cast<int64_t>(era_) + 1};
+    listings_.clear();
+    for (int i = 0; i < count; ++i) Append(absl::StrCat("again-", End()));
+  }
+
+  store_era Era() const { return era_; }
+  // Returns the keys of all records.
+  std::vector<std::string> Keys() const {
+    std::vector<std::string> keys;
+    for (const keyed_record& record : records_) keys.push_back(record.key);
+    return keys;
+  }
+  // Returns how often `name` has listed the topic since the last return.
+  int ListingsOf(const std::string& name) const {
+    const auto found = listings_.find(name);
+    return found == listings_.end() ? 0 : found->second;
+  }
+
   int64_t End() const { return static_cast<int64_t>(records_.size()); }
   int CallCount() const { return call_count_; }
   absl::Time WrittenAt(int64_t offset) const {
@@ -114,9 +146,11 @@
   void Reply(const held_read& read) {
     if (cut_off_.contains(read.name)) return Fail(read);
     RunAfter(&context_, kStoreLatency, [this, read] {
+      if (read.from > End()) return read.done(absl::OutOfRangeError("gone"));
       record_batch batch;
       batch.records.assign(records_.begin() + read.from, records_.end());
       batch.next = End();
+      batch.era = era_;
       read.done(batch);
     });
   }
@@ -128,6 +162,8 @@
   std::map<std::string, loss> cut_off_;
   int last_id_ = 0;
   int call_count_ = 0;
+  store_era era_ = store_era{1};
+  std::map<std::string, int> listings_;
 };
 
 struct test_daemon {
@@ -140,6 +176,9 @@
   // Outages of the store that it noticed, and the ends of outages.
   int lost = 0;
   int returned = 0;
+  // Keys of the topic as it knows them, by offset, and their era.
+  std::vector<std::string> keys;
+  store_era era = store_era::none;
 };
 
 class followed_topic_test : public event_loop_test {
@@ -160,8 +199,17 @@
     topic_events events;
     events.on_listing = [&each](const record_listing& listing) {
       each.next = listing.next;
+      each.era = listing.era;
+      each.keys.clear();
+      for (const keyed_record& record : listing.records) {
+        each.keys.push_back(record.key);
+      }
     };
     events.on_batch = [this, &each](const record_batch& batch) {
+      EXPECT_EQ(batch.era, each.era) << each.name;
+      for (const keyed_record& record : batch.records) {
+        each.keys.push_back(record.key);
+      }
       for (const keyed_record& record : batch.records) {
         EXPECT_EQ(record.offset, each.next) << each.name;
         each.next = record.offset + 1;
@@ -229,6 +277,23 @@
 
   bool AllHaveAll() const { return AllHaveAllBut({}); }
 
+  // Returns whether all daemons know the same records as the store.
+  bool AllAgree() const {
+    const std::vector<std::string> keys = store_.Keys();
+    return std::all_of(
+        daemons_.begin(), daemons_.end(),
+        [&keys](const auto& each) { return each->keys == keys; });
+  }
+
+  // Returns the most listings that a daemon has made since the last return.
+  int MostListings() const {
+    int most = 0;
+    for (const auto& each : daemons_) {
+      most = std::max(most, store_.ListingsOf(each->name));
+    }
+    return most;
+  }
+
   bool AllHaveAllBut(const std::set<std::string>& names) const {
     return std::all_of(
         daemons_.begin(), daemons_.end(), [this, &names](const auto& each) {
@@ -382,6 +447,7 @@
                      [](const auto& each) { return !each->is_reader; });
   const int64_t next = follower.next;
   topic_report old;
+  old.era = store_.Era();
   old.next = 1;
   old.from = 0;
   old.reply_age = absl::ZeroDuration();
@@ -391,5 +457,61 @@
   EXPECT_EQ(follower.follower->Report().next, next);
 }
 
+// Time after the return of the store within which all agree again. Some
+// deployments allow 2 s for a change to be in force.
+constexpr absl::Duration kAgreeBound = absl::Seconds(2);
+
+// How far the topic has grown, after it went back by ten records, before the
+// daemons read it again.
+class returned_store_test : public followed_topic_test,
+                            public testing::WithParamInterface<int> {};
+
+// Guards against daemons that go by the offsets of the old copy: they never
+// read what was written below the old end, or wait until the topic is as long
+// again.
+TEST_P(returned_store_test, AllAgreeSoonAndListOnce) {
+  StartDaemons();
+  RunWithChanges(absl::Seconds(6));
+  ASSERT_TRUE(RunUntil([this] { return AllHaveAll(); }));
+  const int64_t end = store_.End();
+  store_.ReturnFromCopy(end - 10, GetParam());
+  EXPECT_TRUE(RunUntil([this] { return AllAgree(); }, kAgreeBound));
+  RunWithChanges(absl::Seconds(3));
+  EXPECT_TRUE(RunUntil([this] { return AllAgree(); }, kAgreeBound));
+  EXPECT_EQ(MostListings(), 1);
+}
+
+// The store is away for a while first, and some daemons for longer.
+TEST_P(returned_store_test, DaemonsThatLearnOfItLateAgreeToo) {
+  StartDaemons();
+  RunWithChanges(absl::Seconds(6));
+  for (const auto& each : daemons_) store_.CutOff(each->name, loss::refusal);
+  RunUntil([] { return false; }, absl::Seconds(2));
+  store_.EndCuts();
+  const std::vector<std::string> readers = Readers();
+  store_.CutOff(readers.front(), loss::silence);
+  store_.CutOff(daemons_.back()->name, loss::reset);
+  store_.ReturnFromCopy(store_.End() - 10, GetParam());
+  RunWithChanges(absl::Seconds(3));
+  store_.EndCuts();
+  EXPECT_TRUE(RunUntil([this] { return AllAgree(); }, absl::Seconds(4)));
+}
+
+TEST_P(returned_store_test, AllAgreeAfterTwoReturnsWithinSeconds) {
+  StartDaemons();
+  RunWithChanges(absl::Seconds(6));
+  const int64_t end = store_.End();
+  store_.ReturnFromCopy(end - 5, GetParam());
+  RunUntil([] { return false; }, absl::Milliseconds(700));
+  store_.ReturnFromCopy(end - 10, GetParam() + 3);
+  EXPECT_TRUE(RunUntil([this] { return AllAgree(); }, kAgreeBound));
+  RunWithChanges(absl::Seconds(2));
+  EXPECT_TRUE(RunUntil([this] { return AllAgree(); }, kAgreeBound));
+  EXPECT_EQ(MostListings(), 1);
+}
+
+INSTANTIATE_TEST_SUITE_P(records, returned_store_test,
+                         testing::Values(0, 4, 10, 40));
+
 }  // namespace
 }  // namespace anvilridge
