Upstreams: order records by the era of the store

Cause: each record whose offset wasn't above the one known of that engine was passed over, also in a listing. Change: entries and removals are ordered by era, then offset. A return of the store begins its grace: what the copy lacks goes when that is over. What the first listing of an era says may be older than what is known: an upstream that was draining stays so, and one whose removal was in force gets nothing until a record of the new era names it, or for 5 s. Seven new tests of upstream_registry_test.

--- a/src/fleet/upstream_registry.cc
+++ b/src/fleet/upstream_registry.cc
@@ -15,18 +15,24 @@
   return is_mass_removal ? now + kMassRemovalGrace : now;
 }
 
-// Records that the record at `offset` removed `id`.
+// Records that the record at `position` removed `id`.
 void RecordRemoval(upstream_registry& registry, absl::string_view id,
-                   int64_t offset) {
-  int64_t& newest_removal = registry.removed[std::string(id)];
-  newest_removal = std::max(newest_removal, offset);
+                   store_position position) {
+  upstream_removal& newest = registry.removed[std::string(id)];
+  newest.position = std::max(newest.position, position);
+  const auto found = registry.upstreams.find(id);
+  if (found != registry.upstreams.end()) {
+    newest.started_ms = found->second.upstream.started_ms;
+  }
+  registry.returned.erase(std::string(id));
 }
 
-// Records the removal of `id` by the record at `offset`, and removes its entry
-// now or after a grace period.
+// Records the removal of `id` by the record at `position`, and removes its
+// entry now or after a grace period.
 void RemoveEntry(upstream_registry& registry, absl::string_view id,
-                 int64_t offset, bool is_mass_removal, absl::Time now) {
-  RecordRemoval(registry, id, offset);
+                 store_position position, bool is_mass_removal,
+                 absl::Time now) {
+  RecordRemoval(registry, id, position);
   const auto found = registry.upstreams.find(id);
   if (found == registry.upstreams.end() || found->second.expires_at) return;
   const absl::Time expires_at = ExpiryTime(registry, is_mass_removal, now);
@@ -42,12 +48,45 @@
 void PutEntry(upstream_registry& registry, const upstream_change& change) {
   const auto newest_removal = registry.removed.find(change.id);
   if (newest_removal != registry.removed.end()) {
-    if (newest_removal->second >= change.offset) return;
+    if (newest_removal->second.position >= change.position) return;
     registry.removed.erase(newest_removal);
   }
+  registry.returned.erase(change.id);
   registered_upstream& entry = registry.upstreams[change.id];
-  if (entry.offset >= change.offset) return;
-  entry = {*change.upstream, change.offset, std::nullopt};
+  if (entry.position >= change.position) return;
+  entry = {*change.upstream, change.position, std::nullopt};
+}
+
+// Returns whether `known` is of an earlier era than `listed`, and of the same
+// instance: then `listed` may be older than what is known.
+bool MayPrecede(const upstream_change& listed, store_position known,
+                int64_t known_started_ms) {
+  return known.era < listed.position.era &&
+         known_started_ms == listed.upstream->started_ms;
+}
+
+// Applies the entry of a listing. Its place in the store doesn't show whether
+// it was written before or after what is known of an earlier era.
+void PutListedEntry(upstream_registry& registry, upstream_change change,
+                    absl::Time now) {
+  const auto known = registry.upstreams.find(change.id);
+  if (known != registry.upstreams.end()) {
+    const registered_upstream& entry = known->second;
+    if (entry.upstream.draining &&
+        MayPrecede(change, entry.position, entry.upstream.started_ms)) {
+      change.upstream->draining = true;
+    }
+    return PutEntry(registry, change);
+  }
+  const auto removal = registry.removed.find(change.id);
+  if (removal == registry.removed.end() ||
+      !MayPrecede(change, removal->second.position,
+                  removal->second.started_ms)) {
+    return PutEntry(registry, change);
+  }
+  registry.returned[change.id] = {
+      {*change.upstream, change.position, std::nullopt},
+      now + kReturnedEntryGrace};
 }
 
 // Removes the entry that an unreadable one has replaced, unless `change` is
@@ -56,10 +95,10 @@
                          const upstream_change& change) {
   const auto found = registry.upstreams.find(change.id);
   if (found != registry.upstreams.end()) {
-    if (found->second.offset >= change.offset) return;
+    if (found->second.position >= change.position) return;
     registry.upstreams.erase(found);
   }
-  RecordRemoval(registry, change.id, change.offset);
+  RecordRemoval(registry, change.id, change.position);
 }
 
 // Returns whether the removals of one batch are so many that they were probably
@@ -77,7 +116,7 @@
                   const upstream_change& change) {
   const auto found = registry.upstreams.find(change.id);
   return found != registry.upstreams.end() &&
-         found->second.offset < change.offset;
+         found->second.position < change.position;
 }
 
 }  // namespace
@@ -115,41 +154,58 @@
     }
     const auto found = registry.upstreams.find(change.id);
     if (found != registry.upstreams.end() &&
-        found->second.offset > change.offset) {
+        found->second.position > change.position) {
       continue;
     }
-    RemoveEntry(registry, change.id, change.offset, is_mass_removal, now);
+    RemoveEntry(registry, change.id, change.position, is_mass_removal, now);
   }
 }
 
 void ApplyListing(upstream_registry& registry,
-                  const std::vector<upstream_change>& listing, int64_t end,
-                  absl::Time now) {
+                  const std::vector<upstream_change>& listing,
+                  store_position end, absl::Time now) {
   std::set<std::string, std::less<>> listed;
   for (const upstream_change& change : listing) {
     listed.insert(change.id);
-    if (change.upstream) PutEntry(registry, change);
+    if (change.upstream) PutListedEntry(registry, change, now);
     if (change.unreadable) ReplaceByUnreadable(registry, change);
   }
   std::vector<std::string> missing_ids;
   for (const auto& [id, entry] : registry.upstreams) {
-    if (!listed.contains(id) && entry.offset < end) missing_ids.push_back(id);
+    if (!listed.contains(id) && entry.position < end) missing_ids.push_back(id);
   }
+  std::erase_if(registry.returned, [&](const auto& returned) {
+    return !listed.contains(returned.first) &&
+           returned.second.entry.position < end;
+  });
   const bool is_mass_removal = IsMassRemoval(registry, missing_ids.size());
   for (const std::string& id : missing_ids) {
-    RemoveEntry(registry, id, registry.upstreams.find(id)->second.offset,
+    RemoveEntry(registry, id, registry.upstreams.find(id)->second.position,
                 is_mass_removal, now);
   }
   for (const upstream_change& change : listing) {
     const auto found = registry.upstreams.find(change.id);
     if (!change.upstream && !change.unreadable &&
         found != registry.upstreams.end() &&
-        found->second.offset < change.offset) {
-      RemoveEntry(registry, change.id, change.offset, is_mass_removal, now);
+        found->second.position < change.position) {
+      RemoveEntry(registry, change.id, change.position, is_mass_removal, now);
     }
   }
 }
 
+std::vector<std::string> RegisterReturned(upstream_registry& registry,
+                                          absl::Time now) {
+  std::vector<std::string> registered;
+  for (const auto& [id, returned] : registry.returned) {
+    if (returned.registered_at > now) continue;
+    registered.push_back(id);
+    registry.removed.erase(id);
+    registry.upstreams[id] = returned.entry;
+  }
+  for (const std::string& id : registered) registry.returned.erase(id);
+  return registered;
+}
+
 std::vector<std::string> RemoveExpired(upstream_registry& registry,
                                        absl::Time now) {
   std::vector<std::string> expired;
--- a/src/fleet/upstream_registry.h
+++ b/src/fleet/upstream_registry.h
@@ -10,28 +10,48 @@
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "fleet/fleet_upstream.h"
+#include "fleet/store_position.h"
 
 namespace anvilridge {
 
 /// Upstream with the state of its registration.
 struct registered_upstream {
   fleet_upstream upstream;
-  /// Offset of the record that registered it; older records are ignored.
-  int64_t offset = -1;
+  /// Position of the record that registered it; older records are ignored.
+  store_position position = {store_era::none, -1};
   /// Set if the store removed the entry, but perhaps only because of an outage.
   /// The upstream counts as registered until this time.
   std::optional<absl::Time> expires_at;
 };
 
+/// Removal of an upstream that was in the store.
+struct upstream_removal {
+  /// Position of the record that removed it, or of the entry that a listing
+  /// lacked.
+  store_position position = {store_era::none, -1};
+  /// Start of the removed instance; 0 if it isn't known.
+  int64_t started_ms = 0;
+};
+
+/// Upstream that the store has again after it came back from an older copy,
+/// though its removal is known.
+struct returned_upstream {
+  registered_upstream entry;
+  /// When it counts as registered unless the store removes it before.
+  absl::Time registered_at;
+};
+
 /// Upstreams that have registered themselves, from the records of the store.
 /// Upstreams whose entries expire because of an outage of the store register
 /// again, so removals around an outage take effect only after a grace period.
 struct upstream_registry {
   /// By upstream id.
   std::map<std::string, registered_upstream, std::less<>> upstreams;
-  /// Offset of the newest removal of each id, so that an older record doesn't
-  /// register the id again.
-  std::map<std::string, int64_t, std::less<>> removed;
+  /// Newest removal of each id, so that an older record doesn't register the id
+  /// again.
+  std::map<std::string, upstream_removal, std::less<>> removed;
+  /// By upstream id.
+  std::map<std::string, returned_upstream, std::less<>> returned;
   /// Whether the store is unavailable.
   bool store_lost = false;
   /// When the last outage of the store ended.
@@ -50,6 +70,11 @@
 /// caused by an outage.
 inline constexpr double kMassRemovalFraction = 0.4;
 
+/// Time after the listing of a new era for which a removed upstream that the
+/// listing contains gets no requests. The store removes an upstream that is
+/// silent for three of its updates, which are 1.2 s apart.
+inline constexpr absl::Duration kReturnedEntryGrace = absl::Seconds(5);
+
 /// Records that the store is unavailable. Removals don't take effect meanwhile,
 /// except those of draining upstreams.
 void RecordStoreLost(upstream_registry& registry);
@@ -63,7 +88,7 @@
   std::string id;
   /// Nullopt for a removal, and for an entry that can't be parsed.
   std::optional<fleet_upstream> upstream;
-  int64_t offset = 0;
+  store_position position;
   /// Whether the entry can't be parsed. It replaces the entry of an upstream at
   /// once: unlike a removal, it can't be caused by an outage.
   bool unreadable = false;
@@ -73,11 +98,22 @@
 void ApplyChanges(upstream_registry& registry,
                   const std::vector<upstream_change>& changes, absl::Time now);
 
-/// Applies a full listing of the entries up to offset `end`. Removes the
-/// entries with older offsets that are missing from the listing.
+/// Applies a full listing of the entries up to `end`. Removes the entries with
+/// older positions that are missing from the listing.
+///
+/// The first listing of an era may be of an older copy of the store: an
+/// upstream that was draining stays so, and one that was removed gets no
+/// requests for `kReturnedEntryGrace`, unless it has started anew. Later
+/// records of the era end both.
 void ApplyListing(upstream_registry& registry,
-                  const std::vector<upstream_change>& listing, int64_t end,
-                  absl::Time now);
+                  const std::vector<upstream_change>& listing,
+                  store_position end, absl::Time now);
+
+/// Registers the upstreams that have been in the store for
+/// `kReturnedEntryGrace` at `now`.
+/// @return their ids.
+std::vector<std::string> RegisterReturned(upstream_registry& registry,
+                                          absl::Time now);
 
 /// Removes the upstreams whose grace period is over at `now`.
 /// @return the ids of the removed upstreams.
--- a/src/fleet/upstream_registry_test.cc
+++ b/src/fleet/upstream_registry_test.cc
@@ -11,14 +11,27 @@
     fleet_upstream upstream;
     upstream.id = id;
     upstream.draining = draining;
-    return {std::move(id), upstream, offset_++};
+    return {std::move(id), upstream, Next()};
+  }
+  upstream_change StartedAt(std::string id, int64_t started_ms) {
+    upstream_change entry = Entry(std::move(id));
+    entry.upstream->started_ms = started_ms;
+    return entry;
+  }
+  // The store comes back from a copy that ends at `end`.
+  void ReturnFromCopy(int64_t end) {
+    era_ = store_era{static_cast<int64_t>(era_) + 1};
+    offset_ = end;
+    RecordStoreReturned(registry_, now_);
   }
   upstream_change Unreadable(std::string id) {
-    return {std::move(id), std::nullopt, offset_++, /*unreadable=*/true};
+    return {std::move(id), std::nullopt, Next(), /*unreadable=*/true};
   }
   upstream_change Removal(std::string id) {
-    return {std::move(id), std::nullopt, offset_++};
+    return {std::move(id), std::nullopt, Next()};
   }
+  store_position Next() { return {era_, offset_++}; }
+  store_position End() const { return {era_, offset_}; }
   void Apply(const std::vector<upstream_change>& changes) {
     ApplyChanges(registry_, changes, now_);
   }
@@ -27,6 +40,7 @@
     return registry_.upstreams.contains(id);
   }
 
+  store_era era_ = store_era::none;
   int64_t offset_ = 0;
   absl::Time now_ = absl::FromUnixSeconds(1000);
   upstream_registry registry_;
@@ -130,7 +144,7 @@
   const upstream_change a = Unreadable("a");
   const upstream_change b = Unreadable("b");
   const upstream_change c = Entry("c");
-  ApplyListing(registry_, {a, b, c}, offset_, now_);
+  ApplyListing(registry_, {a, b, c}, End(), now_);
   EXPECT_FALSE(HasUpstream("a"));
   EXPECT_FALSE(HasUpstream("b"));
   EXPECT_TRUE(HasUpstream("c"));
@@ -141,18 +155,145 @@
   const upstream_change a = Entry("a");
   const upstream_change b = Entry("b");
   const upstream_change c = Entry("c");
-  ApplyListing(registry_, {a, b, c}, offset_, now_);
+  ApplyListing(registry_, {a, b, c}, End(), now_);
   EXPECT_TRUE(HasUpstream("a"));
   EXPECT_FALSE(HasUpstream("d"));
 }
 
 TEST_F(upstream_registry_test, ListingKeepsEntriesWrittenAfterIt) {
   const upstream_change a = Entry("a");
-  const int64_t end = offset_;
+  const store_position end = End();
   Apply({a, Entry("late")});
   ApplyListing(registry_, {a}, end, now_);
   EXPECT_TRUE(HasUpstream("late"));
 }
 
+// Guards against engines that stay in use after they have left: behind the
+// return of the store the record has a lower offset than the known one.
+TEST_F(upstream_registry_test, RecordsOfANewEraReplaceThoseBefore) {
+  Apply({Entry("a"), Entry("b"), Entry("c"), Entry("d"), Entry("e")});
+  ReturnFromCopy(1);
+  Apply({Entry("a", /*draining=*/true)});
+  EXPECT_TRUE(registry_.upstreams["a"].upstream.draining);
+  now_ += kReturnGrace;
+  Apply({Removal("a"), Unreadable("b")});
+  Apply({Removal("c")});
+  EXPECT_FALSE(HasUpstream("a"));
+  EXPECT_FALSE(HasUpstream("b"));
+  EXPECT_FALSE(HasUpstream("c"));
+  Apply({Entry("a")});
+  EXPECT_TRUE(HasUpstream("a"));
+}
+
+TEST_F(upstream_registry_test, RecordsOfAnEarlierEraChangeNothing) {
+  ReturnFromCopy(0);
+  Apply({Entry("a"), Entry("b")});
+  const upstream_change old_removal = {
+      "a", std::nullopt, {store_era::none, 99}};
+  upstream_change old_entry = Entry("b", /*draining=*/true);
+  old_entry.position = {store_era::none, 99};
+  now_ += kReturnGrace;
+  Apply({old_removal, old_entry});
+  EXPECT_TRUE(HasUpstream("a"));
+  EXPECT_FALSE(registry_.upstreams["b"].upstream.draining);
+}
+
+// Guards against engines that are dropped since they registered after the copy
+// was made, and against such that have left and stay.
+TEST_F(upstream_registry_test, EntriesThatTheCopyLacksHaveTheGraceOfAReturn) {
+  Apply({Entry("a"), Entry("b"), Entry("c"), Entry("d"), Entry("e")});
+  ReturnFromCopy(1);
+  ApplyListing(registry_, {{"a", registry_.upstreams["a"].upstream, {era_, 0}}},
+               End(), now_);
+  EXPECT_TRUE(HasUpstream("b"));
+  Apply({Entry("b")});
+  now_ += kReturnGrace;
+  EXPECT_TRUE(HasUpstream("a"));
+  EXPECT_TRUE(HasUpstream("b"));
+  EXPECT_FALSE(HasUpstream("c"));
+}
+
+// Guards against requests to an engine that has said that it leaves: the copy
+// has its entry from before.
+TEST_F(upstream_registry_test, ADrainingUpstreamStaysSoInAnOlderCopy) {
+  Apply({StartedAt("a", 7), StartedAt("b", 7)});
+  for (const char* id : {"a", "b"}) {
+    upstream_change leaving = StartedAt(id, 7);
+    leaving.upstream->draining = true;
+    Apply({leaving});
+  }
+  ReturnFromCopy(0);
+  const upstream_change a = StartedAt("a", 7);
+  const upstream_change b = StartedAt("b", 8);
+  ApplyListing(registry_, {a, b}, End(), now_);
+  EXPECT_TRUE(registry_.upstreams["a"].upstream.draining);
+  // A new start is no longer leaving.
+  EXPECT_FALSE(registry_.upstreams["b"].upstream.draining);
+  Apply({StartedAt("a", 7)});
+  EXPECT_FALSE(registry_.upstreams["a"].upstream.draining);
+}
+
+// Guards against requests to an engine that has gone: the copy still has it.
+TEST_F(upstream_registry_test, AGoneUpstreamOfAnOlderCopyWaits) {
+  Apply({StartedAt("gone", 7), StartedAt("back", 7), StartedAt("anew", 7),
+         StartedAt("other", 7)});
+  Apply({Removal("gone")});
+  Apply({Removal("back")});
+  Apply({Removal("anew")});
+  ReturnFromCopy(0);
+  const upstream_change gone = StartedAt("gone", 7);
+  const upstream_change back = StartedAt("back", 7);
+  const upstream_change anew = StartedAt("anew", 8);
+  const upstream_change other = StartedAt("other", 7);
+  ApplyListing(registry_, {gone, back, anew, other}, End(), now_);
+  EXPECT_FALSE(HasUpstream("gone"));
+  EXPECT_FALSE(HasUpstream("back"));
+  EXPECT_TRUE(HasUpstream("anew"));
+  EXPECT_TRUE(HasUpstream("other"));
+  // Written in the new era.
+  Apply({StartedAt("back", 7)});
+  EXPECT_TRUE(HasUpstream("back"));
+  Apply({Removal("gone")});
+  now_ += kReturnedEntryGrace;
+  EXPECT_TRUE(RegisterReturned(registry_, now_).empty());
+  EXPECT_FALSE(HasUpstream("gone"));
+}
+
+TEST_F(upstream_registry_test, AnUpstreamThatTheStoreKeepsIsRegisteredAgain) {
+  Apply({StartedAt("a", 7), StartedAt("b", 7), StartedAt("c", 7)});
+  Apply({Removal("a")});
+  ReturnFromCopy(0);
+  const upstream_change a = StartedAt("a", 7);
+  const upstream_change b = StartedAt("b", 7);
+  const upstream_change c = StartedAt("c", 7);
+  ApplyListing(registry_, {a, b, c}, End(), now_);
+  now_ += kReturnedEntryGrace - absl::Milliseconds(1);
+  EXPECT_TRUE(RegisterReturned(registry_, now_).empty());
+  now_ += absl::Milliseconds(1);
+  EXPECT_EQ(RegisterReturned(registry_, now_), std::vector<std::string>{"a"});
+  EXPECT_TRUE(HasUpstream("a"));
+  Apply({Removal("a")});
+  EXPECT_FALSE(HasUpstream("a"));
+}
+
+// A second return, from a copy that lacks the entry.
+TEST_F(upstream_registry_test, AGoneUpstreamThatTheNextCopyLacksStaysGone) {
+  Apply({StartedAt("a", 7), StartedAt("b", 7), StartedAt("c", 7)});
+  Apply({Removal("a")});
+  ReturnFromCopy(0);
+  const upstream_change a = StartedAt("a", 7);
+  const upstream_change b = StartedAt("b", 7);
+  const upstream_change c = StartedAt("c", 7);
+  ApplyListing(registry_, {a, b, c}, End(), now_);
+  ReturnFromCopy(0);
+  const upstream_change b_again = StartedAt("b", 7);
+  const upstream_change c_again = StartedAt("c", 7);
+  ApplyListing(registry_, {b_again, c_again}, End(), now_);
+  now_ += kReturnedEntryGrace;
+  EXPECT_TRUE(RegisterReturned(registry_, now_).empty());
+  EXPECT_FALSE(HasUpstream("a"));
+  EXPECT_TRUE(HasUpstream("b"));
+}
+
 }  // namespace
 }  // namespace anvilridge
--- a/src/fleet_daemon/fleet_control.cc
+++ b/src/fleet_daemon/fleet_control.cc
@@ -51,10 +51,10 @@
   // Replaces the configuration by `next`, read at `offset`, if the version of
   // that is higher.
   void AdoptConfig(fleet_config next, int64_t offset);
-  // Converts a record of the upstream topic.
-  upstream_change ParseChange(const keyed_record& record) const;
+  // Converts a record of the upstream topic, of the era `era`.
+  upstream_change ParseChange(const keyed_record& record, store_era era) const;
   std::vector<upstream_change> ParseChanges(
-      const std::vector<keyed_record>& records) const;
+      const std::vector<keyed_record>& records, store_era era) const;
   void PublishView();
   // Returns `report`, of the configuration's topic, without callers' keys: they
   // don't leave the daemon.
@@ -74,6 +74,14 @@
     LogEvent(log_level::info, "store_returned", {{"topic", topic}});
     RecordStoreReturned(registry, MonotonicNow());
   };
+  events.on_new_era = [topic](store_position before, store_position now) {
+    LogEvent(log_level::warn, "store_era_began",
+             {{"topic", topic},
+              {"era", static_cast<double>(now.era)},
+              {"end", static_cast<double>(now.number)},
+              {"era_before", static_cast<double>(before.era)},
+              {"end_before", static_cast<double>(before.number)}});
+  };
   return events;
 }
 
@@ -122,9 +130,9 @@
   PublishView();
 }
 
-upstream_change fleet_control::impl::ParseChange(
-    const keyed_record& record) const {
-  upstream_change change{record.key, std::nullopt, record.offset};
+upstream_change fleet_control::impl::ParseChange(const keyed_record& record,
+                                                 store_era era) const {
+  upstream_change change{record.key, std::nullopt, {era, record.offset}};
   if (!record.value) {
     LogEvent(log_level::info, "upstream_entry_removed",
              {{"upstream", QtText(record.key)},
@@ -153,11 +161,11 @@
 }
 
 std::vector<upstream_change> fleet_control::impl::ParseChanges(
-    const std::vector<keyed_record>& records) const {
+    const std::vector<keyed_record>& records, store_era era) const {
   std::vector<upstream_change> changes;
   changes.reserve(records.size());
   for (const keyed_record& record : records) {
-    changes.push_back(ParseChange(record));
+    changes.push_back(ParseChange(record, era));
   }
   return changes;
 }
@@ -210,12 +218,13 @@
   };
   topic_events upstream_events = self->MakeOutageHandlers("upstreams");
   upstream_events.on_listing = [self](const record_listing& listing) {
-    ApplyListing(self->registry, self->ParseChanges(listing.records),
-                 listing.next, MonotonicNow());
+    ApplyListing(self->registry,
+                 self->ParseChanges(listing.records, listing.era),
+                 {listing.era, listing.next}, MonotonicNow());
     self->PublishView();
   };
   upstream_events.on_batch = [self](const record_batch& batch) {
-    ApplyChanges(self->registry, self->ParseChanges(batch.records),
+    ApplyChanges(self->registry, self->ParseChanges(batch.records, batch.era),
                  MonotonicNow());
     self->PublishView();
   };
@@ -230,12 +239,17 @@
   self->config_follower->Start();
   self->upstream_follower->Start();
   self->expiry_timer = RunEvery(kExpiryInterval, [self] {
-    const auto expired = RemoveExpired(self->registry, MonotonicNow());
-    if (expired.empty()) return;
+    const absl::Time now = MonotonicNow();
+    const auto expired = RemoveExpired(self->registry, now);
     for (const std::string& id : expired) {
       LogEvent(log_level::info, "upstream_lapsed", {{"upstream", QtText(id)}});
     }
-    self->PublishView();
+    const auto returned = RegisterReturned(self->registry, now);
+    for (const std::string& id : returned) {
+      LogEvent(log_level::info, "upstream_returned",
+               {{"upstream", QtText(id)}});
+    }
+    if (!expired.empty() || !returned.empty()) self->PublishView();
   });
 }
 
