--- a/src/fleet/group_member_test.cc
+++ b/src/fleet/group_member_test.cc
@@ -1,5 +1,8 @@
 #include "fleet/group_member.h"
 
+#include <map>
+#include <tuple>
+
 #include "base/clock.h"
 #include "base/testing/run_loop.h"
 #include "gtest/gtest.h"
@@ -236,5 +239,105 @@
   EXPECT_EQ(join_calls_, calls_before);
 }
 
+// A group in a store that comes back from an older copy.
+class fake_group {
+ public:
+  group_calls Calls() {
+    group_calls calls;
+    calls.join = [this](const std::string& member, int64_t, absl::Duration,
+                        auto done) {
+      done(group_join_reply{generation_, member == holder_, era_});
+    };
+    calls.owners = [](auto) {};
+    calls.leave = [](const std::string&) {};
+    return calls;
+  }
+  void GiveTo(const std::string& member) {
+    holder_ = member;
+    ++generation_;
+  }
+  void TakeCopy() { copy_ = {holder_, generation_}; }
+  void ReturnFromCopy() {
+    std::tie(holder_, generation_) = copy_;
+    era_ = store_era{static_cast<int64_t>(era_) + 1};
+  }
+
+ private:
+  std::string holder_;
+  int64_t generation_ = 1;
+  store_era era_ = store_era{1};
+  std::pair<std::string, int64_t> copy_;
+};
+
+class returned_group_test : public event_loop_test {
+ protected:
+  returned_group_test() {
+    for (const char* name : {"a", "b", "c"}) {
+      members_[name] = std::make_unique<group_member>(
+          name, kLease, group_.Calls(), [](const std::vector<std::string>&) {});
+      members_[name]->Start();
+    }
+  }
+
+  // Notes who holds the right, and checks that no other does, and that the
+  // token is greater than those of all others so far.
+  void Look() {
+    int holders = 0;
+    for (const auto& [name, member] : members_) {
+      const auto right = member->OrderRight(MonotonicNow());
+      if (!right) continue;
+      ++holders;
+      for (const auto& [other, token] : tokens_) {
+        if (other == name) continue;
+        EXPECT_GT(right->fencing_token, token) << name;
+      }
+      tokens_[name] = std::max(tokens_[name], right->fencing_token);
+      holder_ = name;
+    }
+    EXPECT_LE(holders, 1);
+  }
+
+  // Waits until `name` holds the right.
+  void WaitFor(const std::string& name) {
+    holder_.clear();
+    EXPECT_TRUE(RunUntil(
+        [&] {
+          Look();
+          return holder_ == name;
+        },
+        3 * kLease))
+        << name;
+  }
+
+  fake_group group_;
+  std::map<std::string, std::unique_ptr<group_member>> members_;
+  // Highest token by holder, and the last holder.
+  std::map<std::string, int64_t> tokens_;
+  std::string holder_;
+};
+
+// Guards against two daemons that order an engine with one fencing token, or
+// with falling ones: in the copy the group has a generation of before, and
+// perhaps a holder that had lost the right since.
+TEST_F(returned_group_test, TokensOfHoldersRiseOverReturns) {
+  group_.GiveTo("a");
+  WaitFor("a");
+  group_.TakeCopy();
+  group_.GiveTo("b");
+  WaitFor("b");
+  group_.ReturnFromCopy();
+  WaitFor("a");
+  group_.GiveTo("c");
+  WaitFor("c");
+  // Twice, and dealt anew before the members join again.
+  group_.ReturnFromCopy();
+  group_.GiveTo("b");
+  group_.ReturnFromCopy();
+  group_.GiveTo("b");
+  WaitFor("b");
+  group_.GiveTo("a");
+  WaitFor("a");
+}
+
 }  // namespace
 }  // namespace anvilridge
--- a/src/fleet/store_position.h
+++ b/src/fleet/store_position.h
@@ -1,6 +1,7 @@
 #ifndef ANVILRIDGE_FLEET_STORE_POSITION_H_
 #define ANVILRIDGE_FLEET_STORE_POSITION_H_
 
+#include <compare>
 #include <cstdint>
 
 namespace anvilridge {
@@ -17,8 +18,12 @@
   store_era era = store_era::none;
   int64_t number = 0;
 
-  friend auto operator<=>(const store_position&,
-                          const store_position&) = default;
+  friend bool operator==(const store_position&,
+                         const store_position&) = default;
+  friend constexpr std::strong_ordering operator<=>(const store_position& a,
+                                                    const store_position& b) {
+    return a.era != b.era ? a.era <=> b.era : a.number <=> b.number;
+  }
 };
 
 /// Returns the era of a reply that names `named`, for a receiver that knows of
