Followed topics: rest again after a wrong report of an era

Cause: after a report of an era that the store doesn't have, the highest reported position stayed above all others, and the daemon read for ever. Change: a reply to a call that began after the report shows it as wrong. Test: AWrongReportOfANewEraCostsOneListing asks for the rest, too.

--- a/src/fleet/topic_follower.cc
+++ b/src/fleet/topic_follower.cc
@@ -22,6 +22,8 @@
   // Era of the replies to this daemon, and the highest that a reader reported.
   store_era era = store_era::none;
   store_era reported_era = store_era::none;
+  // When the last report of a later era than `era` arrived.
+  absl::Time later_era_reported = absl::InfinitePast();
   absl::Duration retry_delay = kInitialRetryDelay;
   bool is_reader = true;
   // Whether this daemon's last call failed.
@@ -223,6 +225,10 @@
     const bool missed_outage = MayHaveMissedOutage(now);
     const bool is_new_era = reply_era > era && known_end;
     era = reply_era;
+    // The reports of a later era were wrong.
+    if (reported_next.era > era && call_started > later_era_reported) {
+      reported_next = {era, -1};
+    }
     last_reply = now;
     rested = false;
     retry_delay = kInitialRetryDelay;
@@ -287,6 +293,7 @@
   // Lists the topic once for the report of a later era than that of this
   // daemon's replies, which alone determine the era.
   void ListReportedEra(store_era later_era) {
+    later_era_reported = MonotonicNow();
     if (later_era > reported_era) {
       reported_era = later_era;
       next.reset();
--- a/src/fleet/topic_follower_test.cc
+++ b/src/fleet/topic_follower_test.cc
@@ -531,6 +531,16 @@
   ASSERT_FALSE(read_offsets_.empty());
   unanswered_read_(BatchOf(2, store_era{1}));
   EXPECT_EQ(received_offsets_, (std::vector<int64_t>{5, 6}));
+  // Without such reports the daemon rests again.
+  ASSERT_TRUE(
+      RunUntil([&] { return read_offsets_.back() == 7; }, absl::Seconds(1)));
+  unanswered_read_(BatchOf(2, store_era{1}));
+  const size_t reads = read_offsets_.size();
+  for (int i = 0; i < 4; ++i) {
+    follower_->HandleReport(ReportUpTo(7, store_era{1}));
+    RunUntil([] { return false; }, topic_follower::kMinReadInterval);
+  }
+  EXPECT_EQ(read_offsets_.size(), reads);
 }
 
 TEST_F(topic_follower_test, AReplyWithoutAnEraShowsNoChange) {
