Upstreams: keep leaving ones so while entries are written again

Cause: what an engine wrote is written again after the store's return, perhaps each record in turn. Behind the listing, its entry of before it left would have counted, and requests would have gone to it until its last record. Change: within the grace of a return an entry of the same start doesn't end what an earlier era said of its leaving; an upstream that leaves and that the copy lacks has the grace, too. An upstream whose start isn't known counts as the same instance. Tests: ADrainingUpstreamStaysSoInAnOlderCopy and ...IfTheCopyLacksIt; by the code before, the second record would have ended it (seen in the first test's earlier form, which expected just that).

--- a/src/fleet/upstream_registry.cc
+++ b/src/fleet/upstream_registry.cc
@@ -44,8 +44,30 @@
   found->second.expires_at = expires_at;
 }
 
+// Returns whether `change` may be older than what is known: whether that is of
+// an earlier era, and of the same instance or one whose start isn't known.
+bool MayPrecede(const upstream_change& change, store_position known,
+                int64_t known_started_ms) {
+  return known.era < change.position.era &&
+         (known_started_ms == 0 ||
+          known_started_ms == change.upstream->started_ms);
+}
+
+// Returns whether the upstream of `entry` stays draining though `change` says
+// otherwise: an instance that leaves doesn't stay, but around a return of the
+// store its entries of before may be written again.
+bool StaysDraining(const upstream_registry& registry,
+                   const registered_upstream& entry,
+                   const upstream_change& change, absl::Time now) {
+  if (!entry.upstream.draining || change.upstream->draining) return false;
+  const bool in_grace = now < registry.store_returned + kReturnGrace;
+  const store_position known = in_grace ? entry.draining_at : entry.position;
+  return MayPrecede(change, known, entry.upstream.started_ms);
+}
+
 // Adds or replaces the entry of an upstream, unless `change` is outdated.
-void PutEntry(upstream_registry& registry, const upstream_change& change) {
+void PutEntry(upstream_registry& registry, const upstream_change& change,
+              absl::Time now) {
   const auto newest_removal = registry.removed.find(change.id);
   if (newest_removal != registry.removed.end()) {
     if (newest_removal->second.position >= change.position) return;
@@ -54,38 +76,26 @@
   registry.returned.erase(change.id);
   registered_upstream& entry = registry.upstreams[change.id];
   if (entry.position >= change.position) return;
-  entry = {*change.upstream, change.position, std::nullopt};
-}
-
-// Returns whether `known` is of an earlier era than `listed`, and of the same
-// instance: then `listed` may be older than what is known.
-bool MayPrecede(const upstream_change& listed, store_position known,
-                int64_t known_started_ms) {
-  return known.era < listed.position.era &&
-         known_started_ms == listed.upstream->started_ms;
+  const bool stays_draining = StaysDraining(registry, entry, change, now);
+  const store_position draining_at =
+      stays_draining ? entry.draining_at : change.position;
+  entry = {*change.upstream, change.position, std::nullopt, draining_at};
+  if (stays_draining) entry.upstream.draining = true;
 }
 
 // Applies the entry of a listing. Its place in the store doesn't show whether
-// it was written before or after what is known of an earlier era.
-void PutListedEntry(upstream_registry& registry, upstream_change change,
+// it was written before or after a removal that is known of an earlier era.
+void PutListedEntry(upstream_registry& registry, const upstream_change& change,
                     absl::Time now) {
-  const auto known = registry.upstreams.find(change.id);
-  if (known != registry.upstreams.end()) {
-    const registered_upstream& entry = known->second;
-    if (entry.upstream.draining &&
-        MayPrecede(change, entry.position, entry.upstream.started_ms)) {
-      change.upstream->draining = true;
-    }
-    return PutEntry(registry, change);
-  }
   const auto removal = registry.removed.find(change.id);
-  if (removal == registry.removed.end() ||
+  if (registry.upstreams.contains(change.id) ||
+      removal == registry.removed.end() ||
       !MayPrecede(change, removal->second.position,
                   removal->second.started_ms)) {
-    return PutEntry(registry, change);
+    return PutEntry(registry, change, now);
   }
   registry.returned[change.id] = {
-      {*change.upstream, change.position, std::nullopt},
+      {*change.upstream, change.position, std::nullopt, change.position},
       now + kReturnedEntryGrace};
 }
 
@@ -96,9 +106,9 @@
   const auto found = registry.upstreams.find(change.id);
   if (found != registry.upstreams.end()) {
     if (found->second.position >= change.position) return;
-    registry.upstreams.erase(found);
   }
   RecordRemoval(registry, change.id, change.position);
+  registry.upstreams.erase(change.id);
 }
 
 // Returns whether the removals of one batch are so many that they were probably
@@ -145,7 +155,7 @@
   const bool is_mass_removal = IsMassRemoval(registry, removals);
   for (const upstream_change& change : changes) {
     if (change.upstream) {
-      PutEntry(registry, change);
+      PutEntry(registry, change, now);
       continue;
     }
     if (change.unreadable) {
@@ -180,8 +190,14 @@
   });
   const bool is_mass_removal = IsMassRemoval(registry, missing_ids.size());
   for (const std::string& id : missing_ids) {
-    RemoveEntry(registry, id, registry.upstreams.find(id)->second.position,
-                is_mass_removal, now);
+    registered_upstream& entry = registry.upstreams.find(id)->second;
+    if (entry.upstream.draining && entry.position.era < end.era) {
+      // It may be registered again as it was before it left.
+      RecordRemoval(registry, id, entry.position);
+      entry.expires_at = ExpiryTime(registry, is_mass_removal, now);
+      continue;
+    }
+    RemoveEntry(registry, id, entry.position, is_mass_removal, now);
   }
   for (const upstream_change& change : listing) {
     const auto found = registry.upstreams.find(change.id);
--- a/src/fleet/upstream_registry.h
+++ b/src/fleet/upstream_registry.h
@@ -22,6 +22,8 @@
   /// Set if the store removed the entry, but perhaps only because of an outage.
   /// The upstream counts as registered until this time.
   std::optional<absl::Time> expires_at;
+  /// Position of the record since which a draining upstream is known to leave.
+  store_position draining_at = {store_era::none, -1};
 };
 
 /// Removal of an upstream that was in the store.
@@ -102,9 +104,10 @@
 /// older positions that are missing from the listing.
 ///
 /// The first listing of an era may be of an older copy of the store: an
-/// upstream that was draining stays so, and one that was removed gets no
-/// requests for `kReturnedEntryGrace`, unless it has started anew. Later
-/// records of the era end both.
+/// upstream that was draining stays so, also where it is written again as it
+/// was before within `kReturnGrace`, and one that was removed gets no requests
+/// for `kReturnedEntryGrace` unless a later record names it. Neither holds for
+/// one that has started anew.
 void ApplyListing(upstream_registry& registry,
                   const std::vector<upstream_change>& listing,
                   store_position end, absl::Time now);
--- a/src/fleet/upstream_registry_test.cc
+++ b/src/fleet/upstream_registry_test.cc
@@ -14,7 +14,7 @@
     return {std::move(id), upstream, Next()};
   }
   upstream_change StartedAt(std::string id, int64_t started_ms) {
-    upstream_change entry = Entry(std::move(id));
+    upstream_change entry = Entry(id);
     entry.upstream->started_ms = started_ms;
     return entry;
   }
@@ -229,10 +229,34 @@
   EXPECT_TRUE(registry_.upstreams["a"].upstream.draining);
   // A new start is no longer leaving.
   EXPECT_FALSE(registry_.upstreams["b"].upstream.draining);
+  // What it wrote before is written again, in turn.
+  Apply({StartedAt("a", 7)});
+  EXPECT_TRUE(registry_.upstreams["a"].upstream.draining);
+  now_ += kReturnGrace;
   Apply({StartedAt("a", 7)});
   EXPECT_FALSE(registry_.upstreams["a"].upstream.draining);
 }
 
+// The same if the copy lacks it, and its entries are written again in turn.
+TEST_F(upstream_registry_test, ADrainingUpstreamStaysSoIfTheCopyLacksIt) {
+  upstream_change leaving = StartedAt("a", 7);
+  leaving.upstream->draining = true;
+  Apply({leaving, StartedAt("b", 7), StartedAt("c", 7)});
+  ReturnFromCopy(0);
+  const upstream_change b = StartedAt("b", 7);
+  const upstream_change c = StartedAt("c", 7);
+  ApplyListing(registry_, {b, c}, End(), now_);
+  Apply({StartedAt("a", 7)});
+  EXPECT_TRUE(registry_.upstreams["a"].upstream.draining);
+  ReturnFromCopy(0);
+  const upstream_change b_again = StartedAt("b", 7);
+  const upstream_change c_again = StartedAt("c", 7);
+  ApplyListing(registry_, {b_again, c_again}, End(), now_);
+  now_ += kReturnGrace;
+  EXPECT_FALSE(HasUpstream("a"));
+  EXPECT_TRUE(HasUpstream("b"));
+}
+
 // Guards against requests to an engine that has gone: the copy still has it.
 TEST_F(upstream_registry_test, AGoneUpstreamOfAnOlderCopyWaits) {
   Apply({StartedAt("gone", 7), StartedAt("back", 7), StartedAt("anew", 7),
