--- a/tests/store_return_test.cc
+++ b/tests/store_return_test.cc
@@ -27,7 +27,7 @@
 namespace anvilridge {
 namespace {
 
-constexpr int kDaemons = 5;
+constexpr size_t kDaemons = 5;
 constexpr uint16_t kSharingPort = 17660;
 constexpr absl::Duration kStartBound = absl::Seconds(10);
 // Time after its confirmation by the store within which a change is in force,
@@ -59,8 +59,11 @@
   uint16_t caller_port = 0;
   uint16_t ready_port = 0;
 
-  // Starts the daemon with `address` for its messages to others.
+  // Starts the daemon, again perhaps, with `address` for its messages to
+  // others.
   void Start(const std::string& address, const std::string& store) {
+    caller_port = 0;
+    ready_port = 0;
     folder.Write("fleet.ini",
                  absl::StrCat("[daemon]\nname = ", address,
                               "\nfailure_domain = z\n"
@@ -136,13 +139,11 @@
     PutEngine("next", "next", *next_);
     store_->Put("keyed.op", "config", ConfigOf(1, "ledger"));
     absl::BitGen random;
-    const std::string network =
-        absl::StrCat("127.", absl::Uniform(random, 1, 250), ".",
-                     absl::Uniform(random, 1, 250));
-    for (int i = 0; i < kDaemons; ++i) {
+    network_ = absl::StrCat("127.", absl::Uniform(random, 1, 250), ".",
+                            absl::Uniform(random, 1, 250));
+    for (size_t i = 0; i < kDaemons; ++i) {
       daemons_.push_back(std::make_unique<fleet_process>());
-      daemons_.back()->Start(absl::StrCat(network, ".", i + 1),
-                             store_->Address());
+      StartDaemon(i);
     }
     for (const auto& daemon : daemons_) {
       ASSERT_TRUE(Eventually(kStartBound, [&] { return daemon->IsReady(); }));
@@ -165,6 +166,19 @@
     });
   }
 
+  void StartDaemon(size_t index) {
+    daemons_[index]->Start(absl::StrCat(network_, ".", index + 1),
+                           store_->Address());
+  }
+
+  // Returns whether `version` is in force at all daemons.
+  bool IsInForce(int version) const {
+    return std::all_of(daemons_.begin(), daemons_.end(),
+                       [version](const auto& daemon) {
+                         return daemon->LastVersion() == version;
+                       });
+  }
+
   void PutEngine(const std::string& id, const std::string& service,
                  const raw_server& server, const std::string& state = "ready",
                  int cold_ms = 0) {
@@ -223,6 +237,8 @@
   std::unique_ptr<raw_server> stays_;
   std::unique_ptr<raw_server> leaves_;
   std::unique_ptr<raw_server> next_;
+  // First part of the daemons' addresses.
+  std::string network_;
   std::vector<std::unique_ptr<fleet_process>> daemons_;
   int requests_ = 0;
 };
@@ -269,11 +285,7 @@
       [&] { store_->Put("keyed.op", "config", ConfigOf(version, "ledger")); });
   Wait(absl::Seconds(3));
   store_->Put("keyed.op", "config", ConfigOf(++version, "next"));
-  EXPECT_TRUE(Eventually(kApplyBound, [&] {
-    return std::all_of(
-        daemons_.begin(), daemons_.end(),
-        [&](const auto& daemon) { return daemon->LastVersion() == version; });
-  }));
+  EXPECT_TRUE(Eventually(kApplyBound, [&] { return IsInForce(version); }));
   Wait(absl::Milliseconds(300));
   const size_t before = RequestsAt(stays_) + RequestsAt(leaves_);
   PostToAll();
@@ -286,6 +298,36 @@
   }
 }
 
+// Guards against daemons that learn of a return late and keep what they knew:
+// two are frozen meanwhile, and one starts behind it.
+TEST_P(store_return_test, DaemonsThatMissTheReturnAgreeToo) {
+  store_->TakeCopy();
+  int version = 1;
+  for (int i = 0; i < 6; ++i) {
+    store_->Put("keyed.op", "config", ConfigOf(++version, "ledger"));
+    PutEngine("leaves", "ledger", *leaves_, "ready", 1000 * i);
+  }
+  ASSERT_TRUE(Eventually(kApplyBound, [&] { return IsInForce(version); }));
+  daemons_[0]->process->Freeze();
+  daemons_[1]->process->Freeze();
+  daemons_[2]->process->Kill();
+  Return([&] {
+    store_->Put("keyed.op", "config", ConfigOf(version, "ledger"));
+    PutEngine("leaves", "ledger", *leaves_, "draining");
+  });
+  StartDaemon(2);
+  Wait(absl::Seconds(1));
+  daemons_[0]->process->Thaw();
+  daemons_[1]->process->Thaw();
+  Wait(absl::Seconds(3));
+  ASSERT_TRUE(Eventually(kStartBound, [&] { return daemons_[2]->IsReady(); }));
+  const size_t before = RequestsAt(leaves_);
+  PostToAll();
+  EXPECT_EQ(RequestsAt(leaves_), before);
+  store_->Put("keyed.op", "config", ConfigOf(++version, "next"));
+  EXPECT_TRUE(Eventually(kApplyBound, [&] { return IsInForce(version); }));
+}
+
 INSTANTIATE_TEST_SUITE_P(returns, store_return_test,
                          testing::Values(regrowth{"Shorter"},
                                          regrowth{"Longer", 20},
