Followed topics: compare positions, not their numbers

No change in behaviour: where both were known to be of one era, the code compared bare offsets; now the type does it.

--- a/src/fleet/topic_follower.cc
+++ b/src/fleet/topic_follower.cc
@@ -184,8 +184,9 @@
       return StartNextCall();
     }
     complete_at = last_reply;
-    if (batch->next > next->number) {
-      AddRecords(batch->records, {read_era, batch->next});
+    const store_position end = {read_era, batch->next};
+    if (end > *next) {
+      AddRecords(batch->records, end);
       topic_report report = Report();
       report.from = read_from.number;
       report.records = batch->records;
@@ -278,7 +279,8 @@
     }
     if (report.era > era && known_end) return ListReportedEra(report.era);
     if (!next) return EndRetryDelay();
-    if (report.from <= next->number && !report.records.empty()) {
+    if (store_position{report.era, report.from} <= *next &&
+        !report.records.empty()) {
       AddRecords(report.records, {report.era, report.next});
     }
     if (reported_next <= *next) {
--- a/src/fleet/upstream_registry_test.cc
+++ b/src/fleet/upstream_registry_test.cc
@@ -14,7 +14,7 @@
     return {std::move(id), upstream, Next()};
   }
   upstream_change StartedAt(std::string id, int64_t started_ms) {
-    upstream_change entry = Entry(id);
+    upstream_change entry = Entry(std::move(id));
     entry.upstream->started_ms = started_ms;
     return entry;
   }
