--- a/src/fleet/group_member.cc
+++ b/src/fleet/group_member.cc
@@ -138,7 +138,9 @@
 std::optional<int64_t> FencingToken(store_position generation) {
   constexpr int64_t kGenerations = int64_t{1} << kGenerationBits;
   constexpr int64_t kEras = int64_t{1} << (kTokenBits - kGenerationBits);
-  const auto era = static_cast<int64_t>(generation.era);
+  const int64_t era = generation.era == store_era::none
+                          ? 0
+                          : static_cast<int64_t>(generation.era);
   if (era < 0 || era >= kEras || generation.number < 0 ||
       generation.number >= kGenerations) {
     return std::nullopt;
--- a/src/fleet/store_position.h
+++ b/src/fleet/store_position.h
@@ -8,8 +8,8 @@
 
 /// How many times the store has come back from an older copy, as its replies
 /// say. Within an era, the store loses nothing that it has acknowledged.
-/// `none` stands for a reply without an era.
-enum class store_era : int64_t { none = 0 };
+/// `none` stands for a reply without an era, and is before all others.
+enum class store_era : int64_t { none = -1 };
 
 /// Number that the store has given out, an offset of a topic or a generation of
 /// a group, with its era: a later era gives out the same numbers again. Any
